--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+# Targets for developers. "make test" is the whole verdict; CI runs it.
+
+GO ?= go
+BIN := bin
+LINT := $(BIN)/golangci-lint
+
+.PHONY: build test lint demo bench fuzz clean
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+# Formatter, linter, then all tests with the race detector.
+test: lint
+	$(GO) vet ./...
+	./tools/test.sh $(GO)
+
+lint: $(LINT)
+	$(LINT) fmt --diff
+	$(LINT) run
+
+$(LINT): tools/go.mod tools/go.sum
+	cd tools && $(GO) build -o ../$(LINT) github.com/golangci/golangci-lint/v2/cmd/golangci-lint
+
+demo: build
+	./examples/demo.sh $(BIN)
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./pkg/... ./internal/...
+
+# Each fuzz target for ten seconds.
+fuzz:
+	./tools/fuzz.sh 10s
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,267 @@
+package agent
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/borageusher/borageusher/internal/engine"
+	"github.com/borageusher/borageusher/internal/event"
+	"github.com/borageusher/borageusher/internal/peer"
+	"github.com/borageusher/borageusher/pkg/adapter"
+	"github.com/borageusher/borageusher/pkg/configuration"
+	"github.com/borageusher/borageusher/pkg/dispatch"
+	"github.com/borageusher/borageusher/pkg/outcome"
+	"github.com/borageusher/borageusher/pkg/target"
+)
+
+// Times of the event loop.
+const (
+	resumeWindow  = 10 * time.Second // how long a detached answer is kept
+	sweepInterval = time.Second      // between two searches for what can be forgotten
+	stateInterval = 500 * time.Millisecond
+	loadTimeout   = 60 * time.Second // for one order to the engine
+)
+
+// eventBacklog is the number of events that may wait for the loop.
+const eventBacklog = 1024
+
+// Engine is what stands behind the target.
+type Engine interface {
+	Load(ctx context.Context, id adapter.ID) error
+	Unload(ctx context.Context, id adapter.ID) error
+	State(ctx context.Context) (engine.State, error)
+	Run(ctx context.Context, r engine.Request) (*engine.Answer, error)
+	Cancel(ctx context.Context, requestID string) error
+}
+
+// Configurations gives the configuration in force.
+type Configurations interface {
+	Current() *configuration.Configuration
+}
+
+// Options are what an Agent needs.
+type Options struct {
+	Self           target.Target
+	Limits         dispatch.Limits
+	Engine         Engine
+	PlainService   bool // the target is a plain service: no adapters, no state
+	Configurations Configurations
+	Log            event.Log
+	Scope          tally.Scope
+}
+
+// Agent is the authority over one target.
+type Agent struct {
+	opts   Options
+	events chan agentEvent
+	done   chan struct{} // closed when the loop has ended
+
+	// Owned by the loop.
+	dispatcher *dispatch.Dispatcher
+	attempts   map[dispatch.RequestKey]*attempt
+	voided     map[dispatch.RequestKey]time.Time // attempts that must not start, until their start-by time
+	boot       uint64                            // of the engine, zero before its first report
+
+	report atomic.Pointer[dispatch.Report]
+}
+
+// attempt is one attempt that the agent knows.
+type attempt struct {
+	submit  peer.Submit
+	request *dispatch.Request
+	answer  *answer
+	cancel  context.CancelFunc // set while running
+}
+
+// New returns an agent that does nothing until Run.
+func New(opts Options) *Agent {
+	a := &Agent{
+		opts:       opts,
+		events:     make(chan agentEvent, eventBacklog),
+		done:       make(chan struct{}),
+		dispatcher: dispatch.New(opts.Limits, noTerms{}),
+		attempts:   map[dispatch.RequestKey]*attempt{},
+		voided:     map[dispatch.RequestKey]time.Time{},
+	}
+	a.report.Store(&dispatch.Report{})
+	return a
+}
+
+// Run runs the event loop until ctx is done.
+func (a *Agent) Run(ctx context.Context) {
+	defer close(a.done)
+	if !a.opts.PlainService {
+		go a.watchEngine(ctx)
+	}
+	sweep := time.NewTicker(sweepInterval)
+	defer sweep.Stop()
+	deadline := time.NewTimer(time.Hour)
+	defer deadline.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-a.events:
+			e.apply(ctx, a, time.Now())
+		case now := <-sweep.C:
+			a.sweep(now)
+		case <-deadline.C:
+		}
+		a.perform(ctx, a.dispatcher.Next(time.Now()))
+		a.publish()
+		if next := a.dispatcher.NextDeadline(); !next.IsZero() {
+			deadline.Reset(max(0, time.Until(next)))
+		}
+	}
+}
+
+// Report returns the target's load as of the last event.
+func (a *Agent) Report() dispatch.Report { return *a.report.Load() }
+
+// Drain stops taking requests; what runs goes on.
+func (a *Agent) Drain() { a.post(drained{}) }
+
+// SetConfiguration puts the lending terms of cfg in force.
+func (a *Agent) SetConfiguration(cfg *configuration.Configuration) {
+	a.post(configured{cfg: cfg})
+}
+
+// Idle reports whether no request runs and all answers were delivered.
+func (a *Agent) Idle() bool {
+	reply := make(chan bool, 1)
+	if !a.post(idleAsked{reply: reply}) {
+		return true
+	}
+	select {
+	case idle := <-reply:
+		return idle
+	case <-a.done:
+		return true
+	}
+}
+
+// post hands an event to the loop and reports false when the loop has ended.
+func (a *Agent) post(e agentEvent) bool {
+	select {
+	case a.events <- e:
+		return true
+	case <-a.done:
+		return false
+	}
+}
+
+// publish makes the load visible outside the loop.
+func (a *Agent) publish() {
+	r := a.dispatcher.Report()
+	a.report.Store(&r)
+	a.opts.Scope.Gauge("running").Update(float64(r.Running))
+	a.opts.Scope.Gauge("queued").Update(float64(r.Queued))
+}
+
+// perform carries out what the dispatcher decided.
+func (a *Agent) perform(ctx context.Context, actions []dispatch.Action) {
+	for _, action := range actions {
+		switch action.Kind {
+		case dispatch.Start:
+			a.start(ctx, a.attempts[action.Request.Key])
+		case dispatch.Refuse:
+			a.refuse(a.attempts[action.Request.Key], action.Reason)
+		case dispatch.Load:
+			a.opts.Log.At(event.AdapterLoading).Stringer("adapter", action.Adapter).Str("reason", "request_waits").Send()
+			go a.load(ctx, action.Adapter)
+		case dispatch.Unload:
+			a.opts.Log.At(event.AdapterUnloading).Stringer("adapter", action.Adapter).Str("reason", "room_needed").Send()
+			go a.unload(ctx, action.Adapter)
+		}
+	}
+}
+
+// refuse tells the sender of at that it did not run.
+func (a *Agent) refuse(at *attempt, reason outcome.Reason) {
+	a.opts.Log.At(event.RequestNotRun).Str("request", at.submit.Request).Uint32("attempt", at.submit.Attempt).
+		Stringer("reason", reason).Send()
+	a.opts.Scope.Tagged(map[string]string{"reason": reason.String()}).Counter("refused").Inc(1)
+	at.answer.refuse(time.Now(), reason, a.dispatcher.Report())
+}
+
+// sweep forgets what nobody can ask for any more.
+func (a *Agent) sweep(now time.Time) {
+	for key, at := range a.attempts {
+		if at.answer.forgettable(now, resumeWindow) {
+			delete(a.attempts, key)
+			continue
+		}
+		if at.answer.orphaned(now, resumeWindow) {
+			a.abandon(at)
+		}
+	}
+	for key, until := range a.voided {
+		if now.After(until) {
+			delete(a.voided, key)
+		}
+	}
+}
+
+// abandon ends an attempt whose answer nobody takes.
+func (a *Agent) abandon(at *attempt) {
+	at.answer.abandon()
+	if a.dispatcher.Withdraw(at.request.Key) {
+		a.refuse(at, outcome.Cancelled)
+		return
+	}
+	if at.cancel != nil {
+		at.cancel()
+	}
+}
+
+// load orders the engine to load an adapter.
+func (a *Agent) load(ctx context.Context, id adapter.ID) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	began := time.Now()
+	err := a.opts.Engine.Load(ctx, id)
+	if err != nil {
+		a.opts.Log.At(event.AdapterLoadFailed).Stringer("adapter", id).Err(err).Send()
+	} else {
+		a.opts.Log.At(event.AdapterLoaded).Stringer("adapter", id).Dur("took", time.Since(began)).Send()
+	}
+	a.post(loaded{id: id, ok: err == nil})
+}
+
+// unload orders the engine to unload an adapter. A refused order leaves the
+// engine's own list as the truth, which the next state report brings.
+func (a *Agent) unload(ctx context.Context, id adapter.ID) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	if err := a.opts.Engine.Unload(ctx, id); err != nil {
+		a.opts.Log.At(event.EngineUnreachable).Err(err).Send()
+	}
+	a.post(unloaded{id: id})
+}
+
+// watchEngine posts the engine's reports until ctx is done.
+func (a *Agent) watchEngine(ctx context.Context) {
+	ticker := time.NewTicker(stateInterval)
+	defer ticker.Stop()
+	for {
+		a.readState(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (a *Agent) readState(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, 4*stateInterval)
+	defer cancel()
+	s, err := a.opts.Engine.State(ctx)
+	if err != nil {
+		return // the engine restarts or hangs; requests to it tell more
+	}
+	a.post(engineReported{state: s})
+}
--- /dev/null
+++ b/internal/agent/main.go
@@ -0,0 +1,183 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/common/adaptor"
+
+	"github.com/borageusher/borageusher/internal/daemon"
+	"github.com/borageusher/borageusher/internal/engine"
+	"github.com/borageusher/borageusher/internal/event"
+	"github.com/borageusher/borageusher/internal/httpserver"
+	"github.com/borageusher/borageusher/internal/metrics"
+	"github.com/borageusher/borageusher/internal/objects"
+	"github.com/borageusher/borageusher/internal/peer"
+	"github.com/borageusher/borageusher/internal/registration"
+	"github.com/borageusher/borageusher/internal/revision"
+	"github.com/borageusher/borageusher/internal/settings"
+	"github.com/borageusher/borageusher/pkg/dispatch"
+	"github.com/borageusher/borageusher/pkg/target"
+)
+
+const purpose = "Runs beside one target and is the only way to it: admits, queues, loads adapters, runs, streams back."
+
+// Times of start and stop.
+const (
+	registerPause = 500 * time.Millisecond // between two attempts to register
+	storeTimeout  = 3 * time.Second        // for one exchange with the object API
+	closeTimeout  = 300 * time.Millisecond // for the listener to close
+)
+
+// Main runs the program targetd and returns its exit code.
+func Main(args []string, stderr io.Writer) int {
+	path, ok := daemon.Flags("targetd", purpose, args, stderr)
+	if !ok {
+		return daemon.ExitUsage
+	}
+	s, err := settings.ReadTarget(path)
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, "targetd:", err)
+		return daemon.ExitUsage
+	}
+	if err := run(s, stderr); err != nil {
+		_, _ = fmt.Fprintln(stderr, "targetd:", err)
+		return daemon.ExitFailure
+	}
+	return daemon.ExitOK
+}
+
+func run(s settings.Target, stderr io.Writer) error {
+	signals := daemon.Signals()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+
+	log := event.New(stderr, "targetd", s.Name, s.LogLevel)
+	scope, metricsHandler, stopMetrics := metrics.New("targetd")
+	defer stopMetrics()
+	store := objects.New(s.Platform, &http.Client{Transport: &http.Transport{}})
+	configurations := revision.New(store, log)
+	srv, err := httpserver.New(httpserver.Options{
+		Address:      s.Listen,
+		CertFile:     s.CertFile,
+		KeyFile:      s.KeyFile,
+		MaxBodyBytes: 1 << 20,
+		Ready:        func() bool { return configurations.Current() != nil },
+		Metrics:      metricsHandler,
+	})
+	if err != nil {
+		return err
+	}
+	log.At(event.Started).Stringer("address", s.Listen).Send()
+	rec, ok := register(ctx, store, describe(s), signals, log)
+	if !ok {
+		return nil
+	}
+	a := New(Options{
+		Self:           rec.Target,
+		Limits:         dispatch.Limits{Owner: s.Team, Slots: s.Slots, Adapters: s.Adapters, Queue: s.Queue},
+		Engine:         engine.New(s.Engine, rec.Target.Epoch),
+		PlainService:   s.Plain,
+		Configurations: configurations,
+		Log:            log,
+		Scope:          scope,
+	})
+	configurations.OnChange(a.SetConfiguration)
+	sessions := &Sessions{
+		Agent:    a,
+		Self:     identity(rec.Target),
+		Key:      peer.Key(s.PeerKey),
+		Log:      log,
+		Revision: configurations.Revision,
+	}
+	srv.Hertz.GET(peer.Path, adaptor.HertzHandler(sessions))
+	go a.Run(ctx)
+	go configurations.Run(ctx)
+	served := make(chan error, 1)
+	go func() { served <- srv.Run() }()
+	select {
+	case err := <-served:
+		return err
+	case <-signals:
+	}
+	stop(ctx, s, a, store, rec, signals, log)
+	srv.Shutdown(closeTimeout)
+	log.At(event.Stopped).Send()
+	return nil
+}
+
+// describe returns the target that the settings describe, as a new process.
+func describe(s settings.Target) target.Target {
+	return target.Target{
+		Name:        s.Name,
+		Team:        s.Team,
+		Service:     s.Service,
+		Region:      s.Region,
+		Zone:        s.Zone,
+		Addr:        s.Listen,
+		Incarnation: daemon.NewIncarnation(),
+		Slots:       s.Slots,
+		State:       target.Live,
+	}
+}
+
+func identity(t target.Target) peer.Identity {
+	return peer.Identity{
+		Name:        t.Name,
+		Role:        "targetd",
+		Incarnation: t.Incarnation,
+		Region:      t.Region,
+		Zone:        t.Zone,
+		Epoch:       t.Epoch,
+	}
+}
+
+// register registers the target, trying until it succeeds or a signal comes.
+func register(ctx context.Context, store registration.Store, self target.Target, signals <-chan os.Signal, log event.Log) (registration.Record, bool) {
+	for {
+		rec, err := registerOnce(ctx, store, self)
+		if err == nil {
+			log.At(event.TargetRegistered).Uint64("epoch", rec.Target.Epoch).Send()
+			return rec, true
+		}
+		log.At(event.StoreUnavailable).Str("purpose", "registration").Err(err).Send()
+		select {
+		case <-signals:
+			return registration.Record{}, false
+		case <-time.After(registerPause):
+		}
+	}
+}
+
+func registerOnce(ctx context.Context, store registration.Store, self target.Target) (registration.Record, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return registration.Register(ctx, store, self)
+}
+
+// stop drains the target: it takes nothing new, queued requests move on, and
+// running ones end.
+func stop(ctx context.Context, s settings.Target, a *Agent, store registration.Store, rec registration.Record, signals <-chan os.Signal, log event.Log) {
+	log.At(event.Stopping).Int("requests", a.Report().Running).Send()
+	a.Drain()
+	rec = setState(ctx, store, rec, target.Leaving, log)
+	if !daemon.WaitIdle(ctx, a.Idle, signals, s.StopIn) {
+		log.At(event.StopTimedOut).Int("requests", a.Report().Running).Send()
+	}
+	setState(ctx, store, rec, target.Gone, log)
+}
+
+// setState writes the target's state, if the object API lets it.
+func setState(ctx context.Context, store registration.Store, rec registration.Record, state target.State, log event.Log) registration.Record {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	next, err := registration.SetState(ctx, store, rec, state)
+	if err != nil {
+		log.At(event.StoreUnavailable).Str("purpose", "registration").Err(err).Send()
+	}
+	return next
+}
--- /dev/null
+++ b/internal/agent/runner.go
@@ -0,0 +1,88 @@
+package agent
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/borageusher/borageusher/internal/engine"
+	"github.com/borageusher/borageusher/internal/event"
+	"github.com/borageusher/borageusher/pkg/dispatch"
+	"github.com/borageusher/borageusher/pkg/outcome"
+)
+
+// cancelTimeout is for telling the engine to stop a request.
+const cancelTimeout = 2 * time.Second
+
+// start runs an attempt in a goroutine of its own.
+func (a *Agent) start(ctx context.Context, at *attempt) {
+	ctx, cancel := context.WithCancel(ctx)
+	at.cancel = cancel
+	a.opts.Log.At(event.RequestStarted).Str("request", at.submit.Request).Uint32("attempt", at.submit.Attempt).
+		Stringer("adapter", at.submit.Adapter).Send()
+	load := a.dispatcher.Report()
+	go func() {
+		defer cancel()
+		a.run(ctx, at, load)
+		a.post(finished{key: at.request.Key})
+	}()
+}
+
+// run sends the request to the engine and passes its answer on.
+func (a *Agent) run(ctx context.Context, at *attempt, load dispatch.Report) {
+	result, err := a.opts.Engine.Run(ctx, engine.Request{
+		ID:          at.submit.Request,
+		Method:      at.submit.Method,
+		Path:        at.submit.Path,
+		ContentType: at.submit.ContentType,
+		Body:        at.submit.Body,
+		Adapter:     !at.submit.Adapter.IsZero(),
+	})
+	switch {
+	case engine.IsKind(err, engine.NotStarted):
+		at.answer.refuse(time.Now(), outcome.EngineFailed, load)
+	case engine.IsKind(err, engine.NotResident):
+		at.answer.refuse(time.Now(), outcome.LoadFailed, load)
+	case err != nil:
+		at.answer.end(time.Now(), outcome.Unknown, outcome.EngineFailed)
+	default:
+		a.relay(ctx, at, result)
+	}
+}
+
+// relay passes an engine's answer on, part by part.
+func (a *Agent) relay(ctx context.Context, at *attempt, result *engine.Answer) {
+	defer func() { _ = result.Body.Close() }() // was read or is given up
+	at.answer.start(time.Now(), result.Status, result.ContentType)
+	buf := make([]byte, partBytes)
+	for {
+		n, err := result.Body.Read(buf)
+		if n > 0 && !at.answer.add(time.Now(), buf[:n]) {
+			a.cancelRun(at)
+			at.answer.end(time.Now(), outcome.Unknown, outcome.Cancelled)
+			return
+		}
+		if err == io.EOF {
+			at.answer.end(time.Now(), outcome.Answered, outcome.NoReason)
+			return
+		}
+		if err != nil {
+			reason := outcome.EngineFailed
+			if ctx.Err() != nil {
+				reason = outcome.Cancelled
+				a.cancelRun(at)
+			}
+			at.answer.end(time.Now(), outcome.Unknown, reason)
+			return
+		}
+	}
+}
+
+// cancelRun tells the engine that nobody wants the answer.
+func (a *Agent) cancelRun(at *attempt) {
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	if err := a.opts.Engine.Cancel(ctx, at.submit.Request); err != nil {
+		a.opts.Log.At(event.EngineUnreachable).Str("request", at.submit.Request).Err(err).Send()
+	}
+}
--- /dev/null
+++ b/internal/agent/session.go
@@ -0,0 +1,50 @@
+package agent
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/borageusher/borageusher/internal/event"
+	"github.com/borageusher/borageusher/internal/peer"
+	"github.com/borageusher/borageusher/pkg/dispatch"
+)
+
+// Sessions accepts the entryds' connections.
+type Sessions struct {
+	Agent    *Agent
+	Self     peer.Identity
+	Key      peer.Key
+	Log      event.Log
+	Revision func() uint64 // configuration in force
+}
+
+// ServeHTTP serves one connection until it ends.
+func (s *Sessions) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	conn, err := peer.Accept(w, r, s.Self, s.Key)
+	if err != nil {
+		s.Log.At(event.PeerRefused).Str("from", r.RemoteAddr).Err(err).Send()
+		return
+	}
+	s.Log.At(event.PeerConnected).Str("peer", conn.Remote().Name).Send()
+	err = conn.Run(context.WithoutCancel(r.Context()), s.beat, func(m peer.Message) { s.handle(conn, m) })
+	s.Log.At(event.PeerLost).Str("peer", conn.Remote().Name).Err(err).Send()
+	s.Agent.post(disconnected{conn: conn})
+}
+
+func (s *Sessions) beat() peer.Heartbeat {
+	load := s.Agent.Report()
+	return peer.Heartbeat{Revision: s.Revision(), Running: load.Running, Queued: load.Queued, Draining: load.Draining}
+}
+
+func (s *Sessions) handle(conn *peer.Conn, m peer.Message) {
+	switch m := m.(type) {
+	case peer.Submit:
+		s.Agent.post(submitted{conn: conn, submit: m})
+	case peer.Resume:
+		s.Agent.post(resumed{conn: conn, resume: m})
+	case peer.Cancel:
+		s.Agent.post(cancelled{key: dispatch.RequestKey{Request: m.Request, Attempt: m.Attempt}})
+	case peer.Ack:
+		s.Agent.post(acked{key: dispatch.RequestKey{Request: m.Request, Attempt: m.Attempt}, next: m.Next})
+	}
+}
--- /dev/null
+++ b/internal/agent/terms.go
@@ -0,0 +1,44 @@
+package agent
+
+import (
+	"math"
+
+	"github.com/borageusher/borageusher/pkg/configuration"
+	"github.com/borageusher/borageusher/pkg/target"
+)
+
+// noTerms lets nobody in: what holds before the first configuration.
+type noTerms struct{}
+
+// SlotsFor implements dispatch.Terms.
+func (noTerms) SlotsFor(string) int { return 0 }
+
+// lendingTerms are the terms of one configuration for one target.
+type lendingTerms struct {
+	self    target.Target
+	lending configuration.Lending
+}
+
+func newLendingTerms(cfg *configuration.Configuration, self target.Target) lendingTerms {
+	terms := lendingTerms{self: self}
+	team := cfg.Team(self.Team)
+	if team == nil {
+		return terms
+	}
+	if s, ok := team.Service(self.Service); ok {
+		terms.lending = s.Lending
+	}
+	return terms
+}
+
+// SlotsFor implements dispatch.Terms: the owner may use all slots, a borrower
+// the lent share, rounded down.
+func (t lendingTerms) SlotsFor(team string) int {
+	if team == t.self.Team {
+		return t.self.Slots
+	}
+	if !t.lending.Lends(team) {
+		return 0
+	}
+	return int(math.Floor(t.lending.Share * float64(t.self.Slots)))
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,127 @@
+// Package daemon has what the daemons' main functions share: the -settings
+// flag, identity, peer credentials and the wait for a signal.
+//
+// # Usage
+//
+//	path, ok := daemon.Flags("entryd", usage, args, stderr)
+//	if !ok {
+//		return daemon.ExitUsage
+//	}
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/hex"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/borageusher/borageusher/internal/peer"
+	"github.com/borageusher/borageusher/internal/settings"
+)
+
+// Exit codes of the programs.
+const (
+	ExitOK      = 0
+	ExitFailure = 1 // the program ran and failed
+	ExitUsage   = 2 // bad flags or settings
+)
+
+// incarnationBytes is the length of a process's random identity.
+const incarnationBytes = 6
+
+// Flags reads the command line of a daemon: the path of its settings file. It
+// reports false after having printed what is wrong.
+func Flags(program, purpose string, args []string, stderr io.Writer) (string, bool) {
+	fs := flag.NewFlagSet(program, flag.ContinueOnError)
+	fs.SetOutput(stderr)
+	fs.Usage = func() {
+		_, _ = fmt.Fprintf(stderr, "usage: %s -settings FILE\n\n%s\n\n", program, purpose)
+		fs.PrintDefaults()
+	}
+	path := fs.String("settings", "", "the INI `file` with the settings, see docs/SETTINGS.md")
+	if err := fs.Parse(args); err != nil {
+		return "", false
+	}
+	if *path == "" || fs.NArg() > 0 {
+		fs.Usage()
+		return "", false
+	}
+	return *path, true
+}
+
+// NewIncarnation returns an identity that no other start of any process has.
+func NewIncarnation() string {
+	b := make([]byte, incarnationBytes)
+	_, _ = rand.Read(b) // never fails
+	return hex.EncodeToString(b)
+}
+
+// NewDialer returns the dialer of peer connections that the settings describe.
+func NewDialer(self peer.Identity, c settings.Common) (*peer.Dialer, error) {
+	transport := &http.Transport{}
+	if c.CAFile != "" {
+		pool, err := readAuthorities(c.CAFile)
+		if err != nil {
+			return nil, err
+		}
+		transport.TLSClientConfig = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
+	}
+	return &peer.Dialer{
+		Self:   self,
+		Key:    peer.Key(c.PeerKey),
+		Client: &http.Client{Transport: transport},
+		Secure: c.CAFile != "",
+	}, nil
+}
+
+func readAuthorities(path string) (*x509.CertPool, error) {
+	pem, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "daemon: read authorities")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, errors.Newf("daemon: %s has no certificate", path)
+	}
+	return pool, nil
+}
+
+// Signals returns a channel that receives the signals that ask for a planned stop.
+func Signals() <-chan os.Signal {
+	c := make(chan os.Signal, 2)
+	signal.Notify(c, os.Interrupt, syscall.SIGTERM)
+	return c
+}
+
+// drainPoll is how often a stopping daemon looks whether it is idle.
+const drainPoll = 20 * time.Millisecond
+
+// WaitIdle waits until idle reports true and returns true. It returns false
+// when the deadline passes, another signal comes, or ctx is done first.
+func WaitIdle(ctx context.Context, idle func() bool, signals <-chan os.Signal, within time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for !idle() {
+		select {
+		case <-ticker.C:
+		case <-signals:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,144 @@
+package entry
+
+import (
+	"context"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/borageusher/borageusher/internal/event"
+	"github.com/borageusher/borageusher/internal/peer"
+)
+
+// Options are what an Entry needs.
+type Options struct {
+	Self           peer.Identity
+	Configurations Configurations
+	Revision       func() uint64
+	Targets        Targets
+	Dialer         Dialer
+	MaxInProgress  int           // calls in progress at once
+	StartWithin    time.Duration // a call's deadline to start, unless it names one
+	Log            event.Log
+	Scope          tally.Scope
+}
+
+// Entry serves callers.
+type Entry struct {
+	opts    Options
+	chain   Handler
+	limit   *limitFilter
+	links   *links
+	counter atomic.Uint64
+}
+
+// New returns an entry; Register adds it to a server.
+func New(opts Options) *Entry {
+	e := &Entry{
+		opts:  opts,
+		limit: &limitFilter{most: int64(opts.MaxInProgress)},
+		links: newLinks(opts.Dialer, opts.Log, opts.Revision),
+	}
+	last := &router{
+		region:  opts.Self.Region,
+		targets: opts.Targets,
+		links:   e.links,
+		log:     opts.Log,
+		scope:   opts.Scope,
+	}
+	e.chain = chain(last, identifyFilter{configurations: opts.Configurations}, resolveFilter{}, e.limit)
+	return e
+}
+
+// Register adds the callers' routes to h.
+func (e *Entry) Register(h *server.Hertz) {
+	h.POST("/v1/completions", e.serveCompletion)
+	h.POST("/v1/chat/completions", e.serveCompletion)
+	h.GET("/v1/models", e.serveModels)
+	h.Any("/services/:service/*path", e.servePlain)
+	h.Any("/services/:service", e.servePlain)
+}
+
+// InProgress returns the number of calls in progress.
+func (e *Entry) InProgress() int { return e.limit.InProgress() }
+
+func (e *Entry) serveCompletion(ctx context.Context, rc *app.RequestContext) {
+	c, ok := e.newCall(rc)
+	if !ok {
+		return
+	}
+	e.serve(ctx, rc, c)
+}
+
+func (e *Entry) servePlain(ctx context.Context, rc *app.RequestContext) {
+	c, ok := e.newCall(rc)
+	if !ok {
+		return
+	}
+	c.Service = rc.Param("service")
+	c.TargetPath = plainPath(c.Path, c.Service)
+	e.serve(ctx, rc, c)
+}
+
+// plainPath returns what follows the service's name in a path with query.
+func plainPath(path, service string) string {
+	rest := path[len("/services/")+len(service):]
+	if rest == "" || rest[0] != '/' {
+		return "/" + rest
+	}
+	return rest
+}
+
+// newCall reads what all calls have in common. It replies and reports false
+// when a header is not allowed.
+func (e *Entry) newCall(rc *app.RequestContext) (*Call, bool) {
+	now := time.Now()
+	c := &Call{
+		ID:             e.opts.Self.Incarnation + "-" + strconv.FormatUint(e.counter.Add(1), 10),
+		BearerKey:      bearerKey(string(rc.GetHeader("Authorization"))),
+		Method:         string(rc.Method()),
+		Path:           string(rc.Request.URI().RequestURI()),
+		ContentType:    string(rc.ContentType()),
+		Body:           append([]byte(nil), rc.Request.Body()...),
+		IdempotencyKey: string(rc.GetHeader("Idempotency-Key")),
+		Deadline:       now.Add(e.opts.StartWithin),
+	}
+	c.Response = &response{rc: rc}
+	rc.Header(requestIDHeader, c.ID)
+	if result, ok := readHeaders(c, rc, now); !ok {
+		writeError(rc, c, result)
+		return nil, false
+	}
+	return c, true
+}
+
+func (e *Entry) serve(ctx context.Context, rc *app.RequestContext, c *Call) {
+	began := time.Now()
+	result := e.chain.Handle(ctx, c, began)
+	if !c.Adapter.IsZero() && !c.Response.Started() {
+		rc.Header(adapterHeader, c.Adapter.Ref.String())
+	}
+	c.Response.(*response).finish(c, result)
+	e.note(c, result, time.Since(began))
+}
+
+// note logs and counts the end of a call.
+func (e *Entry) note(c *Call, result Result, took time.Duration) {
+	code := event.RequestEnded
+	if c.Configuration == nil || c.Team == nil || c.Owner == "" {
+		code = event.RequestRejected
+	}
+	line := e.opts.Log.At(code).Str("request", c.ID).Stringer("outcome", result.Outcome).
+		Stringer("reason", result.Reason).Dur("took", took)
+	if c.Team != nil {
+		line = line.Str("team", c.Team.Name).Stringer("adapter", c.Adapter)
+	}
+	line.Send()
+	tags := map[string]string{"outcome": result.Outcome.String(), "reason": result.Reason.String()}
+	e.opts.Scope.Tagged(tags).Counter("requests").Inc(1)
+	e.opts.Scope.Timer("request_time").Record(took)
+}
--- /dev/null
+++ b/internal/entry/error.go
@@ -0,0 +1,39 @@
+package entry
+
+import "fmt"
+
+// Kind classifies an Error.
+type Kind uint8
+
+// The kinds of error.
+const (
+	BadBody   Kind = iota + 1 // the body is no JSON object
+	NoModel                   // the body names no model
+	NotSent                   // an attempt was never written to a connection
+	BadHeader                 // a header's value is not allowed
+)
+
+var kindNames = map[Kind]string{
+	BadBody:   "the body is not a JSON object",
+	NoModel:   `the body has no "model" text`,
+	NotSent:   "the target cannot be reached",
+	BadHeader: "a header is not allowed",
+}
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string // operation that failed
+	Kind Kind
+	Err  error // cause, if any
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string {
+	if e.Err == nil {
+		return fmt.Sprintf("%s: %s", e.Op, kindNames[e.Kind])
+	}
+	return fmt.Sprintf("%s: %s: %v", e.Op, kindNames[e.Kind], e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- /dev/null
+++ b/internal/event/event.go
@@ -0,0 +1,117 @@
+package event
+
+import (
+	"io"
+
+	"github.com/rs/zerolog"
+)
+
+// Code numbers an event. Numbers are never reused.
+type Code int
+
+// The events.
+const (
+	Started           Code = 100
+	Ready             Code = 101
+	Stopping          Code = 102
+	Stopped           Code = 103
+	StopTimedOut      Code = 104
+	PeerConnected     Code = 200
+	PeerLost          Code = 201
+	PeerRefused       Code = 202
+	RouteChosen       Code = 300
+	RouteRefused      Code = 301
+	RequestEnded      Code = 302
+	RequestRejected   Code = 303
+	AnswerResumed     Code = 304
+	RequestQueued     Code = 400
+	RequestNotRun     Code = 401
+	RequestStarted    Code = 402
+	RequestFinished   Code = 403
+	AdapterLoading    Code = 410
+	AdapterLoaded     Code = 411
+	AdapterLoadFailed Code = 412
+	AdapterUnloading  Code = 413
+	EngineRestarted   Code = 420
+	EngineUnreachable Code = 421
+	TargetRegistered  Code = 430
+	TargetReplaced    Code = 431
+	RevisionInForce   Code = 500
+	RevisionRejected  Code = 501
+	StoreUnavailable  Code = 510
+	MembersChanged    Code = 520
+)
+
+// definition is what the catalogue says of an event.
+type definition struct {
+	code  Code
+	name  string
+	level zerolog.Level
+	text  string
+}
+
+// catalogue lists the events in order of their codes.
+var catalogue = []definition{
+	{Started, "started", zerolog.InfoLevel, "The process has read its settings and listens."},
+	{Ready, "ready", zerolog.InfoLevel, "The process has a configuration and takes requests."},
+	{Stopping, "stopping", zerolog.InfoLevel, "A planned stop has begun: no new work, work in progress goes on."},
+	{Stopped, "stopped", zerolog.InfoLevel, "The process ends after its last request."},
+	{StopTimedOut, "stop_timed_out", zerolog.ErrorLevel, "The stop's deadline passed with requests in progress; `requests` says how many were cut."},
+	{PeerConnected, "peer_connected", zerolog.InfoLevel, "A peer connection is open and both sides proved the key."},
+	{PeerLost, "peer_lost", zerolog.WarnLevel, "A peer connection ended or went silent; `error` says how."},
+	{PeerRefused, "peer_refused", zerolog.WarnLevel, "A process without the right peer key tried to connect."},
+	{RouteChosen, "route_chosen", zerolog.InfoLevel, "Routing decision: the request's next attempt goes to `target`; `reason` says why that one."},
+	{RouteRefused, "route_refused", zerolog.InfoLevel, "The target refused an attempt before running it; `reason` is the target's."},
+	{RequestEnded, "request_ended", zerolog.InfoLevel, "The caller was told the outcome."},
+	{RequestRejected, "request_rejected", zerolog.InfoLevel, "The request was refused at the entry, before any target."},
+	{AnswerResumed, "answer_resumed", zerolog.InfoLevel, "An answer goes on over a new connection from part `next`."},
+	{RequestQueued, "request_queued", zerolog.DebugLevel, "The target took an attempt into its queue."},
+	{RequestNotRun, "request_not_run", zerolog.InfoLevel, "The target refused an attempt that it had not started."},
+	{RequestStarted, "request_started", zerolog.DebugLevel, "The engine or service was given the request."},
+	{RequestFinished, "request_finished", zerolog.DebugLevel, "The engine or service ended the request."},
+	{AdapterLoading, "adapter_loading", zerolog.InfoLevel, "Placement decision: the engine is ordered to load `adapter`; `reason` says why."},
+	{AdapterLoaded, "adapter_loaded", zerolog.InfoLevel, "The engine has loaded `adapter` in `took`."},
+	{AdapterLoadFailed, "adapter_load_failed", zerolog.WarnLevel, "The engine could not load `adapter`."},
+	{AdapterUnloading, "adapter_unloading", zerolog.InfoLevel, "Placement decision: the engine is ordered to unload `adapter`; `reason` says why."},
+	{EngineRestarted, "engine_restarted", zerolog.WarnLevel, "The engine restarted and lost its adapters."},
+	{EngineUnreachable, "engine_unreachable", zerolog.WarnLevel, "The engine does not answer."},
+	{TargetRegistered, "target_registered", zerolog.InfoLevel, "The target is registered with `epoch` as its fencing number."},
+	{TargetReplaced, "target_replaced", zerolog.ErrorLevel, "Another process registered this target; this one takes no more work."},
+	{RevisionInForce, "revision_in_force", zerolog.InfoLevel, "A newer configuration is in force in this process."},
+	{RevisionRejected, "revision_rejected", zerolog.ErrorLevel, "A configuration could not be read and the older one stays."},
+	{StoreUnavailable, "store_unavailable", zerolog.WarnLevel, "The object API did not answer; the process goes on with what it knows."},
+	{MembersChanged, "members_changed", zerolog.InfoLevel, "The set of known targets changed."},
+}
+
+var definitions = func() map[Code]definition {
+	m := make(map[Code]definition, len(catalogue))
+	for _, d := range catalogue {
+		m[d.code] = d
+	}
+	return m
+}()
+
+// Log writes events. The zero Log is not usable; Discard writes nothing.
+type Log struct {
+	z zerolog.Logger
+}
+
+// New returns a log that writes JSON lines at or above level to w, marked with
+// the program and the process's name.
+func New(w io.Writer, program, name string, level zerolog.Level) Log {
+	z := zerolog.New(w).Level(level).With().Timestamp().Str("program", program).Str("process", name).Logger()
+	return Log{z: z}
+}
+
+// Discard returns a log that writes nothing.
+func Discard() Log { return Log{z: zerolog.Nop()} }
+
+// At starts the line of an event; the caller adds fields and calls Send. It
+// panics if the catalogue lacks the code.
+func (l Log) At(code Code) *zerolog.Event {
+	d, ok := definitions[code]
+	if !ok {
+		panic("event: code is not in the catalogue")
+	}
+	return l.z.WithLevel(d.level).Int("event", int(d.code)).Str("name", d.name)
+}
--- /dev/null
+++ b/internal/objects/vms.go
@@ -0,0 +1,40 @@
+package objects
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+)
+
+// VM is one entry of the platform's list of VMs. The list lags.
+type VM struct {
+	Addr    netip.Addr
+	Leaving bool
+}
+
+type vmWire struct {
+	Address string `json:"address"`
+	State   string `json:"state"`
+}
+
+// VMs returns the platform's list of live and leaving VMs.
+func (c *Client) VMs(ctx context.Context) ([]VM, error) {
+	resp, err := c.do(ctx, "vms", http.MethodGet, c.base+"/v1/vms", nil, nil)
+	if err != nil {
+		return nil, err
+	}
+	var wire []vmWire
+	if err := json.Unmarshal(resp.body, &wire); err != nil {
+		return nil, &Error{Op: "vms", Kind: Unavailable, Err: err}
+	}
+	var out []VM
+	for _, w := range wire {
+		addr, err := netip.ParseAddr(w.Address)
+		if err != nil {
+			return nil, &Error{Op: "vms", Kind: Unavailable, Err: err}
+		}
+		out = append(out, VM{Addr: addr, Leaving: w.State == "leaving"})
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/operator/commands.go
@@ -0,0 +1,123 @@
+package operator
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+
+	"github.com/borageusher/borageusher/internal/objects"
+	"github.com/borageusher/borageusher/internal/registration"
+	"github.com/borageusher/borageusher/pkg/configuration"
+	"github.com/borageusher/borageusher/pkg/questionnaire"
+	"github.com/borageusher/borageusher/pkg/target"
+)
+
+// bearerKeyBytes is the entropy of a new bearer key.
+const bearerKeyBytes = 24
+
+func runKey(c *commandLine) int {
+	b := make([]byte, bearerKeyBytes)
+	_, _ = rand.Read(b) // never fails
+	key := hex.EncodeToString(b)
+	c.printf("key         %s\nkey_digest  %s\n", key, configuration.DigestKey(key))
+	return exitOK
+}
+
+func runCheck(c *commandLine) int {
+	answers, ok := c.readAnswers()
+	if !ok {
+		return exitUsage
+	}
+	for _, a := range answers {
+		c.printf("team %s: %d services, %d adapters: good\n", a.Team.Name, len(a.Team.Services), len(a.Adapters))
+	}
+	return exitOK
+}
+
+func runGenerate(c *commandLine) int {
+	answers, ok := c.readAnswers()
+	if !ok {
+		return exitUsage
+	}
+	c.printChanges(configuration.Diff(nil, questionnaire.Generate(nil, answers...)))
+	return exitOK
+}
+
+func runDiff(c *commandLine) int {
+	answers, ok := c.readAnswers()
+	if !ok {
+		return exitUsage
+	}
+	store, err := c.store()
+	if err != nil {
+		return c.fail(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	now, err := readInForce(ctx, store)
+	if err != nil {
+		return c.fail(err)
+	}
+	c.printf("in force: revision %d\n", now.root.Revision)
+	next := questionnaire.Generate(now.configuration, answers...)
+	c.printChanges(configuration.Diff(now.configuration, next))
+	return exitOK
+}
+
+func runStatus(c *commandLine) int {
+	store, err := c.store()
+	if err != nil {
+		return c.fail(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	now, err := readInForce(ctx, store)
+	if err != nil {
+		return c.fail(err)
+	}
+	list, _, err := store.List(ctx, objects.Targets)
+	if err != nil {
+		return c.fail(err)
+	}
+	c.printf("revision %d, accepted by %q\n", now.root.Revision, now.root.Operator)
+	c.printf("%-20s %-10s %-16s %-12s %-22s %6s\n", "target", "state", "service", "zone", "address", "epoch")
+	for _, o := range list {
+		t, err := registration.Decode(o.Value)
+		if err != nil {
+			return c.fail(err)
+		}
+		c.printf("%-20s %-10s %-16s %-12s %-22s %6d\n", t.Name, t.State, t.Team+"/"+t.Service, t.Zone, t.Addr, t.Epoch)
+	}
+	return exitOK
+}
+
+func runDrain(c *commandLine) int {
+	if c.flags.NArg() != 1 {
+		c.flags.Usage()
+		return exitUsage
+	}
+	store, err := c.store()
+	if err != nil {
+		return c.fail(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	name := c.flags.Arg(0)
+	o, err := store.Get(ctx, objects.Targets, name)
+	if objects.IsKind(err, objects.NotFound) {
+		return c.fail(&Error{Op: "drain " + name, Kind: NoTarget})
+	}
+	if err != nil {
+		return c.fail(err)
+	}
+	t, err := registration.Decode(o.Value)
+	if err != nil {
+		return c.fail(err)
+	}
+	rec := registration.Record{Target: t, Version: o.Version}
+	if _, err := registration.SetState(ctx, store, rec, target.Leaving); err != nil {
+		return c.fail(err)
+	}
+	c.printf("target %s is leaving\n", name)
+	return exitOK
+}
--- /dev/null
+++ b/internal/operator/error.go
@@ -0,0 +1,48 @@
+package operator
+
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Kind classifies an Error.
+type Kind uint8
+
+// The kinds of error.
+const (
+	BadFlag  Kind = iota + 1 // a flag's value is not allowed
+	Raced                    // another operator was first
+	NoTarget                 // there is no such target
+	NotKnown                 // it could not be learned whether a change was accepted
+)
+
+var kindNames = map[Kind]string{
+	BadFlag:  "a flag is not allowed",
+	Raced:    "another change was accepted first; your answers are kept",
+	NoTarget: "there is no such target",
+	NotKnown: "it is not known whether the change was accepted; run diff",
+}
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string // operation that failed
+	Kind Kind
+	Err  error // cause, if any
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string {
+	if e.Err == nil {
+		return fmt.Sprintf("%s: %s", e.Op, kindNames[e.Kind])
+	}
+	return fmt.Sprintf("%s: %s: %v", e.Op, kindNames[e.Kind], e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+func isKind(err error, k Kind) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Kind == k
+}
--- /dev/null
+++ b/internal/operator/main.go
@@ -0,0 +1,114 @@
+package operator
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/borageusher/borageusher/internal/objects"
+)
+
+// Exit codes of the program.
+const (
+	exitOK       = 0
+	exitFailure  = 1
+	exitUsage    = 2
+	exitConflict = 3 // another operator was first
+)
+
+// callTimeout bounds one command's exchange with the platform.
+const callTimeout = 10 * time.Second
+
+// command is one subcommand.
+type command struct {
+	name    string
+	args    string
+	summary string
+	run     func(c *commandLine) int
+}
+
+// commandLine is a parsed command line with the streams to print to.
+type commandLine struct {
+	flags    *flag.FlagSet
+	platform string
+	revision uint64
+	operator string
+	out      io.Writer
+	err      io.Writer
+}
+
+var commands = []command{
+	{"key", "", "make a bearer key and print it with its digest", runKey},
+	{"check", "FILE...", "check questionnaires", runCheck},
+	{"generate", "FILE...", "print the configuration that questionnaires give", runGenerate},
+	{"diff", "FILE...", "show what accepting questionnaires would change", runDiff},
+	{"accept", "FILE...", "accept the configuration that questionnaires give", runAccept},
+	{"status", "", "show the accepted revision and the targets", runStatus},
+	{"drain", "TARGET", "start a planned stop of a target", runDrain},
+}
+
+// Main runs the program borageusher and returns its exit code.
+func Main(args []string, out, stderr io.Writer) int {
+	if len(args) == 0 || args[0] == "-h" || args[0] == "--help" || args[0] == "help" {
+		printUsage(stderr)
+		return exitUsage
+	}
+	for _, cmd := range commands {
+		if cmd.name == args[0] {
+			return runCommand(cmd, args[1:], out, stderr)
+		}
+	}
+	_, _ = fmt.Fprintf(stderr, "borageusher: unknown command %q\n\n", args[0])
+	printUsage(stderr)
+	return exitUsage
+}
+
+func runCommand(cmd command, args []string, out, stderr io.Writer) int {
+	c := &commandLine{out: out, err: stderr}
+	c.flags = flag.NewFlagSet("borageusher "+cmd.name, flag.ContinueOnError)
+	c.flags.SetOutput(stderr)
+	c.flags.Usage = func() {
+		_, _ = fmt.Fprintf(stderr, "usage: borageusher %s [flags] %s\n\n%s\n\n", cmd.name, cmd.args, cmd.summary)
+		c.flags.PrintDefaults()
+	}
+	c.flags.StringVar(&c.platform, "platform", "127.0.0.1:7000", "`address` of the platform's object API")
+	c.flags.Uint64Var(&c.revision, "revision", 0, "`revision` that diff showed; accept fails if another is in force")
+	c.flags.StringVar(&c.operator, "operator", "", "`name` to record with an accepted change")
+	if err := c.flags.Parse(args); err != nil {
+		return exitUsage
+	}
+	return cmd.run(c)
+}
+
+func printUsage(w io.Writer) {
+	_, _ = io.WriteString(w, "usage: borageusher <command> [flags] [arguments]\n\nCommands:\n")
+	for _, cmd := range commands {
+		_, _ = fmt.Fprintf(w, "  %-9s %-8s %s\n", cmd.name, cmd.args, cmd.summary)
+	}
+	_, _ = io.WriteString(w, "\nRun \"borageusher <command> -h\" for a command's flags.\n")
+}
+
+// store returns the client of the platform that the flags name.
+func (c *commandLine) store() (*objects.Client, error) {
+	addr, err := netip.ParseAddrPort(c.platform)
+	if err != nil {
+		return nil, &Error{Op: "read flags", Kind: BadFlag, Err: err}
+	}
+	return objects.New(addr, &http.Client{}), nil
+}
+
+// fail prints err and returns the exit code for it.
+func (c *commandLine) fail(err error) int {
+	_, _ = fmt.Fprintln(c.err, "borageusher:", err)
+	if isKind(err, Raced) {
+		return exitConflict
+	}
+	return exitFailure
+}
+
+func (c *commandLine) printf(format string, args ...any) {
+	_, _ = fmt.Fprintf(c.out, format, args...) // nothing to do about a closed terminal
+}
--- /dev/null
+++ b/internal/peer/codec.go
@@ -0,0 +1,333 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/borageusher/borageusher/pkg/adapter"
+	"github.com/borageusher/borageusher/pkg/outcome"
+)
+
+// messageType is the first byte of an encoded message. Numbers are never reused.
+type messageType byte
+
+const (
+	typeHello     messageType = 1
+	typeProof     messageType = 2
+	typeHeartbeat messageType = 3
+	typeSubmit    messageType = 4
+	typeRefusal   messageType = 5
+	typeHead      messageType = 6
+	typePart      messageType = 7
+	typeEnd       messageType = 8
+	typeAck       messageType = 9
+	typeCancel    messageType = 10
+	typeResume    messageType = 11
+)
+
+func (Hello) messageType() messageType     { return typeHello }
+func (Proof) messageType() messageType     { return typeProof }
+func (Heartbeat) messageType() messageType { return typeHeartbeat }
+func (Submit) messageType() messageType    { return typeSubmit }
+func (Refusal) messageType() messageType   { return typeRefusal }
+func (Head) messageType() messageType      { return typeHead }
+func (Part) messageType() messageType      { return typePart }
+func (End) messageType() messageType       { return typeEnd }
+func (Ack) messageType() messageType       { return typeAck }
+func (Cancel) messageType() messageType    { return typeCancel }
+func (Resume) messageType() messageType    { return typeResume }
+
+// Encode returns the wire form of m: its type, then its fields as a CBOR array.
+func Encode(m Message) []byte {
+	body, err := cbor.Marshal(toWire(m))
+	if err != nil {
+		panic("peer: cannot encode: " + err.Error())
+	}
+	return append([]byte{byte(m.messageType())}, body...)
+}
+
+// Decode is the inverse of Encode. It returns an *Error of kind BadMessage for
+// other input.
+func Decode(b []byte) (Message, error) {
+	if len(b) == 0 {
+		return nil, &Error{Op: "decode", Kind: BadMessage}
+	}
+	w := newWire(messageType(b[0]))
+	if w == nil {
+		return nil, &Error{Op: "decode", Kind: BadMessage}
+	}
+	if err := cbor.Unmarshal(b[1:], w); err != nil {
+		return nil, &Error{Op: "decode", Kind: BadMessage, Err: err}
+	}
+	return w.message(), nil
+}
+
+// wireMessage is the encoded form of a Message.
+type wireMessage interface {
+	message() Message
+}
+
+func newWire(t messageType) wireMessage {
+	switch t {
+	case typeHello:
+		return &helloWire{}
+	case typeProof:
+		return &proofWire{}
+	case typeHeartbeat:
+		return &heartbeatWire{}
+	case typeSubmit:
+		return &submitWire{}
+	case typeRefusal:
+		return &refusalWire{}
+	case typeHead:
+		return &headWire{}
+	case typePart:
+		return &partWire{}
+	case typeEnd:
+		return &endWire{}
+	case typeAck:
+		return &ackWire{}
+	case typeCancel:
+		return &cancelWire{}
+	case typeResume:
+		return &resumeWire{}
+	}
+	return nil
+}
+
+func toWire(m Message) wireMessage {
+	switch m := m.(type) {
+	case Hello:
+		return helloToWire(m)
+	case Proof:
+		return &proofWire{Proof: m.Proof}
+	case Heartbeat:
+		return &heartbeatWire{Revision: m.Revision, Running: m.Running, Queued: m.Queued, Draining: m.Draining}
+	case Submit:
+		return submitToWire(m)
+	case Refusal:
+		return &refusalWire{Request: m.Request, Attempt: m.Attempt, Reason: uint8(m.Reason), Running: m.Running, Queued: m.Queued}
+	case Head:
+		return &headWire{Request: m.Request, Attempt: m.Attempt, Status: m.Status, ContentType: m.ContentType}
+	case Part:
+		return &partWire{Request: m.Request, Attempt: m.Attempt, Seq: m.Seq, Data: m.Data}
+	case End:
+		return &endWire{Request: m.Request, Attempt: m.Attempt, Count: m.Count, Outcome: uint8(m.Outcome), Reason: uint8(m.Reason)}
+	case Ack:
+		return &ackWire{Request: m.Request, Attempt: m.Attempt, Next: m.Next}
+	case Cancel:
+		return &cancelWire{Request: m.Request, Attempt: m.Attempt}
+	case Resume:
+		return &resumeWire{Request: m.Request, Attempt: m.Attempt, Next: m.Next, StartByMS: m.StartBy.Milliseconds()}
+	}
+	panic("peer: unknown message type")
+}
+
+type helloWire struct {
+	_           struct{} `cbor:",toarray"`
+	Name        string
+	Role        string
+	Incarnation string
+	Region      string
+	Zone        string
+	Epoch       uint64
+	Nonce       []byte
+	Proof       []byte
+}
+
+func helloToWire(m Hello) *helloWire {
+	id := m.Identity
+	return &helloWire{
+		Name:        id.Name,
+		Role:        id.Role,
+		Incarnation: id.Incarnation,
+		Region:      id.Region,
+		Zone:        id.Zone,
+		Epoch:       id.Epoch,
+		Nonce:       m.Nonce,
+		Proof:       m.Proof,
+	}
+}
+
+func (w *helloWire) message() Message {
+	return Hello{
+		Identity: Identity{
+			Name:        w.Name,
+			Role:        w.Role,
+			Incarnation: w.Incarnation,
+			Region:      w.Region,
+			Zone:        w.Zone,
+			Epoch:       w.Epoch,
+		},
+		Nonce: w.Nonce,
+		Proof: w.Proof,
+	}
+}
+
+type proofWire struct {
+	_     struct{} `cbor:",toarray"`
+	Proof []byte
+}
+
+func (w *proofWire) message() Message { return Proof{Proof: w.Proof} }
+
+type heartbeatWire struct {
+	_        struct{} `cbor:",toarray"`
+	Revision uint64
+	Running  int
+	Queued   int
+	Draining bool
+}
+
+func (w *heartbeatWire) message() Message {
+	return Heartbeat{Revision: w.Revision, Running: w.Running, Queued: w.Queued, Draining: w.Draining}
+}
+
+type submitWire struct {
+	_              struct{} `cbor:",toarray"`
+	Request        string
+	Attempt        uint32
+	Revision       uint64
+	Epoch          uint64
+	Team           string
+	Owner          string
+	Service        string
+	AdapterTeam    string
+	AdapterName    string
+	AdapterVersion uint32
+	Method         string
+	Path           string
+	ContentType    string
+	Body           []byte
+	Priority       int8
+	StartByMS      int64
+	IdempotencyKey string
+	BodyDigest     []byte
+}
+
+func submitToWire(m Submit) *submitWire {
+	return &submitWire{
+		Request:        m.Request,
+		Attempt:        m.Attempt,
+		Revision:       m.Revision,
+		Epoch:          m.Epoch,
+		Team:           m.Team,
+		Owner:          m.Owner,
+		Service:        m.Service,
+		AdapterTeam:    m.Adapter.Team,
+		AdapterName:    m.Adapter.Ref.Name,
+		AdapterVersion: uint32(m.Adapter.Ref.Version),
+		Method:         m.Method,
+		Path:           m.Path,
+		ContentType:    m.ContentType,
+		Body:           m.Body,
+		Priority:       m.Priority,
+		StartByMS:      m.StartBy.Milliseconds(),
+		IdempotencyKey: m.IdempotencyKey,
+		BodyDigest:     m.BodyDigest,
+	}
+}
+
+func (w *submitWire) message() Message {
+	return Submit{
+		Request:  w.Request,
+		Attempt:  w.Attempt,
+		Revision: w.Revision,
+		Epoch:    w.Epoch,
+		Team:     w.Team,
+		Owner:    w.Owner,
+		Service:  w.Service,
+		Adapter: adapter.ID{
+			Team: w.AdapterTeam,
+			Ref:  adapter.Ref{Name: w.AdapterName, Version: adapter.Version(w.AdapterVersion)},
+		},
+		Method:         w.Method,
+		Path:           w.Path,
+		ContentType:    w.ContentType,
+		Body:           w.Body,
+		Priority:       w.Priority,
+		StartBy:        time.Duration(w.StartByMS) * time.Millisecond,
+		IdempotencyKey: w.IdempotencyKey,
+		BodyDigest:     w.BodyDigest,
+	}
+}
+
+type refusalWire struct {
+	_       struct{} `cbor:",toarray"`
+	Request string
+	Attempt uint32
+	Reason  uint8
+	Running int
+	Queued  int
+}
+
+func (w *refusalWire) message() Message {
+	return Refusal{Request: w.Request, Attempt: w.Attempt, Reason: outcome.Reason(w.Reason), Running: w.Running, Queued: w.Queued}
+}
+
+type headWire struct {
+	_           struct{} `cbor:",toarray"`
+	Request     string
+	Attempt     uint32
+	Status      int
+	ContentType string
+}
+
+func (w *headWire) message() Message {
+	return Head{Request: w.Request, Attempt: w.Attempt, Status: w.Status, ContentType: w.ContentType}
+}
+
+type partWire struct {
+	_       struct{} `cbor:",toarray"`
+	Request string
+	Attempt uint32
+	Seq     uint64
+	Data    []byte
+}
+
+func (w *partWire) message() Message {
+	return Part{Request: w.Request, Attempt: w.Attempt, Seq: w.Seq, Data: w.Data}
+}
+
+type endWire struct {
+	_       struct{} `cbor:",toarray"`
+	Request string
+	Attempt uint32
+	Count   uint64
+	Outcome uint8
+	Reason  uint8
+}
+
+func (w *endWire) message() Message {
+	return End{Request: w.Request, Attempt: w.Attempt, Count: w.Count, Outcome: outcome.Outcome(w.Outcome), Reason: outcome.Reason(w.Reason)}
+}
+
+type ackWire struct {
+	_       struct{} `cbor:",toarray"`
+	Request string
+	Attempt uint32
+	Next    uint64
+}
+
+func (w *ackWire) message() Message { return Ack{Request: w.Request, Attempt: w.Attempt, Next: w.Next} }
+
+type cancelWire struct {
+	_       struct{} `cbor:",toarray"`
+	Request string
+	Attempt uint32
+}
+
+func (w *cancelWire) message() Message { return Cancel{Request: w.Request, Attempt: w.Attempt} }
+
+type resumeWire struct {
+	_         struct{} `cbor:",toarray"`
+	Request   string
+	Attempt   uint32
+	Next      uint64
+	StartByMS int64
+}
+
+func (w *resumeWire) message() Message {
+	return Resume{Request: w.Request, Attempt: w.Attempt, Next: w.Next, StartBy: time.Duration(w.StartByMS) * time.Millisecond}
+}
--- /dev/null
+++ b/internal/peer/handshake.go
@@ -0,0 +1,151 @@
+package peer
+
+import (
+	"context"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/coder/websocket"
+)
+
+// Path is where a targetd's listener accepts peers.
+const Path = "/peer"
+
+const nonceBytes = 16
+
+// Key is the secret that all processes of a deployment share.
+type Key []byte
+
+// Dialer opens connections to peers.
+type Dialer struct {
+	Self   Identity
+	Key    Key
+	Client *http.Client // for the WebSocket's opening request
+	Secure bool         // dial with TLS
+}
+
+// Dial connects to the peer at addr and authenticates both sides. The error is
+// of kind Unreachable or BadKey.
+func (d *Dialer) Dial(ctx context.Context, addr netip.AddrPort) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	scheme := "ws://"
+	if d.Secure {
+		scheme = "wss://"
+	}
+	ws, _, err := websocket.Dial( //nolint:bodyclose // the library takes care of the body
+		ctx, scheme+addr.String()+Path, &websocket.DialOptions{HTTPClient: d.Client},
+	)
+	if err != nil {
+		return nil, &Error{Op: "dial", Kind: Unreachable, Err: err}
+	}
+	c := newConn(ws)
+	if err := c.handshakeDialling(ctx, d.Self, d.Key); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+// Accept upgrades an incoming request to a connection and authenticates both
+// sides. The error is of kind Unreachable or BadKey.
+func Accept(w http.ResponseWriter, r *http.Request, self Identity, key Key) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(r.Context(), handshakeTimeout)
+	defer cancel()
+	ws, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		return nil, &Error{Op: "accept", Kind: Unreachable, Err: err}
+	}
+	c := newConn(ws)
+	if err := c.handshakeAccepting(ctx, self, key); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Conn) handshakeDialling(ctx context.Context, self Identity, key Key) error {
+	nonce := newNonce()
+	if err := c.write(Encode(Hello{Identity: self, Nonce: nonce})); err != nil {
+		return err
+	}
+	hello, err := c.receiveHello(ctx)
+	if err != nil {
+		return err
+	}
+	if !hmac.Equal(hello.Proof, proof(key, "accept", nonce, hello.Identity)) {
+		return &Error{Op: "handshake", Kind: BadKey}
+	}
+	c.remote = hello.Identity
+	return c.write(Encode(Proof{Proof: proof(key, "dial", hello.Nonce, self)}))
+}
+
+func (c *Conn) handshakeAccepting(ctx context.Context, self Identity, key Key) error {
+	hello, err := c.receiveHello(ctx)
+	if err != nil {
+		return err
+	}
+	c.remote = hello.Identity
+	nonce := newNonce()
+	answer := Hello{Identity: self, Nonce: nonce, Proof: proof(key, "accept", hello.Nonce, self)}
+	if err := c.write(Encode(answer)); err != nil {
+		return err
+	}
+	m, err := c.receive(ctx)
+	if err != nil {
+		return &Error{Op: "handshake", Kind: BadKey, Err: err}
+	}
+	p, ok := m.(Proof)
+	if !ok || !hmac.Equal(p.Proof, proof(key, "dial", nonce, hello.Identity)) {
+		return &Error{Op: "handshake", Kind: BadKey}
+	}
+	return nil
+}
+
+func (c *Conn) receiveHello(ctx context.Context) (Hello, error) {
+	m, err := c.receive(ctx)
+	if err != nil {
+		return Hello{}, err
+	}
+	hello, ok := m.(Hello)
+	if !ok {
+		return Hello{}, &Error{Op: "handshake", Kind: BadMessage}
+	}
+	return hello, nil
+}
+
+// proof returns the keyed digest by which one side shows that it knows the
+// key. It binds the other side's nonce, the direction and the prover's identity.
+func proof(key Key, direction string, nonce []byte, prover Identity) []byte {
+	mac := hmac.New(sha256.New, key)
+	mac.Write([]byte(direction))
+	mac.Write([]byte{0})
+	mac.Write(nonce)
+	mac.Write([]byte(prover.Name))
+	mac.Write([]byte{0})
+	mac.Write([]byte(prover.Role))
+	mac.Write([]byte{0})
+	mac.Write([]byte(prover.Incarnation))
+	return mac.Sum(nil)
+}
+
+func newNonce() []byte {
+	b := make([]byte, nonceBytes)
+	_, _ = rand.Read(b) // never fails
+	return b
+}
+
+// Backoff returns how long to wait before dialling attempt n, counted from
+// zero: doubling from 50 ms to 2 s, with jitter in [0,1) taken off by half.
+func Backoff(n int, jitter float64) time.Duration {
+	const first, most = 50 * time.Millisecond, 2 * time.Second
+	d := most
+	if n < 6 {
+		d = min(most, first<<n)
+	}
+	return d - time.Duration(jitter*float64(d)/2)
+}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,115 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/borageusher/borageusher/pkg/adapter"
+	"github.com/borageusher/borageusher/pkg/outcome"
+)
+
+func messages() []Message {
+	return []Message{
+		Hello{Identity: Identity{Name: "e1", Role: "entryd", Incarnation: "i", Region: "r", Zone: "z", Epoch: 4}, Nonce: []byte{1}, Proof: []byte{2}},
+		Proof{Proof: []byte{3}},
+		Heartbeat{Revision: 5, Running: 2, Queued: 3, Draining: true},
+		Submit{
+			Request: "r1", Attempt: 2, Revision: 3, Epoch: 4, Team: "t", Owner: "o", Service: "s",
+			Adapter: adapter.ID{Team: "t", Ref: adapter.Ref{Name: "a", Version: 9}},
+			Method:  "POST", Path: "/v1/completions", ContentType: "application/json",
+			Body: []byte("{}"), Priority: -1, StartBy: time.Second, IdempotencyKey: "k", BodyDigest: []byte{1},
+		},
+		Refusal{Request: "r1", Attempt: 2, Reason: outcome.Draining, Running: 1, Queued: 2},
+		Head{Request: "r1", Attempt: 2, Status: 200, ContentType: "text/plain"},
+		Part{Request: "r1", Attempt: 2, Seq: 7, Data: []byte("x")},
+		End{Request: "r1", Attempt: 2, Count: 8, Outcome: outcome.Answered},
+		Ack{Request: "r1", Attempt: 2, Next: 5},
+		Cancel{Request: "r1", Attempt: 2},
+		Resume{Request: "r1", Attempt: 2, Next: 5, StartBy: time.Second},
+	}
+}
+
+func TestCodec(t *testing.T) {
+	convey.Convey("Every message reads back as it was written", t, func() {
+		for _, m := range messages() {
+			got, err := Decode(Encode(m))
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(got, convey.ShouldResemble, m)
+		}
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	for _, m := range messages() {
+		f.Add(Encode(m))
+	}
+	f.Add([]byte{})
+	f.Add([]byte{255, 0})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := Decode(b)
+		if err != nil {
+			return
+		}
+		if _, err := Decode(Encode(m)); err != nil {
+			t.Fatalf("%#v does not read back: %v", m, err)
+		}
+	})
+}
+
+// serve accepts peers with key and passes the results to accepted.
+func serve(t *testing.T, key Key, accepted chan<- *Conn) netip.AddrPort {
+	t.Helper()
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, err := Accept(w, r, Identity{Name: "t1", Role: "targetd"}, key)
+		if err != nil {
+			accepted <- nil
+			return
+		}
+		accepted <- c
+		<-c.Closed()
+	}))
+	t.Cleanup(srv.Close)
+	return netip.MustParseAddrPort(srv.Listener.Addr().String())
+}
+
+func TestHandshake(t *testing.T) {
+	accepted := make(chan *Conn, 1)
+	addr := serve(t, Key("right"), accepted)
+	convey.Convey("Peers with one key learn each other's identity", t, func() {
+		d := Dialer{Self: Identity{Name: "e1", Role: "entryd"}, Key: Key("right"), Client: http.DefaultClient}
+		c, err := d.Dial(context.Background(), addr)
+		convey.So(err, convey.ShouldBeNil)
+		defer c.Close()
+		s := <-accepted
+		convey.So(s.Remote().Name, convey.ShouldEqual, "e1")
+		convey.So(c.Remote().Name, convey.ShouldEqual, "t1")
+	})
+	convey.Convey("A wrong key is refused on both sides", t, func() {
+		d := Dialer{Self: Identity{Name: "e1"}, Key: Key("wrong"), Client: http.DefaultClient}
+		_, err := d.Dial(context.Background(), addr)
+		convey.So(IsKind(err, BadKey), convey.ShouldBeTrue)
+		convey.So(<-accepted, convey.ShouldBeNil)
+	})
+}
+
+func TestSilence(t *testing.T) {
+	conns := make(chan *Conn, 1)
+	addr := serve(t, Key("k"), conns)
+	convey.Convey("A connection on which nothing is heard is dropped", t, func() {
+		d := Dialer{Key: Key("k"), Client: http.DefaultClient}
+		c, err := d.Dial(context.Background(), addr)
+		convey.So(err, convey.ShouldBeNil)
+		<-conns // never runs, so it sends no heartbeat
+		err = c.Run(context.Background(), func() Heartbeat { return Heartbeat{} }, func(Message) {})
+		convey.So(IsKind(err, Silent), convey.ShouldBeTrue)
+		accepted, err := c.Send(Cancel{})
+		convey.So(accepted, convey.ShouldBeFalse)
+		convey.So(IsKind(err, Closed), convey.ShouldBeTrue)
+	})
+}
--- /dev/null
+++ b/internal/registration/error.go
@@ -0,0 +1,37 @@
+package registration
+
+import "fmt"
+
+// Kind classifies an Error.
+type Kind uint8
+
+// The kinds of error.
+const (
+	Corrupt   Kind = iota + 1 // a registration does not decode
+	Contended                 // other writers always came first
+	Replaced                  // another process has registered the target
+)
+
+var kindNames = map[Kind]string{
+	Corrupt:   "corrupt registration",
+	Contended: "too many other writers",
+	Replaced:  "replaced by another process",
+}
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string // operation that failed
+	Kind Kind
+	Err  error // cause, if any
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string {
+	if e.Err == nil {
+		return fmt.Sprintf("registration: %s: %s", e.Op, kindNames[e.Kind])
+	}
+	return fmt.Sprintf("registration: %s: %s: %v", e.Op, kindNames[e.Kind], e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- /dev/null
+++ b/internal/scenario/call_test.go
@@ -0,0 +1,149 @@
+package scenario
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// callLimit bounds one call of a script.
+const callLimit = 60 * time.Second
+
+// callOptions are the flags of the command call.
+type callOptions struct {
+	background string
+	method     string
+	headers    []string
+	body       string
+	url        string
+}
+
+// backgroundCall is a call that a script waits for later.
+type backgroundCall struct {
+	done   chan struct{}
+	output string
+}
+
+func parseCall(ts *testscript.TestScript, args []string) callOptions {
+	o := callOptions{method: http.MethodGet}
+	for len(args) > 1 {
+		switch args[0] {
+		case "-bg":
+			o.background = args[1]
+		case "-X":
+			o.method = args[1]
+		case "-H":
+			o.headers = append(o.headers, args[1])
+		case "-d":
+			o.body = args[1]
+			if o.method == http.MethodGet {
+				o.method = http.MethodPost
+			}
+		default:
+			ts.Fatalf("call: unknown flag %s", args[0])
+		}
+		args = args[2:]
+	}
+	if len(args) != 1 {
+		ts.Fatalf("usage: call [-bg NAME] [-X METHOD] [-H HEADER]... [-d BODY] URL")
+	}
+	o.url = args[0]
+	return o
+}
+
+func cmdCall(ts *testscript.TestScript, neg bool, args []string) {
+	if neg {
+		ts.Fatalf("call cannot be negated; check its output")
+	}
+	o := parseCall(ts, args)
+	if o.background == "" {
+		write(ts, doCall(o))
+		return
+	}
+	c := &backgroundCall{done: make(chan struct{})}
+	stateOf(ts).calls[o.background] = c
+	go func() {
+		c.output = doCall(o)
+		close(c.done)
+	}()
+}
+
+func cmdWaitCall(ts *testscript.TestScript, neg bool, args []string) {
+	c := stateOf(ts).calls[one(ts, neg, args, "wait_call NAME")]
+	if c == nil {
+		ts.Fatalf("no call %s was started", args[0])
+	}
+	<-c.done
+	write(ts, c.output)
+}
+
+func write(ts *testscript.TestScript, s string) {
+	_, err := io.WriteString(ts.Stdout(), s)
+	ts.Check(err)
+}
+
+// doCall makes a call and describes what came: "status: N", headers in order
+// of name, an empty line, the body; then "broken: ERROR" if the body broke off.
+// A call without an answer gives "failed: ERROR".
+func doCall(o callOptions) string {
+	req, err := http.NewRequest(o.method, withScheme(o.url), strings.NewReader(o.body))
+	if err != nil {
+		return fmt.Sprintf("failed: %v\n", err)
+	}
+	for _, h := range o.headers {
+		name, value, _ := strings.Cut(h, ":")
+		req.Header.Set(name, strings.TrimSpace(value))
+	}
+	client := &http.Client{Timeout: callLimit, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return fmt.Sprintf("failed: %v\n", err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var b bytes.Buffer
+	_, _ = fmt.Fprintf(&b, "status: %d\n", resp.StatusCode)
+	var lines []string
+	for name, values := range resp.Header {
+		lines = append(lines, strings.ToLower(name)+": "+strings.Join(values, ", ")+"\n")
+	}
+	sort.Strings(lines)
+	b.WriteString(strings.Join(lines, "") + "\n")
+	if _, err := io.Copy(&b, resp.Body); err != nil {
+		_, _ = fmt.Fprintf(&b, "\nbroken: %v\n", err)
+	}
+	return b.String()
+}
+
+func withScheme(url string) string {
+	if strings.Contains(url, "://") {
+		return url
+	}
+	return "http://" + url
+}
+
+func cmdFault(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 2 {
+		ts.Fatalf("usage: fault ADDRESS JSON")
+	}
+	post(ts, args[0]+"/admin/fault", args[1])
+}
+
+func cmdPost(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 2 {
+		ts.Fatalf("usage: post ADDRESS/PATH JSON")
+	}
+	post(ts, args[0], args[1])
+}
+
+func post(ts *testscript.TestScript, url, body string) {
+	out := doCall(callOptions{method: http.MethodPost, body: body, url: url})
+	if !strings.HasPrefix(out, "status: 200\n") {
+		ts.Fatalf("post %s: %s", url, out)
+	}
+}
--- /dev/null
+++ b/internal/scenario/doc.go
@@ -0,0 +1,28 @@
+// Package scenario runs the scripted scenarios that prove the system's
+// promises: scripts in testdata start the real programs as processes on
+// loopback addresses, bring about failures, and check what callers, engines and
+// logs saw.
+//
+// The scripts are testscript files. Beside testscript's own commands they use:
+//
+//	start NAME PROGRAM [ARG...]   start a process; its log goes to NAME.log
+//	stop NAME [EXITCODE]          SIGTERM, wait for the end, check the exit code
+//	kill NAME                     SIGKILL and wait for the end
+//	freeze NAME, thaw NAME        SIGSTOP, SIGCONT
+//	fault ADDRESS JSON            set a stand-in's fault, {} to clear it
+//	post ADDRESS/PATH JSON        call a stand-in's admin path
+//	settings NAME entry|target [SECTION.KEY=VALUE...]
+//	                              write NAME.ini: the script's defaults, changed
+//	call [-bg NAME] [-X METHOD] [-H HEADER]... [-d BODY] URL
+//	                              make one call; status, headers and body to stdout
+//	wait_call NAME                wait for a background call; as call
+//	expect NAME PATTERN [WITHIN]  wait for a line in NAME.log
+//	await URL [PATTERN] [WITHIN]  wait until a GET answers 200 with PATTERN in it
+//
+// Each script has a network of its own: $NET is the first three numbers of
+// loopback addresses that no other script uses.
+//
+// # Usage
+//
+//	go test ./internal/scenario -run 'TestScenarios/path'
+package scenario
--- /dev/null
+++ b/internal/scenario/process_test.go
@@ -0,0 +1,104 @@
+package scenario
+
+import (
+	"os"
+	"os/exec"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// stopLimit is how long a planned stop may take before the script fails.
+const stopLimit = 60 * time.Second
+
+// process is one process that a script started.
+type process struct {
+	cmd  *exec.Cmd
+	done chan struct{} // closed when it has ended
+}
+
+func (s *state) killAll() {
+	for _, p := range s.processes {
+		_ = p.cmd.Process.Kill() // may have ended
+		<-p.done
+	}
+}
+
+func cmdStart(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: start NAME PROGRAM [ARG...]")
+	}
+	s := stateOf(ts)
+	name := args[0]
+	path, err := exec.LookPath(args[1])
+	ts.Check(err)
+	log, err := os.OpenFile(ts.MkAbs(name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	ts.Check(err)
+	cmd := exec.Command(path, args[2:]...)
+	cmd.Dir = ts.MkAbs(".")
+	cmd.Stdout = log
+	cmd.Stderr = log
+	ts.Check(cmd.Start())
+	p := &process{cmd: cmd, done: make(chan struct{})}
+	s.processes[name] = p
+	go func() {
+		_ = cmd.Wait() // the state is read from cmd.ProcessState
+		_ = log.Close()
+		close(p.done)
+	}()
+}
+
+func running(ts *testscript.TestScript, name string) *process {
+	p := stateOf(ts).processes[name]
+	if p == nil {
+		ts.Fatalf("no process %s was started", name)
+	}
+	return p
+}
+
+func one(ts *testscript.TestScript, neg bool, args []string, usage string) string {
+	if neg || len(args) != 1 {
+		ts.Fatalf("usage: %s", usage)
+	}
+	return args[0]
+}
+
+func cmdStop(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 1 || len(args) > 2 {
+		ts.Fatalf("usage: stop NAME [EXITCODE]")
+	}
+	want := 0
+	if len(args) == 2 {
+		n, err := strconv.Atoi(args[1])
+		ts.Check(err)
+		want = n
+	}
+	p := running(ts, args[0])
+	ts.Check(p.cmd.Process.Signal(syscall.SIGTERM))
+	select {
+	case <-p.done:
+	case <-time.After(stopLimit):
+		ts.Fatalf("%s did not stop within %v", args[0], stopLimit)
+	}
+	if got := p.cmd.ProcessState.ExitCode(); got != want {
+		ts.Fatalf("%s ended with %d, want %d", args[0], got, want)
+	}
+}
+
+func cmdKill(ts *testscript.TestScript, neg bool, args []string) {
+	p := running(ts, one(ts, neg, args, "kill NAME"))
+	ts.Check(p.cmd.Process.Kill())
+	<-p.done
+}
+
+func cmdFreeze(ts *testscript.TestScript, neg bool, args []string) {
+	p := running(ts, one(ts, neg, args, "freeze NAME"))
+	ts.Check(p.cmd.Process.Signal(syscall.SIGSTOP))
+}
+
+func cmdThaw(ts *testscript.TestScript, neg bool, args []string) {
+	p := running(ts, one(ts, neg, args, "thaw NAME"))
+	ts.Check(p.cmd.Process.Signal(syscall.SIGCONT))
+}
--- /dev/null
+++ b/internal/scenario/scenario_test.go
@@ -0,0 +1,95 @@
+package scenario
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/borageusher/borageusher/internal/agent"
+	"github.com/borageusher/borageusher/internal/entry"
+	"github.com/borageusher/borageusher/internal/operator"
+	"github.com/borageusher/borageusher/internal/standin"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"entryd":      func() { os.Exit(entry.Main(os.Args[1:], os.Stderr)) },
+		"targetd":     func() { os.Exit(agent.Main(os.Args[1:], os.Stderr)) },
+		"borageusher": func() { os.Exit(operator.Main(os.Args[1:], os.Stdout, os.Stderr)) },
+		"standin":     func() { os.Exit(standin.Main(os.Args[1:], os.Stderr)) },
+	})
+}
+
+// networks counts the networks given to scripts.
+var networks atomic.Int64
+
+// nextNetwork returns the first three numbers of a /24 of loopback addresses
+// that no other script of this machine uses.
+func nextNetwork() string {
+	n := networks.Add(1)
+	return fmt.Sprintf("127.%d.%d", 1+os.Getpid()%250, n%250+1)
+}
+
+func TestScenarios(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:                 "testdata",
+		RequireExplicitExec: true,
+		RequireUniqueNames:  true,
+		Setup:               setup,
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"start":     cmdStart,
+			"stop":      cmdStop,
+			"kill":      cmdKill,
+			"freeze":    cmdFreeze,
+			"thaw":      cmdThaw,
+			"fault":     cmdFault,
+			"post":      cmdPost,
+			"settings":  cmdSettings,
+			"call":      cmdCall,
+			"wait_call": cmdWaitCall,
+			"expect":    cmdExpect,
+			"await":     cmdAwait,
+		},
+	})
+}
+
+// stateKey finds a script's state among the values of its environment.
+type stateKey struct{}
+
+// state is what the commands of one script share.
+type state struct {
+	processes map[string]*process
+	calls     map[string]*backgroundCall
+}
+
+func setup(env *testscript.Env) error {
+	network := nextNetwork()
+	env.Setenv("NET", network)
+	env.Setenv("PLATFORM", network+".1:7000")
+	env.Setenv("WEIGHTS", network+".2:7000")
+	s := &state{processes: map[string]*process{}, calls: map[string]*backgroundCall{}}
+	env.Values[stateKey{}] = s
+	env.Defer(s.killAll)
+	examples, err := filepath.Glob("../../examples/*.ini")
+	if err != nil {
+		return err
+	}
+	for _, path := range examples {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(filepath.Join(env.WorkDir, "example-"+filepath.Base(path)), data, 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func stateOf(ts *testscript.TestScript) *state {
+	return ts.Value(stateKey{}).(*state)
+}
--- /dev/null
+++ b/internal/scenario/settings_test.go
@@ -0,0 +1,76 @@
+package scenario
+
+import (
+	"bytes"
+	"os"
+	"strings"
+
+	"github.com/rogpeppe/go-internal/testscript"
+	"gopkg.in/ini.v1"
+)
+
+// entryDefaults are the settings of an entryd unless a script changes them.
+func entryDefaults(name, network, platform string) map[string]string {
+	return map[string]string{
+		"process.name":     name,
+		"process.region":   "lombardy",
+		"process.zone":     "milano-a",
+		"listen.address":   network + ".10:8000",
+		"platform.address": platform,
+		"peers.key":        "scenario-peer-key-0001",
+	}
+}
+
+// targetDefaults are the settings of a targetd unless a script changes them.
+func targetDefaults(name, network, platform string) map[string]string {
+	return map[string]string{
+		"process.name":     name,
+		"process.region":   "lombardy",
+		"process.zone":     "milano-a",
+		"listen.address":   network + ".20:8000",
+		"platform.address": platform,
+		"peers.key":        "scenario-peer-key-0001",
+		"log.level":        "debug",
+		"target.team":      "tessaro",
+		"target.service":   "assistente",
+		"target.engine":    network + ".30:8000",
+	}
+}
+
+func cmdSettings(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: settings NAME entry|target [SECTION.KEY=VALUE...]")
+	}
+	name, network, platform := args[0], ts.Getenv("NET"), ts.Getenv("PLATFORM")
+	var values map[string]string
+	switch args[1] {
+	case "entry":
+		values = entryDefaults(name, network, platform)
+	case "target":
+		values = targetDefaults(name, network, platform)
+	default:
+		ts.Fatalf("settings: %s is not entry or target", args[1])
+	}
+	for _, arg := range args[2:] {
+		key, value, ok := strings.Cut(arg, "=")
+		if !ok {
+			ts.Fatalf("settings: %s is not SECTION.KEY=VALUE", arg)
+		}
+		values[key] = value
+	}
+	ts.Check(os.WriteFile(ts.MkAbs(name+".ini"), iniText(ts, values), 0o600))
+}
+
+// iniText returns an INI file with values, whose keys are SECTION.KEY.
+func iniText(ts *testscript.TestScript, values map[string]string) []byte {
+	f := ini.Empty()
+	for place, value := range values {
+		section, key, _ := strings.Cut(place, ".")
+		_, err := f.Section(section).NewKey(key, value)
+		ts.Check(err)
+	}
+	var b bytes.Buffer
+	_, err := f.WriteTo(&b)
+	ts.Check(err)
+	return b.Bytes()
+}
--- /dev/null
+++ b/internal/scenario/wait_test.go
@@ -0,0 +1,81 @@
+package scenario
+
+import (
+	"os"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// Times of the commands that wait.
+const (
+	waitLimit = 20 * time.Second
+	waitPoll  = 20 * time.Millisecond
+)
+
+// waitArgs splits "SUBJECT [PATTERN] [WITHIN]".
+func waitArgs(ts *testscript.TestScript, args []string) (subject string, pattern *regexp.Regexp, within time.Duration) {
+	if len(args) < 1 || len(args) > 3 {
+		ts.Fatalf("usage: expect NAME PATTERN [WITHIN] or await URL [PATTERN] [WITHIN]")
+	}
+	pattern = regexp.MustCompile("")
+	within = waitLimit
+	if len(args) > 1 {
+		re, err := regexp.Compile("(?m)" + args[1])
+		ts.Check(err)
+		pattern = re
+	}
+	if len(args) > 2 {
+		d, err := time.ParseDuration(args[2])
+		ts.Check(err)
+		within = d
+	}
+	return args[0], pattern, within
+}
+
+// poll calls check until it reports true and fails the script otherwise.
+func poll(ts *testscript.TestScript, what string, within time.Duration, check func() (bool, string)) {
+	deadline := time.Now().Add(within)
+	for {
+		ok, seen := check()
+		if ok {
+			return
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("%s did not happen within %v; last seen:\n%s", what, within, seen)
+		}
+		time.Sleep(waitPoll)
+	}
+}
+
+func cmdExpect(ts *testscript.TestScript, neg bool, args []string) {
+	name, pattern, within := waitArgs(ts, args)
+	read := func() string {
+		data, err := os.ReadFile(ts.MkAbs(name + ".log"))
+		ts.Check(err)
+		return string(data)
+	}
+	if neg {
+		if text := read(); pattern.MatchString(text) {
+			ts.Fatalf("%s.log has a line that matches %s:\n%s", name, pattern, text)
+		}
+		return
+	}
+	poll(ts, "expect "+strings.Join(args, " "), within, func() (bool, string) {
+		text := read()
+		return pattern.MatchString(text), text
+	})
+}
+
+func cmdAwait(ts *testscript.TestScript, neg bool, args []string) {
+	if neg {
+		ts.Fatalf("await cannot be negated")
+	}
+	url, pattern, within := waitArgs(ts, args)
+	poll(ts, "await "+strings.Join(args, " "), within, func() (bool, string) {
+		out := doCall(callOptions{method: "GET", url: url})
+		return strings.HasPrefix(out, "status: 200\n") && pattern.MatchString(out), out
+	})
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,125 @@
+// Package settings reads the settings files of the daemons.
+//
+// # Usage
+//
+//	s, err := settings.ReadEntry("entryd.ini")
+//	if err != nil {
+//		return err // one line: file, section, key, found, allowed
+//	}
+package settings
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/borageusher/borageusher/internal/inifile"
+)
+
+// minPeerKey is the least length of the peer key, in bytes.
+const minPeerKey = 16
+
+// Common are the settings that all daemons have.
+type Common struct {
+	Name     string
+	Region   string
+	Zone     string // availability zone
+	Listen   netip.AddrPort
+	CertFile string // empty for plain TCP
+	KeyFile  string
+	CAFile   string // certificates that peers are checked against, empty for plain TCP
+	Platform netip.AddrPort
+	PeerKey  string
+	LogLevel zerolog.Level
+	StopIn   time.Duration // deadline of a planned stop
+}
+
+// Entry are the settings of entryd.
+type Entry struct {
+	Common
+	MaxInProgress int
+	MaxBodyBytes  int
+	StartWithin   time.Duration
+}
+
+// Target are the settings of targetd.
+type Target struct {
+	Common
+	Team     string
+	Service  string
+	Plain    bool // a plain service stands behind
+	Engine   netip.AddrPort
+	Slots    int
+	Adapters int
+	Queue    int
+}
+
+// ReadEntry reads the settings of entryd from the file at path.
+func ReadEntry(path string) (Entry, error) {
+	f, err := inifile.Open(path)
+	if err != nil {
+		return Entry{}, err
+	}
+	s := Entry{
+		Common:        readCommon(f),
+		MaxInProgress: f.Int("limits", "in_progress", 2000, 1, 1000000),
+		MaxBodyBytes:  f.Int("limits", "body_bytes", 4<<20, 1024, 16<<20),
+		StartWithin:   f.Duration("limits", "start_within", 30*time.Second, 100*time.Millisecond, 10*time.Minute),
+	}
+	return s, f.Done()
+}
+
+// ReadTarget reads the settings of targetd from the file at path.
+func ReadTarget(path string) (Target, error) {
+	f, err := inifile.Open(path)
+	if err != nil {
+		return Target{}, err
+	}
+	s := Target{
+		Common:   readCommon(f),
+		Team:     f.Name("target", "team"),
+		Service:  f.Name("target", "service"),
+		Plain:    f.Choice("target", "kind", "model", "plain") == "plain",
+		Engine:   f.AddrPort("target", "engine"),
+		Slots:    f.Int("target", "slots", 8, 1, 4096),
+		Adapters: f.Int("target", "adapters", 8, 1, 4096),
+		Queue:    f.Int("target", "queue", 256, 1, 100000),
+	}
+	return s, f.Done()
+}
+
+func readCommon(f *inifile.File) Common {
+	c := Common{
+		Name:     f.Name("process", "name"),
+		Region:   f.Name("process", "region"),
+		Zone:     f.Name("process", "zone"),
+		Listen:   f.AddrPort("listen", "address"),
+		CertFile: f.OptionalText("listen", "certificate", ""),
+		KeyFile:  f.OptionalText("listen", "certificate_key", ""),
+		CAFile:   f.OptionalText("peers", "authorities", ""),
+		Platform: f.AddrPort("platform", "address"),
+		PeerKey:  f.Text("peers", "key"),
+		LogLevel: readLevel(f),
+		StopIn:   f.Duration("process", "stop_within", 30*time.Second, time.Second, time.Hour),
+	}
+	if c.PeerKey != "" && len(c.PeerKey) < minPeerKey {
+		f.Fail("peers", "key", c.PeerKey, "at least 16 characters")
+	}
+	if (c.CertFile == "") != (c.KeyFile == "") {
+		f.Fail("listen", "certificate_key", c.KeyFile, "a file exactly when certificate is given")
+	}
+	return c
+}
+
+func readLevel(f *inifile.File) zerolog.Level {
+	switch f.Choice("log", "level", "info", "debug", "warn", "error") {
+	case "debug":
+		return zerolog.DebugLevel
+	case "warn":
+		return zerolog.WarnLevel
+	case "error":
+		return zerolog.ErrorLevel
+	}
+	return zerolog.InfoLevel
+}
--- /dev/null
+++ b/internal/standin/engine_runs.go
@@ -0,0 +1,190 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
+)
+
+// completionBody is the part of a completion request that the engine reads.
+type completionBody struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	Stream    bool   `json:"stream"`
+	MaxTokens int    `json:"max_tokens"`
+	Messages  []struct {
+		Content string `json:"content"`
+	} `json:"messages"`
+}
+
+func (b *completionBody) prompt() string {
+	parts := []string{}
+	if b.Prompt != "" {
+		parts = append(parts, b.Prompt)
+	}
+	for _, m := range b.Messages {
+		parts = append(parts, m.Content)
+	}
+	return strings.Join(parts, " ")
+}
+
+// token returns the i-th token of an answer: the adapter first, then the words
+// of the prompt over and over.
+func (b *completionBody) token(i int) string {
+	if i == 0 {
+		return "[" + b.Model + "]"
+	}
+	words := strings.Fields(b.prompt())
+	if len(words) == 0 {
+		return " -"
+	}
+	return " " + words[(i-1)%len(words)]
+}
+
+func (e *engine) complete(ctx context.Context, rc *app.RequestContext) {
+	var body completionBody
+	if err := json.Unmarshal(rc.Request.Body(), &body); err != nil {
+		rc.String(400, err.Error())
+		return
+	}
+	if body.MaxTokens <= 0 {
+		body.MaxTokens = e.opts.defaultTokens
+	}
+	id := string(rc.GetHeader("X-Request-Id"))
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	run, status := e.start(id, &body, cancel)
+	if status != 200 {
+		rc.String(status, "cannot run %s\n", body.Model)
+		return
+	}
+	defer e.finish(id, run)
+	select {
+	case e.batch <- struct{}{}:
+		defer func() { <-e.batch }()
+	case <-ctx.Done():
+		e.breakOff(rc)
+		return
+	}
+	if body.Stream {
+		e.stream(ctx, rc, &body)
+		return
+	}
+	e.answerWhole(ctx, rc, &body)
+}
+
+func (e *engine) start(id string, body *completionBody, cancel context.CancelFunc) (*engineRun, int) {
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.up(now) {
+		return nil, 503
+	}
+	if !e.loaded[body.Model] {
+		return nil, 409
+	}
+	e.note(id, body.Model, body.prompt(), "started")
+	run := &engineRun{cancel: cancel}
+	e.runs[id] = run
+	if e.opts.poison != "" && strings.Contains(body.prompt(), e.opts.poison) {
+		e.restart(now)
+	}
+	return run, 200
+}
+
+func (e *engine) finish(id string, run *engineRun) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.runs[id] == run {
+		delete(e.runs, id)
+	}
+	if !run.lost {
+		e.note(id, "", "", "finished")
+	}
+}
+
+func (e *engine) stream(ctx context.Context, rc *app.RequestContext, body *completionBody) {
+	rc.SetContentType("text/event-stream")
+	rc.Response.HijackWriter(resp.NewChunkedBodyWriter(&rc.Response, rc.GetWriter()))
+	for i := 0; i < body.MaxTokens; i++ {
+		if !e.wait(ctx) {
+			e.breakOff(rc)
+			return
+		}
+		chunk, err := json.Marshal(streamChunk{Index: i, Choices: []choice{{Text: body.token(i)}}})
+		if err != nil {
+			panic("standin: cannot encode a chunk: " + err.Error())
+		}
+		if _, err := fmt.Fprintf(rc, "data: %s\n\n", chunk); err != nil {
+			return
+		}
+		if err := rc.Flush(); err != nil {
+			return
+		}
+	}
+	_, _ = io.WriteString(rc, "data: [DONE]\n\n") // the connection may be gone
+	_ = rc.Flush()
+}
+
+func (e *engine) answerWhole(ctx context.Context, rc *app.RequestContext, body *completionBody) {
+	var text strings.Builder
+	for i := 0; i < body.MaxTokens; i++ {
+		if !e.wait(ctx) {
+			e.breakOff(rc)
+			return
+		}
+		text.WriteString(body.token(i))
+	}
+	rc.JSON(200, wholeAnswer{Model: body.Model, Choices: []choice{{Text: text.String()}}})
+}
+
+// wait waits for the next token and reports false when the run was broken off.
+func (e *engine) wait(ctx context.Context) bool {
+	timer := time.NewTimer(e.opts.tokenTime)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// breakOff closes the caller's connection in the middle of the answer.
+func (e *engine) breakOff(rc *app.RequestContext) {
+	_ = rc.GetConn().Close() // the broken connection is the message
+}
+
+func (e *engine) cancelRequest(_ context.Context, rc *app.RequestContext) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	id := rc.Param("id")
+	run := e.runs[id]
+	if run == nil {
+		rc.AbortWithStatus(404)
+		return
+	}
+	e.note(id, "", "", "cancelled")
+	run.cancel()
+	rc.SetStatusCode(200)
+}
+
+type choice struct {
+	Text string `json:"text"`
+}
+
+type streamChunk struct {
+	Index   int      `json:"index"`
+	Choices []choice `json:"choices"`
+}
+
+type wholeAnswer struct {
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+}
--- /dev/null
+++ b/internal/standin/service.go
@@ -0,0 +1,61 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+)
+
+// plainService is the stand-in of a plain service beside the engines: it
+// answers any request with what it received, and keeps a journal of it.
+type plainService struct {
+	mu      sync.Mutex
+	journal []serviceRun
+	faults  *faults
+}
+
+type serviceRun struct {
+	RequestID string `json:"request_id"`
+	Method    string `json:"method"`
+	Path      string `json:"path"`
+	Body      string `json:"body"`
+}
+
+// register adds the service's routes to h.
+func (s *plainService) register(h *server.Hertz) {
+	h.Use(s.faults.filter)
+	h.GET("/admin/journal", s.serveJournal)
+	h.POST("/admin/fault", s.faults.serveFault)
+	h.Any("/*path", s.run)
+}
+
+func (s *plainService) run(_ context.Context, rc *app.RequestContext) {
+	r := serviceRun{
+		RequestID: string(rc.GetHeader("X-Request-Id")),
+		Method:    string(rc.Method()),
+		Path:      string(rc.Request.URI().RequestURI()),
+		Body:      string(rc.Request.Body()),
+	}
+	s.mu.Lock()
+	s.journal = append(s.journal, r)
+	s.mu.Unlock()
+	if d, err := time.ParseDuration(rc.Query("sleep")); err == nil {
+		time.Sleep(d)
+	}
+	rc.JSON(200, r)
+}
+
+func (s *plainService) serveJournal(_ context.Context, rc *app.RequestContext) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b, err := json.Marshal(s.journal)
+	if err != nil {
+		rc.String(500, err.Error())
+		return
+	}
+	rc.Data(200, "application/json", b)
+}
--- /dev/null
+++ b/pkg/configuration/configuration_test.go
@@ -0,0 +1,93 @@
+package configuration
+
+import (
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/borageusher/borageusher/pkg/adapter"
+)
+
+func sample(revision uint64, current adapter.Version) *Configuration {
+	return New(revision,
+		[]Team{
+			{Name: "tessaro", Keys: []Digest{DigestKey("t")}, Services: []Service{
+				{Name: "assistente", Base: "base-7b", Lending: Lending{Share: 0.25, To: []string{"dobrescu"}}},
+				{Name: "fees", Kind: Plain},
+			}},
+			{Name: "dobrescu", Keys: []Digest{DigestKey("d")}},
+		},
+		[]Adapter{
+			{Team: "tessaro", Name: "notices", Service: "assistente", Versions: []adapter.Version{1, 2}, Current: current},
+			{Team: "tessaro", Name: "dossiers", Service: "assistente", Versions: []adapter.Version{1}, Current: 1},
+		})
+}
+
+func TestSplitJoin(t *testing.T) {
+	convey.Convey("A configuration reads back from its sections", t, func() {
+		c := sample(7, 2)
+		got, err := Join(7, Split(c))
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(got.Teams, convey.ShouldResemble, c.Teams)
+		convey.So(got.Adapters, convey.ShouldResemble, c.Adapters)
+	})
+	convey.Convey("A change of one adapter changes one section", t, func() {
+		a, b := Split(sample(1, 1)), Split(sample(2, 2))
+		changed := 0
+		for i := range a {
+			if a[i].Digest != b[i].Digest {
+				changed++
+			}
+		}
+		convey.So(changed, convey.ShouldEqual, 1)
+	})
+	convey.Convey("A section with a flipped bit is refused", t, func() {
+		s := Split(sample(1, 1))
+		s[0].Data = append([]byte(nil), s[0].Data...)
+		s[0].Data[len(s[0].Data)-1] ^= 1
+		_, err := Join(1, s)
+		convey.So(err, convey.ShouldNotBeNil)
+	})
+}
+
+func TestResolve(t *testing.T) {
+	c := sample(1, 2)
+	tests := []struct {
+		team string
+		ref  adapter.Ref
+		want adapter.Ref
+		ok   bool
+	}{
+		{"tessaro", adapter.Ref{Name: "notices"}, adapter.Ref{Name: "notices", Version: 2}, true},
+		{"tessaro", adapter.Ref{Name: "notices", Version: 1}, adapter.Ref{Name: "notices", Version: 1}, true},
+		{"tessaro", adapter.Ref{Name: "notices", Version: 3}, adapter.Ref{Name: "notices", Version: 3}, false},
+		{"tessaro", adapter.Ref{Name: "none"}, adapter.Ref{}, false},
+		{"dobrescu", adapter.Ref{Name: "notices"}, adapter.Ref{}, false},
+	}
+	convey.Convey("Resolve finds a team's own adapters and versions only", t, func() {
+		for _, tt := range tests {
+			_, got, ok := c.Resolve(tt.team, tt.ref)
+			convey.So(ok, convey.ShouldEqual, tt.ok)
+			convey.So(got, convey.ShouldResemble, tt.want)
+		}
+	})
+	convey.Convey("Lending names the borrowers and nobody else", t, func() {
+		s, _ := c.Team("tessaro").Service("assistente")
+		convey.So(s.Lending.Lends("dobrescu"), convey.ShouldBeTrue)
+		convey.So(s.Lending.Lends("others"), convey.ShouldBeFalse)
+	})
+}
+
+func FuzzDecodeRoot(f *testing.F) {
+	f.Add(EncodeRoot(RootOf(3, "c", "o", Split(sample(3, 1)))))
+	f.Add([]byte{0x80})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		r, err := DecodeRoot(b)
+		if err != nil {
+			return
+		}
+		if _, err := DecodeRoot(EncodeRoot(r)); err != nil {
+			t.Fatalf("root does not read back: %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/pkg/outcome/outcome.go
@@ -0,0 +1,22 @@
+package outcome
+
+// Outcome is what is known about one request.
+type Outcome uint8
+
+// The outcomes. The zero value is Unknown, the only one that is always safe.
+const (
+	Unknown Outcome = iota
+	Answered
+	NotRun
+)
+
+// String returns the outcome's name on the wire and in headers.
+func (o Outcome) String() string {
+	switch o {
+	case Answered:
+		return "answered"
+	case NotRun:
+		return "not_run"
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/pkg/outcome/reason.go
@@ -0,0 +1,100 @@
+package outcome
+
+// Reason says why a request was not answered. Its numbers are part of the peer
+// protocol: existing ones are never reused.
+type Reason uint8
+
+// The reasons.
+const (
+	NoReason         Reason = iota
+	BadRequest              // the request is malformed
+	BadKey                  // the bearer key belongs to no team
+	UnknownAdapter          // the team has no such adapter or version
+	UnknownService          // the team has no such service
+	NoTarget                // no live target can take the request
+	Overloaded              // queues are full
+	Expired                 // the deadline or the start-by time passed
+	Draining                // the target is leaving
+	WrongTarget             // the target does not serve this service, or its epoch changed
+	OverTerms               // the lending terms leave no capacity
+	LoadFailed              // the adapter could not be loaded
+	Quarantined             // the request crashed earlier targets
+	KeyMismatch             // the idempotency key was used with another body
+	KeyInProgress           // the idempotency key's first request has not ended
+	StoreUnavailable        // the object API did not answer in time
+	TargetLost              // the target stopped answering
+	EngineFailed            // the engine broke off
+	Cancelled               // the caller went away
+	NotReady                // the process has no configuration yet
+	ResultExpired           // the answer of an earlier request is no longer kept
+	Behind                  // the target's configuration is older than the request's
+	reasonCount
+)
+
+var reasonNames = [reasonCount]string{
+	NoReason:         "none",
+	BadRequest:       "bad_request",
+	BadKey:           "bad_key",
+	UnknownAdapter:   "unknown_adapter",
+	UnknownService:   "unknown_service",
+	NoTarget:         "no_target",
+	Overloaded:       "overloaded",
+	Expired:          "expired",
+	Draining:         "draining",
+	WrongTarget:      "wrong_target",
+	OverTerms:        "over_terms",
+	LoadFailed:       "load_failed",
+	Quarantined:      "quarantined",
+	KeyMismatch:      "key_mismatch",
+	KeyInProgress:    "key_in_progress",
+	StoreUnavailable: "store_unavailable",
+	TargetLost:       "target_lost",
+	EngineFailed:     "engine_failed",
+	Cancelled:        "cancelled",
+	NotReady:         "not_ready",
+	ResultExpired:    "result_expired",
+	Behind:           "behind",
+}
+
+// String returns the reason's code in error bodies, logs and metrics.
+func (r Reason) String() string {
+	if r >= reasonCount {
+		return "unrecognised"
+	}
+	return reasonNames[r]
+}
+
+// Elsewhere reports whether a request refused for r may succeed on another
+// target, so that trying one is worth a retry.
+func (r Reason) Elsewhere() bool {
+	switch r {
+	case NoTarget, Overloaded, Draining, WrongTarget, OverTerms, LoadFailed, TargetLost, EngineFailed, NotReady, Behind:
+		return true
+	}
+	return false
+}
+
+// Status returns the HTTP status that tells a caller of r.
+func (r Reason) Status() int {
+	switch r {
+	case BadRequest:
+		return 400
+	case BadKey:
+		return 401
+	case UnknownAdapter, UnknownService:
+		return 404
+	case KeyMismatch, Quarantined:
+		return 422
+	case KeyInProgress, ResultExpired:
+		return 409
+	case Overloaded, OverTerms:
+		return 429
+	case Expired:
+		return 504
+	case TargetLost, EngineFailed:
+		return 502
+	case Cancelled:
+		return 499
+	}
+	return 503
+}
--- /dev/null
+++ b/pkg/residency/machine.go
@@ -0,0 +1,77 @@
+package residency
+
+import (
+	"context"
+
+	"github.com/qmuntal/stateless"
+)
+
+// State is the state of one adapter version at an engine.
+type State uint8
+
+// The states of an adapter version.
+const (
+	Absent State = iota
+	Loading
+	Resident
+	Unloading
+)
+
+// String returns the state's name in logs.
+func (s State) String() string {
+	switch s {
+	case Absent:
+		return "absent"
+	case Loading:
+		return "loading"
+	case Resident:
+		return "resident"
+	case Unloading:
+		return "unloading"
+	}
+	return "unrecognised"
+}
+
+// trigger is an event that moves an adapter version between states.
+type trigger uint8
+
+const (
+	loadOrdered trigger = iota
+	loadDone
+	loadFailed
+	unloadOrdered
+	unloadDone
+	engineRestarted
+)
+
+// newMachine returns the state machine of the entry that the table points its
+// cursor at. One machine serves all entries of a table.
+func newMachine(cursor *entryCursor) *stateless.StateMachine {
+	read := func(context.Context) (stateless.State, error) { return cursor.entry.state, nil }
+	write := func(_ context.Context, s stateless.State) error {
+		cursor.entry.state = s.(State)
+		return nil
+	}
+	unpinned := func(context.Context, ...any) bool { return cursor.entry.pins == 0 }
+
+	m := stateless.NewStateMachineWithExternalStorage(read, write, stateless.FiringImmediate)
+	m.Configure(Absent).
+		Permit(loadOrdered, Loading).
+		Ignore(engineRestarted)
+	m.Configure(Loading).
+		Permit(loadDone, Resident).
+		Permit(loadFailed, Absent).
+		Permit(engineRestarted, Absent)
+	m.Configure(Resident).
+		Permit(unloadOrdered, Unloading, unpinned).
+		Permit(engineRestarted, Absent)
+	m.Configure(Unloading).
+		Permit(unloadDone, Absent).
+		Permit(engineRestarted, Absent)
+	return m
+}
+
+// entryCursor points the state machine at one entry.
+type entryCursor struct {
+	entry *entry
+}
