Count and bound the calls of the object API by purpose

Cause: no call had a purpose, a metric or a bound, so a fleet that returns after an outage could call without limit. Change: objects.Client.For(purpose) gives a view; store_calls counts by purpose, operation and result; a token bucket a process for reads and one for writes keeps each process to its part of the store's rates, claims first, then registration, then the rest. Ruled out: a share agreed between processes (another thing to agree on); one priority queue (waiting order matters less than the reserve that is left). Runs: go test ./internal/objects: pass (a bucket that is half empty serves claims and not status; 60 s of calls keep to burst plus share). Not proved: the sum over a real fleet at the return of the store.

--- a/internal/agent/main.go
+++ b/internal/agent/main.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"time"
 
@@ -59,8 +58,9 @@
 	log := event.New(stderr, "targetd", s.Name, s.LogLevel)
 	scope, metricsHandler, stopMetrics := metrics.New("targetd")
 	defer stopMetrics()
-	store := objects.New(s.Platform, &http.Client{Transport: &http.Transport{}})
-	configurations := revision.New(store, log)
+	store := daemon.NewStore(s.Common, scope)
+	registrations := store.For(objects.ForRegistration)
+	configurations := revision.New(store.For(objects.ForConfiguration), log)
 	srv, err := httpserver.New(httpserver.Options{
 		Address:      s.Listen,
 		CertFile:     s.CertFile,
@@ -73,7 +73,7 @@
 		return err
 	}
 	log.At(event.Started).Stringer("address", s.Listen).Send()
-	rec, ok := register(ctx, store, describe(s), signals, log)
+	rec, ok := register(ctx, registrations, describe(s), signals, log)
 	if !ok {
 		return nil
 	}
@@ -104,7 +104,7 @@
 		return err
 	case <-signals:
 	}
-	stop(ctx, s, a, store, rec, signals, log)
+	stop(ctx, s, a, registrations, rec, signals, log)
 	srv.Shutdown(closeTimeout)
 	log.At(event.Stopped).Send()
 	return nil
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -25,7 +25,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
 
+	"github.com/borageusher/borageusher/internal/objects"
 	"github.com/borageusher/borageusher/internal/peer"
 	"github.com/borageusher/borageusher/internal/settings"
 )
@@ -85,6 +87,13 @@
 	}, nil
 }
 
+// NewStore returns the client of the object API that the settings describe,
+// with the process's budget.
+func NewStore(c settings.Common, scope tally.Scope) *objects.Client {
+	budget := objects.NewBudget(c.StoreReads, c.StoreWrites, c.Processes)
+	return objects.NewMetered(c.Platform, &http.Client{Transport: &http.Transport{}}, budget, scope)
+}
+
 func readAuthorities(path string) (*x509.CertPool, error) {
 	pem, err := os.ReadFile(path)
 	if err != nil {
--- a/internal/entry/main.go
+++ b/internal/entry/main.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"sync/atomic"
 	"time"
@@ -62,9 +61,9 @@
 	if err != nil {
 		return err
 	}
-	store := objects.New(s.Platform, &http.Client{Transport: &http.Transport{}})
-	configurations := revision.New(store, log)
-	known := members.New(store, log)
+	store := daemon.NewStore(s.Common, scope)
+	configurations := revision.New(store.For(objects.ForConfiguration), log)
+	known := members.New(store.For(objects.ForMembers), log)
 	e := New(Options{
 		Self:           self,
 		Configurations: configurations,
--- a/internal/objects/client.go
+++ b/internal/objects/client.go
@@ -10,6 +10,8 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"github.com/uber-go/tally/v4"
 )
 
 // Version is the version of an object. Versions grow over all objects of the
@@ -46,13 +48,23 @@
 
 // Client calls the object API. Its methods are safe for concurrent use.
 type Client struct {
-	base string
-	http *http.Client
+	base    string
+	http    *http.Client
+	purpose Purpose
+	budget  *Budget // nil for none
+	scope   tally.Scope
 }
 
-// New returns a client of the API at addr that calls it with httpClient.
+// New returns a client of the API at addr that calls it with httpClient,
+// without a budget or metrics.
 func New(addr netip.AddrPort, httpClient *http.Client) *Client {
-	return &Client{base: "http://" + addr.String(), http: httpClient}
+	return NewMetered(addr, httpClient, nil, tally.NoopScope)
+}
+
+// NewMetered returns a client whose calls keep to budget, if it is not nil,
+// and are counted in scope by purpose, operation and result.
+func NewMetered(addr netip.AddrPort, httpClient *http.Client, budget *Budget, scope tally.Scope) *Client {
+	return &Client{base: "http://" + addr.String(), http: httpClient, purpose: unnamed, budget: budget, scope: scope}
 }
 
 // Get returns an object. The error is of kind NotFound when there is none.
@@ -117,7 +129,40 @@
 	body    []byte
 }
 
+// do makes one call within the budget and counts it.
 func (c *Client) do(ctx context.Context, op, method, target string, body []byte, expect *Version) (response, error) {
+	if c.budget != nil {
+		if err := c.budget.wait(ctx, c.purpose, expect != nil); err != nil {
+			c.count(op, "not_made")
+			return response{}, err
+		}
+	}
+	resp, err := c.call(ctx, op, method, target, body, expect)
+	c.count(op, resultName(err))
+	return resp, err
+}
+
+func (c *Client) count(op, result string) {
+	tags := map[string]string{"purpose": string(c.purpose), "operation": op, "result": result}
+	c.scope.Tagged(tags).Counter("store_calls").Inc(1)
+}
+
+// resultName returns the name of a call's result in metrics.
+func resultName(err error) string {
+	switch {
+	case err == nil:
+		return "ok"
+	case IsKind(err, NotFound):
+		return "not_found"
+	case IsKind(err, Conflict):
+		return "conflict"
+	case IsKind(err, Uncertain):
+		return "uncertain"
+	}
+	return "unavailable"
+}
+
+func (c *Client) call(ctx context.Context, op, method, target string, body []byte, expect *Version) (response, error) {
 	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
 	if err != nil {
 		return response{}, &Error{Op: op, Kind: Unavailable, Err: err}
--- a/internal/operator/main.go
+++ b/internal/operator/main.go
@@ -97,7 +97,7 @@
 	if err != nil {
 		return nil, &Error{Op: "read flags", Kind: BadFlag, Err: err}
 	}
-	return objects.New(addr, &http.Client{}), nil
+	return objects.New(addr, &http.Client{}).For(objects.ForOperator), nil
 }
 
 // fail prints err and returns the exit code for it.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -10,6 +10,7 @@
 
 import (
 	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -30,9 +31,14 @@
 	KeyFile  string
 	CAFile   string // certificates that peers are checked against, empty for plain TCP
 	Platform netip.AddrPort
-	PeerKey  string
-	LogLevel zerolog.Level
-	StopIn   time.Duration // deadline of a planned stop
+	// StoreReads, StoreWrites are calls a second that all processes together
+	// may make of the object API; Processes is the number that shares them.
+	StoreReads, StoreWrites float64
+	Processes               int
+	Seeds                   []netip.AddrPort // targetds to ask while the object API is out
+	PeerKey                 string
+	LogLevel                zerolog.Level
+	StopIn                  time.Duration // deadline of a planned stop
 }
 
 // Entry are the settings of entryd.
@@ -100,6 +106,12 @@
 		CAFile:   f.OptionalText("peers", "authorities", ""),
 		Platform: f.AddrPort("platform", "address"),
 		PeerKey:  f.Text("peers", "key"),
+
+		StoreReads:  f.Float("platform", "reads_per_second", 2000, 1, 1e6),
+		StoreWrites: f.Float("platform", "writes_per_second", 300, 1, 1e6),
+		Processes:   f.Int("platform", "processes", 10, 1, 100000),
+		Seeds:       readSeeds(f),
+
 		LogLevel: readLevel(f),
 		StopIn:   f.Duration("process", "stop_within", 30*time.Second, time.Second, time.Hour),
 	}
@@ -123,3 +135,18 @@
 	}
 	return zerolog.InfoLevel
 }
+
+// readSeeds reads the addresses of peers.seeds, separated by blanks.
+func readSeeds(f *inifile.File) []netip.AddrPort {
+	text := f.OptionalText("peers", "seeds", "")
+	var out []netip.AddrPort
+	for _, word := range strings.Fields(text) {
+		addr, err := netip.ParseAddrPort(word)
+		if err != nil {
+			f.Fail("peers", "seeds", text, "IP addresses with ports, separated by blanks")
+			return nil
+		}
+		out = append(out, addr)
+	}
+	return out
+}
