Spread configuration and registrations over peer connections

Cause: every process kept a waiting watch on the root, every entryd one more on the registrations and a poll of the VM list each 2 s; heartbeats went out each 500 ms on every connection, idle or not; links were never closed. Change: two targetds an availability zone (rendezvous hashing, the next living candidates take over) watch the object API; everyone else keeps three relay connections in its zone and one to another zone of its region, hears of a newer revision or registration in heartbeats that are sent at once on a change, and asks the peer that is ahead for the root, the missing sections and the changed registrations. A watch has its own deadline (4.5 s). A poll each 15 to 45 s is the safety net, 1 to 3 s for a process without any peer. Heartbeats fall to one in 5 s on idle connections; silence is noticed within 2 s while requests are in flight and 12 s otherwise. Unused links close after a minute. Watchers read the VM list and write a leaving VM's state into its registration. Bytes are counted by purpose and by whether they cross regions (peer_bytes), calls of the object API by purpose (store_calls), and gauges tell revision, peers and watching. Ruled out: a star of all processes at two relays a zone (190 heartbeats a beat at the relay); processes that die being dropped from the registrations by others (a silent peer is not a dead one). Failed on the way: ends that turned idle sent no heartbeat saying so and were taken for silent after 2 s; TestPacesAgree holds it now. Runs: go test ./internal/scenario -run TestScenarios/spread spread_store_out: without pulling from peers: fails, e1 not at revision 2 within 9s; with it: pass. spread_silent_watch: with the former watch of 20 s and 3 s grace: fails, t1 not at revision 3 within 9s; with it: pass. Not proved here: figures at hundreds of processes.

--- a/internal/agent/main.go
+++ b/internal/agent/main.go
@@ -87,7 +87,12 @@
 		Scope:          scope,
 	})
 	configurations.OnChange(a.SetConfiguration)
+	node, known, err := newNode(s, rec.Target, store, configurations, log, scope)
+	if err != nil {
+		return err
+	}
 	sessions := &Sessions{
+		News:     node,
 		Agent:    a,
 		Self:     identity(rec.Target),
 		Key:      peer.Key(s.PeerKey),
@@ -97,6 +102,8 @@
 	srv.Hertz.GET(peer.Path, adaptor.HertzHandler(sessions))
 	go a.Run(ctx)
 	go configurations.Run(ctx)
+	go known.Run(ctx)
+	go node.Run(ctx)
 	served := make(chan error, 1)
 	go func() { served <- srv.Run() }()
 	select {
--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -16,6 +16,7 @@
 	Key      peer.Key
 	Log      event.Log
 	Revision func() uint64 // configuration in force
+	News     News          // nil for none
 }
 
 // ServeHTTP serves one connection until it ends.
@@ -26,6 +27,8 @@
 		return
 	}
 	s.Log.At(event.PeerConnected).Str("peer", conn.Remote().Name).Send()
+	detach := s.attach(conn)
+	defer detach()
 	err = conn.Run(context.WithoutCancel(r.Context()), s.beat, func(m peer.Message) { s.handle(conn, m) })
 	s.Log.At(event.PeerLost).Str("peer", conn.Remote().Name).Err(err).Send()
 	s.Agent.post(disconnected{conn: conn})
@@ -33,10 +36,17 @@
 
 func (s *Sessions) beat() peer.Heartbeat {
 	load := s.Agent.Report()
-	return peer.Heartbeat{Revision: s.Revision(), Running: load.Running, Queued: load.Queued, Draining: load.Draining}
+	m := peer.Heartbeat{Revision: s.Revision(), Running: load.Running, Queued: load.Queued, Draining: load.Draining}
+	if s.News != nil {
+		m.Members = s.News.Beat().Members
+	}
+	return m
 }
 
 func (s *Sessions) handle(conn *peer.Conn, m peer.Message) {
+	if s.News != nil && s.News.Handle(conn, m) {
+		return
+	}
 	switch m := m.(type) {
 	case peer.Submit:
 		s.Agent.post(submitted{conn: conn, submit: m})
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,6 +21,7 @@
 	Revision       func() uint64
 	Targets        Targets
 	Dialer         Dialer
+	News           News          // nil for none
 	MaxInProgress  int           // calls in progress at once
 	StartWithin    time.Duration // a call's deadline to start, unless it names one
 	Log            event.Log
@@ -43,6 +44,7 @@
 		limit: &limitFilter{most: int64(opts.MaxInProgress)},
 		links: newLinks(opts.Dialer, opts.Log, opts.Revision),
 	}
+	e.links.news = opts.News
 	last := &router{
 		region:  opts.Self.Region,
 		targets: opts.Targets,
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -30,6 +30,7 @@
 	dialer   Dialer
 	log      event.Log
 	revision func() uint64
+	news     News // nil for none
 
 	dialMu sync.Mutex // held while dialling
 
@@ -38,6 +39,7 @@
 	pendings    map[attemptKey]*pending
 	heartbeat   peer.Heartbeat
 	downUntil   time.Time
+	lastUsed    time.Time
 	incarnation string // of the targetd that the pendings were sent to
 }
 
@@ -97,6 +99,7 @@
 	defer l.dialMu.Unlock()
 	l.mu.Lock()
 	conn := l.conn
+	l.lastUsed = time.Now()
 	l.mu.Unlock()
 	if conn != nil {
 		return conn, nil
@@ -139,8 +142,7 @@
 // read passes messages to the attempts until conn ends, and then tries to
 // resume them over another connection.
 func (l *link) read(conn *peer.Conn) {
-	beat := func() peer.Heartbeat { return peer.Heartbeat{Revision: l.revision()} }
-	err := conn.Run(context.Background(), beat, l.handle)
+	err := l.run(conn)
 	l.log.At(event.PeerLost).Str("peer", l.target.Name).Err(err).Send()
 	l.mu.Lock()
 	if l.conn == conn {
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -13,6 +13,7 @@
 	dialer   Dialer
 	log      event.Log
 	revision func() uint64
+	news     News // nil for none
 
 	mu    sync.Mutex
 	links map[string]*link // by name of the target
@@ -34,6 +35,7 @@
 			dialer:   ls.dialer,
 			log:      ls.log,
 			revision: ls.revision,
+			news:     ls.news,
 			pendings: map[attemptKey]*pending{},
 		}
 		ls.links[t.Name] = l
--- a/internal/entry/main.go
+++ b/internal/entry/main.go
@@ -17,6 +17,8 @@
 	"github.com/borageusher/borageusher/internal/peer"
 	"github.com/borageusher/borageusher/internal/revision"
 	"github.com/borageusher/borageusher/internal/settings"
+	"github.com/borageusher/borageusher/internal/spread"
+	"github.com/borageusher/borageusher/pkg/configuration"
 )
 
 // closeTimeout is how long a stopping entryd waits for its listener to close.
@@ -64,12 +66,26 @@
 	store := daemon.NewStore(s.Common, scope)
 	configurations := revision.New(store.For(objects.ForConfiguration), log)
 	known := members.New(store.For(objects.ForMembers), log)
+	node := spread.New(spread.Options{
+		Self:           self,
+		Configurations: configurations,
+		Members:        known,
+		Dialer:         dialer,
+		Seeds:          s.Seeds,
+		Log:            log,
+		Scope:          scope,
+	})
+	configurations.SetDuty(node.Duty)
+	configurations.OnChange(func(*configuration.Configuration) { node.Announce() })
+	known.SetDuty(node.Duty)
+	known.OnChange(node.Announce)
 	e := New(Options{
 		Self:           self,
 		Configurations: configurations,
 		Revision:       configurations.Revision,
 		Targets:        known,
 		Dialer:         dialer,
+		News:           node,
 		MaxInProgress:  s.MaxInProgress,
 		StartWithin:    s.StartWithin,
 		Log:            log,
@@ -92,6 +108,8 @@
 	e.Register(srv.Hertz)
 	go configurations.Run(ctx)
 	go known.Run(ctx)
+	go node.Run(ctx)
+	go e.Run(ctx)
 	log.At(event.Started).Stringer("address", s.Listen).Send()
 	served := make(chan error, 1)
 	go func() { served <- srv.Run() }()
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -19,6 +19,7 @@
 	PeerConnected     Code = 200
 	PeerLost          Code = 201
 	PeerRefused       Code = 202
+	RelayLost         Code = 203
 	RouteChosen       Code = 300
 	RouteRefused      Code = 301
 	RequestEnded      Code = 302
@@ -38,8 +39,12 @@
 	TargetReplaced    Code = 431
 	RevisionInForce   Code = 500
 	RevisionRejected  Code = 501
+	SectionCorrupt    Code = 502
+	RevisionFromPeer  Code = 503
 	StoreUnavailable  Code = 510
+	DutyChanged       Code = 511
 	MembersChanged    Code = 520
+	MemberLeaving     Code = 521
 )
 
 // definition is what the catalogue says of an event.
@@ -60,6 +65,7 @@
 	{PeerConnected, "peer_connected", zerolog.InfoLevel, "A peer connection is open and both sides proved the key."},
 	{PeerLost, "peer_lost", zerolog.WarnLevel, "A peer connection ended or went silent; `error` says how."},
 	{PeerRefused, "peer_refused", zerolog.WarnLevel, "A process without the right peer key tried to connect."},
+	{RelayLost, "relay_lost", zerolog.InfoLevel, "A connection kept for news could not be opened or ended; the next best peer takes its place."},
 	{RouteChosen, "route_chosen", zerolog.InfoLevel, "Routing decision: the request's next attempt goes to `target`; `reason` says why that one."},
 	{RouteRefused, "route_refused", zerolog.InfoLevel, "The target refused an attempt before running it; `reason` is the target's."},
 	{RequestEnded, "request_ended", zerolog.InfoLevel, "The caller was told the outcome."},
@@ -79,8 +85,12 @@
 	{TargetReplaced, "target_replaced", zerolog.ErrorLevel, "Another process registered this target; this one takes no more work."},
 	{RevisionInForce, "revision_in_force", zerolog.InfoLevel, "A newer configuration is in force in this process."},
 	{RevisionRejected, "revision_rejected", zerolog.ErrorLevel, "A configuration could not be read and the older one stays."},
+	{SectionCorrupt, "section_corrupt", zerolog.ErrorLevel, "A section from `from` does not have its digest and is asked of the next source."},
+	{RevisionFromPeer, "revision_from_peer", zerolog.DebugLevel, "A peer is ahead and is asked for what is missing."},
 	{StoreUnavailable, "store_unavailable", zerolog.WarnLevel, "The object API did not answer; the process goes on with what it knows."},
+	{DutyChanged, "duty_changed", zerolog.InfoLevel, "The process began or ceased to watch the object API for its availability zone."},
 	{MembersChanged, "members_changed", zerolog.InfoLevel, "The set of known targets changed."},
+	{MemberLeaving, "member_leaving", zerolog.InfoLevel, "The platform's list says that the VM of `target` is leaving, and its registration was marked."},
 }
 
 var definitions = func() map[Code]definition {
--- a/internal/objects/vms.go
+++ b/internal/objects/vms.go
@@ -20,7 +20,7 @@
 
 // VMs returns the platform's list of live and leaving VMs.
 func (c *Client) VMs(ctx context.Context) ([]VM, error) {
-	resp, err := c.do(ctx, "vms", http.MethodGet, c.base+"/v1/vms", nil, nil)
+	resp, err := c.For(ForVMs).do(ctx, "vms", http.MethodGet, c.base+"/v1/vms", nil, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -24,6 +24,12 @@
 	typeAck       messageType = 9
 	typeCancel    messageType = 10
 	typeResume    messageType = 11
+
+	typeStateRequest  messageType = 40
+	typeStateAnswer   messageType = 41
+	typeSectionAnswer messageType = 42
+	typeSurvey        messageType = 43
+	typeSurveyAnswer  messageType = 44
 )
 
 func (Hello) messageType() messageType     { return typeHello }
@@ -92,6 +98,16 @@
 		return &cancelWire{}
 	case typeResume:
 		return &resumeWire{}
+	case typeStateRequest:
+		return &stateRequestWire{}
+	case typeStateAnswer:
+		return &stateAnswerWire{}
+	case typeSectionAnswer:
+		return &sectionAnswerWire{}
+	case typeSurvey:
+		return &surveyWire{}
+	case typeSurveyAnswer:
+		return &surveyAnswerWire{}
 	}
 	return nil
 }
@@ -103,7 +119,7 @@
 	case Proof:
 		return &proofWire{Proof: m.Proof}
 	case Heartbeat:
-		return &heartbeatWire{Revision: m.Revision, Running: m.Running, Queued: m.Queued, Draining: m.Draining}
+		return heartbeatToWire(m)
 	case Submit:
 		return submitToWire(m)
 	case Refusal:
@@ -120,6 +136,16 @@
 		return &cancelWire{Request: m.Request, Attempt: m.Attempt}
 	case Resume:
 		return &resumeWire{Request: m.Request, Attempt: m.Attempt, Next: m.Next, StartByMS: m.StartBy.Milliseconds()}
+	case StateRequest:
+		return &stateRequestWire{Revision: m.Revision, Members: m.Members, Sections: m.Sections}
+	case StateAnswer:
+		return stateAnswerToWire(m)
+	case SectionAnswer:
+		return &sectionAnswerWire{Digest: m.Digest, Data: m.Data}
+	case Survey:
+		return &surveyWire{ID: m.ID}
+	case SurveyAnswer:
+		return &surveyAnswerWire{ID: m.ID, Name: m.Name, Role: m.Role, Revision: m.Revision, Behind: m.Behind}
 	}
 	panic("peer: unknown message type")
 }
@@ -178,10 +204,33 @@
 	Running  int
 	Queued   int
 	Draining bool
+	Members  uint64
+	Active   bool
+	Slow     bool
+}
+
+func heartbeatToWire(m Heartbeat) *heartbeatWire {
+	return &heartbeatWire{
+		Revision: m.Revision,
+		Running:  m.Running,
+		Queued:   m.Queued,
+		Draining: m.Draining,
+		Members:  m.Members,
+		Active:   m.Active,
+		Slow:     m.Slow,
+	}
 }
 
 func (w *heartbeatWire) message() Message {
-	return Heartbeat{Revision: w.Revision, Running: w.Running, Queued: w.Queued, Draining: w.Draining}
+	return Heartbeat{
+		Revision: w.Revision,
+		Running:  w.Running,
+		Queued:   w.Queued,
+		Draining: w.Draining,
+		Members:  w.Members,
+		Active:   w.Active,
+		Slow:     w.Slow,
+	}
 }
 
 type submitWire struct {
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -11,10 +11,8 @@
 
 // Times of the connection.
 const (
-	HeartbeatInterval = 500 * time.Millisecond // between messages when nothing else flows
-	SilenceTimeout    = 2 * time.Second        // after which a silent connection is dropped
-	writeTimeout      = 2 * time.Second        // after which a blocked write ends the connection
-	handshakeTimeout  = 2 * time.Second        // for dialling and the handshake together
+	writeTimeout     = 2 * time.Second // after which a blocked write ends the connection
+	handshakeTimeout = 2 * time.Second // for dialling and the handshake together
 )
 
 // maxMessageBytes bounds one encoded message: a request's body and its fields.
@@ -33,13 +31,27 @@
 
 	closed    chan struct{}
 	closeOnce sync.Once
+	wake      chan struct{} // tells the writer that the pace changed
+	beatNow   chan struct{} // tells the writer to send a heartbeat
+	silent    atomic.Bool   // closed because nothing was heard
+	meter     *meter        // nil for none
+
+	paceMu sync.Mutex
+	pace   pace
+
 	sentBytes atomic.Uint64
 	recvBytes atomic.Uint64
 }
 
 func newConn(ws *websocket.Conn) *Conn {
 	ws.SetReadLimit(maxMessageBytes)
-	return &Conn{ws: ws, out: make(chan []byte, outQueue), closed: make(chan struct{})}
+	return &Conn{
+		ws:      ws,
+		out:     make(chan []byte, outQueue),
+		closed:  make(chan struct{}),
+		wake:    make(chan struct{}, 1),
+		beatNow: make(chan struct{}, 1),
+	}
 }
 
 // Remote returns the identity of the process at the other end.
@@ -79,15 +91,20 @@
 	}
 }
 
+// Beat has a heartbeat sent at once, because what it tells has changed.
+func (c *Conn) Beat() { signal(c.beatNow) }
+
 // Run reads messages and passes them to handle, one at a time, until ctx is
-// done, the connection ends, or nothing is heard for SilenceTimeout. It writes
-// what Send queues, and what beat returns when nothing else was written for
-// HeartbeatInterval. It closes the connection before it returns.
+// done, the connection ends, or nothing is heard for SilenceTimeout, or for
+// IdleSilenceTimeout on an idle connection. It writes what Send queues, and
+// what beat returns when nothing else was written for the interval in force.
+// It closes the connection before it returns.
 func (c *Conn) Run(ctx context.Context, beat func() Heartbeat, handle func(Message)) error {
 	defer c.Close()
+	c.pace = newPace(time.Now())
 	go c.writeAll(beat)
 	for {
-		m, err := c.receive(ctx)
+		m, err := c.read(ctx)
 		if err != nil {
 			return err
 		}
@@ -95,6 +112,42 @@
 	}
 }
 
+// read returns the next message and notes that it was heard.
+func (c *Conn) read(ctx context.Context) (Message, error) {
+	_, b, err := c.ws.Read(ctx)
+	if err != nil {
+		kind := Closed
+		if c.silent.Load() {
+			kind = Silent
+		}
+		return nil, &Error{Op: "receive", Kind: kind, Err: err}
+	}
+	c.countReceived(b)
+	m, err := Decode(b)
+	if err != nil {
+		return nil, err
+	}
+	c.noteHeard(m, trafficOf(b) == forRequests)
+	return m, nil
+}
+
+func (c *Conn) noteHeard(m Message, request bool) {
+	now := time.Now()
+	c.paceMu.Lock()
+	wasBusy := c.pace.busy(now)
+	if beat, ok := m.(Heartbeat); ok {
+		c.pace.heardBeat(now, beat)
+	} else {
+		c.pace.heard(now, request)
+	}
+	becameBusy := !wasBusy && c.pace.busy(now)
+	c.paceMu.Unlock()
+	if becameBusy {
+		signal(c.wake)
+	}
+}
+
+// receive reads one message of the handshake.
 func (c *Conn) receive(ctx context.Context) (Message, error) {
 	ctx, cancel := context.WithTimeout(ctx, SilenceTimeout)
 	defer cancel()
@@ -106,7 +159,7 @@
 		}
 		return nil, &Error{Op: "receive", Kind: kind, Err: err}
 	}
-	c.recvBytes.Add(uint64(len(b)))
+	c.countReceived(b)
 	return Decode(b)
 }
 
@@ -121,14 +174,62 @@
 		case <-c.closed:
 			return
 		case b = <-c.out:
+		case <-c.beatNow:
+			b = c.heartbeat(beat())
+		case <-c.wake:
 		case <-timer.C:
-			b = Encode(beat())
 		}
-		if err := c.write(b); err != nil {
+		if c.isSilent(time.Now()) {
+			c.silent.Store(true)
 			return
 		}
-		timer.Reset(HeartbeatInterval)
+		if b == nil && c.beatDue(time.Now()) {
+			b = c.heartbeat(beat())
+		}
+		if b != nil {
+			if err := c.write(b); err != nil {
+				return
+			}
+			c.noteSent(trafficOf(b) == forRequests)
+		}
+		timer.Reset(c.nextLook(time.Now()))
+	}
+}
+
+// heartbeat encodes m with what it says of the pace.
+func (c *Conn) heartbeat(m Heartbeat) []byte {
+	c.paceMu.Lock()
+	defer c.paceMu.Unlock()
+	return Encode(c.pace.beat(time.Now(), m))
+}
+
+func (c *Conn) noteSent(request bool) {
+	c.paceMu.Lock()
+	defer c.paceMu.Unlock()
+	c.pace.sent(time.Now(), request)
+}
+
+func (c *Conn) isSilent(now time.Time) bool {
+	c.paceMu.Lock()
+	defer c.paceMu.Unlock()
+	return !now.Before(c.pace.silentAt())
+}
+
+func (c *Conn) beatDue(now time.Time) bool {
+	c.paceMu.Lock()
+	defer c.paceMu.Unlock()
+	return !now.Before(c.pace.nextBeat(now))
+}
+
+// nextLook returns how long the writer may wait when nothing is queued.
+func (c *Conn) nextLook(now time.Time) time.Duration {
+	c.paceMu.Lock()
+	defer c.paceMu.Unlock()
+	next := c.pace.nextBeat(now)
+	if at := c.pace.silentAt(); at.Before(next) {
+		next = at
 	}
+	return max(0, next.Sub(now))
 }
 
 // write sends an encoded message at once.
@@ -138,6 +239,14 @@
 	if err := c.ws.Write(ctx, websocket.MessageBinary, b); err != nil {
 		return &Error{Op: "send", Kind: Closed, Err: err}
 	}
-	c.sentBytes.Add(uint64(len(b)))
+	c.countSent(b)
 	return nil
 }
+
+// signal fills a channel of one place unless it is full.
+func signal(ch chan struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
+	}
+}
--- a/internal/peer/doc.go
+++ b/internal/peer/doc.go
@@ -3,9 +3,10 @@
 //
 // A connection starts with a handshake in which both sides prove that they
 // know the shared peer key without sending it. Then both sides send heartbeats
-// when nothing else flows, and a side that hears nothing for SilenceTimeout
-// drops the connection, because something between the two ends may have lost
-// track of it.
+// when nothing else flows, often while requests are in flight and seldom
+// otherwise, and a side that hears nothing for SilenceTimeout, or for
+// IdleSilenceTimeout on an idle connection, drops the connection, because
+// something between the two ends may have lost track of it.
 //
 // The package knows nothing of requests beyond the shape of their messages;
 // packages entry and agent give them meaning.
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -40,6 +40,9 @@
 	Running  int    // requests running, from a targetd
 	Queued   int    // requests waiting, from a targetd
 	Draining bool
+	Members  uint64 // newest registration that the sender knows
+	Active   bool   // requests are in flight on this connection
+	Slow     bool   // the next message may take IdleInterval; set by Conn
 }
 
 // Submit asks a targetd to run a request.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -18,7 +18,12 @@
 	return []Message{
 		Hello{Identity: Identity{Name: "e1", Role: "entryd", Incarnation: "i", Region: "r", Zone: "z", Epoch: 4}, Nonce: []byte{1}, Proof: []byte{2}},
 		Proof{Proof: []byte{3}},
-		Heartbeat{Revision: 5, Running: 2, Queued: 3, Draining: true},
+		Heartbeat{Revision: 5, Running: 2, Queued: 3, Draining: true, Members: 7, Active: true, Slow: true},
+		StateRequest{Revision: 1, Members: 2, Sections: [][]byte{{1}}},
+		StateAnswer{Root: []byte{1}, After: 2, Members: 3, Changed: []MemberObject{{Name: "t1", Version: 3, Value: []byte{4}}, {Name: "t2", Version: 2, Deleted: true}}},
+		SectionAnswer{Digest: []byte{1}, Data: []byte{2}},
+		Survey{ID: "s"},
+		SurveyAnswer{ID: "s", Name: "t1", Role: "targetd", Revision: 4, Behind: []string{"t2"}},
 		Submit{
 			Request: "r1", Attempt: 2, Revision: 3, Epoch: 4, Team: "t", Owner: "o", Service: "s",
 			Adapter: adapter.ID{Team: "t", Ref: adapter.Ref{Name: "a", Version: 9}},
--- a/internal/registration/record.go
+++ b/internal/registration/record.go
@@ -88,26 +88,43 @@
 	return Record{Target: t, Version: o.Version}, nil
 }
 
-// SetState writes another state into a registration that is still rec's. The
-// error is of kind Replaced when another process has registered the target.
+// SetState writes another state into a registration that is still rec's. A
+// state that is as far on already stays, so a target never comes back to an
+// earlier one. The error is of kind Replaced when another process has
+// registered the target.
 func SetState(ctx context.Context, store Store, rec Record, state target.State) (Record, error) {
-	next := rec.Target
-	next.State = state
-	version, err := store.Put(ctx, objects.Targets, next.Name, Encode(next), rec.Version)
-	if err == nil {
-		return Record{Target: next, Version: version}, nil
+	for range maxConflicts {
+		if rec.Target.State >= state {
+			return rec, nil
+		}
+		next := rec.Target
+		next.State = state
+		version, err := store.Put(ctx, objects.Targets, next.Name, Encode(next), rec.Version)
+		if err == nil {
+			return Record{Target: next, Version: version}, nil
+		}
+		if !objects.IsKind(err, objects.Conflict) && !objects.IsKind(err, objects.Uncertain) {
+			return rec, err
+		}
+		rec, err = reread(ctx, store, rec)
+		if err != nil {
+			return rec, err
+		}
 	}
-	if !objects.IsKind(err, objects.Conflict) && !objects.IsKind(err, objects.Uncertain) {
+	return rec, &Error{Op: "set state", Kind: Contended}
+}
+
+// reread returns what rec has become. The error is of kind Replaced when it is
+// another process's.
+func reread(ctx context.Context, store Store, rec Record) (Record, error) {
+	back, err := readBack(ctx, store, rec.Target)
+	switch {
+	case objects.IsKind(err, objects.Conflict), objects.IsKind(err, objects.NotFound):
+		return rec, &Error{Op: "set state", Kind: Replaced, Err: err}
+	case err != nil:
 		return rec, err
 	}
-	back, readErr := readBack(ctx, store, next)
-	if readErr != nil {
-		return rec, &Error{Op: "set state", Kind: Replaced, Err: readErr}
-	}
-	if back.Target.State == state {
-		return back, nil
-	}
-	return back, err
+	return back, nil
 }
 
 type recordWire struct {
--- a/internal/revision/controller.go
+++ b/internal/revision/controller.go
@@ -1,12 +1,3 @@
-// Package revision keeps the accepted configuration of a process: it learns of
-// newer revisions from the object API and puts them in force, whole and only
-// ever upwards.
-//
-// # Usage
-//
-//	c := revision.New(store, log)
-//	go c.Run(ctx)
-//	cfg := c.Current() // nil until the first revision is in force
 package revision
 
 import (
@@ -23,11 +14,23 @@
 
 // Times of the controller.
 const (
-	watchWait   = 20 * time.Second // for one waiting watch
-	callTimeout = 3 * time.Second  // for one read
+	watchWait   = 3 * time.Second         // for one waiting watch
+	watchGrace  = 1500 * time.Millisecond // beyond watchWait, after which a watch counts as silent
+	callTimeout = 3 * time.Second         // for one read
 	retryPause  = 500 * time.Millisecond
+	dutyPause   = time.Second // between two looks at the duty while polling
 )
 
+// Duty says how a process follows the object API.
+type Duty struct {
+	Watch bool          // keep a waiting watch
+	Poll  time.Duration // otherwise, between two reads
+	// Delay is how long a process waits after it saw a new root before it reads
+	// sections, so that one process of a region reads them and the others get
+	// them from it.
+	Delay time.Duration
+}
+
 // Store is the part of the object API that the controller reads.
 type Store interface {
 	Get(ctx context.Context, kind objects.ObjectKind, name string) (objects.Object, error)
@@ -38,54 +41,116 @@
 type Controller struct {
 	store   Store
 	log     event.Log
-	current atomic.Pointer[configuration.Configuration]
+	duty    func() Duty
+	current atomic.Pointer[inForce]
 
 	mu        sync.Mutex // guards what follows, and the order of installs
-	sections  map[configuration.Digest]configuration.Section
+	fetched   sectionSet // of a revision that is not yet in force
 	listeners []func(*configuration.Configuration)
 }
 
-// New returns a controller without a configuration.
+// inForce is a configuration with its encoded parts, for peers that ask.
+type inForce struct {
+	configuration *configuration.Configuration
+	root          []byte
+	sections      sectionSet
+}
+
+// sectionSet holds sections by their digest.
+type sectionSet map[configuration.Digest]configuration.Section
+
+// New returns a controller without a configuration, which watches the object
+// API unless SetDuty says otherwise.
 func New(store Store, log event.Log) *Controller {
-	return &Controller{store: store, log: log, sections: map[configuration.Digest]configuration.Section{}}
+	return &Controller{
+		store:   store,
+		log:     log,
+		duty:    func() Duty { return Duty{Watch: true} },
+		fetched: sectionSet{},
+	}
 }
 
+// SetDuty has f asked how to follow the object API. It must be called before Run.
+func (c *Controller) SetDuty(f func() Duty) { c.duty = f }
+
 // Current returns the configuration in force, or nil.
-func (c *Controller) Current() *configuration.Configuration { return c.current.Load() }
+func (c *Controller) Current() *configuration.Configuration {
+	if now := c.current.Load(); now != nil {
+		return now.configuration
+	}
+	return nil
+}
 
 // Revision returns the revision in force, or zero.
 func (c *Controller) Revision() uint64 {
-	if cfg := c.current.Load(); cfg != nil {
+	if cfg := c.Current(); cfg != nil {
 		return cfg.Revision
 	}
 	return 0
 }
 
+// Root returns the encoded root of the revision in force, or nil.
+func (c *Controller) Root() []byte {
+	if now := c.current.Load(); now != nil {
+		return now.root
+	}
+	return nil
+}
+
+// Section returns a section of the revision in force.
+func (c *Controller) Section(d configuration.Digest) ([]byte, bool) {
+	now := c.current.Load()
+	if now == nil {
+		return nil, false
+	}
+	s, ok := now.sections[d]
+	return s.Data, ok
+}
+
 // OnChange has f called with each configuration that comes into force. It must
 // be called before Run.
 func (c *Controller) OnChange(f func(*configuration.Configuration)) {
 	c.listeners = append(c.listeners, f)
 }
 
-// Run follows the object API until ctx is done.
+// Run follows the object API until ctx is done. It reads at once when it starts.
 func (c *Controller) Run(ctx context.Context) {
 	var seen objects.Version
-	for ctx.Err() == nil {
-		version, err := c.follow(ctx, seen)
+	for wait := time.Duration(0); ctx.Err() == nil; wait = watchWait {
+		version, err := c.follow(ctx, seen, wait)
 		if err != nil {
 			c.log.At(event.StoreUnavailable).Str("purpose", "configuration").Err(err).Send()
 			pause(ctx, retryPause)
-			continue
+		} else {
+			seen = version
 		}
-		seen = version
+		c.rest(ctx)
 	}
 }
 
-// follow waits for one change of the root and puts it in force.
-func (c *Controller) follow(ctx context.Context, seen objects.Version) (objects.Version, error) {
-	wctx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
+// rest returns at once if it is the process's duty to watch, and otherwise
+// when the next read is due or the duty has changed.
+func (c *Controller) rest(ctx context.Context) {
+	began := time.Now()
+	jitter := rand.Float64()
+	for ctx.Err() == nil {
+		d := c.duty()
+		if d.Watch || time.Since(began) >= d.Poll/2+time.Duration(jitter*float64(d.Poll)) {
+			return
+		}
+		pause(ctx, dutyPause)
+	}
+}
+
+// follow reads changes of the root, waiting for one for up to wait, and puts
+// them in force.
+func (c *Controller) follow(ctx context.Context, seen objects.Version, wait time.Duration) (objects.Version, error) {
+	if !c.duty().Watch {
+		wait = 0
+	}
+	wctx, cancel := context.WithTimeout(ctx, wait+watchGrace)
 	defer cancel()
-	changed, version, err := c.store.Watch(wctx, objects.Roots, seen, watchWait)
+	changed, version, err := c.store.Watch(wctx, objects.Roots, seen, wait)
 	if err != nil {
 		return seen, err
 	}
@@ -93,15 +158,35 @@
 		if o.Name != objects.RootName || o.Deleted {
 			continue
 		}
-		if err := c.adopt(ctx, o.Value); err != nil {
+		if err := c.adoptFromStore(ctx, o.Value); err != nil {
 			return seen, err
 		}
 	}
 	return max(seen, version), nil
 }
 
-// adopt puts the configuration of an encoded root in force.
-func (c *Controller) adopt(ctx context.Context, encoded []byte) error {
+// adoptFromStore puts a root that the object API gave in force. It leaves
+// others of the region the time to read the sections first.
+func (c *Controller) adoptFromStore(ctx context.Context, encoded []byte) error {
+	root, err := configuration.DecodeRoot(encoded)
+	if err == nil && c.Revision() < root.Revision {
+		c.waitFor(ctx, root.Revision, c.duty().Delay)
+	}
+	return c.Adopt(ctx, encoded)
+}
+
+// waitFor waits until a revision is in force, at most for d.
+func (c *Controller) waitFor(ctx context.Context, revision uint64, d time.Duration) {
+	const step = 20 * time.Millisecond
+	for until := time.Now().Add(d); time.Now().Before(until) && c.Revision() < revision; {
+		pause(ctx, step)
+	}
+}
+
+// Adopt puts the configuration of an encoded root in force, unless a newer one
+// is. Missing sections are taken from the sources in order, and from the object
+// API last.
+func (c *Controller) Adopt(ctx context.Context, encoded []byte, sources ...Source) error {
 	root, err := configuration.DecodeRoot(encoded)
 	if err != nil {
 		c.log.At(event.RevisionRejected).Err(err).Send()
@@ -110,7 +195,7 @@
 	if root.Revision <= c.Revision() {
 		return nil
 	}
-	sections, err := c.fetch(ctx, root)
+	sections, err := c.collect(ctx, root, append(sources, storeSource{c.store}))
 	if err != nil {
 		return err
 	}
@@ -119,49 +204,24 @@
 		c.log.At(event.RevisionRejected).Uint64("revision", root.Revision).Err(err).Send()
 		return err
 	}
-	c.install(cfg, sections)
+	c.install(&inForce{configuration: cfg, root: encoded}, sections)
 	return nil
 }
 
-// fetch returns the sections of root, reading only the ones not yet known.
-func (c *Controller) fetch(ctx context.Context, root configuration.Root) ([]configuration.Section, error) {
-	out := make([]configuration.Section, 0, len(root.Sections))
-	for _, ref := range root.Sections {
-		c.mu.Lock()
-		s, ok := c.sections[ref.Digest]
-		c.mu.Unlock()
-		if !ok {
-			data, err := c.read(ctx, ref.Digest)
-			if err != nil {
-				return nil, err
-			}
-			s = configuration.Section{Digest: ref.Digest, Data: data}
-		}
-		s.Name = ref.Name
-		out = append(out, s)
-	}
-	return out, nil
-}
-
-func (c *Controller) read(ctx context.Context, d configuration.Digest) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	o, err := c.store.Get(ctx, objects.Sections, d.String())
-	return o.Value, err
-}
-
-// install puts cfg in force unless a newer one already is.
-func (c *Controller) install(cfg *configuration.Configuration, sections []configuration.Section) {
+// install puts next in force unless a newer one already is.
+func (c *Controller) install(next *inForce, sections []configuration.Section) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	cfg := next.configuration
 	if cfg.Revision <= c.Revision() {
 		return
 	}
-	c.sections = make(map[configuration.Digest]configuration.Section, len(sections))
+	next.sections = make(sectionSet, len(sections))
 	for _, s := range sections {
-		c.sections[s.Digest] = s
+		next.sections[s.Digest] = s
 	}
-	c.current.Store(cfg)
+	c.fetched = sectionSet{}
+	c.current.Store(next)
 	c.log.At(event.RevisionInForce).Uint64("revision", cfg.Revision).Int("sections", len(sections)).Send()
 	for _, f := range c.listeners {
 		f(cfg)
--- /dev/null
+++ b/internal/spread/duty.go
@@ -0,0 +1,92 @@
+package spread
+
+import (
+	"time"
+
+	"github.com/borageusher/borageusher/internal/event"
+	"github.com/borageusher/borageusher/internal/revision"
+	"github.com/borageusher/borageusher/pkg/relay"
+)
+
+// Times of following the object API.
+const (
+	alonePoll   = 2 * time.Second        // between two reads of a process without peers
+	relayedPoll = 30 * time.Second       // between two reads of a process that hears from peers
+	readDelay   = 250 * time.Millisecond // for each watcher of the region that reads sections first
+)
+
+// Duty tells how the process follows the object API: the first candidates of a
+// zone that are alive watch it, and the others read it seldom.
+func (n *Node) Duty() revision.Duty {
+	members := n.members()
+	connected := n.connected()
+	d := revision.Duty{Poll: alonePoll, Delay: readDelay * time.Duration(n.readOrder(members))}
+	if len(connected) > 0 {
+		d.Poll = relayedPoll
+	}
+	order := relay.WatchOrder(members, n.opts.Self.Zone)
+	position := relay.Position(order, n.opts.Self.Name)
+	before := 0
+	for _, m := range order[:max(position, 0)] {
+		if connected[m.Name] {
+			before++
+		}
+	}
+	d.Watch = relay.Watches(position, before)
+	n.noteDuty(d.Watch)
+	return d
+}
+
+// readOrder returns how many watchers of the region's other zones read
+// sections before this process.
+func (n *Node) readOrder(members []relay.Member) int {
+	self := n.opts.Self
+	order := 0
+	if i := relay.Position(relay.WatchOrder(members, self.Zone), self.Name); i > 0 {
+		order = min(i, relay.Watchers)
+	}
+	zones := map[string]bool{}
+	for _, m := range members {
+		if m.Region == self.Region && m.Zone < self.Zone && !zones[m.Zone] {
+			zones[m.Zone] = true
+			order += relay.Watchers
+		}
+	}
+	return order
+}
+
+func (n *Node) noteDuty(watching bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.watching == watching {
+		return
+	}
+	n.watching = watching
+	n.opts.Log.At(event.DutyChanged).Bool("watching", watching).Send()
+	gauge := 0.0
+	if watching {
+		gauge = 1
+	}
+	n.opts.Scope.Gauge("watching").Update(gauge)
+}
+
+// members returns the known targets as members.
+func (n *Node) members() []relay.Member {
+	targets := n.opts.Members.Targets()
+	out := make([]relay.Member, 0, len(targets))
+	for _, t := range targets {
+		out = append(out, relay.Member{Name: t.Name, Region: t.Region, Zone: t.Zone})
+	}
+	return out
+}
+
+// connected returns the names of the connected peers.
+func (n *Node) connected() map[string]bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out := make(map[string]bool, len(n.peers))
+	for conn := range n.peers {
+		out[conn.Remote().Name] = true
+	}
+	return out
+}
