Measure what a node costs with real processes

Cause: the planned size can only be judged by slopes, and none was measured.

Gauge 'revision' on both daemons.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := bin
 LINT := $(BIN)/golangci-lint
 
-.PHONY: build test lint demo bench fuzz clean
+.PHONY: build test lint demo bench scale fuzz clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -27,6 +27,10 @@
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./pkg/... ./internal/...
 
+# What a node costs, with real processes: some minutes, see internal/scale.
+scale:
+	$(GO) test -tags scale -count 1 -v -timeout 30m ./internal/scale
+
 # Each fuzz target for ten seconds.
 fuzz:
 	./tools/fuzz.sh 10s
--- a/internal/agent/main.go
+++ b/internal/agent/main.go
@@ -20,6 +20,7 @@
 	"github.com/borageusher/borageusher/internal/registration"
 	"github.com/borageusher/borageusher/internal/revision"
 	"github.com/borageusher/borageusher/internal/settings"
+	"github.com/borageusher/borageusher/pkg/configuration"
 	"github.com/borageusher/borageusher/pkg/dispatch"
 	"github.com/borageusher/borageusher/pkg/target"
 )
@@ -86,7 +87,10 @@
 		Log:            log,
 		Scope:          scope,
 	})
-	configurations.OnChange(a.SetConfiguration)
+	configurations.OnChange(func(cfg *configuration.Configuration) {
+		scope.Gauge("revision").Update(float64(cfg.Revision))
+		a.SetConfiguration(cfg)
+	})
 	sessions := &Sessions{
 		Agent:    a,
 		Self:     identity(rec.Target),
--- a/internal/entry/main.go
+++ b/internal/entry/main.go
@@ -18,6 +18,7 @@
 	"github.com/borageusher/borageusher/internal/peer"
 	"github.com/borageusher/borageusher/internal/revision"
 	"github.com/borageusher/borageusher/internal/settings"
+	"github.com/borageusher/borageusher/pkg/configuration"
 )
 
 // closeTimeout is how long a stopping entryd waits for its listener to close.
@@ -91,6 +92,9 @@
 		return err
 	}
 	e.Register(srv.Hertz)
+	configurations.OnChange(func(cfg *configuration.Configuration) {
+		scope.Gauge("revision").Update(float64(cfg.Revision))
+	})
 	go configurations.Run(ctx)
 	go known.Run(ctx)
 	log.At(event.Started).Stringer("address", s.Listen).Send()
--- /dev/null
+++ b/internal/scale/path_test.go
@@ -0,0 +1,169 @@
+//go:build scale
+
+package scale
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Sizes of the path experiment.
+const (
+	pathCalls   = 3000             // sequential calls each way
+	busyClients = 64               // concurrent callers
+	busyFor     = 10 * time.Second // of concurrent calls
+	streamCalls = 300              // streamed answers each way
+)
+
+// pathGoal is the most latency that entryd and targetd may add at the median.
+const pathGoal = time.Millisecond
+
+// pathFleet is a deployment of one entryd and one targetd before an engine.
+type pathFleet struct {
+	*fleet
+	entry, target *daemon
+	direct        string // base URL of the engine
+	through       string // base URL of the entryd
+	client        *http.Client
+}
+
+func newPathFleet(t *testing.T, tokenTime string) *pathFleet {
+	f := &pathFleet{fleet: newFleet(t)}
+	engine := f.addr(0, 2)
+	f.start("engine", "standin", engine, "engine", "-listen", engine.String(), "-slots", "128", "-adapters", "64", "-token_time", tokenTime)
+	f.target = f.startTarget(0, "model", "assistente", engine)
+	f.entry = f.startEntry(0)
+	f.accept(0, 10, 1)
+	f.awaitReady([]*daemon{f.entry, f.target})
+	f.direct = "http://" + engine.String()
+	f.through = "http://" + f.entry.addr.String()
+	f.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: busyClients}}
+	f.call(f.through, "adapter-0", 1, false)
+	return f
+}
+
+// call makes one completion and returns the time to the first byte of the body
+// and to its end.
+func (f *pathFleet) call(base, model string, tokens int, stream bool) (first, whole time.Duration) {
+	f.t.Helper()
+	body := fmt.Sprintf(`{"model":%q,"prompt":"a few words of a prompt","max_tokens":%d,"stream":%t}`, model, tokens, stream)
+	req, err := http.NewRequest(http.MethodPost, base+"/v1/completions", strings.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+teamKey)
+	began := time.Now()
+	resp, err := f.client.Do(req)
+	if err != nil {
+		f.t.Error(err)
+		return 0, 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	one := make([]byte, 1)
+	if _, err := io.ReadFull(resp.Body, one); err != nil {
+		f.t.Error(err)
+	}
+	first = time.Since(began)
+	rest, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		f.t.Errorf("status %d, %v: %s", resp.StatusCode, err, rest)
+	}
+	if stream && !bytes.HasSuffix(rest, []byte("data: [DONE]\n\n")) {
+		f.t.Errorf("the stream has no end")
+	}
+	return first, time.Since(began)
+}
+
+// quantile returns the q-th quantile of times, which it sorts.
+func quantile(times []time.Duration, q float64) time.Duration {
+	sort.Slice(times, func(i, j int) bool { return times[i] < times[j] })
+	return times[int(q*float64(len(times)-1))]
+}
+
+// TestPathCost compares calls through entryd and targetd with calls of the
+// engine itself, in turns.
+func TestPathCost(t *testing.T) {
+	f := newPathFleet(t, "1ms")
+	var direct, through []time.Duration
+	for i := 0; i < pathCalls; i++ {
+		_, d := f.call(f.direct, "tessaro/adapter-0@1", 1, false)
+		_, p := f.call(f.through, "adapter-0", 1, false)
+		direct, through = append(direct, d), append(through, p)
+	}
+	t.Logf("%d calls each way: direct p50 %v p99 %v, through p50 %v p99 %v", pathCalls,
+		quantile(direct, 0.5), quantile(direct, 0.99), quantile(through, 0.5), quantile(through, 0.99))
+	added := quantile(through, 0.5) - quantile(direct, 0.5)
+	t.Logf("added: p50 %v, p99 %v", added, quantile(through, 0.99)-quantile(direct, 0.99))
+	if added > pathGoal {
+		t.Errorf("added latency at p50 is %v, goal %v", added, pathGoal)
+	}
+}
+
+// TestFirstToken compares the time to the first byte of a stream with the time
+// between two tokens: the first must not be held back for the next.
+func TestFirstToken(t *testing.T) {
+	const tokenTime = 20 * time.Millisecond
+	f := newPathFleet(t, tokenTime.String())
+	var direct, through []time.Duration
+	for i := 0; i < streamCalls; i++ {
+		d, _ := f.call(f.direct, "tessaro/adapter-0@1", 3, true)
+		p, _ := f.call(f.through, "adapter-0", 3, true)
+		direct, through = append(direct, d), append(through, p)
+	}
+	added := quantile(through, 0.5) - quantile(direct, 0.5)
+	t.Logf("first byte of %d streams: direct p50 %v p99 %v, through p50 %v p99 %v", streamCalls,
+		quantile(direct, 0.5), quantile(direct, 0.99), quantile(through, 0.5), quantile(through, 0.99))
+	if added > tokenTime/2 {
+		t.Errorf("the first token is held back by %v", added)
+	}
+}
+
+// TestPathThroughput measures the processor time that requests and tokens cost
+// entryd and targetd, from answers of three lengths.
+func TestPathThroughput(t *testing.T) {
+	f := newPathFleet(t, "5ms")
+	var tokens, entryCPU, targetCPU []float64
+	for _, n := range []int{1, 16, 64} {
+		e, g := usageOf(t, f.entry), usageOf(t, f.target)
+		calls := f.busy(n)
+		perEntry := (usageOf(t, f.entry).cpu - e.cpu).Seconds() / float64(calls)
+		perTarget := (usageOf(t, f.target).cpu - g.cpu).Seconds() / float64(calls)
+		t.Logf("%2d tokens: %6.0f requests/s, entryd %6.1f us, targetd %6.1f us a request, %6.0f requests/s a core of both",
+			n, float64(calls)/busyFor.Seconds(), perEntry*1e6, perTarget*1e6, 1/(perEntry+perTarget))
+		tokens, entryCPU, targetCPU = append(tokens, float64(n)), append(entryCPU, perEntry*1e6), append(targetCPU, perTarget*1e6)
+	}
+	e, g := fit(tokens, entryCPU), fit(tokens, targetCPU)
+	t.Logf("entryd:  %.1f us a request + %.2f us a token; resident %.1f MB", e.at0, e.each, float64(usageOf(t, f.entry).resident)/1e6)
+	t.Logf("targetd: %.1f us a request + %.2f us a token; resident %.1f MB", g.at0, g.each, float64(usageOf(t, f.target).resident)/1e6)
+}
+
+// busy streams answers of n tokens to concurrent callers and returns how many.
+func (f *pathFleet) busy(n int) int {
+	f.t.Helper()
+	counts := make([]int, busyClients)
+	end := time.Now().Add(busyFor)
+	var wg sync.WaitGroup
+	for c := range counts {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for time.Now().Before(end) {
+				f.call(f.through, "adapter-0", n, true)
+				counts[c]++
+			}
+		}()
+	}
+	wg.Wait()
+	sum := 0
+	for _, c := range counts {
+		sum += c
+	}
+	return sum
+}
