Let a connection's queue grow with use

Its outgoing channel of 4096 slices alone is 98 KB. Ruled out: a shorter channel, since 64 unacknowledged parts of each running answer must fit.

Change: a queue that grows and shrinks, bounded by bytes instead of messages.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -20,16 +20,12 @@
 // maxMessageBytes bounds one encoded message: a request's body and its fields.
 const maxMessageBytes = 20 << 20
 
-// outQueue is the number of messages that may wait to be written. A connection
-// on which more wait is dropped: answers resume on the next one.
-const outQueue = 4096
-
 // Conn is one authenticated connection to a peer. Send may be called from many
 // goroutines; Run from one.
 type Conn struct {
 	ws     *websocket.Conn
 	remote Identity
-	out    chan []byte
+	out    *outQueue
 
 	closed    chan struct{}
 	closeOnce sync.Once
@@ -39,7 +35,7 @@
 
 func newConn(ws *websocket.Conn) *Conn {
 	ws.SetReadLimit(maxMessageBytes)
-	return &Conn{ws: ws, out: make(chan []byte, outQueue), closed: make(chan struct{})}
+	return &Conn{ws: ws, out: newOutQueue(), closed: make(chan struct{})}
 }
 
 // Remote returns the identity of the process at the other end.
@@ -70,13 +66,11 @@
 		return false, &Error{Op: "send", Kind: Closed}
 	default:
 	}
-	select {
-	case c.out <- Encode(m):
-		return true, nil
-	default:
+	if !c.out.put(Encode(m)) {
 		c.Close()
 		return false, &Error{Op: "send", Kind: Overflow}
 	}
+	return true, nil
 }
 
 // Run reads messages and passes them to handle, one at a time, until ctx is
@@ -116,16 +110,17 @@
 	timer := time.NewTimer(HeartbeatInterval)
 	defer timer.Stop()
 	for {
-		var b []byte
 		select {
 		case <-c.closed:
 			return
-		case b = <-c.out:
+		case <-c.out.ready:
 		case <-timer.C:
-			b = Encode(beat())
+			c.out.put(Encode(beat()))
 		}
-		if err := c.write(b); err != nil {
-			return
+		for _, b := range c.out.takeAll() {
+			if err := c.write(b); err != nil {
+				return
+			}
 		}
 		timer.Reset(HeartbeatInterval)
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -113,3 +113,16 @@
 		convey.So(IsKind(err, Closed), convey.ShouldBeTrue)
 	})
 }
+
+func TestOutQueue(t *testing.T) {
+	convey.Convey("A queue keeps the order and refuses what is too much", t, func() {
+		q := newOutQueue()
+		convey.So(q.put([]byte("a")), convey.ShouldBeTrue)
+		convey.So(q.put([]byte("b")), convey.ShouldBeTrue)
+		convey.So(q.put(make([]byte, maxQueuedBytes)), convey.ShouldBeFalse)
+		<-q.ready
+		convey.So(q.takeAll(), convey.ShouldResemble, [][]byte{[]byte("a"), []byte("b")})
+		convey.So(q.takeAll(), convey.ShouldBeEmpty)
+		convey.So(q.put(make([]byte, maxQueuedBytes)), convey.ShouldBeTrue)
+	})
+}
