Keep adapters once, sorted, with shared names

Cause: 63,000 adapters cost 27 MB resident in each process; the map beside the sorted list and one copy of team, service and version list for each adapter make up most of it.

Change: Resolve searches the sorted list; Join shares equal names and equal lists of one version.

--- a/pkg/configuration/configuration.go
+++ b/pkg/configuration/configuration.go
@@ -114,13 +114,10 @@
 
 	teamByName map[string]int
 	teamByKey  map[Digest]int
-	adapters   map[adapterKey]int
 }
 
-type adapterKey struct{ team, name string }
-
 // New returns the configuration of teams and adapters, which it sorts in place
-// and keeps. Names must be unique; a later duplicate hides an earlier one.
+// and keeps. Names must be unique.
 func New(revision uint64, teams []Team, adapters []Adapter) *Configuration {
 	sort.Slice(teams, func(i, j int) bool { return teams[i].Name < teams[j].Name })
 	sort.Slice(adapters, func(i, j int) bool { return adapterLess(&adapters[i], &adapters[j]) })
@@ -130,7 +127,6 @@
 		Adapters:   adapters,
 		teamByName: make(map[string]int, len(teams)),
 		teamByKey:  make(map[Digest]int, len(teams)),
-		adapters:   make(map[adapterKey]int, len(adapters)),
 	}
 	for i := range teams {
 		c.teamByName[teams[i].Name] = i
@@ -138,9 +134,6 @@
 			c.teamByKey[k] = i
 		}
 	}
-	for i := range adapters {
-		c.adapters[adapterKey{adapters[i].Team, adapters[i].Name}] = i
-	}
 	return c
 }
 
@@ -173,8 +166,9 @@
 // ref itself, or the version in force when ref names none. It reports false
 // for an adapter or a version that the team does not have.
 func (c *Configuration) Resolve(team string, ref adapter.Ref) (*Adapter, adapter.Ref, bool) {
-	i, ok := c.adapters[adapterKey{team, ref.Name}]
-	if !ok {
+	wanted := Adapter{Team: team, Name: ref.Name}
+	i := sort.Search(len(c.Adapters), func(i int) bool { return !adapterLess(&c.Adapters[i], &wanted) })
+	if i == len(c.Adapters) || adapterLess(&wanted, &c.Adapters[i]) {
 		return nil, adapter.Ref{}, false
 	}
 	a := &c.Adapters[i]
--- a/pkg/configuration/configuration_test.go
+++ b/pkg/configuration/configuration_test.go
@@ -1,6 +1,8 @@
 package configuration
 
 import (
+	"runtime"
+	"strconv"
 	"testing"
 
 	"github.com/smartystreets/goconvey/convey"
@@ -91,3 +93,52 @@
 		}
 	})
 }
+
+// memorySize is the number of adapters of the planned size.
+const memorySize = 63000
+
+func planned() []Section {
+	adapters := make([]Adapter, memorySize)
+	for i := range adapters {
+		adapters[i] = Adapter{
+			Team:     "tessaro",
+			Name:     "adapter-" + strconv.Itoa(i),
+			Service:  "assistente",
+			Versions: []adapter.Version{1},
+			Current:  1,
+		}
+	}
+	return Split(New(1, []Team{{Name: "tessaro"}}, adapters))
+}
+
+// BenchmarkJoin measures the time of a change and the memory that the planned
+// number of adapters keeps.
+func BenchmarkJoin(b *testing.B) {
+	sections := planned()
+	var before, after runtime.MemStats
+	for i := 0; i < b.N; i++ {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		c, err := Join(1, sections)
+		if err != nil {
+			b.Fatal(err)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		runtime.KeepAlive(c)
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/memorySize, "B/adapter")
+}
+
+func BenchmarkResolve(b *testing.B) {
+	c, err := Join(1, planned())
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for i := 0; i < b.N; i++ {
+		if _, _, ok := c.Resolve("tessaro", adapter.Ref{Name: "adapter-31234"}); !ok {
+			b.Fatal("adapter is missing")
+		}
+	}
+}
--- a/pkg/configuration/section.go
+++ b/pkg/configuration/section.go
@@ -63,7 +63,7 @@
 // otherwise.
 func Join(revision uint64, sections []Section) (*Configuration, error) {
 	var teams []Team
-	var adapters []Adapter
+	adapters := make([]Adapter, 0, adapterCountHint(sections))
 	for _, s := range sections {
 		if sha256.Sum256(s.Data) != s.Digest {
 			return nil, &Error{Op: "join", Kind: Corrupt, Section: s.Name}
@@ -72,9 +72,48 @@
 			return nil, err
 		}
 	}
+	shareNames(adapters)
 	return New(revision, teams, adapters), nil
 }
 
+// adapterCountHint estimates the number of adapters in sections, so that one
+// allocation of about the right size holds them.
+func adapterCountHint(sections []Section) int {
+	const encodedAdapterBytes = 40 // of a typical adapter
+	n := 0
+	for _, s := range sections {
+		n += len(s.Data)
+	}
+	return n / encodedAdapterBytes
+}
+
+// shareNames makes adapters share the memory of equal team and service names
+// and of equal version lists with a single version.
+func shareNames(adapters []Adapter) {
+	names := map[string]string{}
+	share := func(s string) string {
+		if known, ok := names[s]; ok {
+			return known
+		}
+		names[s] = s
+		return s
+	}
+	single := map[adapter.Version][]adapter.Version{}
+	for i := range adapters {
+		a := &adapters[i]
+		a.Team = share(a.Team)
+		a.Service = share(a.Service)
+		if len(a.Versions) != 1 {
+			continue
+		}
+		v := a.Versions[0]
+		if single[v] == nil {
+			single[v] = a.Versions
+		}
+		a.Versions = single[v]
+	}
+}
+
 func joinSection(s Section, teams *[]Team, adapters *[]Adapter) error {
 	if len(s.Name) > 5 && s.Name[:5] == "team/" {
 		var w teamWire
