--- a/internal/scenario/call_test.go
+++ b/internal/scenario/call_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bytes"
+	"crypto/tls"
+	"crypto/x509"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"sort"
 	"strings"
 	"time"
@@ -21,6 +24,7 @@
 	method     string
 	headers    []string
 	body       string
+	authority  string // path of a certificate to trust, for https
 	url        string
 }
 
@@ -36,6 +40,8 @@
 		switch args[0] {
 		case "-bg":
 			o.background = args[1]
+		case "-ca":
+			o.authority = ts.MkAbs(args[1])
 		case "-X":
 			o.method = args[1]
 		case "-H":
@@ -51,7 +57,7 @@
 		args = args[2:]
 	}
 	if len(args) != 1 {
-		ts.Fatalf("usage: call [-bg NAME] [-X METHOD] [-H HEADER]... [-d BODY] URL")
+		ts.Fatalf("usage: call [-bg NAME] [-ca FILE] [-X METHOD] [-H HEADER]... [-d BODY] URL")
 	}
 	o.url = args[0]
 	return o
@@ -100,7 +106,15 @@
 		name, value, _ := strings.Cut(h, ":")
 		req.Header.Set(name, strings.TrimSpace(value))
 	}
-	client := &http.Client{Timeout: callLimit, Transport: &http.Transport{DisableKeepAlives: true}}
+	transport := &http.Transport{DisableKeepAlives: true}
+	if o.authority != "" {
+		pool, err := trust(o.authority)
+		if err != nil {
+			return fmt.Sprintf("failed: %v\n", err)
+		}
+		transport.TLSClientConfig = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
+	}
+	client := &http.Client{Timeout: callLimit, Transport: transport}
 	resp, err := client.Do(req)
 	if err != nil {
 		return fmt.Sprintf("failed: %v\n", err)
@@ -120,6 +134,16 @@
 	return b.String()
 }
 
+func trust(path string) (*x509.CertPool, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	pool := x509.NewCertPool()
+	pool.AppendCertsFromPEM(data)
+	return pool, nil
+}
+
 func withScheme(url string) string {
 	if strings.Contains(url, "://") {
 		return url
--- a/internal/scenario/doc.go
+++ b/internal/scenario/doc.go
@@ -13,11 +13,13 @@
 //	post ADDRESS/PATH JSON        call a stand-in's admin path
 //	settings NAME entry|target [SECTION.KEY=VALUE...]
 //	                              write NAME.ini: the script's defaults, changed
-//	call [-bg NAME] [-X METHOD] [-H HEADER]... [-d BODY] URL
+//	certificate NAME IP           write NAME.crt and NAME.key, self-signed
+//	call [-bg NAME] [-ca FILE] [-X METHOD] [-H HEADER]... [-d BODY] URL
 //	                              make one call; status, headers and body to stdout
 //	wait_call NAME                wait for a background call; as call
 //	expect NAME PATTERN [WITHIN]  wait for a line in NAME.log
-//	await URL [PATTERN] [WITHIN]  wait until a GET answers 200 with PATTERN in it
+//	await [-ca FILE] URL [PATTERN] [WITHIN]
+//	                              wait until a GET answers 200 with PATTERN in it
 //
 // Each script has a network of its own: $NET is the first three numbers of
 // loopback addresses that no other script uses.
--- a/internal/scenario/wait_test.go
+++ b/internal/scenario/wait_test.go
@@ -73,9 +73,14 @@
 	if neg {
 		ts.Fatalf("await cannot be negated")
 	}
+	authority := ""
+	if len(args) > 2 && args[0] == "-ca" {
+		authority = ts.MkAbs(args[1])
+		args = args[2:]
+	}
 	url, pattern, within := waitArgs(ts, args)
 	poll(ts, "await "+strings.Join(args, " "), within, func() (bool, string) {
-		out := doCall(callOptions{method: "GET", url: url})
+		out := doCall(callOptions{method: "GET", authority: authority, url: url})
 		return strings.HasPrefix(out, "status: 200\n") && pattern.MatchString(out), out
 	})
 }
