Keep a bad peer key out of the error line

Cause: a key that is too short was printed with the setting's error, and such lines end up in logs. Change: the error says that it is too short and no more; tests of both settings files, the examples and this. Result: go test ./internal/settings passes; the last case fails without the change.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -104,7 +104,7 @@
 		StopIn:   f.Duration("process", "stop_within", 30*time.Second, time.Second, time.Hour),
 	}
 	if c.PeerKey != "" && len(c.PeerKey) < minPeerKey {
-		f.Fail("peers", "key", c.PeerKey, "at least 16 characters")
+		f.Fail("peers", "key", "(a shorter one)", "at least 16 characters")
 	}
 	if (c.CertFile == "") != (c.KeyFile == "") {
 		f.Fail("listen", "certificate_key", c.KeyFile, "a file exactly when certificate is given")
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,59 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+)
+
+// read writes text to a file and reads it as the settings of an entryd.
+func read(t *testing.T, text string) error {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "entryd.ini")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	_, err := ReadEntry(path)
+	return err
+}
+
+func TestExamples(t *testing.T) {
+	convey.Convey("The commented examples are good settings", t, func() {
+		e, err := ReadEntry("../../examples/settings/entryd.ini")
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(e.Zone, convey.ShouldEqual, "milano-a")
+		g, err := ReadTarget("../../examples/settings/targetd.ini")
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(g.Slots, convey.ShouldEqual, 8)
+	})
+}
+
+func TestBadSettings(t *testing.T) {
+	example, err := os.ReadFile("../../examples/settings/entryd.ini")
+	if err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct{ from, to, want string }{
+		{"region = lombardy", "", "[process] region: found nothing"},
+		{"stop_within = 30s", "stop_within = 0s", `[process] stop_within: found "0s", allowed is a time from 1s to 1h0m0s`},
+		{"level = info", "level = loud", `[log] level: found "loud", allowed is one of info, debug, warn, error`},
+		{"in_progress = 2000", "in_progress = many", `[limits] in_progress: found "many"`},
+		{"[log]", "[logs]", "[logs] level: unknown key"},
+	}
+	convey.Convey("A bad setting is named with its place", t, func() {
+		for _, tt := range tests {
+			err := read(t, strings.Replace(string(example), tt.from, tt.to, 1))
+			convey.So(err, convey.ShouldNotBeNil)
+			convey.So(err.Error(), convey.ShouldContainSubstring, tt.want)
+		}
+	})
+	convey.Convey("A bad peer key is not printed", t, func() {
+		err := read(t, strings.Replace(string(example), "change-this-peer-key", "short-secret", 1))
+		convey.So(err, convey.ShouldNotBeNil)
+		convey.So(err.Error(), convey.ShouldContainSubstring, "[peers] key")
+		convey.So(err.Error(), convey.ShouldNotContainSubstring, "short-secret")
+	})
+}
