Let leaving targets and planned stops cut nothing

Cause: a targetd learnt of its leaving only by its own SIGTERM, so what waited at a drained target ran there. An entryd said that it was not ready and closed its listener only after the last call, counted calls only inside the limit filter (an answer still being written was cut), and a stop that cut requests ended with exit code 0.

Change: entries tell connected targetds that they leave (peer message Drain, with the epoch, repeated until the heartbeat says so); the targetd refuses what waits and writes leaving once the object API takes it. drain -direct does the same as a peer, for outages of the object API: the handshake proves the key both ways and names the process, so no further listener route or credential is needed. An entryd serves on for process.unready_for, then closes the listener and waits for every connection with a request in progress, from its first byte until its answer was written. A second signal ends at once; cut requests are counted, their stop ends with 1. SetState no longer takes an outage for a replacement. Ruled out: 600 waiting watches of the own registration; an HTTP admin route.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -59,6 +59,8 @@
 	events chan agentEvent
 	done   chan struct{} // closed when the loop has ended
 
+	draining chan struct{} // closed when no more work is taken
+
 	// Owned by the loop.
 	dispatcher *dispatch.Dispatcher
 	attempts   map[dispatch.RequestKey]*attempt
@@ -82,6 +84,7 @@
 		opts:       opts,
 		events:     make(chan agentEvent, eventBacklog),
 		done:       make(chan struct{}),
+		draining:   make(chan struct{}),
 		dispatcher: dispatch.New(opts.Limits, noTerms{}),
 		attempts:   map[dispatch.RequestKey]*attempt{},
 		voided:     map[dispatch.RequestKey]time.Time{},
@@ -129,20 +132,6 @@
 	a.post(configured{cfg: cfg})
 }
 
-// Idle reports whether no request runs and all answers were delivered.
-func (a *Agent) Idle() bool {
-	reply := make(chan bool, 1)
-	if !a.post(idleAsked{reply: reply}) {
-		return true
-	}
-	select {
-	case idle := <-reply:
-		return idle
-	case <-a.done:
-		return true
-	}
-}
-
 // post hands an event to the loop and reports false when the loop has ended.
 func (a *Agent) post(e agentEvent) bool {
 	select {
--- a/internal/agent/event.go
+++ b/internal/agent/event.go
@@ -157,18 +157,3 @@
 func (e configured) apply(_ context.Context, a *Agent, _ time.Time) {
 	a.dispatcher.SetTerms(newLendingTerms(e.cfg, a.opts.Self))
 }
-
-// drained: a planned stop began.
-type drained struct{}
-
-func (drained) apply(ctx context.Context, a *Agent, _ time.Time) {
-	a.perform(ctx, a.dispatcher.Drain())
-}
-
-// idleAsked: someone asks whether anything is left to do.
-type idleAsked struct{ reply chan<- bool }
-
-func (e idleAsked) apply(_ context.Context, a *Agent, now time.Time) {
-	a.sweep(now)
-	e.reply <- a.dispatcher.Report().Running == 0 && len(a.attempts) == 0
-}
--- a/internal/agent/main.go
+++ b/internal/agent/main.go
@@ -97,6 +97,8 @@
 	srv.Hertz.GET(peer.Path, adaptor.HertzHandler(sessions))
 	go a.Run(ctx)
 	go configurations.Run(ctx)
+	reg := newRegistered(store, rec, log)
+	go reg.leaveWith(ctx, a)
 	served := make(chan error, 1)
 	go func() { served <- srv.Run() }()
 	select {
@@ -104,10 +106,7 @@
 		return err
 	case <-signals:
 	}
-	stop(ctx, s, a, store, rec, signals, log)
-	srv.Shutdown(closeTimeout)
-	log.At(event.Stopped).Send()
-	return nil
+	return stop(s, a, reg, srv, signals, log)
 }
 
 // describe returns the target that the settings describe, as a new process.
@@ -158,26 +157,3 @@
 	defer cancel()
 	return registration.Register(ctx, store, self)
 }
-
-// stop drains the target: it takes nothing new, queued requests move on, and
-// running ones end.
-func stop(ctx context.Context, s settings.Target, a *Agent, store registration.Store, rec registration.Record, signals <-chan os.Signal, log event.Log) {
-	log.At(event.Stopping).Int("requests", a.Report().Running).Send()
-	a.Drain()
-	rec = setState(ctx, store, rec, target.Leaving, log)
-	if !daemon.WaitIdle(ctx, a.Idle, signals, s.StopIn) {
-		log.At(event.StopTimedOut).Int("requests", a.Report().Running).Send()
-	}
-	setState(ctx, store, rec, target.Gone, log)
-}
-
-// setState writes the target's state, if the object API lets it.
-func setState(ctx context.Context, store registration.Store, rec registration.Record, state target.State, log event.Log) registration.Record {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	next, err := registration.SetState(ctx, store, rec, state)
-	if err != nil {
-		log.At(event.StoreUnavailable).Str("purpose", "registration").Err(err).Send()
-	}
-	return next
-}
--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -44,6 +44,8 @@
 		s.Agent.post(resumed{conn: conn, resume: m})
 	case peer.Cancel:
 		s.Agent.post(cancelled{key: dispatch.RequestKey{Request: m.Request, Attempt: m.Attempt}})
+	case peer.Drain:
+		s.drain(conn, m)
 	case peer.Ack:
 		s.Agent.post(acked{key: dispatch.RequestKey{Request: m.Request, Attempt: m.Attempt}, next: m.Next})
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,7 +10,6 @@
 package daemon
 
 import (
-	"context"
 	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
@@ -22,7 +21,6 @@
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -103,25 +101,3 @@
 	signal.Notify(c, os.Interrupt, syscall.SIGTERM)
 	return c
 }
-
-// drainPoll is how often a stopping daemon looks whether it is idle.
-const drainPoll = 20 * time.Millisecond
-
-// WaitIdle waits until idle reports true and returns true. It returns false
-// when the deadline passes, another signal comes, or ctx is done first.
-func WaitIdle(ctx context.Context, idle func() bool, signals <-chan os.Signal, within time.Duration) bool {
-	ctx, cancel := context.WithTimeout(ctx, within)
-	defer cancel()
-	ticker := time.NewTicker(drainPoll)
-	defer ticker.Stop()
-	for !idle() {
-		select {
-		case <-ticker.C:
-		case <-signals:
-			return false
-		case <-ctx.Done():
-			return false
-		}
-	}
-	return true
-}
--- a/internal/entry/main.go
+++ b/internal/entry/main.go
@@ -5,9 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"sync/atomic"
-	"time"
 
 	"github.com/borageusher/borageusher/internal/daemon"
 	"github.com/borageusher/borageusher/internal/event"
@@ -20,9 +18,6 @@
 	"github.com/borageusher/borageusher/internal/settings"
 )
 
-// closeTimeout is how long a stopping entryd waits for its listener to close.
-const closeTimeout = 300 * time.Millisecond
-
 const purpose = "Takes callers' requests, decides where each goes, and relays the whole answer."
 
 // Main runs the program entryd and returns its exit code.
@@ -93,6 +88,7 @@
 	e.Register(srv.Hertz)
 	go configurations.Run(ctx)
 	go known.Run(ctx)
+	go e.Run(ctx)
 	log.At(event.Started).Stringer("address", s.Listen).Send()
 	served := make(chan error, 1)
 	go func() { served <- srv.Run() }()
@@ -102,17 +98,5 @@
 	case <-signals:
 	}
 	stopping.Store(true)
-	stop(ctx, s, e, srv, signals, log)
-	return nil
-}
-
-// stop lets the calls in progress end before the process does.
-func stop(ctx context.Context, s settings.Entry, e *Entry, srv *httpserver.Server, signals <-chan os.Signal, log event.Log) {
-	log.At(event.Stopping).Int("requests", e.InProgress()).Send()
-	idle := func() bool { return e.InProgress() == 0 }
-	if !daemon.WaitIdle(ctx, idle, signals, s.StopIn) {
-		log.At(event.StopTimedOut).Int("requests", e.InProgress()).Send()
-	}
-	srv.Shutdown(closeTimeout)
-	log.At(event.Stopped).Send()
+	return stop(s, e, srv, signals, log)
 }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -16,6 +16,7 @@
 	Stopping          Code = 102
 	Stopped           Code = 103
 	StopTimedOut      Code = 104
+	Unready           Code = 105
 	PeerConnected     Code = 200
 	PeerLost          Code = 201
 	PeerRefused       Code = 202
@@ -24,6 +25,7 @@
 	RequestEnded      Code = 302
 	RequestRejected   Code = 303
 	AnswerResumed     Code = 304
+	TargetLeaving     Code = 330
 	RequestQueued     Code = 400
 	RequestNotRun     Code = 401
 	RequestStarted    Code = 402
@@ -36,6 +38,7 @@
 	EngineUnreachable Code = 421
 	TargetRegistered  Code = 430
 	TargetReplaced    Code = 431
+	DrainBegun        Code = 480
 	RevisionInForce   Code = 500
 	RevisionRejected  Code = 501
 	StoreUnavailable  Code = 510
@@ -56,7 +59,8 @@
 	{Ready, "ready", zerolog.InfoLevel, "The process has a configuration and takes requests."},
 	{Stopping, "stopping", zerolog.InfoLevel, "A planned stop has begun: no new work, work in progress goes on."},
 	{Stopped, "stopped", zerolog.InfoLevel, "The process ends after its last request."},
-	{StopTimedOut, "stop_timed_out", zerolog.ErrorLevel, "The stop's deadline passed with requests in progress; `requests` says how many were cut."},
+	{StopTimedOut, "stop_timed_out", zerolog.ErrorLevel, "The stop's deadline passed or another signal came; `requests` says how many were cut."},
+	{Unready, "unready", zerolog.InfoLevel, "Readiness says no; everything is still served `for` a while, so that the balancer looks elsewhere."},
 	{PeerConnected, "peer_connected", zerolog.InfoLevel, "A peer connection is open and both sides proved the key."},
 	{PeerLost, "peer_lost", zerolog.WarnLevel, "A peer connection ended or went silent; `error` says how."},
 	{PeerRefused, "peer_refused", zerolog.WarnLevel, "A process without the right peer key tried to connect."},
@@ -65,6 +69,7 @@
 	{RequestEnded, "request_ended", zerolog.InfoLevel, "The caller was told the outcome."},
 	{RequestRejected, "request_rejected", zerolog.InfoLevel, "The request was refused at the entry, before any target."},
 	{AnswerResumed, "answer_resumed", zerolog.InfoLevel, "An answer goes on over a new connection from part `next`."},
+	{TargetLeaving, "target_leaving", zerolog.InfoLevel, "The target leaves: it gets no new work, and its targetd is told if it is connected."},
 	{RequestQueued, "request_queued", zerolog.DebugLevel, "The target took an attempt into its queue."},
 	{RequestNotRun, "request_not_run", zerolog.InfoLevel, "The target refused an attempt that it had not started."},
 	{RequestStarted, "request_started", zerolog.DebugLevel, "The engine or service was given the request."},
@@ -77,6 +82,7 @@
 	{EngineUnreachable, "engine_unreachable", zerolog.WarnLevel, "The engine does not answer."},
 	{TargetRegistered, "target_registered", zerolog.InfoLevel, "The target is registered with `epoch` as its fencing number."},
 	{TargetReplaced, "target_replaced", zerolog.ErrorLevel, "Another process registered this target; this one takes no more work."},
+	{DrainBegun, "drain_begun", zerolog.InfoLevel, "The target takes no more work and refuses what waits; `from` says who asked, empty for a signal."},
 	{RevisionInForce, "revision_in_force", zerolog.InfoLevel, "A newer configuration is in force in this process."},
 	{RevisionRejected, "revision_rejected", zerolog.ErrorLevel, "A configuration could not be read and the older one stays."},
 	{StoreUnavailable, "store_unavailable", zerolog.WarnLevel, "The object API did not answer; the process goes on with what it knows."},
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -48,6 +48,8 @@
 // Server is a daemon's server. Routes are added to Hertz before Run.
 type Server struct {
 	Hertz *server.Hertz
+
+	connections *connections
 }
 
 // New opens the listener and adds the common routes.
@@ -73,13 +75,15 @@
 		}
 		ln = tls.NewListener(ln, &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS12})
 	}
-	h := server.New(append(options, server.WithListener(ln))...)
+	conns := newConnections()
+	h := server.New(append(options, server.WithListener(conns.listen(ln)))...)
+	h.Use(conns.filter)
 	h.GET("/healthz", func(_ context.Context, rc *app.RequestContext) { rc.String(200, "ok\n") })
 	h.GET("/readyz", readiness(opts.Ready))
 	if opts.Metrics != nil {
 		h.GET("/metrics", adaptor.HertzHandler(opts.Metrics))
 	}
-	return &Server{Hertz: h}, nil
+	return &Server{Hertz: h, connections: conns}, nil
 }
 
 // Run serves until the server is shut down.
@@ -90,12 +94,12 @@
 	return nil
 }
 
-// Shutdown closes the listener and ends the idle connections; it waits for the
-// busy ones for at most timeout.
+// Shutdown closes the listener. Requests on open connections are still served,
+// each of which ends its connection.
 func (s *Server) Shutdown(timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	_ = s.Hertz.Shutdown(ctx) // idle keep-alive connections may outlast it
+	_ = s.Hertz.Shutdown(ctx) // open connections outlast it
 }
 
 func readiness(ready func() bool) app.HandlerFunc {
--- /dev/null
+++ b/internal/httpserver/server_test.go
@@ -0,0 +1,101 @@
+package httpserver
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// bigAnswer is more than the sockets' buffers hold.
+const bigAnswer = 64 << 20
+
+func TestBusy(t *testing.T) {
+	Convey("Given a server whose handler has returned an answer that its caller does not read", t, func() {
+		srv, addr := startServer(t)
+		client := &http.Client{Transport: &http.Transport{}}
+		resp, err := client.Get("http://" + addr + "/big")
+		So(err, ShouldBeNil)
+		Convey("the connection is busy until the answer was taken, and idle although it is kept", func() {
+			So(srv.Busy(), ShouldEqual, 1)
+			srv.Shutdown(time.Millisecond)
+			time.Sleep(50 * time.Millisecond)
+			So(srv.Busy(), ShouldEqual, 1)
+			n, err := io.Copy(io.Discard, resp.Body)
+			So(err, ShouldBeNil)
+			So(n, ShouldEqual, bigAnswer)
+			So(becomesIdle(srv), ShouldBeTrue)
+		})
+	})
+}
+
+func TestDisableKeepAlives(t *testing.T) {
+	Convey("Given a caller that keeps its connection", t, func() {
+		srv, addr := startServer(t)
+		client := &http.Client{Transport: &http.Transport{}}
+		resp, err := client.Get("http://" + addr + "/healthz")
+		So(err, ShouldBeNil)
+		_, _ = io.Copy(io.Discard, resp.Body)
+		So(resp.Close, ShouldBeFalse)
+		So(becomesIdle(srv), ShouldBeTrue)
+		Convey("after DisableKeepAlives its next answer is whole and ends the connection", func() {
+			srv.DisableKeepAlives()
+			resp, err := client.Get("http://" + addr + "/healthz")
+			So(err, ShouldBeNil)
+			body, err := io.ReadAll(resp.Body)
+			So(err, ShouldBeNil)
+			So(string(body), ShouldEqual, "ok\n")
+			So(resp.Close, ShouldBeTrue)
+		})
+	})
+}
+
+func startServer(t *testing.T) (*Server, string) {
+	t.Helper()
+	addr := freeAddr(t)
+	srv, err := New(Options{Address: addr, Ready: func() bool { return true }, SenseDisconnect: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv.Hertz.GET("/big", func(_ context.Context, rc *app.RequestContext) {
+		rc.Data(200, "application/octet-stream", make([]byte, bigAnswer))
+	})
+	go func() { _ = srv.Run() }()
+	t.Cleanup(func() { srv.Shutdown(time.Millisecond) })
+	for range 100 {
+		resp, err := http.Get("http://" + addr.String() + "/healthz")
+		if err == nil {
+			_ = resp.Body.Close()
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	http.DefaultClient.CloseIdleConnections()
+	return srv, addr.String()
+}
+
+func freeAddr(t *testing.T) netip.AddrPort {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	return netip.MustParseAddrPort(ln.Addr().String())
+}
+
+func becomesIdle(srv *Server) bool {
+	for range 200 {
+		if srv.Busy() == 0 {
+			return true
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return false
+}
--- a/internal/operator/commands.go
+++ b/internal/operator/commands.go
@@ -9,7 +9,6 @@
 	"github.com/borageusher/borageusher/internal/registration"
 	"github.com/borageusher/borageusher/pkg/configuration"
 	"github.com/borageusher/borageusher/pkg/questionnaire"
-	"github.com/borageusher/borageusher/pkg/target"
 )
 
 // bearerKeyBytes is the entropy of a new bearer key.
@@ -90,34 +89,3 @@
 	}
 	return exitOK
 }
-
-func runDrain(c *commandLine) int {
-	if c.flags.NArg() != 1 {
-		c.flags.Usage()
-		return exitUsage
-	}
-	store, err := c.store()
-	if err != nil {
-		return c.fail(err)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	name := c.flags.Arg(0)
-	o, err := store.Get(ctx, objects.Targets, name)
-	if objects.IsKind(err, objects.NotFound) {
-		return c.fail(&Error{Op: "drain " + name, Kind: NoTarget})
-	}
-	if err != nil {
-		return c.fail(err)
-	}
-	t, err := registration.Decode(o.Value)
-	if err != nil {
-		return c.fail(err)
-	}
-	rec := registration.Record{Target: t, Version: o.Version}
-	if _, err := registration.SetState(ctx, store, rec, target.Leaving); err != nil {
-		return c.fail(err)
-	}
-	c.printf("target %s is leaving\n", name)
-	return exitOK
-}
--- a/internal/operator/main.go
+++ b/internal/operator/main.go
@@ -36,6 +36,7 @@
 	platform string
 	revision uint64
 	operator string
+	drain    drainFlags
 	out      io.Writer
 	err      io.Writer
 }
@@ -77,6 +78,9 @@
 	c.flags.StringVar(&c.platform, "platform", "127.0.0.1:7000", "`address` of the platform's object API")
 	c.flags.Uint64Var(&c.revision, "revision", 0, "`revision` that diff showed; accept fails if another is in force")
 	c.flags.StringVar(&c.operator, "operator", "", "`name` to record with an accepted change")
+	if cmd.name == "drain" {
+		c.drain.add(c)
+	}
 	if err := c.flags.Parse(args); err != nil {
 		return exitUsage
 	}
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -24,6 +24,7 @@
 	typeAck       messageType = 9
 	typeCancel    messageType = 10
 	typeResume    messageType = 11
+	typeDrain     messageType = 30
 )
 
 func (Hello) messageType() messageType     { return typeHello }
@@ -37,6 +38,7 @@
 func (Ack) messageType() messageType       { return typeAck }
 func (Cancel) messageType() messageType    { return typeCancel }
 func (Resume) messageType() messageType    { return typeResume }
+func (Drain) messageType() messageType     { return typeDrain }
 
 // Encode returns the wire form of m: its type, then its fields as a CBOR array.
 func Encode(m Message) []byte {
@@ -92,6 +94,8 @@
 		return &cancelWire{}
 	case typeResume:
 		return &resumeWire{}
+	case typeDrain:
+		return &drainWire{}
 	}
 	return nil
 }
@@ -120,6 +124,8 @@
 		return &cancelWire{Request: m.Request, Attempt: m.Attempt}
 	case Resume:
 		return &resumeWire{Request: m.Request, Attempt: m.Attempt, Next: m.Next, StartByMS: m.StartBy.Milliseconds()}
+	case Drain:
+		return &drainWire{Epoch: m.Epoch}
 	}
 	panic("peer: unknown message type")
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -32,6 +32,7 @@
 		Ack{Request: "r1", Attempt: 2, Next: 5},
 		Cancel{Request: "r1", Attempt: 2},
 		Resume{Request: "r1", Attempt: 2, Next: 5, StartBy: time.Second},
+		Drain{Epoch: 4},
 	}
 }
 
--- a/internal/registration/error.go
+++ b/internal/registration/error.go
@@ -1,6 +1,10 @@
 package registration
 
-import "fmt"
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+)
 
 // Kind classifies an Error.
 type Kind uint8
@@ -35,3 +39,9 @@
 
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
+
+// IsReplaced reports whether err is an Error of kind Replaced.
+func IsReplaced(err error) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Kind == Replaced
+}
--- a/internal/registration/record.go
+++ b/internal/registration/record.go
@@ -101,9 +101,12 @@
 		return rec, err
 	}
 	back, readErr := readBack(ctx, store, next)
-	if readErr != nil {
+	if objects.IsKind(readErr, objects.Conflict) {
 		return rec, &Error{Op: "set state", Kind: Replaced, Err: readErr}
 	}
+	if readErr != nil {
+		return rec, readErr
+	}
 	if back.Target.State == state {
 		return back, nil
 	}
--- a/internal/scenario/doc.go
+++ b/internal/scenario/doc.go
@@ -9,6 +9,13 @@
 //	stop NAME [EXITCODE]          SIGTERM, wait for the end, check the exit code
 //	kill NAME                     SIGKILL and wait for the end
 //	freeze NAME, thaw NAME        SIGSTOP, SIGCONT
+//	signal NAME                   SIGTERM, without waiting
+//	ended NAME [EXITCODE]         wait for the end and check the exit code
+//	mark NAME                     let expect read NAME.log from here on
+//	load [-bg NAME] [-callers N] [-for TIME] [-H HEADER]... [-d BODY] URL...
+//	                              callers that call one after another on kept
+//	                              connections, at the first URL that is ready;
+//	                              the numbers of the outcomes to stdout
 //	fault ADDRESS JSON            set a stand-in's fault, {} to clear it
 //	post ADDRESS/PATH JSON        call a stand-in's admin path
 //	settings NAME entry|target [SECTION.KEY=VALUE...]
--- a/internal/scenario/process_test.go
+++ b/internal/scenario/process_test.go
@@ -69,6 +69,19 @@
 	if neg || len(args) < 1 || len(args) > 2 {
 		ts.Fatalf("usage: stop NAME [EXITCODE]")
 	}
+	cmdSignal(ts, false, args[:1])
+	cmdEnded(ts, false, args)
+}
+
+func cmdSignal(ts *testscript.TestScript, neg bool, args []string) {
+	p := running(ts, one(ts, neg, args, "signal NAME"))
+	ts.Check(p.cmd.Process.Signal(syscall.SIGTERM))
+}
+
+func cmdEnded(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 1 || len(args) > 2 {
+		ts.Fatalf("usage: ended NAME [EXITCODE]")
+	}
 	want := 0
 	if len(args) == 2 {
 		n, err := strconv.Atoi(args[1])
@@ -76,7 +89,6 @@
 		want = n
 	}
 	p := running(ts, args[0])
-	ts.Check(p.cmd.Process.Signal(syscall.SIGTERM))
 	select {
 	case <-p.done:
 	case <-time.After(stopLimit):
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -46,6 +46,10 @@
 			"kill":      cmdKill,
 			"freeze":    cmdFreeze,
 			"thaw":      cmdThaw,
+			"signal":    cmdSignal,
+			"ended":     cmdEnded,
+			"mark":      cmdMark,
+			"load":      cmdLoad,
 			"fault":     cmdFault,
 			"post":      cmdPost,
 			"settings":  cmdSettings,
@@ -64,6 +68,7 @@
 type state struct {
 	processes map[string]*process
 	calls     map[string]*backgroundCall
+	marks     map[string]int // where expect begins to read a log
 }
 
 func setup(env *testscript.Env) error {
@@ -71,7 +76,7 @@
 	env.Setenv("NET", network)
 	env.Setenv("PLATFORM", network+".1:7000")
 	env.Setenv("WEIGHTS", network+".2:7000")
-	s := &state{processes: map[string]*process{}, calls: map[string]*backgroundCall{}}
+	s := &state{processes: map[string]*process{}, calls: map[string]*backgroundCall{}, marks: map[string]int{}}
 	env.Values[stateKey{}] = s
 	env.Defer(s.killAll)
 	examples, err := filepath.Glob("../../examples/*.ini")
--- a/internal/scenario/settings_test.go
+++ b/internal/scenario/settings_test.go
@@ -18,6 +18,8 @@
 		"listen.address":   network + ".10:8000",
 		"platform.address": platform,
 		"peers.key":        "scenario-peer-key-0001",
+		// Scripts that don't look at it needn't wait for a balancer.
+		"process.unready_for": "0s",
 	}
 }
 
--- a/internal/scenario/wait_test.go
+++ b/internal/scenario/wait_test.go
@@ -55,7 +55,7 @@
 	read := func() string {
 		data, err := os.ReadFile(ts.MkAbs(name + ".log"))
 		ts.Check(err)
-		return string(data)
+		return string(data[stateOf(ts).marks[name]:])
 	}
 	if neg {
 		if text := read(); pattern.MatchString(text) {
@@ -79,3 +79,10 @@
 		return strings.HasPrefix(out, "status: 200\n") && pattern.MatchString(out), out
 	})
 }
+
+func cmdMark(ts *testscript.TestScript, neg bool, args []string) {
+	name := one(ts, neg, args, "mark NAME")
+	data, err := os.ReadFile(ts.MkAbs(name + ".log"))
+	ts.Check(err)
+	stateOf(ts).marks[name] = len(data)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -41,6 +41,7 @@
 	MaxInProgress int
 	MaxBodyBytes  int
 	StartWithin   time.Duration
+	UnreadyFor    time.Duration // serving on after readiness says no
 }
 
 // Target are the settings of targetd.
@@ -66,6 +67,7 @@
 		MaxInProgress: f.Int("limits", "in_progress", 2000, 1, 1000000),
 		MaxBodyBytes:  f.Int("limits", "body_bytes", 4<<20, 1024, 16<<20),
 		StartWithin:   f.Duration("limits", "start_within", 30*time.Second, 100*time.Millisecond, 10*time.Minute),
+		UnreadyFor:    f.Duration("process", "unready_for", 5*time.Second, 0, 10*time.Minute),
 	}
 	return s, f.Done()
 }
