--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -10,48 +10,48 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
-	. "github.com/smartystreets/goconvey/convey"
+	"github.com/smartystreets/goconvey/convey"
 )
 
 // bigAnswer is more than the sockets' buffers hold.
 const bigAnswer = 64 << 20
 
 func TestBusy(t *testing.T) {
-	Convey("Given a server whose handler has returned an answer that its caller does not read", t, func() {
+	convey.Convey("Given a server whose handler has returned an answer that its caller does not read", t, func() {
 		srv, addr := startServer(t)
 		client := &http.Client{Transport: &http.Transport{}}
 		resp, err := client.Get("http://" + addr + "/big")
-		So(err, ShouldBeNil)
-		Convey("the connection is busy until the answer was taken, and idle although it is kept", func() {
-			So(srv.Busy(), ShouldEqual, 1)
+		convey.So(err, convey.ShouldBeNil)
+		convey.Convey("the connection is busy until the answer was taken, and idle although it is kept", func() {
+			convey.So(srv.Busy(), convey.ShouldEqual, 1)
 			srv.Shutdown(time.Millisecond)
 			time.Sleep(50 * time.Millisecond)
-			So(srv.Busy(), ShouldEqual, 1)
+			convey.So(srv.Busy(), convey.ShouldEqual, 1)
 			n, err := io.Copy(io.Discard, resp.Body)
-			So(err, ShouldBeNil)
-			So(n, ShouldEqual, bigAnswer)
-			So(becomesIdle(srv), ShouldBeTrue)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(n, convey.ShouldEqual, bigAnswer)
+			convey.So(becomesIdle(srv), convey.ShouldBeTrue)
 		})
 	})
 }
 
 func TestDisableKeepAlives(t *testing.T) {
-	Convey("Given a caller that keeps its connection", t, func() {
+	convey.Convey("Given a caller that keeps its connection", t, func() {
 		srv, addr := startServer(t)
 		client := &http.Client{Transport: &http.Transport{}}
 		resp, err := client.Get("http://" + addr + "/healthz")
-		So(err, ShouldBeNil)
+		convey.So(err, convey.ShouldBeNil)
 		_, _ = io.Copy(io.Discard, resp.Body)
-		So(resp.Close, ShouldBeFalse)
-		So(becomesIdle(srv), ShouldBeTrue)
-		Convey("after DisableKeepAlives its next answer is whole and ends the connection", func() {
+		convey.So(resp.Close, convey.ShouldBeFalse)
+		convey.So(becomesIdle(srv), convey.ShouldBeTrue)
+		convey.Convey("after DisableKeepAlives its next answer is whole and ends the connection", func() {
 			srv.DisableKeepAlives()
 			resp, err := client.Get("http://" + addr + "/healthz")
-			So(err, ShouldBeNil)
+			convey.So(err, convey.ShouldBeNil)
 			body, err := io.ReadAll(resp.Body)
-			So(err, ShouldBeNil)
-			So(string(body), ShouldEqual, "ok\n")
-			So(resp.Close, ShouldBeTrue)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(string(body), convey.ShouldEqual, "ok\n")
+			convey.So(resp.Close, convey.ShouldBeTrue)
 		})
 	})
 }
