Claim idempotency keys in the object API before a run

Cause: a request with an Idempotency-Key ran again when its caller resent it, and an attempt whose target went silent could only be called unknown.

Change: package claim decides on one record a key, without I/O: take, void, finish, break, release, each an operation that names its calls and settles a lost answer by reading back. Package claims makes the calls. A targetd claims after the dispatcher's start and before the engine's call; when the object API does not answer it gives its slot back and queues again until the start-by time. An entryd voids a lost attempt to learn whether it ran. A targetd that stood still for longer than the silence timeout drops its connections and starts nothing that came over them; a peer connection that was not read for that long ends, also when data waits on it.

Ruled out: a void without the list of voided attempts.

Calls without a race: one to claim, one for the outcome.

Not covered yet: scenarios of crashes and of the object API's outage.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -11,6 +11,7 @@
 	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/internal/peer"
 	"github.com/borageusher/borageusher/pkg/adapter"
+	"github.com/borageusher/borageusher/pkg/claim"
 	"github.com/borageusher/borageusher/pkg/configuration"
 	"github.com/borageusher/borageusher/pkg/dispatch"
 	"github.com/borageusher/borageusher/pkg/outcome"
@@ -49,6 +50,7 @@
 	Engine         Engine
 	PlainService   bool // the target is a plain service: no adapters, no state
 	Configurations Configurations
+	Claims         Claims
 	Log            event.Log
 	Scope          tally.Scope
 }
@@ -64,6 +66,9 @@
 	attempts   map[dispatch.RequestKey]*attempt
 	voided     map[dispatch.RequestKey]time.Time // attempts that must not start, until their start-by time
 	boot       uint64                            // of the engine, zero before its first report
+	sessions   map[sender]closer                 // open peer connections
+
+	pulse *pulse
 
 	report atomic.Pointer[dispatch.Report]
 }
@@ -74,6 +79,12 @@
 	request *dispatch.Request
 	answer  *answer
 	cancel  context.CancelFunc // set while running
+
+	// Of attempts with an idempotency key.
+	deferred bool           // the object API did not settle the claim; owned by the loop
+	mayHold  bool           // the record may be claimed for this attempt
+	held     *claim.Verdict // of the claim, while running
+	recorder recorder       // of the answer, for replay
 }
 
 // New returns an agent that does nothing until Run.
@@ -85,6 +96,8 @@
 		dispatcher: dispatch.New(opts.Limits, noTerms{}),
 		attempts:   map[dispatch.RequestKey]*attempt{},
 		voided:     map[dispatch.RequestKey]time.Time{},
+		sessions:   map[sender]closer{},
+		pulse:      newPulse(time.Now()),
 	}
 	a.report.Store(&dispatch.Report{})
 	return a
@@ -105,10 +118,13 @@
 		case <-ctx.Done():
 			return
 		case e := <-a.events:
+			a.noticePause(time.Now())
 			e.apply(ctx, a, time.Now())
-		case now := <-sweep.C:
-			a.sweep(now)
+		case <-sweep.C:
+			a.noticePause(time.Now())
+			a.sweep(time.Now())
 		case <-deadline.C:
+			a.noticePause(time.Now())
 		}
 		a.perform(ctx, a.dispatcher.Next(time.Now()))
 		a.publish()
@@ -181,6 +197,10 @@
 
 // refuse tells the sender of at that it did not run.
 func (a *Agent) refuse(at *attempt, reason outcome.Reason) {
+	if reason == outcome.Expired {
+		reason = at.expiry()
+	}
+	a.release(at)
 	a.opts.Log.At(event.RequestNotRun).Str("request", at.submit.Request).Uint32("attempt", at.submit.Attempt).
 		Stringer("reason", reason).Send()
 	a.opts.Scope.Tagged(map[string]string{"reason": reason.String()}).Counter("refused").Inc(1)
@@ -212,7 +232,7 @@
 		a.refuse(at, outcome.Cancelled)
 		return
 	}
-	if at.cancel != nil {
+	if at.cancel != nil && !at.keyed() { // the result of a keyed request is kept for its next sending
 		at.cancel()
 	}
 }
--- a/internal/agent/event.go
+++ b/internal/agent/event.go
@@ -22,6 +22,7 @@
 type submitted struct {
 	conn   sender
 	submit peer.Submit
+	read   time.Time // when the message came
 }
 
 func (e submitted) apply(_ context.Context, a *Agent, now time.Time) {
@@ -31,7 +32,7 @@
 	}
 	at := &attempt{
 		submit: e.submit,
-		answer: newAnswer(key, e.conn),
+		answer: newAnswer(key, e.origin(now)),
 		request: &dispatch.Request{
 			Key:      key,
 			Team:     e.submit.Team,
@@ -109,6 +110,7 @@
 type disconnected struct{ conn sender }
 
 func (e disconnected) apply(_ context.Context, a *Agent, now time.Time) {
+	delete(a.sessions, e.conn)
 	for _, at := range a.attempts {
 		at.answer.detach(now, e.conn)
 	}
@@ -170,5 +172,5 @@
 
 func (e idleAsked) apply(_ context.Context, a *Agent, now time.Time) {
 	a.sweep(now)
-	e.reply <- a.dispatcher.Report().Running == 0 && len(a.attempts) == 0
+	e.reply <- a.dispatcher.Report().Running == 0 && len(a.attempts) == 0 && a.opts.Claims.Pending() == 0
 }
--- a/internal/agent/main.go
+++ b/internal/agent/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/cloudwego/hertz/pkg/common/adaptor"
 
+	"github.com/borageusher/borageusher/internal/claims"
 	"github.com/borageusher/borageusher/internal/daemon"
 	"github.com/borageusher/borageusher/internal/engine"
 	"github.com/borageusher/borageusher/internal/event"
@@ -20,6 +21,7 @@
 	"github.com/borageusher/borageusher/internal/registration"
 	"github.com/borageusher/borageusher/internal/revision"
 	"github.com/borageusher/borageusher/internal/settings"
+	"github.com/borageusher/borageusher/pkg/claim"
 	"github.com/borageusher/borageusher/pkg/dispatch"
 	"github.com/borageusher/borageusher/pkg/target"
 )
@@ -77,12 +79,21 @@
 	if !ok {
 		return nil
 	}
+	ledger := claims.New(claims.Options{
+		Store:     store,
+		Self:      claim.Writer{Name: rec.Target.Name, Incarnation: rec.Target.Incarnation},
+		Retention: s.Retention,
+		Log:       log,
+		Scope:     scope,
+	})
+	go ledger.Run(ctx)
 	a := New(Options{
 		Self:           rec.Target,
 		Limits:         dispatch.Limits{Owner: s.Team, Slots: s.Slots, Adapters: s.Adapters, Queue: s.Queue},
 		Engine:         engine.New(s.Engine, rec.Target.Epoch),
 		PlainService:   s.Plain,
 		Configurations: configurations,
+		Claims:         ledger,
 		Log:            log,
 		Scope:          scope,
 	})
--- /dev/null
+++ b/internal/agent/replay.go
@@ -0,0 +1,44 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/borageusher/borageusher/internal/peer"
+	"github.com/borageusher/borageusher/pkg/claim"
+	"github.com/borageusher/borageusher/pkg/outcome"
+)
+
+// replay sends the answer of an earlier request.
+func (a *answer) replay(now time.Time, kept claim.Answer) {
+	a.start(now, kept.Status, kept.ContentType)
+	for body := kept.Body; len(body) > 0; {
+		n := min(len(body), partBytes)
+		a.add(now, body[:n])
+		body = body[n:]
+	}
+	a.end(now, outcome.Answered, outcome.NoReason)
+}
+
+// attached reports whether the answer has a connection to its entryd.
+func (a *answer) attached() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.conn != nil
+}
+
+// result returns what the answer's end says. Before the end the outcome is
+// outcome.Unknown.
+func (a *answer) result() (o outcome.Outcome, reason outcome.Reason, status int, contentType string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch final := a.final.(type) {
+	case peer.Refusal:
+		return outcome.NotRun, final.Reason, 0, ""
+	case peer.End:
+		if a.head == nil {
+			return final.Outcome, final.Reason, 0, ""
+		}
+		return final.Outcome, final.Reason, a.head.Status, a.head.ContentType
+	}
+	return outcome.Unknown, outcome.EngineFailed, 0, ""
+}
--- a/internal/agent/runner.go
+++ b/internal/agent/runner.go
@@ -23,8 +23,15 @@
 	load := a.dispatcher.Report()
 	go func() {
 		defer cancel()
-		a.run(ctx, at, load)
+		b := a.begin(ctx, at, load)
+		if b == goOn {
+			a.run(ctx, at, load)
+			a.settle(at)
+		}
 		a.post(finished{key: at.request.Key})
+		if b == deferred {
+			a.post(claimDeferred{key: at.request.Key})
+		}
 	}()
 }
 
@@ -46,6 +53,7 @@
 	case err != nil:
 		at.answer.end(time.Now(), outcome.Unknown, outcome.EngineFailed)
 	default:
+		at.record(result)
 		a.relay(ctx, at, result)
 	}
 }
@@ -57,7 +65,7 @@
 	buf := make([]byte, partBytes)
 	for {
 		n, err := result.Body.Read(buf)
-		if n > 0 && !at.answer.add(time.Now(), buf[:n]) {
+		if n > 0 && !at.answer.add(time.Now(), buf[:n]) && !at.keyed() {
 			a.cancelRun(at)
 			at.answer.end(time.Now(), outcome.Unknown, outcome.Cancelled)
 			return
--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/internal/peer"
@@ -26,6 +27,7 @@
 		return
 	}
 	s.Log.At(event.PeerConnected).Str("peer", conn.Remote().Name).Send()
+	s.Agent.post(connected{conn: conn, end: conn})
 	err = conn.Run(context.WithoutCancel(r.Context()), s.beat, func(m peer.Message) { s.handle(conn, m) })
 	s.Log.At(event.PeerLost).Str("peer", conn.Remote().Name).Err(err).Send()
 	s.Agent.post(disconnected{conn: conn})
@@ -39,7 +41,7 @@
 func (s *Sessions) handle(conn *peer.Conn, m peer.Message) {
 	switch m := m.(type) {
 	case peer.Submit:
-		s.Agent.post(submitted{conn: conn, submit: m})
+		s.Agent.post(submitted{conn: conn, submit: m, read: time.Now()})
 	case peer.Resume:
 		s.Agent.post(resumed{conn: conn, resume: m})
 	case peer.Cancel:
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,6 +21,7 @@
 	Revision       func() uint64
 	Targets        Targets
 	Dialer         Dialer
+	Claims         Claims
 	MaxInProgress  int           // calls in progress at once
 	StartWithin    time.Duration // a call's deadline to start, unless it names one
 	Log            event.Log
@@ -47,6 +48,7 @@
 		region:  opts.Self.Region,
 		targets: opts.Targets,
 		links:   e.links,
+		claims:  opts.Claims,
 		log:     opts.Log,
 		scope:   opts.Scope,
 	}
--- a/internal/entry/main.go
+++ b/internal/entry/main.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/borageusher/borageusher/internal/claims"
 	"github.com/borageusher/borageusher/internal/daemon"
 	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/internal/httpserver"
@@ -18,6 +19,7 @@
 	"github.com/borageusher/borageusher/internal/peer"
 	"github.com/borageusher/borageusher/internal/revision"
 	"github.com/borageusher/borageusher/internal/settings"
+	"github.com/borageusher/borageusher/pkg/claim"
 )
 
 // closeTimeout is how long a stopping entryd waits for its listener to close.
@@ -65,12 +67,21 @@
 	store := objects.New(s.Platform, &http.Client{Transport: &http.Transport{}})
 	configurations := revision.New(store, log)
 	known := members.New(store, log)
+	ledger := claims.New(claims.Options{
+		Store:     store,
+		Self:      claim.Writer{Name: self.Name, Incarnation: self.Incarnation},
+		Retention: s.Retention,
+		Log:       log,
+		Scope:     scope,
+	})
+	go ledger.Run(ctx)
 	e := New(Options{
 		Self:           self,
 		Configurations: configurations,
 		Revision:       configurations.Revision,
 		Targets:        known,
 		Dialer:         dialer,
+		Claims:         ledger,
 		MaxInProgress:  s.MaxInProgress,
 		StartWithin:    s.StartWithin,
 		Log:            log,
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -32,6 +31,7 @@
 	region  string
 	targets Targets
 	links   *links
+	claims  Claims
 	log     event.Log
 	scope   tally.Scope
 }
@@ -143,30 +143,29 @@
 		return rejected(outcome.TargetLost, "the target cannot be reached")
 	}
 	defer l.forget(p)
-	return relay(ctx, c, l, p)
+	return r.settle(ctx, c, n, relay(ctx, c, l, p))
 }
 
 func submitOf(c *Call, t target.Target, n uint32, now time.Time) peer.Submit {
 	s := peer.Submit{
-		Request:        c.ID,
-		Attempt:        n,
-		Revision:       c.Configuration.Revision,
-		Epoch:          t.Epoch,
-		Team:           c.Team.Name,
-		Owner:          t.Team,
-		Service:        t.Service,
-		Adapter:        c.Adapter,
-		Method:         c.Method,
-		Path:           c.TargetPath,
-		ContentType:    c.ContentType,
-		Body:           c.TargetBody,
-		Priority:       c.Priority,
-		StartBy:        c.Deadline.Sub(now),
-		IdempotencyKey: c.IdempotencyKey,
+		Request:     c.ID,
+		Attempt:     n,
+		Revision:    c.Configuration.Revision,
+		Epoch:       t.Epoch,
+		Team:        c.Team.Name,
+		Owner:       t.Team,
+		Service:     t.Service,
+		Adapter:     c.Adapter,
+		Method:      c.Method,
+		Path:        c.TargetPath,
+		ContentType: c.ContentType,
+		Body:        c.TargetBody,
+		Priority:    c.Priority,
+		StartBy:     c.Deadline.Sub(now),
 	}
 	if c.IdempotencyKey != "" {
-		digest := sha256.Sum256(c.Body)
-		s.BodyDigest = digest[:]
+		s.IdempotencyKey = c.claimName()
+		s.BodyDigest = c.claimDigest()
 	}
 	return s
 }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -24,6 +24,8 @@
 	RequestEnded      Code = 302
 	RequestRejected   Code = 303
 	AnswerResumed     Code = 304
+	AttemptVoided     Code = 310
+	AttemptUnsettled  Code = 311
 	RequestQueued     Code = 400
 	RequestNotRun     Code = 401
 	RequestStarted    Code = 402
@@ -36,6 +38,11 @@
 	EngineUnreachable Code = 421
 	TargetRegistered  Code = 430
 	TargetReplaced    Code = 431
+	ClaimTaken        Code = 440
+	ClaimDecided      Code = 441
+	ClaimDeferred     Code = 442
+	ClaimWriteDropped Code = 443
+	ProcessPaused     Code = 450
 	RevisionInForce   Code = 500
 	RevisionRejected  Code = 501
 	StoreUnavailable  Code = 510
@@ -65,6 +72,8 @@
 	{RequestEnded, "request_ended", zerolog.InfoLevel, "The caller was told the outcome."},
 	{RequestRejected, "request_rejected", zerolog.InfoLevel, "The request was refused at the entry, before any target."},
 	{AnswerResumed, "answer_resumed", zerolog.InfoLevel, "An answer goes on over a new connection from part `next`."},
+	{AttemptVoided, "attempt_voided", zerolog.InfoLevel, "An attempt whose target stopped answering was excluded in its key's record: it did not run and never will."},
+	{AttemptUnsettled, "attempt_unsettled", zerolog.WarnLevel, "What became of a lost attempt is not known; `reason` says why."},
 	{RequestQueued, "request_queued", zerolog.DebugLevel, "The target took an attempt into its queue."},
 	{RequestNotRun, "request_not_run", zerolog.InfoLevel, "The target refused an attempt that it had not started."},
 	{RequestStarted, "request_started", zerolog.DebugLevel, "The engine or service was given the request."},
@@ -77,6 +86,11 @@
 	{EngineUnreachable, "engine_unreachable", zerolog.WarnLevel, "The engine does not answer."},
 	{TargetRegistered, "target_registered", zerolog.InfoLevel, "The target is registered with `epoch` as its fencing number."},
 	{TargetReplaced, "target_replaced", zerolog.ErrorLevel, "Another process registered this target; this one takes no more work."},
+	{ClaimTaken, "claim_taken", zerolog.DebugLevel, "The target holds the claim of a request's idempotency key, before its run."},
+	{ClaimDecided, "claim_decided", zerolog.InfoLevel, "The idempotency key's record decided a request without a run; `verdict` and `reason` say how."},
+	{ClaimDeferred, "claim_deferred", zerolog.WarnLevel, "The object API did not settle a claim; the request waits until its start-by time."},
+	{ClaimWriteDropped, "claim_write_dropped", zerolog.ErrorLevel, "A claim's outcome was not recorded; later requests with its key hear `unknown`."},
+	{ProcessPaused, "process_paused", zerolog.WarnLevel, "The process stood still for longer than the silence timeout; it dropped its connections and starts nothing that came over them."},
 	{RevisionInForce, "revision_in_force", zerolog.InfoLevel, "A newer configuration is in force in this process."},
 	{RevisionRejected, "revision_rejected", zerolog.ErrorLevel, "A configuration could not be read and the older one stays."},
 	{StoreUnavailable, "store_unavailable", zerolog.WarnLevel, "The object API did not answer; the process goes on with what it knows."},
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -86,11 +86,17 @@
 func (c *Conn) Run(ctx context.Context, beat func() Heartbeat, handle func(Message)) error {
 	defer c.Close()
 	go c.writeAll(beat)
+	last := time.Now()
 	for {
 		m, err := c.receive(ctx)
 		if err != nil {
 			return err
 		}
+		now := time.Now()
+		if now.Sub(last) > SilenceTimeout {
+			return &Error{Op: "receive", Kind: Silent} // this process stood still; what was read is old
+		}
+		last = now
 		handle(m)
 	}
 }
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -58,8 +58,8 @@
 	Body           []byte
 	Priority       int8
 	StartBy        time.Duration // time left to start in, from sending
-	IdempotencyKey string
-	BodyDigest     []byte // of the caller's body; set with IdempotencyKey
+	IdempotencyKey string        // name of the key's record, empty without a key
+	BodyDigest     []byte        // of the caller's request; set with IdempotencyKey
 }
 
 // Refusal says that an attempt did not run and never will.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -33,6 +33,9 @@
 	PeerKey  string
 	LogLevel zerolog.Level
 	StopIn   time.Duration // deadline of a planned stop
+
+	// Retention is how long the records of idempotency keys are kept.
+	Retention time.Duration
 }
 
 // Entry are the settings of entryd.
@@ -102,6 +105,8 @@
 		PeerKey:  f.Text("peers", "key"),
 		LogLevel: readLevel(f),
 		StopIn:   f.Duration("process", "stop_within", 30*time.Second, time.Second, time.Hour),
+
+		Retention: f.Duration("claims", "retention", time.Hour, time.Second, 24*time.Hour),
 	}
 	if c.PeerKey != "" && len(c.PeerKey) < minPeerKey {
 		f.Fail("peers", "key", c.PeerKey, "at least 16 characters")
