--- a/internal/agent/main.go
+++ b/internal/agent/main.go
@@ -9,6 +9,7 @@
 
 	"github.com/cloudwego/hertz/pkg/common/adaptor"
 
+	"github.com/borageusher/borageusher/internal/claims"
 	"github.com/borageusher/borageusher/internal/daemon"
 	"github.com/borageusher/borageusher/internal/engine"
 	"github.com/borageusher/borageusher/internal/event"
@@ -19,6 +20,7 @@
 	"github.com/borageusher/borageusher/internal/registration"
 	"github.com/borageusher/borageusher/internal/revision"
 	"github.com/borageusher/borageusher/internal/settings"
+	"github.com/borageusher/borageusher/pkg/claim"
 	"github.com/borageusher/borageusher/pkg/dispatch"
 	"github.com/borageusher/borageusher/pkg/target"
 )
@@ -77,12 +79,21 @@
 	if !ok {
 		return nil
 	}
+	ledger := claims.New(claims.Options{
+		Store:     store.For(objects.ForClaims),
+		Self:      claim.Writer{Name: rec.Target.Name, Incarnation: rec.Target.Incarnation},
+		Retention: s.Retention,
+		Log:       log,
+		Scope:     scope,
+	})
+	go ledger.Run(ctx)
 	a := New(Options{
 		Self:           rec.Target,
 		Limits:         dispatch.Limits{Owner: s.Team, Slots: s.Slots, Adapters: s.Adapters, Queue: s.Queue},
 		Engine:         engine.New(s.Engine, rec.Target.Epoch),
 		PlainService:   s.Plain,
 		Configurations: configurations,
+		Claims:         ledger,
 		Log:            log,
 		Scope:          scope,
 	})
@@ -104,6 +115,8 @@
 	go configurations.Run(ctx)
 	go known.Run(ctx)
 	go node.Run(ctx)
+	reg := newRegistered(registrations, rec, log)
+	go reg.leaveWith(ctx, a)
 	served := make(chan error, 1)
 	go func() { served <- srv.Run() }()
 	select {
@@ -111,10 +124,7 @@
 		return err
 	case <-signals:
 	}
-	stop(ctx, s, a, registrations, rec, signals, log)
-	srv.Shutdown(closeTimeout)
-	log.At(event.Stopped).Send()
-	return nil
+	return stop(s, a, reg, srv, signals, log)
 }
 
 // describe returns the target that the settings describe, as a new process.
@@ -165,26 +175,3 @@
 	defer cancel()
 	return registration.Register(ctx, store, self)
 }
-
-// stop drains the target: it takes nothing new, queued requests move on, and
-// running ones end.
-func stop(ctx context.Context, s settings.Target, a *Agent, store registration.Store, rec registration.Record, signals <-chan os.Signal, log event.Log) {
-	log.At(event.Stopping).Int("requests", a.Report().Running).Send()
-	a.Drain()
-	rec = setState(ctx, store, rec, target.Leaving, log)
-	if !daemon.WaitIdle(ctx, a.Idle, signals, s.StopIn) {
-		log.At(event.StopTimedOut).Int("requests", a.Report().Running).Send()
-	}
-	setState(ctx, store, rec, target.Gone, log)
-}
-
-// setState writes the target's state, if the object API lets it.
-func setState(ctx context.Context, store registration.Store, rec registration.Record, state target.State, log event.Log) registration.Record {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	next, err := registration.SetState(ctx, store, rec, state)
-	if err != nil {
-		log.At(event.StoreUnavailable).Str("purpose", "registration").Err(err).Send()
-	}
-	return next
-}
--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/internal/peer"
@@ -29,6 +30,7 @@
 	s.Log.At(event.PeerConnected).Str("peer", conn.Remote().Name).Send()
 	detach := s.attach(conn)
 	defer detach()
+	s.Agent.post(connected{conn: conn, end: conn})
 	err = conn.Run(context.WithoutCancel(r.Context()), s.beat, func(m peer.Message) { s.handle(conn, m) })
 	s.Log.At(event.PeerLost).Str("peer", conn.Remote().Name).Err(err).Send()
 	s.Agent.post(disconnected{conn: conn})
@@ -49,11 +51,13 @@
 	}
 	switch m := m.(type) {
 	case peer.Submit:
-		s.Agent.post(submitted{conn: conn, submit: m})
+		s.Agent.post(submitted{conn: conn, submit: m, read: time.Now()})
 	case peer.Resume:
 		s.Agent.post(resumed{conn: conn, resume: m})
 	case peer.Cancel:
 		s.Agent.post(cancelled{key: dispatch.RequestKey{Request: m.Request, Attempt: m.Attempt}})
+	case peer.Drain:
+		s.drain(conn, m)
 	case peer.Ack:
 		s.Agent.post(acked{key: dispatch.RequestKey{Request: m.Request, Attempt: m.Attempt}, next: m.Next})
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,7 +21,8 @@
 	Revision       func() uint64
 	Targets        Targets
 	Dialer         Dialer
-	News           News          // nil for none
+	News           News // nil for none
+	Claims         Claims
 	MaxInProgress  int           // calls in progress at once
 	StartWithin    time.Duration // a call's deadline to start, unless it names one
 	Log            event.Log
@@ -49,6 +50,7 @@
 		region:  opts.Self.Region,
 		targets: opts.Targets,
 		links:   e.links,
+		claims:  opts.Claims,
 		log:     opts.Log,
 		scope:   opts.Scope,
 	}
--- a/internal/entry/idle.go
+++ b/internal/entry/idle.go
@@ -20,8 +20,8 @@
 	Beat() peer.Heartbeat
 }
 
-// Run closes unused links until ctx is done.
-func (e *Entry) Run(ctx context.Context) {
+// CloseIdle closes unused links until ctx is done.
+func (e *Entry) CloseIdle(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
 	for {
--- a/internal/entry/main.go
+++ b/internal/entry/main.go
@@ -4,10 +4,9 @@
 	"context"
 	"fmt"
 	"io"
-	"os"
 	"sync/atomic"
-	"time"
 
+	"github.com/borageusher/borageusher/internal/claims"
 	"github.com/borageusher/borageusher/internal/daemon"
 	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/internal/httpserver"
@@ -18,12 +17,10 @@
 	"github.com/borageusher/borageusher/internal/revision"
 	"github.com/borageusher/borageusher/internal/settings"
 	"github.com/borageusher/borageusher/internal/spread"
+	"github.com/borageusher/borageusher/pkg/claim"
 	"github.com/borageusher/borageusher/pkg/configuration"
 )
 
-// closeTimeout is how long a stopping entryd waits for its listener to close.
-const closeTimeout = 300 * time.Millisecond
-
 const purpose = "Takes callers' requests, decides where each goes, and relays the whole answer."
 
 // Main runs the program entryd and returns its exit code.
@@ -79,6 +76,14 @@
 	configurations.OnChange(func(*configuration.Configuration) { node.Announce() })
 	known.SetDuty(node.Duty)
 	known.OnChange(node.Announce)
+	ledger := claims.New(claims.Options{
+		Store:     store.For(objects.ForClaims),
+		Self:      claim.Writer{Name: self.Name, Incarnation: self.Incarnation},
+		Retention: s.Retention,
+		Log:       log,
+		Scope:     scope,
+	})
+	go ledger.Run(ctx)
 	e := New(Options{
 		Self:           self,
 		Configurations: configurations,
@@ -86,6 +91,7 @@
 		Targets:        known,
 		Dialer:         dialer,
 		News:           node,
+		Claims:         ledger,
 		MaxInProgress:  s.MaxInProgress,
 		StartWithin:    s.StartWithin,
 		Log:            log,
@@ -109,6 +115,7 @@
 	go configurations.Run(ctx)
 	go known.Run(ctx)
 	go node.Run(ctx)
+	go e.CloseIdle(ctx)
 	go e.Run(ctx)
 	log.At(event.Started).Stringer("address", s.Listen).Send()
 	served := make(chan error, 1)
@@ -119,17 +126,5 @@
 	case <-signals:
 	}
 	stopping.Store(true)
-	stop(ctx, s, e, srv, signals, log)
-	return nil
-}
-
-// stop lets the calls in progress end before the process does.
-func stop(ctx context.Context, s settings.Entry, e *Entry, srv *httpserver.Server, signals <-chan os.Signal, log event.Log) {
-	log.At(event.Stopping).Int("requests", e.InProgress()).Send()
-	idle := func() bool { return e.InProgress() == 0 }
-	if !daemon.WaitIdle(ctx, idle, signals, s.StopIn) {
-		log.At(event.StopTimedOut).Int("requests", e.InProgress()).Send()
-	}
-	srv.Shutdown(closeTimeout)
-	log.At(event.Stopped).Send()
+	return stop(s, e, srv, signals, log)
 }
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -18,16 +18,12 @@
 // maxMessageBytes bounds one encoded message: a request's body and its fields.
 const maxMessageBytes = 20 << 20
 
-// outQueue is the number of messages that may wait to be written. A connection
-// on which more wait is dropped: answers resume on the next one.
-const outQueue = 4096
-
 // Conn is one authenticated connection to a peer. Send may be called from many
 // goroutines; Run from one.
 type Conn struct {
 	ws     *websocket.Conn
 	remote Identity
-	out    chan []byte
+	out    *outQueue
 
 	closed    chan struct{}
 	closeOnce sync.Once
@@ -47,7 +43,7 @@
 	ws.SetReadLimit(maxMessageBytes)
 	return &Conn{
 		ws:      ws,
-		out:     make(chan []byte, outQueue),
+		out:     newOutQueue(),
 		closed:  make(chan struct{}),
 		wake:    make(chan struct{}, 1),
 		beatNow: make(chan struct{}, 1),
@@ -82,13 +78,11 @@
 		return false, &Error{Op: "send", Kind: Closed}
 	default:
 	}
-	select {
-	case c.out <- Encode(m):
-		return true, nil
-	default:
+	if !c.out.put(Encode(m)) {
 		c.Close()
 		return false, &Error{Op: "send", Kind: Overflow}
 	}
+	return true, nil
 }
 
 // Beat has a heartbeat sent at once, because what it tells has changed.
@@ -103,11 +97,18 @@
 	defer c.Close()
 	c.pace = newPace(time.Now())
 	go c.writeAll(beat)
+	still := processStillness()
+	last := time.Now()
 	for {
 		m, err := c.read(ctx)
 		if err != nil {
 			return err
 		}
+		now := time.Now()
+		if still.since(last, now) {
+			return &Error{Op: "receive", Kind: Silent} // what was read is old
+		}
+		last = now
 		handle(m)
 	}
 }
@@ -169,13 +170,12 @@
 	timer := time.NewTimer(HeartbeatInterval)
 	defer timer.Stop()
 	for {
-		var b []byte
 		select {
 		case <-c.closed:
 			return
-		case b = <-c.out:
+		case <-c.out.ready:
 		case <-c.beatNow:
-			b = c.heartbeat(beat())
+			c.out.put(c.heartbeat(beat()))
 		case <-c.wake:
 		case <-timer.C:
 		}
@@ -183,10 +183,11 @@
 			c.silent.Store(true)
 			return
 		}
-		if b == nil && c.beatDue(time.Now()) {
-			b = c.heartbeat(beat())
+		waiting := c.out.takeAll()
+		if len(waiting) == 0 && c.beatDue(time.Now()) {
+			waiting = append(waiting, c.heartbeat(beat()))
 		}
-		if b != nil {
+		for _, b := range waiting {
 			if err := c.write(b); err != nil {
 				return
 			}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -31,14 +31,18 @@
 	KeyFile  string
 	CAFile   string // certificates that peers are checked against, empty for plain TCP
 	Platform netip.AddrPort
+	PeerKey  string
+	LogLevel zerolog.Level
+	StopIn   time.Duration // deadline of a planned stop
+
 	// StoreReads, StoreWrites are calls a second that all processes together
 	// may make of the object API; Processes is the number that shares them.
 	StoreReads, StoreWrites float64
 	Processes               int
 	Seeds                   []netip.AddrPort // targetds to ask while the object API is out
-	PeerKey                 string
-	LogLevel                zerolog.Level
-	StopIn                  time.Duration // deadline of a planned stop
+
+	// Retention is how long the records of idempotency keys are kept.
+	Retention time.Duration
 }
 
 // Entry are the settings of entryd.
@@ -47,6 +51,7 @@
 	MaxInProgress int
 	MaxBodyBytes  int
 	StartWithin   time.Duration
+	UnreadyFor    time.Duration // serving on after readiness says no
 }
 
 // Target are the settings of targetd.
@@ -72,6 +77,7 @@
 		MaxInProgress: f.Int("limits", "in_progress", 2000, 1, 1000000),
 		MaxBodyBytes:  f.Int("limits", "body_bytes", 4<<20, 1024, 16<<20),
 		StartWithin:   f.Duration("limits", "start_within", 30*time.Second, 100*time.Millisecond, 10*time.Minute),
+		UnreadyFor:    f.Duration("process", "unready_for", 5*time.Second, 0, 10*time.Minute),
 	}
 	return s, f.Done()
 }
@@ -114,9 +120,11 @@
 
 		LogLevel: readLevel(f),
 		StopIn:   f.Duration("process", "stop_within", 30*time.Second, time.Second, time.Hour),
+
+		Retention: f.Duration("claims", "retention", time.Hour, time.Second, 24*time.Hour),
 	}
 	if c.PeerKey != "" && len(c.PeerKey) < minPeerKey {
-		f.Fail("peers", "key", c.PeerKey, "at least 16 characters")
+		f.Fail("peers", "key", "(a shorter one)", "at least 16 characters")
 	}
 	if (c.CertFile == "") != (c.KeyFile == "") {
 		f.Fail("listen", "certificate_key", c.KeyFile, "a file exactly when certificate is given")
--- a/internal/spread/duty.go
+++ b/internal/spread/duty.go
@@ -10,20 +10,20 @@
 
 // Times of following the object API.
 const (
-	alonePoll   = 2 * time.Second        // between two reads of a process without peers
-	relayedPoll = 30 * time.Second       // between two reads of a process that hears from peers
+	relayedPoll = 30 * time.Second       // between two reads of a process that does not watch
 	readDelay   = 250 * time.Millisecond // for each watcher of the region that reads sections first
 )
 
 // Duty tells how the process follows the object API: the first candidates of a
-// zone that are alive watch it, and the others read it seldom.
+// zone that are alive watch it, and the others read it seldom. A process
+// without any peer watches as well.
 func (n *Node) Duty() revision.Duty {
-	members := n.members()
 	connected := n.connected()
-	d := revision.Duty{Poll: alonePoll, Delay: readDelay * time.Duration(n.readOrder(members))}
-	if len(connected) > 0 {
-		d.Poll = relayedPoll
+	if len(connected) == 0 {
+		n.noteDuty(true)
+		return revision.Duty{Watch: true}
 	}
+	members := n.members()
 	order := relay.WatchOrder(members, n.opts.Self.Zone)
 	position := relay.Position(order, n.opts.Self.Name)
 	before := 0
@@ -32,9 +32,9 @@
 			before++
 		}
 	}
-	d.Watch = relay.Watches(position, before)
-	n.noteDuty(d.Watch)
-	return d
+	watch := relay.Watches(position, before)
+	n.noteDuty(watch)
+	return revision.Duty{Watch: watch, Poll: relayedPoll, Delay: readDelay * time.Duration(n.readOrder(members))}
 }
 
 // readOrder returns how many watchers of the region's other zones read
