Settle a lost answer of accept after later changes

Cause: the root named only its own change, so an operator whose answer was lost and who was overtaken was told that the change had lost the race. Change: the root names the 64 changes before it; a write whose answer was lost is made again under the same condition, so 'not known' is left only for an object API that stays out or for more than 64 changes in between. Runs: go test ./internal/operator: without the list of earlier changes TestAcceptLostAnswers fails ('effect, then later changes'); with it pass, and TestAcceptRacing (ten operators, eight changes each, a third of the answers lost) passes -race -count=5.

--- a/internal/operator/accept.go
+++ b/internal/operator/accept.go
@@ -18,8 +18,14 @@
 	version       objects.Version
 }
 
+// Store is the part of the object API that accepting a configuration needs.
+type Store interface {
+	Get(ctx context.Context, kind objects.ObjectKind, name string) (objects.Object, error)
+	Put(ctx context.Context, kind objects.ObjectKind, name string, value []byte, expect objects.Version) (objects.Version, error)
+}
+
 // readInForce reads the accepted configuration.
-func readInForce(ctx context.Context, store *objects.Client) (inForce, error) {
+func readInForce(ctx context.Context, store Store) (inForce, error) {
 	o, err := store.Get(ctx, objects.Roots, objects.RootName)
 	if objects.IsKind(err, objects.NotFound) {
 		return inForce{}, nil
@@ -45,48 +51,81 @@
 
 // accept moves the root to next, which follows base. The error is of kind
 // Raced when another change came first.
-func accept(ctx context.Context, store *objects.Client, base inForce, next *configuration.Configuration, operator string) error {
+func accept(ctx context.Context, store Store, base inForce, next *configuration.Configuration, operator string) error {
 	sections := configuration.Split(next)
 	for _, s := range sections {
 		if err := writeSection(ctx, store, base.root, s); err != nil {
 			return err
 		}
 	}
-	root := configuration.RootOf(next.Revision, newChangeID(), operator, sections)
-	_, err := store.Put(ctx, objects.Roots, objects.RootName, configuration.EncodeRoot(root), base.version)
-	switch {
-	case objects.IsKind(err, objects.Conflict):
-		return &Error{Op: "accept", Kind: Raced}
-	case objects.IsKind(err, objects.Uncertain):
-		return settle(ctx, store, root)
-	}
-	return err
+	root := configuration.RootOf(next.Revision, newChangeID(), operator, sections).Follow(base.root)
+	return moveRoot(ctx, store, base, root)
 }
 
 // writeSection writes a section unless the root names it already. Sections are
-// named by their content, so one that exists is the same.
-func writeSection(ctx context.Context, store *objects.Client, known configuration.Root, s configuration.Section) error {
+// named by their content, so one that exists is the same, and a write whose
+// answer was lost is made again.
+func writeSection(ctx context.Context, store Store, known configuration.Root, s configuration.Section) error {
 	for _, ref := range known.Sections {
 		if ref.Digest == s.Digest {
 			return nil
 		}
 	}
-	_, err := store.Put(ctx, objects.Sections, s.Digest.String(), s.Data, 0)
-	if objects.IsKind(err, objects.Conflict) {
-		return nil
+	for try := 0; ; try++ {
+		_, err := store.Put(ctx, objects.Sections, s.Digest.String(), s.Data, 0)
+		if err == nil || objects.IsKind(err, objects.Conflict) {
+			return nil
+		}
+		if !objects.IsKind(err, objects.Uncertain) || try == lostAnswers {
+			return err
+		}
+	}
+}
+
+// lostAnswers is how often a write is made again after its answer was lost.
+const lostAnswers = 5
+
+// moveRoot writes root over the one of base. A write whose answer was lost is
+// made again: it succeeds if the first one had no effect, and otherwise the
+// root that is there tells whether the change is part of it.
+func moveRoot(ctx context.Context, store Store, base inForce, root configuration.Root) error {
+	lost := false
+	for range lostAnswers {
+		_, err := store.Put(ctx, objects.Roots, objects.RootName, configuration.EncodeRoot(root), base.version)
+		switch {
+		case err == nil:
+			return nil
+		case objects.IsKind(err, objects.Conflict):
+			if lost {
+				return settle(ctx, store, root)
+			}
+			return &Error{Op: "accept", Kind: Raced}
+		case !objects.IsKind(err, objects.Uncertain):
+			if lost {
+				return &Error{Op: "accept", Kind: NotKnown, Err: err}
+			}
+			return err
+		}
+		lost = true
 	}
-	return err
+	return &Error{Op: "accept", Kind: NotKnown}
 }
 
-// settle finds out whether a write of root whose answer was lost took effect.
-func settle(ctx context.Context, store *objects.Client, root configuration.Root) error {
-	now, err := readInForce(ctx, store)
-	switch {
-	case err != nil:
+// settle finds out whether a write of root whose answer was lost took effect,
+// once the root that it was to replace has been replaced.
+func settle(ctx context.Context, store Store, root configuration.Root) error {
+	o, err := store.Get(ctx, objects.Roots, objects.RootName)
+	if err != nil {
 		return &Error{Op: "accept", Kind: NotKnown, Err: err}
-	case now.root.ChangeID == root.ChangeID:
+	}
+	now, err := configuration.DecodeRoot(o.Value)
+	if err != nil {
+		return &Error{Op: "accept", Kind: NotKnown, Err: err}
+	}
+	if now.Contains(root.ChangeID) {
 		return nil
-	case now.root.Revision < root.Revision:
+	}
+	if now.Revision > root.Revision+configuration.MaxEarlier {
 		return &Error{Op: "accept", Kind: NotKnown}
 	}
 	return &Error{Op: "accept", Kind: Raced}
--- a/pkg/configuration/section.go
+++ b/pkg/configuration/section.go
@@ -34,6 +34,25 @@
 	ChangeID string // identity of the change that made the revision
 	Operator string
 	Sections []SectionRef
+	Earlier  []string // identities of the changes before it, newest first, at most MaxEarlier
+}
+
+// MaxEarlier is the number of earlier changes that a root names, so that an
+// operator whose answer was lost finds out what became of the change.
+const MaxEarlier = 64
+
+// Contains reports whether the change of that identity is the root's own or
+// one of those that it names.
+func (r Root) Contains(changeID string) bool {
+	if r.ChangeID == changeID {
+		return true
+	}
+	for _, id := range r.Earlier {
+		if id == changeID {
+			return true
+		}
+	}
+	return false
 }
 
 // Split encodes c as sections, in order of name. Equal parts of two
@@ -150,7 +169,7 @@
 
 // EncodeRoot returns r in the form that the object API keeps.
 func EncodeRoot(r Root) []byte {
-	w := rootWire{Revision: r.Revision, ChangeID: r.ChangeID, Operator: r.Operator}
+	w := rootWire{Revision: r.Revision, ChangeID: r.ChangeID, Operator: r.Operator, Earlier: r.Earlier}
 	for _, s := range r.Sections {
 		w.Sections = append(w.Sections, sectionRefWire{Name: s.Name, Digest: s.Digest[:]})
 	}
@@ -164,7 +183,7 @@
 	if err := cbor.Unmarshal(b, &w); err != nil {
 		return Root{}, &Error{Op: "decode root", Kind: Corrupt, Err: err}
 	}
-	r := Root{Revision: w.Revision, ChangeID: w.ChangeID, Operator: w.Operator}
+	r := Root{Revision: w.Revision, ChangeID: w.ChangeID, Operator: w.Operator, Earlier: w.Earlier}
 	for _, s := range w.Sections {
 		d, ok := digestFromBytes(s.Digest)
 		if !ok {
@@ -175,6 +194,17 @@
 	return r, nil
 }
 
+// Follow makes r name the change of the root before it and those that that one
+// names.
+func (r Root) Follow(previous Root) Root {
+	if previous.ChangeID == "" {
+		return r
+	}
+	earlier := append([]string{previous.ChangeID}, previous.Earlier...)
+	r.Earlier = earlier[:min(len(earlier), MaxEarlier)]
+	return r
+}
+
 // RootOf returns the root of a revision made of sections.
 func RootOf(revision uint64, changeID, operator string, sections []Section) Root {
 	r := Root{Revision: revision, ChangeID: changeID, Operator: operator}
--- a/pkg/configuration/wire.go
+++ b/pkg/configuration/wire.go
@@ -13,6 +13,7 @@
 	ChangeID string
 	Operator string
 	Sections []sectionRefWire
+	Earlier  []string
 }
 
 type sectionRefWire struct {
