Tell in which processes an accepted revision is in force

Change: borageusher accept -wait asks one entryd (operators.key), which surveys all processes over the peer connections: a survey goes on from peer to peer, answers come back the way it went, and peers that are behind or were lost within 15 s are named by their neighbours. Failed on the way: the last, incomplete round was reported when the time was over and left a frozen entryd out; a frozen entryd that had just been thawed was not waited for. Limit: an entryd without any connection for more than 15 s is not known to anyone, since entryds are not registered.

--- a/internal/entry/main.go
+++ b/internal/entry/main.go
@@ -112,6 +112,7 @@
 		return err
 	}
 	e.Register(srv.Hertz)
+	RegisterStatus(srv.Hertz, s.OperatorKey, node)
 	go configurations.Run(ctx)
 	go known.Run(ctx)
 	go node.Run(ctx)
--- a/internal/operator/accept.go
+++ b/internal/operator/accept.go
@@ -158,6 +158,10 @@
 }
 
 func runAccept(c *commandLine) int {
+	if err := c.waiting.check(); err != nil {
+		_, _ = fmt.Fprintln(c.err, "borageusher:", err)
+		return exitUsage
+	}
 	answers, ok := c.readAnswers()
 	if !ok {
 		return exitUsage
@@ -188,6 +192,9 @@
 		return c.fail(err)
 	}
 	c.printf("accepted revision %d\n", next.Revision)
+	if c.waiting.wait > 0 {
+		return c.waitInForce(next.Revision)
+	}
 	return exitOK
 }
 
--- a/internal/operator/error.go
+++ b/internal/operator/error.go
@@ -15,6 +15,9 @@
 	Raced                    // another operator was first
 	NoTarget                 // there is no such target
 	NotKnown                 // it could not be learned whether a change was accepted
+
+	NotEverywhere // the change is accepted and not yet in force in every process
+	NoReport      // the change is accepted and an entryd did not tell where it is in force
 )
 
 var kindNames = map[Kind]string{
@@ -22,6 +25,9 @@
 	Raced:    "another change was accepted first; your answers are kept",
 	NoTarget: "there is no such target",
 	NotKnown: "it is not known whether the change was accepted; run diff",
+
+	NotEverywhere: "accepted, and not yet in force in every process",
+	NoReport:      "accepted, and the entryd did not tell where it is in force",
 }
 
 // Error is the error type of this package.
--- a/internal/operator/main.go
+++ b/internal/operator/main.go
@@ -17,6 +17,7 @@
 	exitFailure  = 1
 	exitUsage    = 2
 	exitConflict = 3 // another operator was first
+	exitPartly   = 4 // accepted, and not known to be in force everywhere
 )
 
 // callTimeout bounds one command's exchange with the platform.
@@ -36,6 +37,7 @@
 	platform string
 	revision uint64
 	operator string
+	waiting  waitFlags
 	drain    drainFlags
 	out      io.Writer
 	err      io.Writer
@@ -81,6 +83,9 @@
 	if cmd.name == "drain" {
 		c.drain.add(c)
 	}
+	if cmd.name == "accept" {
+		c.waiting.add(c.flags)
+	}
 	if err := c.flags.Parse(args); err != nil {
 		return exitUsage
 	}
@@ -110,6 +115,9 @@
 	if isKind(err, Raced) {
 		return exitConflict
 	}
+	if isKind(err, NotEverywhere) || isKind(err, NoReport) {
+		return exitPartly
+	}
 	return exitFailure
 }
 
--- a/internal/peer/spread.go
+++ b/internal/peer/spread.go
@@ -43,7 +43,7 @@
 	Name     string
 	Role     string
 	Revision uint64
-	Behind   []string // connected peers whose last heartbeat had a lower revision
+	Behind   []string // peers whose last heartbeat had a lower revision or that were lost lately
 }
 
 func (StateRequest) messageType() messageType  { return typeStateRequest }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -52,6 +52,7 @@
 	MaxBodyBytes  int
 	StartWithin   time.Duration
 	UnreadyFor    time.Duration // serving on after readiness says no
+	OperatorKey   string        // for the operators' routes, which are off without it
 }
 
 // Target are the settings of targetd.
@@ -79,6 +80,10 @@
 		StartWithin:   f.Duration("limits", "start_within", 30*time.Second, 100*time.Millisecond, 10*time.Minute),
 		UnreadyFor:    f.Duration("process", "unready_for", 5*time.Second, 0, 10*time.Minute),
 	}
+	s.OperatorKey = f.OptionalText("operators", "key", "")
+	if s.OperatorKey != "" && len(s.OperatorKey) < minPeerKey {
+		f.Fail("operators", "key", "(a shorter one)", "at least 16 characters")
+	}
 	return s, f.Done()
 }
 
--- a/internal/spread/node.go
+++ b/internal/spread/node.go
@@ -57,7 +57,8 @@
 	peers    map[*peer.Conn]*peerState
 	relays   map[string]*relayState // by name of the peer, or address of a seed
 	surveys  map[string]*survey
-	watching bool // the last duty, for the log
+	gone     map[string]time.Time // when the last connection of a peer ended, by its name
+	watching bool                 // the last duty, for the log
 }
 
 // peerState is what a node knows of the process at the other end of a
@@ -77,6 +78,7 @@
 		peers:   map[*peer.Conn]*peerState{},
 		relays:  map[string]*relayState{},
 		surveys: map[string]*survey{},
+		gone:    map[string]time.Time{},
 	}
 }
 
@@ -99,6 +101,7 @@
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		delete(n.peers, conn)
+		n.gone[conn.Remote().Name] = time.Now()
 		n.opts.Scope.Gauge("peers").Update(float64(len(n.peers)))
 	}
 }
--- a/internal/spread/survey.go
+++ b/internal/spread/survey.go
@@ -14,6 +14,9 @@
 // surveyLife is how long a process remembers the way back of a survey.
 const surveyLife = 10 * time.Second
 
+// goneTime is how long a peer without connections is still asked after.
+const goneTime = 15 * time.Second
+
 // survey is one survey that this process started or passed on.
 type survey struct {
 	from    *peer.Conn // nil for the process's own
@@ -39,42 +42,47 @@
 }
 
 // Survey asks all processes that can be reached over peer connections for
-// their revision and waits until all registered targets have answered with at
-// least the given one, or for at most wait. It calls the object API not once.
+// their revision, again and again until all registered targets and all known
+// peers have answered with at least the given one, or for at most wait. It
+// makes no call of the object API.
 func (n *Node) Survey(ctx context.Context, revision uint64, wait time.Duration) Report {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
+	last := n.surveyOnce(ctx, revision)
+	for len(last.Behind)+len(last.Unseen) > 0 {
+		sleep(ctx, surveySettle)
+		next := n.surveyOnce(ctx, revision)
+		if ctx.Err() != nil {
+			break // the round is not complete
+		}
+		last = next
+	}
+	return last
+}
+
+// surveySettle is how long no answer comes before a survey looks complete.
+const surveySettle = 250 * time.Millisecond
+
+// surveyOnce asks once and waits until no more answers come.
+func (n *Node) surveyOnce(ctx context.Context, revision uint64) Report {
 	id, s := n.startSurvey(time.Now())
 	c := collection{revision: revision, answers: map[string]peer.SurveyAnswer{}}
 	c.add(n.ownAnswer(id))
+	settled := time.NewTimer(surveySettle)
+	defer settled.Stop()
 	for {
 		select {
 		case a := <-s.reports:
 			c.add(a)
+			settled.Reset(surveySettle)
 			continue
-		default:
-		}
-		select {
-		case a := <-s.reports:
-			c.add(a)
 		case <-ctx.Done():
-			return c.report(n.opts.Members.Targets())
-		case <-time.After(surveySettle):
-			r := c.report(n.opts.Members.Targets())
-			if len(r.Behind)+len(r.Unseen) == 0 {
-				return r
-			}
-			sleep(ctx, surveySettle)
-			id, s = n.startSurvey(time.Now())
-			c.forgetBehind()
-			c.add(n.ownAnswer(id))
+		case <-settled.C:
 		}
+		return c.report(n.opts.Members.Targets())
 	}
 }
 
-// surveySettle is how long no answer comes before a survey looks complete.
-const surveySettle = 250 * time.Millisecond
-
 func (n *Node) startSurvey(now time.Time) (string, *survey) {
 	b := make([]byte, 8)
 	_, _ = rand.Read(b) // never fails
@@ -133,14 +141,32 @@
 	a := peer.SurveyAnswer{ID: id, Name: n.opts.Self.Name, Role: n.opts.Self.Role, Revision: n.opts.Configurations.Revision()}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	connected := map[string]bool{}
 	for conn, p := range n.peers {
+		connected[conn.Remote().Name] = true
 		if p.beat.Revision < a.Revision {
 			a.Behind = append(a.Behind, conn.Remote().Name)
 		}
 	}
+	a.Behind = append(a.Behind, n.recentlyGone(connected, time.Now())...)
 	return a
 }
 
+// recentlyGone returns the peers that lost their last connection a short time
+// ago: they may live and not have heard. The caller holds n.mu.
+func (n *Node) recentlyGone(connected map[string]bool, now time.Time) []string {
+	var out []string
+	for name, at := range n.gone {
+		switch {
+		case connected[name], now.Sub(at) > goneTime:
+			delete(n.gone, name)
+		default:
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 // collection gathers the answers of a survey.
 type collection struct {
 	revision uint64
@@ -153,14 +179,6 @@
 	}
 }
 
-// forgetBehind drops what was said of others, which the next round tells anew.
-func (c *collection) forgetBehind() {
-	for name, a := range c.answers {
-		a.Behind = nil
-		c.answers[name] = a
-	}
-}
-
 // report compares the answers with the registered targets.
 func (c *collection) report(targets []target.Target) Report {
 	var r Report
