--- a/internal/agent/main.go
+++ b/internal/agent/main.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"time"
 
@@ -62,8 +61,9 @@
 	log := event.New(stderr, "targetd", s.Name, s.LogLevel)
 	scope, metricsHandler, stopMetrics := metrics.New("targetd")
 	defer stopMetrics()
-	store := objects.New(s.Platform, &http.Client{Transport: &http.Transport{}})
-	configurations := revision.New(store, log)
+	store := daemon.NewStore(s.Common, scope)
+	registrations := store.For(objects.ForRegistration)
+	configurations := revision.New(store.For(objects.ForConfiguration), log)
 	srv, err := httpserver.New(httpserver.Options{
 		Address:      s.Listen,
 		CertFile:     s.CertFile,
@@ -76,12 +76,12 @@
 		return err
 	}
 	log.At(event.Started).Stringer("address", s.Listen).Send()
-	rec, ok := register(ctx, store, describe(s), signals, log)
+	rec, ok := register(ctx, registrations, describe(s), signals, log)
 	if !ok {
 		return nil
 	}
 	ledger := claims.New(claims.Options{
-		Store:     store,
+		Store:     store.For(objects.ForClaims),
 		Self:      claim.Writer{Name: rec.Target.Name, Incarnation: rec.Target.Incarnation},
 		Retention: s.Retention,
 		Log:       log,
@@ -112,7 +112,7 @@
 	srv.Hertz.GET(peer.Path, adaptor.HertzHandler(sessions))
 	go a.Run(ctx)
 	go configurations.Run(ctx)
-	reg := newRegistered(store, rec, log)
+	reg := newRegistered(registrations, rec, log)
 	go reg.leaveWith(ctx, a)
 	served := make(chan error, 1)
 	go func() { served <- srv.Run() }()
--- a/internal/entry/main.go
+++ b/internal/entry/main.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net/http"
 	"sync/atomic"
 
 	"github.com/borageusher/borageusher/internal/claims"
@@ -60,11 +59,11 @@
 	if err != nil {
 		return err
 	}
-	store := objects.New(s.Platform, &http.Client{Transport: &http.Transport{}})
-	configurations := revision.New(store, log)
-	known := members.New(store, log)
+	store := daemon.NewStore(s.Common, scope)
+	configurations := revision.New(store.For(objects.ForConfiguration), log)
+	known := members.New(store.For(objects.ForMembers), log)
 	ledger := claims.New(claims.Options{
-		Store:     store,
+		Store:     store.For(objects.ForClaims),
 		Self:      claim.Writer{Name: self.Name, Incarnation: self.Incarnation},
 		Retention: s.Retention,
 		Log:       log,
