Exit with 0 when help is asked for

Cause: -h ended with the code of a bad command line, so scripts and users that ask for help saw a failure. Change: flag.ErrHelp is no failure in any program.

--- a/internal/agent/main.go
+++ b/internal/agent/main.go
@@ -37,9 +37,9 @@
 
 // Main runs the program targetd and returns its exit code.
 func Main(args []string, stderr io.Writer) int {
-	path, ok := daemon.Flags("targetd", purpose, args, stderr)
-	if !ok {
-		return daemon.ExitUsage
+	path, err := daemon.Flags("targetd", purpose, args, stderr)
+	if err != nil {
+		return daemon.ExitOfFlags(err)
 	}
 	s, err := settings.ReadTarget(path)
 	if err != nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,9 +3,9 @@
 //
 // # Usage
 //
-//	path, ok := daemon.Flags("entryd", usage, args, stderr)
-//	if !ok {
-//		return daemon.ExitUsage
+//	path, err := daemon.Flags("entryd", usage, args, stderr)
+//	if err != nil {
+//		return daemon.ExitOfFlags(err)
 //	}
 package daemon
 
@@ -40,9 +40,9 @@
 // incarnationBytes is the length of a process's random identity.
 const incarnationBytes = 6
 
-// Flags reads the command line of a daemon: the path of its settings file. It
-// reports false after having printed what is wrong.
-func Flags(program, purpose string, args []string, stderr io.Writer) (string, bool) {
+// Flags reads the command line of a daemon: the path of its settings file. The
+// error, flag.ErrHelp among others, has been printed.
+func Flags(program, purpose string, args []string, stderr io.Writer) (string, error) {
 	fs := flag.NewFlagSet(program, flag.ContinueOnError)
 	fs.SetOutput(stderr)
 	fs.Usage = func() {
@@ -51,13 +51,22 @@
 	}
 	path := fs.String("settings", "", "the INI `file` with the settings, see docs/SETTINGS.md")
 	if err := fs.Parse(args); err != nil {
-		return "", false
+		return "", err
 	}
 	if *path == "" || fs.NArg() > 0 {
 		fs.Usage()
-		return "", false
+		return "", errors.New("daemon: exactly the flag -settings is needed")
 	}
-	return *path, true
+	return *path, nil
+}
+
+// ExitOfFlags returns the exit code for an error of Flags, or of a flag set:
+// asking for help is no failure.
+func ExitOfFlags(err error) int {
+	if errors.Is(err, flag.ErrHelp) {
+		return ExitOK
+	}
+	return ExitUsage
 }
 
 // NewIncarnation returns an identity that no other start of any process has.
--- a/internal/entry/main.go
+++ b/internal/entry/main.go
@@ -24,9 +24,9 @@
 
 // Main runs the program entryd and returns its exit code.
 func Main(args []string, stderr io.Writer) int {
-	path, ok := daemon.Flags("entryd", purpose, args, stderr)
-	if !ok {
-		return daemon.ExitUsage
+	path, err := daemon.Flags("entryd", purpose, args, stderr)
+	if err != nil {
+		return daemon.ExitOfFlags(err)
 	}
 	s, err := settings.ReadEntry(path)
 	if err != nil {
--- a/internal/operator/main.go
+++ b/internal/operator/main.go
@@ -8,6 +8,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/borageusher/borageusher/internal/objects"
 )
 
@@ -53,10 +55,14 @@
 
 // Main runs the program borageusher and returns its exit code.
 func Main(args []string, out, stderr io.Writer) int {
-	if len(args) == 0 || args[0] == "-h" || args[0] == "--help" || args[0] == "help" {
+	if len(args) == 0 {
 		printUsage(stderr)
 		return exitUsage
 	}
+	if args[0] == "-h" || args[0] == "--help" || args[0] == "help" {
+		printUsage(out)
+		return exitOK
+	}
 	for _, cmd := range commands {
 		if cmd.name == args[0] {
 			return runCommand(cmd, args[1:], out, stderr)
@@ -81,7 +87,9 @@
 	if cmd.name == "drain" {
 		c.drain.add(c)
 	}
-	if err := c.flags.Parse(args); err != nil {
+	if err := c.flags.Parse(args); errors.Is(err, flag.ErrHelp) {
+		return exitOK
+	} else if err != nil {
 		return exitUsage
 	}
 	return cmd.run(c)
