--- a/internal/agent/main.go
+++ b/internal/agent/main.go
@@ -21,7 +21,6 @@
 	"github.com/borageusher/borageusher/internal/revision"
 	"github.com/borageusher/borageusher/internal/settings"
 	"github.com/borageusher/borageusher/pkg/claim"
-	"github.com/borageusher/borageusher/pkg/configuration"
 	"github.com/borageusher/borageusher/pkg/dispatch"
 	"github.com/borageusher/borageusher/pkg/target"
 )
@@ -98,11 +97,13 @@
 		Log:            log,
 		Scope:          scope,
 	})
-	configurations.OnChange(func(cfg *configuration.Configuration) {
-		scope.Gauge("revision").Update(float64(cfg.Revision))
-		a.SetConfiguration(cfg)
-	})
+	configurations.OnChange(a.SetConfiguration)
+	node, known, err := newNode(s, rec.Target, store, configurations, log, scope)
+	if err != nil {
+		return err
+	}
 	sessions := &Sessions{
+		News:     node,
 		Agent:    a,
 		Self:     identity(rec.Target),
 		Key:      peer.Key(s.PeerKey),
@@ -112,6 +113,8 @@
 	srv.Hertz.GET(peer.Path, adaptor.HertzHandler(sessions))
 	go a.Run(ctx)
 	go configurations.Run(ctx)
+	go known.Run(ctx)
+	go node.Run(ctx)
 	reg := newRegistered(registrations, rec, log)
 	go reg.leaveWith(ctx, a)
 	served := make(chan error, 1)
