--- a/internal/operator/main.go
+++ b/internal/operator/main.go
@@ -8,6 +8,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/borageusher/borageusher/internal/objects"
 )
 
@@ -55,10 +57,14 @@
 
 // Main runs the program borageusher and returns its exit code.
 func Main(args []string, out, stderr io.Writer) int {
-	if len(args) == 0 || args[0] == "-h" || args[0] == "--help" || args[0] == "help" {
+	if len(args) == 0 {
 		printUsage(stderr)
 		return exitUsage
 	}
+	if args[0] == "-h" || args[0] == "--help" || args[0] == "help" {
+		printUsage(out)
+		return exitOK
+	}
 	for _, cmd := range commands {
 		if cmd.name == args[0] {
 			return runCommand(cmd, args[1:], out, stderr)
@@ -86,7 +92,9 @@
 	if cmd.name == "accept" {
 		c.waiting.add(c.flags)
 	}
-	if err := c.flags.Parse(args); err != nil {
+	if err := c.flags.Parse(args); errors.Is(err, flag.ErrHelp) {
+		return exitOK
+	} else if err != nil {
 		return exitUsage
 	}
 	return cmd.run(c)
--- /dev/null
+++ b/internal/revision/controller_test.go
@@ -0,0 +1,178 @@
+package revision
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/borageusher/borageusher/internal/event"
+	"github.com/borageusher/borageusher/internal/objects"
+	"github.com/borageusher/borageusher/pkg/configuration"
+)
+
+// made is a configuration in its encoded form.
+type made struct {
+	root     []byte
+	sections []configuration.Section
+}
+
+// makeRevision returns a revision in which team "b" has n keys.
+func makeRevision(revision uint64, n int) made {
+	b := configuration.Team{Name: "b"}
+	for i := range n {
+		b.Keys = append(b.Keys, configuration.DigestKey(string(rune('a'+i))))
+	}
+	c := configuration.New(revision, []configuration.Team{{Name: "a"}, b}, nil)
+	sections := configuration.Split(c)
+	return made{root: configuration.EncodeRoot(configuration.RootOf(revision, "id", "op", sections)), sections: sections}
+}
+
+// source gives sections, some of them corrupt, and counts what was asked for.
+type source struct {
+	sections []configuration.Section
+	corrupt  bool
+	asked    int
+}
+
+func (s *source) Name() string { return "peer" }
+
+func (s *source) Sections(_ context.Context, wanted []configuration.SectionRef) ([]configuration.Section, error) {
+	s.asked += len(wanted)
+	var out []configuration.Section
+	for _, ref := range wanted {
+		for _, have := range s.sections {
+			if have.Digest != ref.Digest {
+				continue
+			}
+			if s.corrupt {
+				have.Data = append([]byte{0}, have.Data...)
+			}
+			out = append(out, have)
+		}
+	}
+	return out, nil
+}
+
+// store is an object API that answers watches with the values that are set.
+type store struct {
+	mu      sync.Mutex
+	watches chan []objects.Object
+	gets    int
+	data    map[string][]byte
+}
+
+func (s *store) Get(_ context.Context, _ objects.ObjectKind, name string) (objects.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gets++
+	data, ok := s.data[name]
+	if !ok {
+		return objects.Object{}, &objects.Error{Op: "get", Kind: objects.Unavailable}
+	}
+	return objects.Object{Name: name, Value: data}, nil
+}
+
+func (s *store) Watch(ctx context.Context, _ objects.ObjectKind, after objects.Version, _ time.Duration) ([]objects.Object, objects.Version, error) {
+	select {
+	case o := <-s.watches:
+		return o, after + 1, nil
+	case <-ctx.Done():
+		return nil, 0, &objects.Error{Op: "watch", Kind: objects.Unavailable}
+	}
+}
+
+func newStore() *store {
+	return &store{watches: make(chan []objects.Object), data: map[string][]byte{}}
+}
+
+func TestAdopt(t *testing.T) {
+	ctx := context.Background()
+	first, second := makeRevision(1, 1), makeRevision(2, 2)
+	convey.Convey("With a controller at revision 1", t, func() {
+		st := newStore()
+		c := New(st, event.Discard())
+		good := &source{sections: first.sections}
+		convey.So(c.Adopt(ctx, first.root, good), convey.ShouldBeNil)
+		convey.So(c.Revision(), convey.ShouldEqual, 1)
+
+		convey.Convey("only changed sections are asked for", func() {
+			next := &source{sections: second.sections}
+			convey.So(c.Adopt(ctx, second.root, next), convey.ShouldBeNil)
+			convey.So(next.asked, convey.ShouldEqual, 1)
+			convey.So(c.Revision(), convey.ShouldEqual, 2)
+		})
+		convey.Convey("a corrupt section is taken from the next source", func() {
+			bad := &source{sections: second.sections, corrupt: true}
+			next := &source{sections: second.sections}
+			convey.So(c.Adopt(ctx, second.root, bad, next), convey.ShouldBeNil)
+			convey.So(next.asked, convey.ShouldEqual, 1)
+			convey.So(len(c.Current().Team("b").Keys), convey.ShouldEqual, 2)
+		})
+		convey.Convey("with corrupt sections only, the older revision stays whole", func() {
+			bad := &source{sections: second.sections, corrupt: true}
+			convey.So(c.Adopt(ctx, second.root, bad), convey.ShouldNotBeNil)
+			convey.So(c.Revision(), convey.ShouldEqual, 1)
+			convey.So(len(c.Current().Team("b").Keys), convey.ShouldEqual, 1)
+		})
+		convey.Convey("an older root that comes after a newer one changes nothing", func() {
+			convey.So(c.Adopt(ctx, second.root, &source{sections: second.sections}), convey.ShouldBeNil)
+			convey.So(c.Adopt(ctx, first.root, good), convey.ShouldBeNil)
+			convey.So(c.Revision(), convey.ShouldEqual, 2)
+		})
+		convey.Convey("a root that is not one is refused", func() {
+			convey.So(c.Adopt(ctx, []byte{1, 2}), convey.ShouldNotBeNil)
+			convey.So(c.Revision(), convey.ShouldEqual, 1)
+		})
+	})
+}
+
+func TestRaceToAdopt(t *testing.T) {
+	convey.Convey("Of many revisions adopted at once the newest stays, and none comes into force after a newer one", t, func() {
+		c := New(newStore(), event.Discard())
+		var mu sync.Mutex
+		var seen []uint64
+		c.OnChange(func(cfg *configuration.Configuration) {
+			mu.Lock()
+			defer mu.Unlock()
+			seen = append(seen, cfg.Revision)
+		})
+		var wg sync.WaitGroup
+		for r := uint64(1); r <= 20; r++ {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				m := makeRevision(r, int(r))
+				_ = c.Adopt(context.Background(), m.root, &source{sections: m.sections})
+			}()
+		}
+		wg.Wait()
+		convey.So(c.Revision(), convey.ShouldEqual, 20)
+		for i := 1; i < len(seen); i++ {
+			convey.So(seen[i], convey.ShouldBeGreaterThan, seen[i-1])
+		}
+	})
+}
+
+func TestReadDelay(t *testing.T) {
+	convey.Convey("A watcher that waits its turn reads no section that a peer brought meanwhile", t, func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		st := newStore()
+		m := makeRevision(1, 1)
+		for _, s := range m.sections {
+			st.data[s.Digest.String()] = s.Data
+		}
+		c := New(st, event.Discard())
+		c.SetDuty(func() Duty { return Duty{Watch: true, Delay: 5 * time.Second} })
+		go c.Run(ctx)
+		st.watches <- []objects.Object{{Name: objects.RootName, Version: 1, Value: m.root}}
+		convey.So(c.Adopt(ctx, m.root, &source{sections: m.sections}), convey.ShouldBeNil)
+		st.watches <- nil // the controller has gone on
+		st.mu.Lock()
+		defer st.mu.Unlock()
+		convey.So(st.gets, convey.ShouldEqual, 0)
+	})
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -35,14 +35,13 @@
 	LogLevel zerolog.Level
 	StopIn   time.Duration // deadline of a planned stop
 
+	// Retention is how long the records of idempotency keys are kept.
+	Retention time.Duration
 	// StoreReads, StoreWrites are calls a second that all processes together
 	// may make of the object API; Processes is the number that shares them.
 	StoreReads, StoreWrites float64
 	Processes               int
 	Seeds                   []netip.AddrPort // targetds to ask while the object API is out
-
-	// Retention is how long the records of idempotency keys are kept.
-	Retention time.Duration
 }
 
 // Entry are the settings of entryd.
