Prove news between processes, and let bulk cross the regions' link about once

Change: candidates ask in a fixed order, 200 ms apart, and go on at once with a peer of their region that has the revision meanwhile; the first two candidates of a zone are connected to the first of each other zone of their region.

--- a/internal/spread/duty.go
+++ b/internal/spread/duty.go
@@ -55,6 +55,28 @@
 	return order
 }
 
+// crossOrder returns how many candidates of the region ask another region
+// before this process does.
+func (n *Node) crossOrder(members []relay.Member) int {
+	self := n.opts.Self
+	zones := map[string]bool{self.Zone: true}
+	earlier := 0
+	for _, m := range members {
+		if m.Region != self.Region || zones[m.Zone] {
+			continue
+		}
+		zones[m.Zone] = true
+		if m.Zone < self.Zone {
+			earlier++
+		}
+	}
+	position := relay.Position(relay.WatchOrder(members, self.Zone), self.Name)
+	if position < 0 {
+		position = relay.Candidates
+	}
+	return position*len(zones) + earlier
+}
+
 func (n *Node) noteDuty(watching bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- /dev/null
+++ b/internal/spread/node_test.go
@@ -0,0 +1,224 @@
+package spread
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/borageusher/borageusher/internal/event"
+	"github.com/borageusher/borageusher/internal/members"
+	"github.com/borageusher/borageusher/internal/objects"
+	"github.com/borageusher/borageusher/internal/peer"
+	"github.com/borageusher/borageusher/internal/registration"
+	"github.com/borageusher/borageusher/internal/revision"
+	"github.com/borageusher/borageusher/pkg/configuration"
+	"github.com/borageusher/borageusher/pkg/target"
+)
+
+// outStore is an object API that is out.
+type outStore struct{}
+
+func (outStore) Get(context.Context, objects.ObjectKind, string) (objects.Object, error) {
+	return objects.Object{}, &objects.Error{Op: "get", Kind: objects.Unavailable}
+}
+
+func (outStore) Watch(context.Context, objects.ObjectKind, objects.Version, time.Duration) ([]objects.Object, objects.Version, error) {
+	return nil, 0, &objects.Error{Op: "watch", Kind: objects.Unavailable}
+}
+
+// process is one process of a test: its controllers never reach the object API.
+type process struct {
+	self           target.Target
+	node           *Node
+	configurations *revision.Controller
+	members        *members.Controller
+	scope          tally.TestScope
+}
+
+var key = peer.Key("spread-test-peer-key")
+
+// newProcess starts a process that listens for peers.
+func newProcess(t *testing.T, ctx context.Context, name, region, zone string) *process {
+	t.Helper()
+	p := &process{scope: tally.NewTestScope("", nil)}
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { p.serve(ctx, w, r) }))
+	t.Cleanup(srv.CloseClientConnections)
+	p.self = target.Target{Name: name, Region: region, Zone: zone, Addr: netip.MustParseAddrPort(srv.Listener.Addr().String()), Epoch: 1}
+	id := peer.Identity{Name: name, Role: "targetd", Region: region, Zone: zone}
+	p.configurations = revision.New(outStore{}, event.Discard())
+	p.members = members.New(nil, event.Discard())
+	p.node = New(Options{
+		Self:           id,
+		Configurations: p.configurations,
+		Members:        p.members,
+		Dialer:         &peer.Dialer{Self: id, Key: key, Client: http.DefaultClient},
+		Log:            event.Discard(),
+		Scope:          p.scope,
+	})
+	p.configurations.OnChange(func(*configuration.Configuration) { p.node.Announce() })
+	p.members.OnChange(p.node.Announce)
+	return p
+}
+
+func (p *process) serve(ctx context.Context, w http.ResponseWriter, r *http.Request) {
+	conn, err := peer.Accept(w, r, p.node.opts.Self, key)
+	if err != nil {
+		return
+	}
+	detach := p.node.Attach(conn)
+	defer detach()
+	_ = conn.Run(ctx, p.node.Beat, func(m peer.Message) { p.node.Handle(conn, m) })
+}
+
+// newFleet starts n processes in each of two regions with two zones each, all
+// of which know each other.
+func newFleet(t *testing.T, ctx context.Context, n int) []*process {
+	t.Helper()
+	var fleet []*process
+	for z, zone := range []string{"milano-a", "milano-b", "ploiesti-a", "bucuresti-b"} {
+		region := []string{"lombardy", "lombardy", "muntenia", "muntenia"}[z]
+		for i := range n {
+			fleet = append(fleet, newProcess(t, ctx, fmt.Sprintf("%s-%d", zone, i), region, zone))
+		}
+	}
+	var all []objects.Object
+	for i, p := range fleet {
+		all = append(all, objects.Object{Name: p.self.Name, Version: objects.Version(i + 1), Value: registration.Encode(p.self)})
+	}
+	for _, p := range fleet {
+		p.members.Merge(0, all, objects.Version(len(all)))
+		go p.node.Run(ctx)
+	}
+	return fleet
+}
+
+// accept has one process learn of a revision, as a watcher does.
+func accept(p *process, revision uint64, bytes int) error {
+	var adapters []configuration.Adapter
+	for i := range bytes / 50 {
+		adapters = append(adapters, configuration.Adapter{Team: "tessaro", Name: fmt.Sprintf("adapter-%d-%d", revision, i), Service: "s"})
+	}
+	sections := configuration.Split(configuration.New(revision, nil, adapters))
+	root := configuration.RootOf(revision, "id", "op", sections)
+	return p.configurations.Adopt(context.Background(), configuration.EncodeRoot(root), given(sections))
+}
+
+// given is a source that has the sections of one revision.
+type given []configuration.Section
+
+func (given) Name() string { return "test" }
+
+func (g given) Sections(context.Context, []configuration.SectionRef) ([]configuration.Section, error) {
+	return g, nil
+}
+
+// reach waits until all processes have a revision and returns how long it took.
+func reach(fleet []*process, revision uint64, within time.Duration) (time.Duration, bool) {
+	began := time.Now()
+	for time.Since(began) < within {
+		all := true
+		for _, p := range fleet {
+			all = all && p.configurations.Revision() >= revision
+		}
+		if all {
+			return time.Since(began), true
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return within, false
+}
+
+// targets for a revision to be in force everywhere.
+const inForceWithin = 9 * time.Second
+
+func TestRevisionReachesAll(t *testing.T) {
+	convey.Convey("In a fleet whose object API is out", t, func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		fleet := newFleet(t, ctx, 5)
+
+		convey.Convey("a revision that one process has comes into force everywhere", func() {
+			convey.So(accept(fleet[0], 1, 1000), convey.ShouldBeNil)
+			_, ok := reach(fleet, 1, inForceWithin)
+			convey.So(ok, convey.ShouldBeTrue)
+
+			convey.Convey("and a survey by any process finds all of them", func() {
+				r := fleet[7].node.Survey(ctx, 1, inForceWithin)
+				convey.So(r.Processes, convey.ShouldHaveLength, len(fleet))
+				convey.So(r.Behind, convey.ShouldBeEmpty)
+				convey.So(r.Unseen, convey.ShouldBeEmpty)
+			})
+		})
+		convey.Convey("revisions that two processes have at once leave the newer one everywhere", func() {
+			var wg sync.WaitGroup
+			for i, p := range []*process{fleet[0], fleet[11]} {
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					_ = accept(p, uint64(i+1), 1000)
+				}()
+			}
+			wg.Wait()
+			_, ok := reach(fleet, 2, inForceWithin)
+			convey.So(ok, convey.ShouldBeTrue)
+		})
+		convey.Convey("a registration that one process learns reaches all", func() {
+			gone := fleet[3].self
+			gone.State = target.Gone
+			v := objects.Version(len(fleet))
+			fleet[0].members.Merge(v, []objects.Object{{Name: gone.Name, Version: v + 1, Value: registration.Encode(gone)}}, v+1)
+			began := time.Now()
+			missing := len(fleet)
+			for missing > 0 && time.Since(began) < inForceWithin {
+				missing = 0
+				for _, p := range fleet {
+					if len(p.members.Targets()) != len(fleet)-1 {
+						missing++
+					}
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			convey.So(missing, convey.ShouldEqual, 0)
+		})
+	})
+}
+
+// acrossRegions returns the bytes of news that a process received from another region.
+func acrossRegions(p *process) int64 {
+	c := p.scope.Snapshot().Counters()["peer_bytes+between=regions,direction=received,purpose=spread"]
+	if c == nil {
+		return 0
+	}
+	return c.Value()
+}
+
+func TestBulkCrossesOnce(t *testing.T) {
+	convey.Convey("The sections of a revision cross to the other region about once", t, func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		fleet := newFleet(t, ctx, 5)
+		const size = 400000
+		time.Sleep(2 * time.Second) // connections stand
+		convey.So(accept(fleet[0], 1, size), convey.ShouldBeNil)
+		_, ok := reach(fleet, 1, inForceWithin)
+		convey.So(ok, convey.ShouldBeTrue)
+		var total, sections int64
+		for _, p := range fleet[10:] {
+			total += acrossRegions(p)
+		}
+		for _, s := range configuration.Split(fleet[0].configurations.Current()) {
+			sections += int64(len(s.Data))
+		}
+		t.Logf("sections %d bytes, across the regions %d bytes", sections, total)
+		convey.So(total, convey.ShouldBeGreaterThanOrEqualTo, sections)
+		convey.So(total, convey.ShouldBeLessThan, 3*sections)
+	})
+}
--- a/internal/spread/pull.go
+++ b/internal/spread/pull.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/borageusher/borageusher/internal/event"
@@ -19,7 +18,8 @@
 	avoidTime     = 3 * time.Second         // how long a peer that did not answer is passed over
 	lookInterval  = time.Second             // between two looks for peers that are ahead
 	startGrace    = time.Second             // how long a starting process waits for a second peer
-	regionPause   = 300 * time.Millisecond  // times 1 to 4, before another region is asked
+	regionPause   = 200 * time.Millisecond  // for each candidate of the region that asks another region first
+	regionLook    = 20 * time.Millisecond   // between two looks for a peer of the region meanwhile
 )
 
 // pullAll asks peers that are ahead until ctx is done.
@@ -56,25 +56,30 @@
 
 // pull asks peers until none that can be asked is ahead.
 func (n *Node) pull(ctx context.Context) {
-	waited := false
 	for ctx.Err() == nil {
-		conn := n.bestAhead(time.Now())
+		conn := n.waitForLocal(ctx, n.bestAhead(time.Now()))
 		if conn == nil {
 			return
 		}
-		if conn.Remote().Region != n.opts.Self.Region && !waited {
-			// One process of the region is likely to be first, and the others
-			// can get the news from it.
-			sleep(ctx, regionPause+time.Duration(rand.Int64N(int64(3*regionPause))))
-			waited = true
-			continue
-		}
 		if err := n.pullFrom(ctx, conn); err != nil {
 			n.avoid(conn, time.Now().Add(avoidTime))
 		}
 	}
 }
 
+// waitForLocal returns conn if it is to a peer of the own region. Otherwise it
+// leaves other processes of the region the time to ask first, and returns the
+// connection to a peer of the region that is ahead meanwhile, or else to the
+// best one.
+func (n *Node) waitForLocal(ctx context.Context, conn *peer.Conn) *peer.Conn {
+	until := time.Now().Add(regionPause * time.Duration(1+n.crossOrder(n.members())))
+	for conn != nil && conn.Remote().Region != n.opts.Self.Region && time.Now().Before(until) {
+		sleep(ctx, regionLook)
+		conn = n.bestAhead(time.Now())
+	}
+	return conn
+}
+
 // bestAhead returns the connection to the peer that is farthest ahead, of the
 // own region if possible, or nil.
 func (n *Node) bestAhead(now time.Time) *peer.Conn {
--- a/pkg/relay/choose.go
+++ b/pkg/relay/choose.go
@@ -56,7 +56,8 @@
 
 // Groups returns the connections that self wants. Candidates for watching also
 // want those before them in the order, to see whether they live, and one to
-// another region. A process without members in its region takes any.
+// another region; the first of them also want the first candidate of each other
+// zone of the region. A process without members in its region takes any.
 func Groups(self Member, members []Member) []Group {
 	others := filter(members, func(m Member) bool { return m.Name != self.Name })
 	rank(others, "relay "+self.Name)
@@ -67,12 +68,29 @@
 	order := WatchOrder(members, self.Zone)
 	if i := Position(order, self.Name); i >= 0 {
 		groups = append(groups, Group{Want: i, Members: order[:i]}, Group{Want: otherRelays, Members: other})
+		if i < Watchers {
+			groups = append(groups, firstOfZones(region)...)
+		}
 	} else if len(zone)+len(region) == 0 {
 		groups = append(groups, Group{Want: zoneRelays, Members: other})
 	}
 	return groups
 }
 
+// firstOfZones returns a group for each zone of members that wants the first
+// candidate of the zone.
+func firstOfZones(members []Member) []Group {
+	var out []Group
+	seen := map[string]bool{}
+	for _, m := range members {
+		if !seen[m.Zone] {
+			seen[m.Zone] = true
+			out = append(out, Group{Want: 1, Members: WatchOrder(members, m.Zone)})
+		}
+	}
+	return out
+}
+
 func filter(members []Member, keep func(Member) bool) []Member {
 	var out []Member
 	for _, m := range members {
