Refuse the request that crashes the targets that run it

Cause: a request that crashes engines was sent to one target after another, and its caller sends it again. Completions were never repeated after an unknown outcome at all: Repeatable looked at the service, which resolving had filled in.

Change: pkg/quarantine judges by the crashes alone (a request in flight at two crashes that is the only such one of either); targetds write one object a crash before the callers hear of it; entries load them before they are ready and follow them with one watch each. Suspects go to one target by their fingerprint and run there one at a time; one answer clears them, and what an entry clears is written once a second for each crash. An entry stops after two crashes. Ruled out: convictions decided and written by targetds (a fresh crasher beside a suspect would convict the suspect, and each verdict would be another write).

The scripts' command stop was testscript's own, which ends a script as passed: what stood below it was never run.

Not covered: plain services; a targetd that dies with its engine is remembered only within the call that lost it.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -47,6 +47,7 @@
 	Self           target.Target
 	Limits         dispatch.Limits
 	Engine         Engine
+	Crashes        Crashes
 	PlainService   bool // the target is a plain service: no adapters, no state
 	Configurations Configurations
 	Log            event.Log
@@ -66,6 +67,7 @@
 	attempts   map[dispatch.RequestKey]*attempt
 	voided     map[dispatch.RequestKey]time.Time // attempts that must not start, until their start-by time
 	boot       uint64                            // of the engine, zero before its first report
+	broken     []*attempt                        // broke off together, cause not known yet
 
 	report atomic.Pointer[dispatch.Report]
 }
@@ -76,6 +78,7 @@
 	request *dispatch.Request
 	answer  *answer
 	cancel  context.CancelFunc // set while running
+	boot    uint64             // of the engine that runs it, zero if unknown
 }
 
 // New returns an agent that does nothing until Run.
--- a/internal/agent/event.go
+++ b/internal/agent/event.go
@@ -38,6 +38,7 @@
 			Adapter:  e.submit.Adapter,
 			Priority: e.submit.Priority,
 			StartBy:  now.Add(e.submit.StartBy),
+			Suspect:  e.submit.Suspect,
 		},
 	}
 	a.attempts[key] = at
--- a/internal/agent/main.go
+++ b/internal/agent/main.go
@@ -20,6 +20,7 @@
 	"github.com/borageusher/borageusher/internal/registration"
 	"github.com/borageusher/borageusher/internal/revision"
 	"github.com/borageusher/borageusher/internal/settings"
+	"github.com/borageusher/borageusher/internal/suspects"
 	"github.com/borageusher/borageusher/pkg/dispatch"
 	"github.com/borageusher/borageusher/pkg/target"
 )
@@ -82,6 +83,7 @@
 		Limits:         dispatch.Limits{Owner: s.Team, Slots: s.Slots, Adapters: s.Adapters, Queue: s.Queue},
 		Engine:         engine.New(s.Engine, rec.Target.Epoch),
 		PlainService:   s.Plain,
+		Crashes:        suspects.NewRecorder(store),
 		Configurations: configurations,
 		Log:            log,
 		Scope:          scope,
--- a/internal/agent/runner.go
+++ b/internal/agent/runner.go
@@ -18,6 +18,7 @@
 func (a *Agent) start(ctx context.Context, at *attempt) {
 	ctx, cancel := context.WithCancel(ctx)
 	at.cancel = cancel
+	at.boot = a.boot
 	a.opts.Log.At(event.RequestStarted).Str("request", at.submit.Request).Uint32("attempt", at.submit.Attempt).
 		Stringer("adapter", at.submit.Adapter).Send()
 	load := a.dispatcher.Report()
@@ -44,7 +45,7 @@
 	case engine.IsKind(err, engine.NotResident):
 		at.answer.refuse(time.Now(), outcome.LoadFailed, load)
 	case err != nil:
-		at.answer.end(time.Now(), outcome.Unknown, outcome.EngineFailed)
+		a.breakOff(at)
 	default:
 		a.relay(ctx, at, result)
 	}
@@ -67,12 +68,12 @@
 			return
 		}
 		if err != nil {
-			reason := outcome.EngineFailed
-			if ctx.Err() != nil {
-				reason = outcome.Cancelled
-				a.cancelRun(at)
+			if ctx.Err() == nil {
+				a.breakOff(at)
+				return
 			}
-			at.answer.end(time.Now(), outcome.Unknown, reason)
+			a.cancelRun(at)
+			at.answer.end(time.Now(), outcome.Unknown, outcome.Cancelled)
 			return
 		}
 	}
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -33,6 +33,8 @@
 	Adapter       adapter.ID // zero for plain services
 	TargetPath    string     // path on the target
 	TargetBody    []byte     // body for the target
+	Suspect       bool       // was in flight at a crash and has not been answered since
+	CrashedOn     []string   // targets that crashed with it in flight
 }
 
 // Repeatable reports whether the request may run again after its outcome
@@ -42,7 +44,7 @@
 	if c.IdempotencyKey != "" {
 		return false
 	}
-	if c.Service == "" {
+	if !c.Adapter.IsZero() {
 		return true
 	}
 	switch c.Method {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 	Configurations Configurations
 	Revision       func() uint64
 	Targets        Targets
+	Suspects       Suspects
 	Dialer         Dialer
 	MaxInProgress  int           // calls in progress at once
 	StartWithin    time.Duration // a call's deadline to start, unless it names one
@@ -50,7 +51,7 @@
 		log:     opts.Log,
 		scope:   opts.Scope,
 	}
-	e.chain = chain(last, identifyFilter{configurations: opts.Configurations}, resolveFilter{}, e.limit)
+	e.chain = chain(last, identifyFilter{configurations: opts.Configurations}, resolveFilter{}, quarantineFilter{suspects: opts.Suspects}, e.limit)
 	return e
 }
 
--- a/internal/entry/main.go
+++ b/internal/entry/main.go
@@ -16,6 +16,7 @@
 	"github.com/borageusher/borageusher/internal/peer"
 	"github.com/borageusher/borageusher/internal/revision"
 	"github.com/borageusher/borageusher/internal/settings"
+	"github.com/borageusher/borageusher/internal/suspects"
 )
 
 const purpose = "Takes callers' requests, decides where each goes, and relays the whole answer."
@@ -60,11 +61,13 @@
 	store := objects.New(s.Platform, &http.Client{Transport: &http.Transport{}})
 	configurations := revision.New(store, log)
 	known := members.New(store, log)
+	crashes := suspects.New(store, log)
 	e := New(Options{
 		Self:           self,
 		Configurations: configurations,
 		Revision:       configurations.Revision,
 		Targets:        known,
+		Suspects:       crashes,
 		Dialer:         dialer,
 		MaxInProgress:  s.MaxInProgress,
 		StartWithin:    s.StartWithin,
@@ -77,7 +80,7 @@
 		CertFile:     s.CertFile,
 		KeyFile:      s.KeyFile,
 		MaxBodyBytes: s.MaxBodyBytes,
-		Ready:        func() bool { return configurations.Current() != nil && !stopping.Load() },
+		Ready:        func() bool { return configurations.Current() != nil && crashes.Loaded() && !stopping.Load() },
 		Metrics:      metricsHandler,
 
 		SenseDisconnect: true,
@@ -88,6 +91,7 @@
 	e.Register(srv.Hertz)
 	go configurations.Run(ctx)
 	go known.Run(ctx)
+	go crashes.Run(ctx)
 	go e.Run(ctx)
 	log.At(event.Started).Stringer("address", s.Listen).Send()
 	served := make(chan error, 1)
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -45,7 +45,10 @@
 		if !now.Before(c.Deadline) {
 			return rejected(outcome.Expired, "the deadline passed before the request started")
 		}
-		t, ok := r.choose(c, now, tried)
+		t, ok := r.choose(c, now, avoid(c, tried))
+		if !ok {
+			t, ok = r.choose(c, now, tried)
+		}
 		if !ok {
 			break
 		}
@@ -53,6 +56,9 @@
 		r.log.At(event.RouteChosen).Str("request", c.ID).Uint32("attempt", n).Str("target", t.Name).
 			Stringer("adapter", c.Adapter).Str("reason", routeReason(n, last)).Send()
 		result := r.attempt(ctx, c, t, n, now)
+		if result.Reason == outcome.EngineCrashed && noteCrash(c, t.Name) {
+			result.Reason = outcome.Quarantined
+		}
 		if !mayRetry(c, result) {
 			return result
 		}
@@ -102,6 +108,10 @@
 			cand.InFlight = l.inFlight()
 			cand.Tried = cand.Tried || !l.usable(now)
 		}
+		if c.Suspect { // the choice must be the same at all entries
+			cand.InFlight = 0
+			cand.Region = r.region
+		}
 		fitting = append(fitting, t)
 		candidates = append(candidates, cand)
 	}
@@ -109,7 +119,11 @@
 	if c.Adapter.IsZero() {
 		key = c.ID
 	}
-	i, ok := placement.Choose(placement.Hash(key), candidates, r.region)
+	hash := placement.Hash(key)
+	if c.Suspect {
+		hash = trialKey(c)
+	}
+	i, ok := placement.Choose(hash, candidates, r.region)
 	if !ok {
 		return target.Target{}, false
 	}
@@ -163,6 +177,7 @@
 		Priority:       c.Priority,
 		StartBy:        c.Deadline.Sub(now),
 		IdempotencyKey: c.IdempotencyKey,
+		Suspect:        c.Suspect,
 	}
 	if c.IdempotencyKey != "" {
 		digest := sha256.Sum256(c.Body)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -26,6 +26,9 @@
 	RequestRejected   Code = 303
 	AnswerResumed     Code = 304
 	TargetLeaving     Code = 330
+	CrashKnown        Code = 331
+	CrashUnreadable   Code = 332
+	SuspectCleared    Code = 333
 	RequestQueued     Code = 400
 	RequestNotRun     Code = 401
 	RequestStarted    Code = 402
@@ -39,6 +42,7 @@
 	TargetRegistered  Code = 430
 	TargetReplaced    Code = 431
 	DrainBegun        Code = 480
+	EngineCrashed     Code = 481
 	RevisionInForce   Code = 500
 	RevisionRejected  Code = 501
 	StoreUnavailable  Code = 510
@@ -70,6 +74,9 @@
 	{RequestRejected, "request_rejected", zerolog.InfoLevel, "The request was refused at the entry, before any target."},
 	{AnswerResumed, "answer_resumed", zerolog.InfoLevel, "An answer goes on over a new connection from part `next`."},
 	{TargetLeaving, "target_leaving", zerolog.InfoLevel, "The target leaves: it gets no new work, and its targetd is told if it is connected."},
+	{CrashKnown, "crash_known", zerolog.WarnLevel, "The entry knows of a crash; the requests `in_flight` are suspects until they are answered."},
+	{CrashUnreadable, "crash_unreadable", zerolog.ErrorLevel, "The record of a crash could not be read."},
+	{SuspectCleared, "suspect_cleared", zerolog.InfoLevel, "A suspect was answered and is no longer one."},
 	{RequestQueued, "request_queued", zerolog.DebugLevel, "The target took an attempt into its queue."},
 	{RequestNotRun, "request_not_run", zerolog.InfoLevel, "The target refused an attempt that it had not started."},
 	{RequestStarted, "request_started", zerolog.DebugLevel, "The engine or service was given the request."},
@@ -83,6 +90,7 @@
 	{TargetRegistered, "target_registered", zerolog.InfoLevel, "The target is registered with `epoch` as its fencing number."},
 	{TargetReplaced, "target_replaced", zerolog.ErrorLevel, "Another process registered this target; this one takes no more work."},
 	{DrainBegun, "drain_begun", zerolog.InfoLevel, "The target takes no more work and refuses what waits; `from` says who asked, empty for a signal."},
+	{EngineCrashed, "engine_crashed", zerolog.ErrorLevel, "The engine crashed; the requests `in_flight` become suspects."},
 	{RevisionInForce, "revision_in_force", zerolog.InfoLevel, "A newer configuration is in force in this process."},
 	{RevisionRejected, "revision_rejected", zerolog.ErrorLevel, "A configuration could not be read and the older one stays."},
 	{StoreUnavailable, "store_unavailable", zerolog.WarnLevel, "The object API did not answer; the process goes on with what it knows."},
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -210,6 +210,7 @@
 	StartByMS      int64
 	IdempotencyKey string
 	BodyDigest     []byte
+	Suspect        bool
 }
 
 func submitToWire(m Submit) *submitWire {
@@ -232,6 +233,7 @@
 		StartByMS:      m.StartBy.Milliseconds(),
 		IdempotencyKey: m.IdempotencyKey,
 		BodyDigest:     m.BodyDigest,
+		Suspect:        m.Suspect,
 	}
 }
 
@@ -256,6 +258,7 @@
 		StartBy:        time.Duration(w.StartByMS) * time.Millisecond,
 		IdempotencyKey: w.IdempotencyKey,
 		BodyDigest:     w.BodyDigest,
+		Suspect:        w.Suspect,
 	}
 }
 
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -60,6 +60,7 @@
 	StartBy        time.Duration // time left to start in, from sending
 	IdempotencyKey string
 	BodyDigest     []byte // of the caller's body; set with IdempotencyKey
+	Suspect        bool   // was in flight at a crash: runs alone among such requests
 }
 
 // Refusal says that an attempt did not run and never will.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -23,7 +23,7 @@
 			Request: "r1", Attempt: 2, Revision: 3, Epoch: 4, Team: "t", Owner: "o", Service: "s",
 			Adapter: adapter.ID{Team: "t", Ref: adapter.Ref{Name: "a", Version: 9}},
 			Method:  "POST", Path: "/v1/completions", ContentType: "application/json",
-			Body: []byte("{}"), Priority: -1, StartBy: time.Second, IdempotencyKey: "k", BodyDigest: []byte{1},
+			Body: []byte("{}"), Priority: -1, StartBy: time.Second, IdempotencyKey: "k", BodyDigest: []byte{1}, Suspect: true,
 		},
 		Refusal{Request: "r1", Attempt: 2, Reason: outcome.Draining, Running: 1, Queued: 2},
 		Head{Request: "r1", Attempt: 2, Status: 200, ContentType: "text/plain"},
--- a/internal/scenario/doc.go
+++ b/internal/scenario/doc.go
@@ -6,7 +6,7 @@
 // The scripts are testscript files. Beside testscript's own commands they use:
 //
 //	start NAME PROGRAM [ARG...]   start a process; its log goes to NAME.log
-//	stop NAME [EXITCODE]          SIGTERM, wait for the end, check the exit code
+//	terminate NAME [EXITCODE]     SIGTERM, wait for the end, check the exit code
 //	kill NAME                     SIGKILL and wait for the end
 //	freeze NAME, thaw NAME        SIGSTOP, SIGCONT
 //	signal NAME                   SIGTERM, without waiting
--- a/internal/scenario/process_test.go
+++ b/internal/scenario/process_test.go
@@ -65,9 +65,9 @@
 	return args[0]
 }
 
-func cmdStop(ts *testscript.TestScript, neg bool, args []string) {
+func cmdTerminate(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) < 1 || len(args) > 2 {
-		ts.Fatalf("usage: stop NAME [EXITCODE]")
+		ts.Fatalf("usage: terminate NAME [EXITCODE]")
 	}
 	cmdSignal(ts, false, args[:1])
 	cmdEnded(ts, false, args)
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -42,7 +42,7 @@
 		Setup:               setup,
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
 			"start":     cmdStart,
-			"stop":      cmdStop,
+			"terminate": cmdTerminate,
 			"kill":      cmdKill,
 			"freeze":    cmdFreeze,
 			"thaw":      cmdThaw,
--- /dev/null
+++ b/internal/suspects/suspects_test.go
@@ -0,0 +1,128 @@
+package suspects
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/borageusher/borageusher/internal/event"
+	"github.com/borageusher/borageusher/internal/objects"
+	"github.com/borageusher/borageusher/pkg/quarantine"
+)
+
+var start = time.Now().Truncate(time.Millisecond)
+
+func request(body string) quarantine.Request {
+	return quarantine.Request{Team: "t", Body: []byte(body)}
+}
+
+func crash(name string, bodies ...string) quarantine.Crash {
+	c := quarantine.Crash{Name: name, Target: "target-" + name, At: start}
+	for _, b := range bodies {
+		c.InFlight = append(c.InFlight, quarantine.Of(request(b)))
+	}
+	return c
+}
+
+// memory is a Store with one version an object.
+type memory struct {
+	values map[string]objects.Object
+	fail   error // of the next Put, which has its effect
+}
+
+func (m *memory) Get(_ context.Context, _ objects.ObjectKind, name string) (objects.Object, error) {
+	o, ok := m.values[name]
+	if !ok {
+		return o, &objects.Error{Op: "get", Kind: objects.NotFound}
+	}
+	return o, nil
+}
+
+func (m *memory) Put(_ context.Context, _ objects.ObjectKind, name string, value []byte, expect objects.Version) (objects.Version, error) {
+	old := m.values[name]
+	if old.Version != expect {
+		return 0, &objects.Error{Op: "put", Kind: objects.Conflict}
+	}
+	m.values[name] = objects.Object{Name: name, Version: old.Version + 1, Value: value}
+	err := m.fail
+	m.fail = nil
+	return old.Version + 1, err
+}
+
+func (m *memory) List(context.Context, objects.ObjectKind) ([]objects.Object, objects.Version, error) {
+	var out []objects.Object
+	for _, o := range m.values {
+		out = append(out, o)
+	}
+	return out, 1, nil
+}
+
+func (m *memory) Watch(ctx context.Context, _ objects.ObjectKind, _ objects.Version, _ time.Duration) ([]objects.Object, objects.Version, error) {
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
+func TestController(t *testing.T) {
+	convey.Convey("Given two crashes in the object API", t, func() {
+		ctx := context.Background()
+		store := &memory{values: map[string]objects.Object{}}
+		r := NewRecorder(store)
+		convey.So(r.Record(ctx, crash("1", "bad", "good")), convey.ShouldBeNil)
+		store.fail = &objects.Error{Op: "put", Kind: objects.Uncertain}
+		convey.So(r.Record(ctx, crash("2", "bad")), convey.ShouldNotBeNil)
+		convey.So(r.Record(ctx, crash("2", "bad")), convey.ShouldBeNil)
+		c := New(store, event.Discard())
+		convey.So(c.Loaded(), convey.ShouldBeFalse)
+		judge := func(c *Controller, body string) quarantine.Verdict {
+			v, _ := c.Judge(start, request(body))
+			return v
+		}
+		load := func(c *Controller) {
+			_, err := c.next(ctx, 0)
+			convey.So(err, convey.ShouldBeNil)
+		}
+
+		convey.Convey("a controller that loads them judges by them", func() {
+			load(c)
+			convey.So(c.Loaded(), convey.ShouldBeTrue)
+			convey.So(judge(c, "bad"), convey.ShouldEqual, quarantine.Convicted)
+			convey.So(judge(c, "other"), convey.ShouldEqual, quarantine.Innocent)
+			v, targets := c.Judge(start, request("good"))
+			convey.So(v, convey.ShouldEqual, quarantine.Suspect)
+			convey.So(targets, convey.ShouldResemble, []string{"target-1"})
+		})
+		convey.Convey("what one clears is cleared at another, through the object API", func() {
+			load(c)
+			c.Clear(start, request("good"))
+			convey.So(judge(c, "good"), convey.ShouldEqual, quarantine.Innocent)
+			for name, fs := range c.takeCleared() {
+				convey.So(c.writeOne(ctx, name, fs), convey.ShouldBeNil)
+			}
+			other := New(store, event.Discard())
+			load(other)
+			convey.So(judge(other, "good"), convey.ShouldEqual, quarantine.Innocent)
+			convey.So(judge(other, "bad"), convey.ShouldEqual, quarantine.Convicted)
+		})
+		convey.Convey("an answer counts for a crash that is heard of soon after", func() {
+			c.Clear(start, request("good"))
+			load(c)
+			convey.So(judge(c, "good"), convey.ShouldEqual, quarantine.Innocent)
+		})
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(Encode(crash("1", "a", "b")))
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		c, err := Decode("1", b)
+		if err != nil {
+			return
+		}
+		if _, err := Decode("1", Encode(c)); err != nil {
+			t.Fatalf("%v does not read back: %v", c, err)
+		}
+	})
+}
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -21,6 +21,7 @@
 	Adapter  adapter.ID // zero for plain services
 	Priority int8       // higher ones start first
 	StartBy  time.Time  // when the attempt must have started
+	Suspect  bool       // was in flight at a crash: suspects run one at a time
 }
 
 // Limits are the bounds of one target.
@@ -65,6 +66,7 @@
 	queue    []*Request
 	running  map[RequestKey]*Request
 	byTeam   map[string]int // running requests
+	suspect  *Request       // the suspect that runs, if any
 	draining bool
 }
 
@@ -136,6 +138,9 @@
 	if len(d.running) >= d.limits.Slots || d.byTeam[r.Team] >= d.terms.SlotsFor(r.Team) {
 		return nil, true
 	}
+	if r.Suspect && d.suspect != nil {
+		return nil, true
+	}
 	if r.Adapter.IsZero() {
 		return d.start(r), false
 	}
@@ -154,6 +159,9 @@
 func (d *Dispatcher) start(r *Request) *Action {
 	d.running[r.Key] = r
 	d.byTeam[r.Team]++
+	if r.Suspect {
+		d.suspect = r
+	}
 	return &Action{Kind: Start, Request: r}
 }
 
@@ -164,6 +172,9 @@
 		return
 	}
 	delete(d.running, key)
+	if d.suspect == r {
+		d.suspect = nil
+	}
 	d.byTeam[r.Team]--
 	if d.byTeam[r.Team] == 0 {
 		delete(d.byTeam, r.Team)
--- a/pkg/outcome/reason.go
+++ b/pkg/outcome/reason.go
@@ -28,6 +28,7 @@
 	NotReady                // the process has no configuration yet
 	ResultExpired           // the answer of an earlier request is no longer kept
 	Behind                  // the target's configuration is older than the request's
+	EngineCrashed           // the engine crashed under the request
 	reasonCount
 )
 
@@ -54,6 +55,7 @@
 	NotReady:         "not_ready",
 	ResultExpired:    "result_expired",
 	Behind:           "behind",
+	EngineCrashed:    "engine_crashed",
 }
 
 // String returns the reason's code in error bodies, logs and metrics.
@@ -68,7 +70,7 @@
 // target, so that trying one is worth a retry.
 func (r Reason) Elsewhere() bool {
 	switch r {
-	case NoTarget, Overloaded, Draining, WrongTarget, OverTerms, LoadFailed, TargetLost, EngineFailed, NotReady, Behind:
+	case NoTarget, Overloaded, Draining, WrongTarget, OverTerms, LoadFailed, TargetLost, EngineFailed, NotReady, Behind, EngineCrashed:
 		return true
 	}
 	return false
@@ -91,7 +93,7 @@
 		return 429
 	case Expired:
 		return 504
-	case TargetLost, EngineFailed:
+	case TargetLost, EngineFailed, EngineCrashed:
 		return 502
 	case Cancelled:
 		return 499
--- /dev/null
+++ b/pkg/quarantine/fingerprint.go
@@ -0,0 +1,32 @@
+package quarantine
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+)
+
+// Fingerprint identifies a request by what an engine sees of it.
+type Fingerprint [sha256.Size]byte
+
+// String returns the first bytes of the fingerprint in hexadecimal, for logs.
+func (f Fingerprint) String() string { return hex.EncodeToString(f[:8]) }
+
+// Request is what a fingerprint is made of.
+type Request struct {
+	Team    string // the caller's
+	Adapter string // with team and version, empty for plain services
+	Path    string
+	Body    []byte
+}
+
+// Of returns the fingerprint of r.
+func Of(r Request) Fingerprint {
+	h := sha256.New()
+	for _, s := range []string{r.Team, r.Adapter, r.Path} {
+		h.Write(binary.AppendUvarint(nil, uint64(len(s))))
+		h.Write([]byte(s))
+	}
+	h.Write(r.Body)
+	return Fingerprint(h.Sum(nil))
+}
--- /dev/null
+++ b/pkg/quarantine/list_test.go
@@ -0,0 +1,122 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+)
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+func print(name string) Fingerprint { return Of(Request{Body: []byte(name)}) }
+
+func crashOf(name string, after time.Duration, inFlight ...string) Crash {
+	c := Crash{Name: name, Target: "t" + name, At: start.Add(after)}
+	for _, n := range inFlight {
+		c.InFlight = append(c.InFlight, print(n))
+	}
+	return c
+}
+
+func TestJudge(t *testing.T) {
+	tests := []struct {
+		about   string
+		crashes []Crash
+		clear   string
+		after   time.Duration
+		want    Verdict // on "r"
+		beside  Verdict // on "a"
+	}{
+		{about: "no crash"},
+		{about: "one crash", crashes: []Crash{crashOf("1", 0, "r", "a")}, want: Suspect, beside: Suspect},
+		{about: "one crash, long ago", crashes: []Crash{crashOf("1", 0, "r", "a")}, after: SuspectFor},
+		{about: "two crashes", crashes: []Crash{crashOf("1", 0, "r", "a"), crashOf("2", 1, "r", "b")}, want: Convicted, beside: Suspect},
+		{about: "two crashes, long ago", crashes: []Crash{crashOf("1", 0, "r"), crashOf("2", 0, "r")}, after: ConvictedFor},
+		{about: "two crashes far apart", crashes: []Crash{crashOf("1", 0, "r"), crashOf("2", SuspectFor+1, "r")}, after: SuspectFor + 1, want: Suspect},
+		{about: "both at both", crashes: []Crash{crashOf("1", 0, "r", "a"), crashOf("2", 1, "r", "a")}, want: Suspect, beside: Suspect},
+		{about: "both at both, one answered", crashes: []Crash{crashOf("1", 0, "r", "a"), crashOf("2", 1, "r", "a")}, clear: "a", want: Convicted},
+		{about: "a third crash tells them apart", crashes: []Crash{crashOf("1", 0, "r", "a"), crashOf("2", 1, "r", "a"), crashOf("3", 2, "r")}, want: Convicted, beside: Suspect},
+		{about: "one crash heard twice", crashes: []Crash{crashOf("1", 0, "r"), crashOf("1", 0, "r")}, want: Suspect},
+		{about: "two copies in flight at one crash", crashes: []Crash{crashOf("1", 0, "r", "r")}, want: Suspect},
+		{about: "answered", crashes: []Crash{crashOf("1", 0, "r", "a")}, clear: "r", beside: Suspect},
+	}
+	convey.Convey("The verdict on a request follows from the crashes", t, func() {
+		for _, test := range tests {
+			convey.Convey(test.about, func() {
+				var l List
+				for _, c := range test.crashes {
+					l.Add(c)
+				}
+				if test.clear != "" {
+					l.Clear(print(test.clear))
+				}
+				now := start.Add(2 + test.after)
+				convey.So(l.Judge(now, print("r")), convey.ShouldEqual, test.want)
+				convey.So(l.Judge(now, print("a")), convey.ShouldEqual, test.beside)
+			})
+		}
+	})
+}
+
+// TestOneCulprit runs random fleets by the package's rules: suspects one at a
+// time, a target that crashes when it runs the culprit, answers clear.
+func TestOneCulprit(t *testing.T) {
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		var l List
+		crashes := 0
+		crash := func(inFlight []string) {
+			crashes++
+			l.Add(crashOf(fmt.Sprint(crashes), time.Duration(crashes), inFlight...))
+		}
+		var beside []string
+		for i := range rng.IntN(8) {
+			beside = append(beside, fmt.Sprint("innocent", i))
+		}
+		crash(append([]string{"culprit"}, beside...))
+		waiting := append([]string{"culprit"}, beside...)
+		rng.Shuffle(len(waiting), func(i, j int) { waiting[i], waiting[j] = waiting[j], waiting[i] })
+		for _, name := range waiting {
+			if name == "culprit" {
+				crash([]string{name, "other"})
+				continue
+			}
+			l.Clear(print(name))
+		}
+		now := start.Add(time.Minute)
+		if got := l.Judge(now, print("culprit")); got != Convicted {
+			t.Fatalf("seed %d: culprit is %v", seed, got)
+		}
+		for _, name := range append(beside, "other") {
+			if got := l.Judge(now, print(name)); got == Convicted {
+				t.Fatalf("seed %d: %s is %v", seed, name, got)
+			}
+		}
+	}
+}
+
+func TestExpire(t *testing.T) {
+	convey.Convey("Crashes are forgotten", t, func() {
+		var l List
+		l.Add(crashOf("1", 0, "r"))
+		l.Expire(start.Add(ConvictedFor - 1))
+		convey.So(l.Empty(), convey.ShouldBeFalse)
+		convey.So(l.Targets(print("r")), convey.ShouldResemble, []string{"t1"})
+		l.Expire(start.Add(ConvictedFor))
+		convey.So(l.Empty(), convey.ShouldBeTrue)
+		l.Add(crashOf("2", 0, "r"))
+		l.Remove("2")
+		convey.So(l.Empty(), convey.ShouldBeTrue)
+	})
+}
+
+func TestOf(t *testing.T) {
+	convey.Convey("Fields do not run into each other", t, func() {
+		a := Of(Request{Team: "ab", Path: "c"})
+		convey.So(a, convey.ShouldNotEqual, Of(Request{Team: "a", Path: "bc"}))
+		convey.So(a, convey.ShouldEqual, Of(Request{Team: "ab", Path: "c"}))
+	})
+}
