--- a/internal/agent/crash.go
+++ b/internal/agent/crash.go
@@ -24,14 +24,21 @@
 	Record(ctx context.Context, c quarantine.Crash) error
 }
 
-// breakOff ends an attempt whose run broke off. Its sender hears of it once
-// the cause is known, and a crash is recorded before.
+// breakOff ends an attempt whose run broke off. It returns once the cause is
+// known and the sender was told; a crash is recorded before.
 func (a *Agent) breakOff(at *attempt) {
 	if a.opts.PlainService || a.opts.Crashes == nil {
 		at.answer.end(time.Now(), outcome.Unknown, outcome.EngineFailed)
 		return
 	}
-	a.post(brokeOff{attempt: at})
+	at.brokeOff = make(chan struct{})
+	if !a.post(brokeOff{attempt: at}) {
+		return
+	}
+	select {
+	case <-at.brokeOff:
+	case <-a.done:
+	}
 }
 
 // brokeOff: the run of an attempt broke off.
@@ -81,7 +88,7 @@
 	}
 	a.opts.Log.At(event.EngineCrashed).Str("crash", crash.Name).Int("in_flight", len(broken)).Send()
 	go func() {
-		if err := a.record(ctx, crash); err != nil {
+		if err := a.recordCrash(ctx, crash); err != nil {
 			go a.keepRecording(ctx, crash)
 		}
 		endAll(broken, outcome.EngineCrashed)
@@ -91,10 +98,11 @@
 func endAll(attempts []*attempt, reason outcome.Reason) {
 	for _, at := range attempts {
 		at.answer.end(time.Now(), outcome.Unknown, reason)
+		close(at.brokeOff)
 	}
 }
 
-func (a *Agent) record(ctx context.Context, crash quarantine.Crash) error {
+func (a *Agent) recordCrash(ctx context.Context, crash quarantine.Crash) error {
 	ctx, cancel := context.WithTimeout(ctx, recordTime)
 	defer cancel()
 	err := a.opts.Crashes.Record(ctx, crash)
@@ -113,7 +121,7 @@
 		case <-ctx.Done():
 			return
 		}
-		if a.record(ctx, crash) == nil {
+		if a.recordCrash(ctx, crash) == nil {
 			return
 		}
 	}
--- a/internal/agent/drain.go
+++ b/internal/agent/drain.go
@@ -40,11 +40,11 @@
 
 func (e remainingAsked) apply(_ context.Context, a *Agent, now time.Time) {
 	a.sweep(now)
-	e.reply <- max(a.dispatcher.Report().Running, len(a.attempts))
+	e.reply <- max(a.dispatcher.Report().Running, len(a.attempts)) + a.opts.Claims.Pending()
 }
 
 // Remaining returns the number of attempts that run or whose answers were not
-// all delivered.
+// all delivered, and of outcomes that wait to be recorded.
 func (a *Agent) Remaining() int {
 	reply := make(chan int, 1)
 	if !a.post(remainingAsked{reply: reply}) {
--- a/internal/agent/main.go
+++ b/internal/agent/main.go
@@ -4,12 +4,12 @@
 	"context"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/common/adaptor"
 
+	"github.com/borageusher/borageusher/internal/claims"
 	"github.com/borageusher/borageusher/internal/daemon"
 	"github.com/borageusher/borageusher/internal/engine"
 	"github.com/borageusher/borageusher/internal/event"
@@ -21,6 +21,8 @@
 	"github.com/borageusher/borageusher/internal/revision"
 	"github.com/borageusher/borageusher/internal/settings"
 	"github.com/borageusher/borageusher/internal/suspects"
+	"github.com/borageusher/borageusher/pkg/claim"
+	"github.com/borageusher/borageusher/pkg/configuration"
 	"github.com/borageusher/borageusher/pkg/dispatch"
 	"github.com/borageusher/borageusher/pkg/target"
 )
@@ -60,8 +62,9 @@
 	log := event.New(stderr, "targetd", s.Name, s.LogLevel)
 	scope, metricsHandler, stopMetrics := metrics.New("targetd")
 	defer stopMetrics()
-	store := objects.New(s.Platform, &http.Client{Transport: &http.Transport{}})
-	configurations := revision.New(store, log)
+	store := daemon.NewStore(s.Common, scope)
+	registrations := store.For(objects.ForRegistration)
+	configurations := revision.New(store.For(objects.ForConfiguration), log)
 	srv, err := httpserver.New(httpserver.Options{
 		Address:      s.Listen,
 		CertFile:     s.CertFile,
@@ -74,21 +77,33 @@
 		return err
 	}
 	log.At(event.Started).Stringer("address", s.Listen).Send()
-	rec, ok := register(ctx, store, describe(s), signals, log)
+	rec, ok := register(ctx, registrations, describe(s), signals, log)
 	if !ok {
 		return nil
 	}
+	ledger := claims.New(claims.Options{
+		Store:     store.For(objects.ForClaims),
+		Self:      claim.Writer{Name: rec.Target.Name, Incarnation: rec.Target.Incarnation},
+		Retention: s.Retention,
+		Log:       log,
+		Scope:     scope,
+	})
+	go ledger.Run(ctx)
 	a := New(Options{
 		Self:           rec.Target,
 		Limits:         dispatch.Limits{Owner: s.Team, Slots: s.Slots, Adapters: s.Adapters, Queue: s.Queue},
 		Engine:         engine.New(s.Engine, rec.Target.Epoch),
 		PlainService:   s.Plain,
-		Crashes:        suspects.NewRecorder(store),
+		Crashes:        suspects.NewRecorder(store.For(objects.ForSuspects)),
 		Configurations: configurations,
+		Claims:         ledger,
 		Log:            log,
 		Scope:          scope,
 	})
-	configurations.OnChange(a.SetConfiguration)
+	configurations.OnChange(func(cfg *configuration.Configuration) {
+		scope.Gauge("revision").Update(float64(cfg.Revision))
+		a.SetConfiguration(cfg)
+	})
 	sessions := &Sessions{
 		Agent:    a,
 		Self:     identity(rec.Target),
@@ -99,7 +114,7 @@
 	srv.Hertz.GET(peer.Path, adaptor.HertzHandler(sessions))
 	go a.Run(ctx)
 	go configurations.Run(ctx)
-	reg := newRegistered(store, rec, log)
+	reg := newRegistered(registrations, rec, log)
 	go reg.leaveWith(ctx, a)
 	served := make(chan error, 1)
 	go func() { served <- srv.Run() }()
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -35,6 +35,7 @@
 	TargetBody    []byte     // body for the target
 	Suspect       bool       // was in flight at a crash and has not been answered since
 	CrashedOn     []string   // targets that crashed with it in flight
+	MayHaveRun    bool       // an attempt ended with an unknown outcome
 }
 
 // Repeatable reports whether the request may run again after its outcome
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -22,6 +22,7 @@
 	Targets        Targets
 	Suspects       Suspects
 	Dialer         Dialer
+	Claims         Claims
 	MaxInProgress  int           // calls in progress at once
 	StartWithin    time.Duration // a call's deadline to start, unless it names one
 	Log            event.Log
@@ -48,6 +49,7 @@
 		region:  opts.Self.Region,
 		targets: opts.Targets,
 		links:   e.links,
+		claims:  opts.Claims,
 		log:     opts.Log,
 		scope:   opts.Scope,
 	}
--- a/internal/entry/main.go
+++ b/internal/entry/main.go
@@ -4,9 +4,9 @@
 	"context"
 	"fmt"
 	"io"
-	"net/http"
 	"sync/atomic"
 
+	"github.com/borageusher/borageusher/internal/claims"
 	"github.com/borageusher/borageusher/internal/daemon"
 	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/internal/httpserver"
@@ -17,6 +17,8 @@
 	"github.com/borageusher/borageusher/internal/revision"
 	"github.com/borageusher/borageusher/internal/settings"
 	"github.com/borageusher/borageusher/internal/suspects"
+	"github.com/borageusher/borageusher/pkg/claim"
+	"github.com/borageusher/borageusher/pkg/configuration"
 )
 
 const purpose = "Takes callers' requests, decides where each goes, and relays the whole answer."
@@ -58,10 +60,18 @@
 	if err != nil {
 		return err
 	}
-	store := objects.New(s.Platform, &http.Client{Transport: &http.Transport{}})
-	configurations := revision.New(store, log)
-	known := members.New(store, log)
-	crashes := suspects.New(store, log)
+	store := daemon.NewStore(s.Common, scope)
+	configurations := revision.New(store.For(objects.ForConfiguration), log)
+	known := members.New(store.For(objects.ForMembers), log)
+	crashes := suspects.New(store.For(objects.ForSuspects), log)
+	ledger := claims.New(claims.Options{
+		Store:     store.For(objects.ForClaims),
+		Self:      claim.Writer{Name: self.Name, Incarnation: self.Incarnation},
+		Retention: s.Retention,
+		Log:       log,
+		Scope:     scope,
+	})
+	go ledger.Run(ctx)
 	e := New(Options{
 		Self:           self,
 		Configurations: configurations,
@@ -69,6 +79,7 @@
 		Targets:        known,
 		Suspects:       crashes,
 		Dialer:         dialer,
+		Claims:         ledger,
 		MaxInProgress:  s.MaxInProgress,
 		StartWithin:    s.StartWithin,
 		Log:            log,
@@ -89,6 +100,9 @@
 		return err
 	}
 	e.Register(srv.Hertz)
+	configurations.OnChange(func(cfg *configuration.Configuration) {
+		scope.Gauge("revision").Update(float64(cfg.Revision))
+	})
 	go configurations.Run(ctx)
 	go known.Run(ctx)
 	go crashes.Run(ctx)
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -30,7 +30,7 @@
 	verdict, targets := f.suspects.Judge(now, fingerprinted(c))
 	switch verdict {
 	case quarantine.Convicted:
-		return rejected(outcome.Quarantined, "the request crashed the targets that ran it")
+		return refuseConvicted(c)
 	case quarantine.Suspect:
 		c.Suspect = true
 		c.CrashedOn = targets
@@ -42,6 +42,16 @@
 	return result
 }
 
+// refuseConvicted refuses a request that is not run this time. A request with
+// an idempotency key may be one that ran before, so it is not said not to have.
+func refuseConvicted(c *Call) Result {
+	result := rejected(outcome.Quarantined, "the request crashed the targets that ran it")
+	if c.IdempotencyKey != "" {
+		result.Outcome = outcome.Unknown
+	}
+	return result
+}
+
 func fingerprinted(c *Call) quarantine.Request {
 	return quarantine.Request{
 		Team:    c.Team.Name,
@@ -51,14 +61,20 @@
 	}
 }
 
-// noteCrash records that a target crashed with c in flight and reports whether
-// c must not run again.
-func noteCrash(c *Call, name string) bool {
+// noteCrash records a target that crashed with c in flight, alone or with its
+// targetd, and returns the result, which forbids further runs after maxCrashes.
+func noteCrash(c *Call, name string, result Result) Result {
+	if result.Outcome != outcome.Unknown || (result.Reason != outcome.EngineCrashed && result.Reason != outcome.TargetLost) {
+		return result
+	}
 	c.Suspect = true
 	if !slices.Contains(c.CrashedOn, name) {
 		c.CrashedOn = append(c.CrashedOn, name)
 	}
-	return len(c.CrashedOn) >= maxCrashes
+	if len(c.CrashedOn) >= maxCrashes {
+		result.Reason = outcome.Quarantined
+	}
+	return result
 }
 
 // trialKey returns the placement key of a suspect. All entries send a suspect
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -32,12 +31,22 @@
 	region  string
 	targets Targets
 	links   *links
+	claims  Claims
 	log     event.Log
 	scope   tally.Scope
 }
 
 // Handle implements Handler.
 func (r *router) Handle(ctx context.Context, c *Call, _ time.Time) Result {
+	result := r.offer(ctx, c)
+	if result.Outcome == outcome.NotRun && c.MayHaveRun {
+		result.Outcome = outcome.Unknown // an earlier attempt may have run
+	}
+	return result
+}
+
+// offer offers the call to targets until one answers or none is left.
+func (r *router) offer(ctx context.Context, c *Call) Result {
 	tried := map[string]bool{}
 	last := rejected(outcome.NoTarget, "no target can take the request")
 	for n := uint32(1); n <= maxAttempts; n++ {
@@ -55,10 +64,8 @@
 		tried[t.Name] = true
 		r.log.At(event.RouteChosen).Str("request", c.ID).Uint32("attempt", n).Str("target", t.Name).
 			Stringer("adapter", c.Adapter).Str("reason", routeReason(n, last)).Send()
-		result := r.attempt(ctx, c, t, n, now)
-		if result.Reason == outcome.EngineCrashed && noteCrash(c, t.Name) {
-			result.Reason = outcome.Quarantined
-		}
+		result := noteCrash(c, t.Name, r.attempt(ctx, c, t, n, now))
+		c.MayHaveRun = c.MayHaveRun || result.Outcome == outcome.Unknown
 		if !mayRetry(c, result) {
 			return result
 		}
@@ -157,31 +164,30 @@
 		return rejected(outcome.TargetLost, "the target cannot be reached")
 	}
 	defer l.forget(p)
-	return relay(ctx, c, l, p)
+	return r.settle(ctx, c, n, relay(ctx, c, l, p))
 }
 
 func submitOf(c *Call, t target.Target, n uint32, now time.Time) peer.Submit {
 	s := peer.Submit{
-		Request:        c.ID,
-		Attempt:        n,
-		Revision:       c.Configuration.Revision,
-		Epoch:          t.Epoch,
-		Team:           c.Team.Name,
-		Owner:          t.Team,
-		Service:        t.Service,
-		Adapter:        c.Adapter,
-		Method:         c.Method,
-		Path:           c.TargetPath,
-		ContentType:    c.ContentType,
-		Body:           c.TargetBody,
-		Priority:       c.Priority,
-		StartBy:        c.Deadline.Sub(now),
-		IdempotencyKey: c.IdempotencyKey,
-		Suspect:        c.Suspect,
+		Request:     c.ID,
+		Attempt:     n,
+		Revision:    c.Configuration.Revision,
+		Epoch:       t.Epoch,
+		Team:        c.Team.Name,
+		Owner:       t.Team,
+		Service:     t.Service,
+		Adapter:     c.Adapter,
+		Method:      c.Method,
+		Path:        c.TargetPath,
+		ContentType: c.ContentType,
+		Body:        c.TargetBody,
+		Priority:    c.Priority,
+		StartBy:     c.Deadline.Sub(now),
+		Suspect:     c.Suspect,
 	}
 	if c.IdempotencyKey != "" {
-		digest := sha256.Sum256(c.Body)
-		s.BodyDigest = digest[:]
+		s.IdempotencyKey = c.claimName()
+		s.BodyDigest = c.claimDigest()
 	}
 	return s
 }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -25,6 +25,8 @@
 	RequestEnded      Code = 302
 	RequestRejected   Code = 303
 	AnswerResumed     Code = 304
+	AttemptVoided     Code = 310
+	AttemptUnsettled  Code = 311
 	TargetLeaving     Code = 330
 	CrashKnown        Code = 331
 	CrashUnreadable   Code = 332
@@ -41,6 +43,11 @@
 	EngineUnreachable Code = 421
 	TargetRegistered  Code = 430
 	TargetReplaced    Code = 431
+	ClaimTaken        Code = 440
+	ClaimDecided      Code = 441
+	ClaimDeferred     Code = 442
+	ClaimWriteDropped Code = 443
+	ProcessPaused     Code = 450
 	DrainBegun        Code = 480
 	EngineCrashed     Code = 481
 	RevisionInForce   Code = 500
@@ -73,6 +80,8 @@
 	{RequestEnded, "request_ended", zerolog.InfoLevel, "The caller was told the outcome."},
 	{RequestRejected, "request_rejected", zerolog.InfoLevel, "The request was refused at the entry, before any target."},
 	{AnswerResumed, "answer_resumed", zerolog.InfoLevel, "An answer goes on over a new connection from part `next`."},
+	{AttemptVoided, "attempt_voided", zerolog.InfoLevel, "An attempt whose target stopped answering was excluded in its key's record: it did not run and never will."},
+	{AttemptUnsettled, "attempt_unsettled", zerolog.WarnLevel, "What became of a lost attempt is not known; `reason` says why."},
 	{TargetLeaving, "target_leaving", zerolog.InfoLevel, "The target leaves: it gets no new work, and its targetd is told if it is connected."},
 	{CrashKnown, "crash_known", zerolog.WarnLevel, "The entry knows of a crash; the requests `in_flight` are suspects until they are answered."},
 	{CrashUnreadable, "crash_unreadable", zerolog.ErrorLevel, "The record of a crash could not be read."},
@@ -89,6 +98,11 @@
 	{EngineUnreachable, "engine_unreachable", zerolog.WarnLevel, "The engine does not answer."},
 	{TargetRegistered, "target_registered", zerolog.InfoLevel, "The target is registered with `epoch` as its fencing number."},
 	{TargetReplaced, "target_replaced", zerolog.ErrorLevel, "Another process registered this target; this one takes no more work."},
+	{ClaimTaken, "claim_taken", zerolog.DebugLevel, "The target holds the claim of a request's idempotency key, before its run."},
+	{ClaimDecided, "claim_decided", zerolog.InfoLevel, "The idempotency key's record decided a request without a run; `verdict` and `reason` say how."},
+	{ClaimDeferred, "claim_deferred", zerolog.WarnLevel, "The object API did not settle a claim; the request waits until its start-by time."},
+	{ClaimWriteDropped, "claim_write_dropped", zerolog.ErrorLevel, "A claim's outcome was not recorded; later requests with its key hear `unknown`."},
+	{ProcessPaused, "process_paused", zerolog.WarnLevel, "The process stood still for longer than the silence timeout; it dropped its connections and starts nothing that came over them."},
 	{DrainBegun, "drain_begun", zerolog.InfoLevel, "The target takes no more work and refuses what waits; `from` says who asked, empty for a signal."},
 	{EngineCrashed, "engine_crashed", zerolog.ErrorLevel, "The engine crashed; the requests `in_flight` become suspects."},
 	{RevisionInForce, "revision_in_force", zerolog.InfoLevel, "A newer configuration is in force in this process."},
