--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -61,6 +61,8 @@
 	Reason  outcome.Reason
 	Detail  string        // for the caller, beyond the reason
 	After   time.Duration // when trying again may help, zero if unknown
+	Running int           // at the target that refused
+	Queued  int           // at the target that refused
 }
 
 // Responder passes an answer to the caller.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -42,13 +42,14 @@
 func New(opts Options) *Entry {
 	e := &Entry{
 		opts:  opts,
-		limit: &limitFilter{most: int64(opts.MaxInProgress)},
+		limit: newLimitFilter(opts.MaxInProgress),
 		links: newLinks(opts.Dialer, opts.Log, opts.Revision),
 	}
 	last := &router{
 		region:  opts.Self.Region,
 		targets: opts.Targets,
 		links:   e.links,
+		loads:   newLoads(),
 		claims:  opts.Claims,
 		log:     opts.Log,
 		scope:   opts.Scope,
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -17,9 +17,6 @@
 // maxAttempts bounds the targets that one request is offered to.
 const maxAttempts = 4
 
-// routeRetryAfter is what callers are told to wait when no target takes a request.
-const routeRetryAfter = time.Second
-
 // Targets gives the known targets.
 type Targets interface {
 	Targets() []target.Target
@@ -31,6 +28,7 @@
 	region  string
 	targets Targets
 	links   *links
+	loads   *loads
 	claims  Claims
 	log     event.Log
 	scope   tally.Scope
@@ -47,6 +45,7 @@
 
 // offer offers the call to targets until one answers or none is left.
 func (r *router) offer(ctx context.Context, c *Call) Result {
+	r.loads.request(c)
 	tried := map[string]bool{}
 	last := rejected(outcome.NoTarget, "no target can take the request")
 	for n := uint32(1); n <= maxAttempts; n++ {
@@ -67,17 +66,29 @@
 		result := noteCrash(c, t.Name, r.attempt(ctx, c, t, n, now))
 		c.MayHaveRun = c.MayHaveRun || result.Outcome == outcome.Unknown
 		if !mayRetry(c, result) {
+			r.observe(c, result, now)
 			return result
 		}
 		r.log.At(event.RouteRefused).Str("request", c.ID).Uint32("attempt", n).Str("target", t.Name).
 			Stringer("reason", result.Reason).Send()
-		r.scope.Counter("retries").Inc(1)
 		last = result
+		if !r.loads.mayRetry(c, result) {
+			r.log.At(event.RetryRefused).Str("request", c.ID).Str("owner", c.Owner).Str("service", c.Service).Send()
+			break
+		}
+		r.scope.Counter("retries").Inc(1)
 	}
-	last.After = routeRetryAfter
+	last.After = r.loads.after(c, last)
 	return last
 }
 
+// observe learns how long an answered attempt took.
+func (r *router) observe(c *Call, result Result, began time.Time) {
+	if result.Outcome == outcome.Answered {
+		r.loads.answered(c, time.Since(began))
+	}
+}
+
 func routeReason(n uint32, last Result) string {
 	if n == 1 {
 		return "home"
@@ -216,7 +227,9 @@
 	switch m := m.(type) {
 	case peer.Refusal:
 		l.send(peer.Ack{Request: m.Request, Attempt: m.Attempt})
-		return rejected(m.Reason, "the target refused the request before running it"), true
+		result := rejected(m.Reason, "the target refused the request before running it")
+		result.Running, result.Queued = m.Running, m.Queued
+		return result, true
 	case peer.Head:
 		c.Response.Start(m.Status, m.ContentType)
 	case peer.Part:
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -31,6 +31,7 @@
 	CrashKnown        Code = 331
 	CrashUnreadable   Code = 332
 	SuspectCleared    Code = 333
+	RetryRefused      Code = 334
 	RequestQueued     Code = 400
 	RequestNotRun     Code = 401
 	RequestStarted    Code = 402
@@ -86,6 +87,7 @@
 	{CrashKnown, "crash_known", zerolog.WarnLevel, "The entry knows of a crash; the requests `in_flight` are suspects until they are answered."},
 	{CrashUnreadable, "crash_unreadable", zerolog.ErrorLevel, "The record of a crash could not be read."},
 	{SuspectCleared, "suspect_cleared", zerolog.InfoLevel, "A suspect was answered and is no longer one."},
+	{RetryRefused, "retry_refused", zerolog.WarnLevel, "The retry budget of the service is spent: the caller is told the last attempt's outcome."},
 	{RequestQueued, "request_queued", zerolog.DebugLevel, "The target took an attempt into its queue."},
 	{RequestNotRun, "request_not_run", zerolog.InfoLevel, "The target refused an attempt that it had not started."},
 	{RequestStarted, "request_started", zerolog.DebugLevel, "The engine or service was given the request."},
--- a/internal/scenario/doc.go
+++ b/internal/scenario/doc.go
@@ -12,7 +12,7 @@
 //	signal NAME                   SIGTERM, without waiting
 //	ended NAME [EXITCODE]         wait for the end and check the exit code
 //	mark NAME                     let expect read NAME.log from here on
-//	load [-bg NAME] [-callers N] [-for TIME] [-H HEADER]... [-d BODY] URL...
+//	load [-bg NAME] [-callers N] [-calls N] [-for TIME] [-H HEADER]... [-d BODY] URL...
 //	                              callers that call one after another on kept
 //	                              connections, at the first URL that is ready;
 //	                              the numbers of the outcomes to stdout
@@ -25,6 +25,7 @@
 //	                              make one call; status, headers and body to stdout
 //	wait_call NAME                wait for a background call; as call
 //	expect NAME PATTERN [WITHIN]  wait for a line in NAME.log
+//	at_most N NAME PATTERN        check that NAME.log has no more lines that match
 //	await [-ca FILE] URL [PATTERN] [WITHIN]
 //	                              wait until a GET answers 200 with PATTERN in it
 //
--- a/internal/scenario/load_test.go
+++ b/internal/scenario/load_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -16,10 +17,14 @@
 // balancer takes them.
 const readyInterval = time.Second
 
+// refusedPause is how long a caller of a load waits after a refusal.
+const refusedPause = 50 * time.Millisecond
+
 // loadOptions are the flags of the command load.
 type loadOptions struct {
 	background string
 	callers    int
+	calls      int64 // in all, no bound when zero
 	lasting    time.Duration
 	headers    []string
 	body       string
@@ -43,6 +48,8 @@
 			o.background = args[1]
 		case "-callers":
 			o.callers, err = strconv.Atoi(args[1])
+		case "-calls":
+			o.calls, err = strconv.ParseInt(args[1], 10, 64)
 		case "-for":
 			o.lasting, err = time.ParseDuration(args[1])
 		case "-H":
@@ -56,7 +63,7 @@
 		args = args[2:]
 	}
 	if len(args) == 0 {
-		ts.Fatalf("usage: load [-bg NAME] [-callers N] [-for TIME] [-H HEADER]... [-d BODY] URL...")
+		ts.Fatalf("usage: load [-bg NAME] [-callers N] [-calls N] [-for TIME] [-H HEADER]... [-d BODY] URL...")
 	}
 	o.urls = args
 	return o
@@ -85,14 +92,18 @@
 	b := newBalancer(o.urls)
 	defer close(b.stop)
 	end := time.Now().Add(o.lasting)
+	var made atomic.Int64
 	var wg sync.WaitGroup
 	for range o.callers {
 		wg.Go(func() {
 			client := &http.Client{Timeout: callLimit, Transport: &http.Transport{}}
-			for time.Now().Before(end) {
+			for time.Now().Before(end) && (o.calls == 0 || made.Add(1) <= o.calls) {
 				began := time.Now()
 				outcome, seen := loadOnce(client, o, b.url())
 				count.add(outcome, seen, time.Since(began))
+				if outcome == "not_run" {
+					time.Sleep(refusedPause)
+				}
 			}
 		})
 	}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -54,6 +54,7 @@
 			"wait_call":   cmdWaitCall,
 			"expect":      cmdExpect,
 			"await":       cmdAwait,
+			"at_most":     cmdAtMost,
 			"signal":      cmdSignal,
 			"ended":       cmdEnded,
 			"mark":        cmdMark,
--- a/internal/scenario/wait_test.go
+++ b/internal/scenario/wait_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"regexp"
+	"strconv"
 	"strings"
 	"time"
 
@@ -91,3 +92,19 @@
 	ts.Check(err)
 	stateOf(ts).marks[name] = len(data)
 }
+
+func cmdAtMost(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 3 {
+		ts.Fatalf("usage: at_most N NAME PATTERN")
+	}
+	most, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	data, err := os.ReadFile(ts.MkAbs(args[1] + ".log"))
+	ts.Check(err)
+	pattern := regexp.MustCompile("(?m)" + args[2])
+	found := len(pattern.FindAllString(string(data[stateOf(ts).marks[args[1]]:]), -1))
+	ts.Logf("%s.log has %d lines with %s", args[1], found, args[2])
+	if found > most {
+		ts.Fatalf("more than %d", most)
+	}
+}
--- /dev/null
+++ b/pkg/retry/after.go
@@ -0,0 +1,43 @@
+package retry
+
+import "time"
+
+// Bounds of the advice when to try again.
+const (
+	MinAfter = time.Second
+	MaxAfter = time.Minute
+)
+
+// meanWeight is the weight of one observation in a Mean.
+const meanWeight = 0.05
+
+// Mean is the exponentially weighted mean of observed times. The zero Mean has
+// seen none.
+type Mean struct {
+	value time.Duration
+	seen  bool
+}
+
+// Observe adds one observation.
+func (m *Mean) Observe(d time.Duration) {
+	if !m.seen {
+		m.value, m.seen = d, true
+		return
+	}
+	m.value += time.Duration(meanWeight * float64(d-m.value))
+}
+
+// Value returns the mean, zero when nothing was observed.
+func (m *Mean) Value() time.Duration { return m.value }
+
+// After returns the time until ahead requests have left a place that holds
+// total, when a request stays there for stay on average, by Little's law (J.
+// D. C. Little, "A Proof for the Queuing Formula: L = λW", 1961): they leave
+// at total/stay. It lies between MinAfter and MaxAfter.
+func After(ahead, total int, stay time.Duration) time.Duration {
+	if total <= 0 {
+		return MinAfter
+	}
+	after := time.Duration(float64(ahead) / float64(total) * float64(stay))
+	return min(max(after, MinAfter), MaxAfter)
+}
--- /dev/null
+++ b/pkg/retry/budget.go
@@ -0,0 +1,30 @@
+package retry
+
+// Budget allows retries in proportion to requests: a token bucket that is
+// filled by requests and not by time. It is not safe for concurrent use.
+type Budget struct {
+	ratio  float64
+	burst  float64
+	tokens float64
+}
+
+// NewBudget returns a full budget: of n requests, at most ratio*n + burst are
+// retried. It panics unless both are positive.
+func NewBudget(ratio, burst float64) *Budget {
+	if ratio <= 0 || burst <= 0 {
+		panic("retry: ratio and burst must be positive")
+	}
+	return &Budget{ratio: ratio, burst: burst, tokens: burst}
+}
+
+// Deposit counts one request.
+func (b *Budget) Deposit() { b.tokens = min(b.burst, b.tokens+b.ratio) }
+
+// Withdraw takes one retry and reports whether there was one.
+func (b *Budget) Withdraw() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
