--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -48,6 +48,7 @@
 	Self           target.Target
 	Limits         dispatch.Limits
 	Engine         Engine
+	Crashes        Crashes
 	PlainService   bool // the target is a plain service: no adapters, no state
 	Configurations Configurations
 	Claims         Claims
@@ -68,6 +69,7 @@
 	attempts   map[dispatch.RequestKey]*attempt
 	voided     map[dispatch.RequestKey]time.Time // attempts that must not start, until their start-by time
 	boot       uint64                            // of the engine, zero before its first report
+	broken     []*attempt                        // broke off together, cause not known yet
 	sessions   map[sender]closer                 // open peer connections
 
 	pulse *pulse
@@ -81,6 +83,9 @@
 	request *dispatch.Request
 	answer  *answer
 	cancel  context.CancelFunc // set while running
+	boot    uint64             // of the engine that runs it, zero if unknown
+
+	brokeOff chan struct{} // closed when it is known why the run broke off
 
 	// Of attempts with an idempotency key.
 	deferred bool           // the object API did not settle the claim; owned by the loop
