--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -111,6 +111,8 @@
 	}
 	sweep := time.NewTicker(sweepInterval)
 	defer sweep.Stop()
+	beat := time.NewTicker(beatInterval)
+	defer beat.Stop()
 	deadline := time.NewTimer(time.Hour)
 	defer deadline.Stop()
 	for {
@@ -123,6 +125,9 @@
 		case <-sweep.C:
 			a.noticePause(time.Now())
 			a.sweep(time.Now())
+		case <-beat.C:
+			a.noticePause(time.Now())
+			continue
 		case <-deadline.C:
 			a.noticePause(time.Now())
 		}
--- a/internal/agent/event.go
+++ b/internal/agent/event.go
@@ -32,7 +32,7 @@
 	}
 	at := &attempt{
 		submit: e.submit,
-		answer: newAnswer(key, e.origin(now)),
+		answer: newAnswer(key, a.origin(now, e)),
 		request: &dispatch.Request{
 			Key:      key,
 			Team:     e.submit.Team,
--- a/internal/agent/pause.go
+++ b/internal/agent/pause.go
@@ -9,6 +9,14 @@
 	"github.com/borageusher/borageusher/internal/peer"
 )
 
+// Times of the pulse. A peer that hears nothing for peer.SilenceTimeout drops its
+// connection; it may have heard the last heartbeat some time before the process
+// stood still, hence the shorter limit.
+const (
+	beatInterval = 250 * time.Millisecond
+	pauseLimit   = peer.SilenceTimeout / 2
+)
+
 // pulse tells whether the process stood still: the event loop beats it often,
 // and the monotonic clock goes on while a process is frozen.
 type pulse struct {
@@ -25,7 +33,7 @@
 // paused reports whether the last beat is so long ago that peers may have
 // dropped their connections and given up.
 func (p *pulse) paused(now time.Time) bool {
-	return now.Sub(p.base)-time.Duration(p.last.Load()) > peer.SilenceTimeout
+	return now.Sub(p.base)-time.Duration(p.last.Load()) > pauseLimit
 }
 
 // closer is a connection that the loop can end.
@@ -59,9 +67,9 @@
 }
 
 // origin returns the connection that an attempt is answered over: none if the
-// attempt was read before a pause.
-func (e submitted) origin(now time.Time) sender {
-	if now.Sub(e.read) > peer.SilenceTimeout {
+// connection was dropped, or the attempt read before a pause.
+func (a *Agent) origin(now time.Time, e submitted) sender {
+	if a.sessions[e.conn] == nil || now.Sub(e.read) > pauseLimit {
 		return nil
 	}
 	return e.conn
--- a/internal/agent/replay.go
+++ b/internal/agent/replay.go
@@ -19,11 +19,12 @@
 	a.end(now, outcome.Answered, outcome.NoReason)
 }
 
-// attached reports whether the answer has a connection to its entryd.
+// attached reports whether someone waits for the answer: it has a connection to
+// its entryd and was not abandoned.
 func (a *answer) attached() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.conn != nil
+	return a.conn != nil && !a.abandoned
 }
 
 // result returns what the answer's end says. Before the end the outcome is
--- a/internal/agent/runner.go
+++ b/internal/agent/runner.go
@@ -18,8 +18,6 @@
 func (a *Agent) start(ctx context.Context, at *attempt) {
 	ctx, cancel := context.WithCancel(ctx)
 	at.cancel = cancel
-	a.opts.Log.At(event.RequestStarted).Str("request", at.submit.Request).Uint32("attempt", at.submit.Attempt).
-		Stringer("adapter", at.submit.Adapter).Send()
 	load := a.dispatcher.Report()
 	go func() {
 		defer cancel()
@@ -37,6 +35,8 @@
 
 // run sends the request to the engine and passes its answer on.
 func (a *Agent) run(ctx context.Context, at *attempt, load dispatch.Report) {
+	a.opts.Log.At(event.RequestStarted).Str("request", at.submit.Request).Uint32("attempt", at.submit.Attempt).
+		Stringer("adapter", at.submit.Adapter).Send()
 	result, err := a.opts.Engine.Run(ctx, engine.Request{
 		ID:          at.submit.Request,
 		Method:      at.submit.Method,
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -119,6 +119,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conn = conn
+	l.downUntil = time.Time{}
 	l.heartbeat = peer.Heartbeat{}
 	incarnation := conn.Remote().Incarnation
 	for key, p := range l.pendings {
--- a/internal/scenario/doc.go
+++ b/internal/scenario/doc.go
@@ -6,8 +6,8 @@
 // The scripts are testscript files. Beside testscript's own commands they use:
 //
 //	start NAME PROGRAM [ARG...]   start a process; its log goes to NAME.log
-//	stop NAME [EXITCODE]          SIGTERM, wait for the end, check the exit code
-//	kill NAME                     SIGKILL and wait for the end
+//	stop_process NAME [EXITCODE]  SIGTERM, wait for the end, check the exit code
+//	kill_process NAME             SIGKILL and wait for the end
 //	freeze NAME, thaw NAME        SIGSTOP, SIGCONT
 //	fault ADDRESS JSON            set a stand-in's fault, {} to clear it
 //	post ADDRESS/PATH JSON        call a stand-in's admin path
