--- a/internal/entry/main.go
+++ b/internal/entry/main.go
@@ -4,10 +4,7 @@
 	"context"
 	"fmt"
 	"io"
-	"net/http"
-	"os"
 	"sync/atomic"
-	"time"
 
 	"github.com/borageusher/borageusher/internal/claims"
 	"github.com/borageusher/borageusher/internal/daemon"
@@ -20,18 +17,16 @@
 	"github.com/borageusher/borageusher/internal/revision"
 	"github.com/borageusher/borageusher/internal/settings"
 	"github.com/borageusher/borageusher/pkg/claim"
+	"github.com/borageusher/borageusher/pkg/configuration"
 )
 
-// closeTimeout is how long a stopping entryd waits for its listener to close.
-const closeTimeout = 300 * time.Millisecond
-
 const purpose = "Takes callers' requests, decides where each goes, and relays the whole answer."
 
 // Main runs the program entryd and returns its exit code.
 func Main(args []string, stderr io.Writer) int {
-	path, ok := daemon.Flags("entryd", purpose, args, stderr)
-	if !ok {
-		return daemon.ExitUsage
+	path, err := daemon.Flags("entryd", purpose, args, stderr)
+	if err != nil {
+		return daemon.ExitOfFlags(err)
 	}
 	s, err := settings.ReadEntry(path)
 	if err != nil {
@@ -64,11 +59,11 @@
 	if err != nil {
 		return err
 	}
-	store := objects.New(s.Platform, &http.Client{Transport: &http.Transport{}})
-	configurations := revision.New(store, log)
-	known := members.New(store, log)
+	store := daemon.NewStore(s.Common, scope)
+	configurations := revision.New(store.For(objects.ForConfiguration), log)
+	known := members.New(store.For(objects.ForMembers), log)
 	ledger := claims.New(claims.Options{
-		Store:     store,
+		Store:     store.For(objects.ForClaims),
 		Self:      claim.Writer{Name: self.Name, Incarnation: self.Incarnation},
 		Retention: s.Retention,
 		Log:       log,
@@ -102,8 +97,12 @@
 		return err
 	}
 	e.Register(srv.Hertz)
+	configurations.OnChange(func(cfg *configuration.Configuration) {
+		scope.Gauge("revision").Update(float64(cfg.Revision))
+	})
 	go configurations.Run(ctx)
 	go known.Run(ctx)
+	go e.Run(ctx)
 	log.At(event.Started).Stringer("address", s.Listen).Send()
 	served := make(chan error, 1)
 	go func() { served <- srv.Run() }()
@@ -113,17 +112,5 @@
 	case <-signals:
 	}
 	stopping.Store(true)
-	stop(ctx, s, e, srv, signals, log)
-	return nil
-}
-
-// stop lets the calls in progress end before the process does.
-func stop(ctx context.Context, s settings.Entry, e *Entry, srv *httpserver.Server, signals <-chan os.Signal, log event.Log) {
-	log.At(event.Stopping).Int("requests", e.InProgress()).Send()
-	idle := func() bool { return e.InProgress() == 0 }
-	if !daemon.WaitIdle(ctx, idle, signals, s.StopIn) {
-		log.At(event.StopTimedOut).Int("requests", e.InProgress()).Send()
-	}
-	srv.Shutdown(closeTimeout)
-	log.At(event.Stopped).Send()
+	return stop(s, e, srv, signals, log)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -10,6 +10,7 @@
 
 import (
 	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -36,6 +37,11 @@
 
 	// Retention is how long the records of idempotency keys are kept.
 	Retention time.Duration
+	// StoreReads, StoreWrites are calls a second that all processes together
+	// may make of the object API; Processes is the number that shares them.
+	StoreReads, StoreWrites float64
+	Processes               int
+	Seeds                   []netip.AddrPort // targetds to ask while the object API is out
 }
 
 // Entry are the settings of entryd.
@@ -44,6 +50,7 @@
 	MaxInProgress int
 	MaxBodyBytes  int
 	StartWithin   time.Duration
+	UnreadyFor    time.Duration // serving on after readiness says no
 }
 
 // Target are the settings of targetd.
@@ -69,6 +76,7 @@
 		MaxInProgress: f.Int("limits", "in_progress", 2000, 1, 1000000),
 		MaxBodyBytes:  f.Int("limits", "body_bytes", 4<<20, 1024, 16<<20),
 		StartWithin:   f.Duration("limits", "start_within", 30*time.Second, 100*time.Millisecond, 10*time.Minute),
+		UnreadyFor:    f.Duration("process", "unready_for", 5*time.Second, 0, 10*time.Minute),
 	}
 	return s, f.Done()
 }
@@ -103,13 +111,19 @@
 		CAFile:   f.OptionalText("peers", "authorities", ""),
 		Platform: f.AddrPort("platform", "address"),
 		PeerKey:  f.Text("peers", "key"),
+
+		StoreReads:  f.Float("platform", "reads_per_second", 2000, 1, 1e6),
+		StoreWrites: f.Float("platform", "writes_per_second", 300, 1, 1e6),
+		Processes:   f.Int("platform", "processes", 10, 1, 100000),
+		Seeds:       readSeeds(f),
+
 		LogLevel: readLevel(f),
 		StopIn:   f.Duration("process", "stop_within", 30*time.Second, time.Second, time.Hour),
 
 		Retention: f.Duration("claims", "retention", time.Hour, time.Second, 24*time.Hour),
 	}
 	if c.PeerKey != "" && len(c.PeerKey) < minPeerKey {
-		f.Fail("peers", "key", c.PeerKey, "at least 16 characters")
+		f.Fail("peers", "key", "(a shorter one)", "at least 16 characters")
 	}
 	if (c.CertFile == "") != (c.KeyFile == "") {
 		f.Fail("listen", "certificate_key", c.KeyFile, "a file exactly when certificate is given")
@@ -128,3 +142,18 @@
 	}
 	return zerolog.InfoLevel
 }
+
+// readSeeds reads the addresses of peers.seeds, separated by blanks.
+func readSeeds(f *inifile.File) []netip.AddrPort {
+	text := f.OptionalText("peers", "seeds", "")
+	var out []netip.AddrPort
+	for _, word := range strings.Fields(text) {
+		addr, err := netip.ParseAddrPort(word)
+		if err != nil {
+			f.Fail("peers", "seeds", text, "IP addresses with ports, separated by blanks")
+			return nil
+		}
+		out = append(out, addr)
+	}
+	return out
+}
