--- a/internal/scenario/doc.go
+++ b/internal/scenario/doc.go
@@ -6,8 +6,8 @@
 // The scripts are testscript files. Beside testscript's own commands they use:
 //
 //	start NAME PROGRAM [ARG...]   start a process; its log goes to NAME.log
-//	terminate NAME [EXITCODE]     SIGTERM, wait for the end, check the exit code
-//	kill NAME                     SIGKILL and wait for the end
+//	stop_process NAME [EXITCODE]  SIGTERM, wait for the end, check the exit code
+//	kill_process NAME             SIGKILL and wait for the end
 //	freeze NAME, thaw NAME        SIGSTOP, SIGCONT
 //	signal NAME                   SIGTERM, without waiting
 //	ended NAME [EXITCODE]         wait for the end and check the exit code
--- a/internal/scenario/process_test.go
+++ b/internal/scenario/process_test.go
@@ -65,9 +65,9 @@
 	return args[0]
 }
 
-func cmdTerminate(ts *testscript.TestScript, neg bool, args []string) {
+func cmdStop(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) < 1 || len(args) > 2 {
-		ts.Fatalf("usage: terminate NAME [EXITCODE]")
+		ts.Fatalf("usage: stop_process NAME [EXITCODE]")
 	}
 	cmdSignal(ts, false, args[:1])
 	cmdEnded(ts, false, args)
@@ -100,7 +100,7 @@
 }
 
 func cmdKill(ts *testscript.TestScript, neg bool, args []string) {
-	p := running(ts, one(ts, neg, args, "kill NAME"))
+	p := running(ts, one(ts, neg, args, "kill_process NAME"))
 	ts.Check(p.cmd.Process.Kill())
 	<-p.done
 }
