Run scenarios to their end, and give them a relay and concurrent streams

Cause: testscript looks up its own commands before ours, and has a stop and a kill of its own. Its stop ends the script as passed, so path.txtar ended at its first "stop e1" and the rest was never checked; its kill knows only its own background processes ("unknown background process").

Change: the commands are now stop_process and kill_process, and TestScriptsRunToTheirEnd fails for a script that calls the built-in ones. New for failure tests: "standin relay" (connections that go silent or are cut while new ones work), streams/wait_streams (concurrent callers whose answers are checked token by token), call -pause and -leave, and listen.dial_address, by which a targetd can stand behind a relay.

Ruled out: shadowing the built-in commands; testscript doesn't allow it.

--- a/internal/agent/main.go
+++ b/internal/agent/main.go
@@ -118,7 +118,7 @@
 		Service:     s.Service,
 		Region:      s.Region,
 		Zone:        s.Zone,
-		Addr:        s.Listen,
+		Addr:        s.DialAddress,
 		Incarnation: daemon.NewIncarnation(),
 		Slots:       s.Slots,
 		State:       target.Live,
--- a/internal/inifile/file.go
+++ b/internal/inifile/file.go
@@ -158,6 +158,15 @@
 	return ap
 }
 
+// OptionalAddrPort returns an IP address with a port, or fallback when the key
+// is missing.
+func (f *File) OptionalAddrPort(section, key string, fallback netip.AddrPort) netip.AddrPort {
+	if _, ok := f.lookup(section, key); !ok {
+		return fallback
+	}
+	return f.AddrPort(section, key)
+}
+
 // Int returns a whole number from lo to hi, or fallback when the key is missing.
 func (f *File) Int(section, key string, fallback, lo, hi int) int {
 	v, ok := f.lookup(section, key)
--- a/internal/scenario/call_test.go
+++ b/internal/scenario/call_test.go
@@ -21,6 +21,8 @@
 	method     string
 	headers    []string
 	body       string
+	pause      time.Duration // before the body is read
+	leave      time.Duration // after which the caller goes away, zero for never
 	url        string
 }
 
@@ -45,13 +47,21 @@
 			if o.method == http.MethodGet {
 				o.method = http.MethodPost
 			}
+		case "-pause", "-leave":
+			d, err := time.ParseDuration(args[1])
+			ts.Check(err)
+			if args[0] == "-pause" {
+				o.pause = d
+			} else {
+				o.leave = d
+			}
 		default:
 			ts.Fatalf("call: unknown flag %s", args[0])
 		}
 		args = args[2:]
 	}
 	if len(args) != 1 {
-		ts.Fatalf("usage: call [-bg NAME] [-X METHOD] [-H HEADER]... [-d BODY] URL")
+		ts.Fatalf("usage: call [-bg NAME] [-X METHOD] [-H HEADER]... [-d BODY] [-pause TIME] [-leave TIME] URL")
 	}
 	o.url = args[0]
 	return o
@@ -100,7 +110,11 @@
 		name, value, _ := strings.Cut(h, ":")
 		req.Header.Set(name, strings.TrimSpace(value))
 	}
-	client := &http.Client{Timeout: callLimit, Transport: &http.Transport{DisableKeepAlives: true}}
+	limit := callLimit
+	if o.leave > 0 {
+		limit = o.leave
+	}
+	client := &http.Client{Timeout: limit, Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Do(req)
 	if err != nil {
 		return fmt.Sprintf("failed: %v\n", err)
@@ -114,6 +128,7 @@
 	}
 	sort.Strings(lines)
 	b.WriteString(strings.Join(lines, "") + "\n")
+	time.Sleep(o.pause)
 	if _, err := io.Copy(&b, resp.Body); err != nil {
 		_, _ = fmt.Fprintf(&b, "\nbroken: %v\n", err)
 	}
--- a/internal/scenario/doc.go
+++ b/internal/scenario/doc.go
@@ -6,21 +6,28 @@
 // The scripts are testscript files. Beside testscript's own commands they use:
 //
 //	start NAME PROGRAM [ARG...]   start a process; its log goes to NAME.log
-//	stop NAME [EXITCODE]          SIGTERM, wait for the end, check the exit code
-//	kill NAME                     SIGKILL and wait for the end
+//	stop_process NAME [EXITCODE]  SIGTERM, wait for the end, check the exit code
+//	kill_process NAME             SIGKILL and wait for the end
 //	freeze NAME, thaw NAME        SIGSTOP, SIGCONT
 //	fault ADDRESS JSON            set a stand-in's fault, {} to clear it
 //	post ADDRESS/PATH JSON        call a stand-in's admin path
 //	settings NAME entry|target [SECTION.KEY=VALUE...]
 //	                              write NAME.ini: the script's defaults, changed
-//	call [-bg NAME] [-X METHOD] [-H HEADER]... [-d BODY] URL
-//	                              make one call; status, headers and body to stdout
+//	call [-bg NAME] [-X METHOD] [-H HEADER]... [-d BODY] [-pause TIME] [-leave TIME] URL
+//	                              make one call; status, headers and body to stdout;
+//	                              read the body after a pause, go away after a time
 //	wait_call NAME                wait for a background call; as call
+//	streams NAME CALLERS TOKENS KEY MODEL URL
+//	                              start concurrent streams with a prompt each
+//	wait_streams NAME             wait for them; "whole: N crossed: N broken: N"
 //	expect NAME PATTERN [WITHIN]  wait for a line in NAME.log
 //	await URL [PATTERN] [WITHIN]  wait until a GET answers 200 with PATTERN in it
 //
+// testscript's own stop ends a script as passed, and its kill knows only its
+// own processes; scripts that use either fail.
+//
 // Each script has a network of its own: $NET is the first three numbers of
-// loopback addresses that no other script uses.
+// loopback addresses that no other script uses. $LONG_WORD is a long word.
 //
 // # Usage
 //
--- a/internal/scenario/process_test.go
+++ b/internal/scenario/process_test.go
@@ -67,7 +67,7 @@
 
 func cmdStop(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) < 1 || len(args) > 2 {
-		ts.Fatalf("usage: stop NAME [EXITCODE]")
+		ts.Fatalf("usage: stop_process NAME [EXITCODE]")
 	}
 	want := 0
 	if len(args) == 2 {
@@ -88,7 +88,7 @@
 }
 
 func cmdKill(ts *testscript.TestScript, neg bool, args []string) {
-	p := running(ts, one(ts, neg, args, "kill NAME"))
+	p := running(ts, one(ts, neg, args, "kill_process NAME"))
 	ts.Check(p.cmd.Process.Kill())
 	<-p.done
 }
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"regexp"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -24,6 +26,9 @@
 	})
 }
 
+// longWordBytes is the length of $LONG_WORD.
+const longWordBytes = 32 << 10
+
 // networks counts the networks given to scripts.
 var networks atomic.Int64
 
@@ -34,6 +39,26 @@
 	return fmt.Sprintf("127.%d.%d", 1+os.Getpid()%250, n%250+1)
 }
 
+// builtinMisuse matches a line that calls one of testscript's own commands in
+// place of ours: stop would end the script as passed.
+var builtinMisuse = regexp.MustCompile(`(?m)^(stop|kill)( .*)?$`)
+
+func TestScriptsRunToTheirEnd(t *testing.T) {
+	scripts, err := filepath.Glob("testdata/*.txtar")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, path := range scripts {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if line := builtinMisuse.Find(data); line != nil {
+			t.Errorf("%s: %q is testscript's own command; use stop_process or kill_process", path, line)
+		}
+	}
+}
+
 func TestScenarios(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Dir:                 "testdata",
@@ -41,18 +66,22 @@
 		RequireUniqueNames:  true,
 		Setup:               setup,
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"start":     cmdStart,
-			"stop":      cmdStop,
-			"kill":      cmdKill,
-			"freeze":    cmdFreeze,
-			"thaw":      cmdThaw,
-			"fault":     cmdFault,
-			"post":      cmdPost,
-			"settings":  cmdSettings,
-			"call":      cmdCall,
-			"wait_call": cmdWaitCall,
-			"expect":    cmdExpect,
-			"await":     cmdAwait,
+			"start":        cmdStart,
+			"stop_process": cmdStop,
+			"kill_process": cmdKill,
+			"freeze":       cmdFreeze,
+			"thaw":         cmdThaw,
+			"fault":        cmdFault,
+			"post":         cmdPost,
+			"settings":     cmdSettings,
+			"call":         cmdCall,
+			"wait_call":    cmdWaitCall,
+
+			"streams":      cmdStreams,
+			"wait_streams": cmdWaitStreams,
+
+			"expect": cmdExpect,
+			"await":  cmdAwait,
 		},
 	})
 }
@@ -64,6 +93,7 @@
 type state struct {
 	processes map[string]*process
 	calls     map[string]*backgroundCall
+	streams   map[string]*streamGroup
 }
 
 func setup(env *testscript.Env) error {
@@ -71,7 +101,8 @@
 	env.Setenv("NET", network)
 	env.Setenv("PLATFORM", network+".1:7000")
 	env.Setenv("WEIGHTS", network+".2:7000")
-	s := &state{processes: map[string]*process{}, calls: map[string]*backgroundCall{}}
+	env.Setenv("LONG_WORD", strings.Repeat("x", longWordBytes))
+	s := &state{processes: map[string]*process{}, calls: map[string]*backgroundCall{}, streams: map[string]*streamGroup{}}
 	env.Values[stateKey{}] = s
 	env.Defer(s.killAll)
 	examples, err := filepath.Glob("../../examples/*.ini")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -41,18 +41,20 @@
 	MaxInProgress int
 	MaxBodyBytes  int
 	StartWithin   time.Duration
+	WriteWithin   time.Duration
 }
 
 // Target are the settings of targetd.
 type Target struct {
 	Common
-	Team     string
-	Service  string
-	Plain    bool // a plain service stands behind
-	Engine   netip.AddrPort
-	Slots    int
-	Adapters int
-	Queue    int
+	DialAddress netip.AddrPort // address that entryds dial
+	Team        string
+	Service     string
+	Plain       bool // a plain service stands behind
+	Engine      netip.AddrPort
+	Slots       int
+	Adapters    int
+	Queue       int
 }
 
 // ReadEntry reads the settings of entryd from the file at path.
@@ -66,6 +68,7 @@
 		MaxInProgress: f.Int("limits", "in_progress", 2000, 1, 1000000),
 		MaxBodyBytes:  f.Int("limits", "body_bytes", 4<<20, 1024, 16<<20),
 		StartWithin:   f.Duration("limits", "start_within", 30*time.Second, 100*time.Millisecond, 10*time.Minute),
+		WriteWithin:   f.Duration("limits", "write_within", 20*time.Second, 100*time.Millisecond, 10*time.Minute),
 	}
 	return s, f.Done()
 }
@@ -76,15 +79,17 @@
 	if err != nil {
 		return Target{}, err
 	}
+	common := readCommon(f)
 	s := Target{
-		Common:   readCommon(f),
-		Team:     f.Name("target", "team"),
-		Service:  f.Name("target", "service"),
-		Plain:    f.Choice("target", "kind", "model", "plain") == "plain",
-		Engine:   f.AddrPort("target", "engine"),
-		Slots:    f.Int("target", "slots", 8, 1, 4096),
-		Adapters: f.Int("target", "adapters", 8, 1, 4096),
-		Queue:    f.Int("target", "queue", 256, 1, 100000),
+		Common:      common,
+		DialAddress: f.OptionalAddrPort("listen", "dial_address", common.Listen),
+		Team:        f.Name("target", "team"),
+		Service:     f.Name("target", "service"),
+		Plain:       f.Choice("target", "kind", "model", "plain") == "plain",
+		Engine:      f.AddrPort("target", "engine"),
+		Slots:       f.Int("target", "slots", 8, 1, 4096),
+		Adapters:    f.Int("target", "adapters", 8, 1, 4096),
+		Queue:       f.Int("target", "queue", 256, 1, 100000),
 	}
 	return s, f.Done()
 }
--- a/internal/standin/doc.go
+++ b/internal/standin/doc.go
@@ -12,4 +12,5 @@
 //	standin weights  -listen 127.0.0.1:7001 -rate 7 -at_once 3
 //	standin engine   -listen 127.0.0.1:7100 -weights 127.0.0.1:7001 -slots 8
 //	standin service  -listen 127.0.0.1:7200
+//	standin relay    -listen 127.0.0.1:7300 -from 127.0.0.1:7301 -to 127.0.0.1:7400
 package standin
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -38,6 +38,7 @@
 	batch    chan struct{}         // one token a running request
 	journal  []engineEntry
 	failLoad int // loads to fail from now on
+	endAfter int // tokens after which streams end without their last event, zero for never
 	faults   *faults
 }
 
@@ -78,6 +79,7 @@
 	h.GET("/admin/journal", e.serveJournal)
 	h.POST("/admin/restart", e.serveRestart)
 	h.POST("/admin/fail_loads", e.serveFailLoads)
+	h.POST("/admin/end_streams", e.serveEndStreams)
 	h.POST("/admin/fault", e.faults.serveFault)
 }
 
--- a/internal/standin/engine_orders.go
+++ b/internal/standin/engine_orders.go
@@ -116,6 +116,22 @@
 	rc.String(200, "ok\n")
 }
 
+// serveEndStreams handles POST /admin/end_streams: streams that start from now
+// on end in good order after so many tokens, but without their last event.
+func (e *engine) serveEndStreams(_ context.Context, rc *app.RequestContext) {
+	var o struct {
+		After int `json:"after"`
+	}
+	if err := json.Unmarshal(rc.Request.Body(), &o); err != nil {
+		rc.String(400, err.Error())
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.endAfter = o.After
+	rc.String(200, "ok\n")
+}
+
 func (e *engine) serveFailLoads(_ context.Context, rc *app.RequestContext) {
 	var o struct {
 		Count int `json:"count"`
--- a/internal/standin/engine_runs.go
+++ b/internal/standin/engine_runs.go
@@ -112,7 +112,13 @@
 func (e *engine) stream(ctx context.Context, rc *app.RequestContext, body *completionBody) {
 	rc.SetContentType("text/event-stream")
 	rc.Response.HijackWriter(resp.NewChunkedBodyWriter(&rc.Response, rc.GetWriter()))
+	e.mu.Lock()
+	endAfter := e.endAfter
+	e.mu.Unlock()
 	for i := 0; i < body.MaxTokens; i++ {
+		if endAfter > 0 && i == endAfter {
+			return
+		}
 		if !e.wait(ctx) {
 			e.breakOff(rc)
 			return
--- a/internal/standin/main.go
+++ b/internal/standin/main.go
@@ -16,7 +16,7 @@
 	"github.com/cloudwego/hertz/pkg/network/standard"
 )
 
-const usage = `usage: standin <platform|weights|engine|service> [flags]
+const usage = `usage: standin <platform|weights|engine|service|relay> [flags]
 
 Stand-ins of outside systems, for tests and the quick start only.
 Run "standin <name> -h" for the flags of one.
@@ -63,6 +63,10 @@
 		return func() registrar { return newEngine(*opts).register }, true
 	case "service":
 		return func() registrar { return (&plainService{faults: newFaults()}).register }, true
+	case "relay":
+		from := fs.String("from", "127.0.0.1:7001", "`address` whose connections are relayed")
+		to := fs.String("to", "", "`address` that they are relayed to")
+		return func() registrar { return newRelay(*from, *to).register }, true
 	}
 	return nil, false
 }
