--- a/internal/agent/event.go
+++ b/internal/agent/event.go
@@ -32,13 +32,14 @@
 	}
 	at := &attempt{
 		submit: e.submit,
-		answer: newAnswer(key, e.origin(now)),
+		answer: newAnswer(key, a.origin(now, e)),
 		request: &dispatch.Request{
 			Key:      key,
 			Team:     e.submit.Team,
 			Adapter:  e.submit.Adapter,
 			Priority: e.submit.Priority,
 			StartBy:  now.Add(e.submit.StartBy),
+			Suspect:  e.submit.Suspect,
 		},
 	}
 	a.attempts[key] = at
--- a/internal/agent/main.go
+++ b/internal/agent/main.go
@@ -20,6 +20,7 @@
 	"github.com/borageusher/borageusher/internal/registration"
 	"github.com/borageusher/borageusher/internal/revision"
 	"github.com/borageusher/borageusher/internal/settings"
+	"github.com/borageusher/borageusher/internal/suspects"
 	"github.com/borageusher/borageusher/pkg/claim"
 	"github.com/borageusher/borageusher/pkg/dispatch"
 	"github.com/borageusher/borageusher/pkg/target"
@@ -92,6 +93,7 @@
 		Limits:         dispatch.Limits{Owner: s.Team, Slots: s.Slots, Adapters: s.Adapters, Queue: s.Queue},
 		Engine:         engine.New(s.Engine, rec.Target.Epoch),
 		PlainService:   s.Plain,
+		Crashes:        suspects.NewRecorder(store.For(objects.ForSuspects)),
 		Configurations: configurations,
 		Claims:         ledger,
 		Log:            log,
@@ -135,7 +137,7 @@
 		Service:     s.Service,
 		Region:      s.Region,
 		Zone:        s.Zone,
-		Addr:        s.Listen,
+		Addr:        s.DialAddress,
 		Incarnation: daemon.NewIncarnation(),
 		Slots:       s.Slots,
 		State:       target.Live,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 	Configurations Configurations
 	Revision       func() uint64
 	Targets        Targets
+	Suspects       Suspects
 	Dialer         Dialer
 	News           News // nil for none
 	Claims         Claims
@@ -42,7 +43,7 @@
 func New(opts Options) *Entry {
 	e := &Entry{
 		opts:  opts,
-		limit: &limitFilter{most: int64(opts.MaxInProgress)},
+		limit: newLimitFilter(opts.MaxInProgress),
 		links: newLinks(opts.Dialer, opts.Log, opts.Revision),
 	}
 	e.links.news = opts.News
@@ -50,11 +51,12 @@
 		region:  opts.Self.Region,
 		targets: opts.Targets,
 		links:   e.links,
+		loads:   newLoads(),
 		claims:  opts.Claims,
 		log:     opts.Log,
 		scope:   opts.Scope,
 	}
-	e.chain = chain(last, identifyFilter{configurations: opts.Configurations}, resolveFilter{}, e.limit)
+	e.chain = chain(last, identifyFilter{configurations: opts.Configurations}, resolveFilter{}, quarantineFilter{suspects: opts.Suspects}, e.limit)
 	return e
 }
 
--- a/internal/entry/main.go
+++ b/internal/entry/main.go
@@ -17,6 +17,7 @@
 	"github.com/borageusher/borageusher/internal/revision"
 	"github.com/borageusher/borageusher/internal/settings"
 	"github.com/borageusher/borageusher/internal/spread"
+	"github.com/borageusher/borageusher/internal/suspects"
 	"github.com/borageusher/borageusher/pkg/claim"
 	"github.com/borageusher/borageusher/pkg/configuration"
 )
@@ -76,6 +77,7 @@
 	configurations.OnChange(func(*configuration.Configuration) { node.Announce() })
 	known.SetDuty(node.Duty)
 	known.OnChange(node.Announce)
+	crashes := suspects.New(store.For(objects.ForSuspects), log)
 	ledger := claims.New(claims.Options{
 		Store:     store.For(objects.ForClaims),
 		Self:      claim.Writer{Name: self.Name, Incarnation: self.Incarnation},
@@ -89,6 +91,7 @@
 		Configurations: configurations,
 		Revision:       configurations.Revision,
 		Targets:        known,
+		Suspects:       crashes,
 		Dialer:         dialer,
 		News:           node,
 		Claims:         ledger,
@@ -103,7 +106,7 @@
 		CertFile:     s.CertFile,
 		KeyFile:      s.KeyFile,
 		MaxBodyBytes: s.MaxBodyBytes,
-		Ready:        func() bool { return configurations.Current() != nil && !stopping.Load() },
+		Ready:        func() bool { return configurations.Current() != nil && crashes.Ready() && !stopping.Load() },
 		Metrics:      metricsHandler,
 
 		SenseDisconnect: true,
@@ -117,6 +120,7 @@
 	go known.Run(ctx)
 	go node.Run(ctx)
 	go e.CloseIdle(ctx)
+	go crashes.Run(ctx)
 	go e.Run(ctx)
 	log.At(event.Started).Stringer("address", s.Listen).Send()
 	served := make(chan error, 1)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -29,6 +29,10 @@
 	AttemptVoided     Code = 310
 	AttemptUnsettled  Code = 311
 	TargetLeaving     Code = 330
+	CrashKnown        Code = 331
+	CrashUnreadable   Code = 332
+	SuspectCleared    Code = 333
+	RetryRefused      Code = 334
 	RequestQueued     Code = 400
 	RequestNotRun     Code = 401
 	RequestStarted    Code = 402
@@ -47,6 +51,7 @@
 	ClaimWriteDropped Code = 443
 	ProcessPaused     Code = 450
 	DrainBegun        Code = 480
+	EngineCrashed     Code = 481
 	RevisionInForce   Code = 500
 	RevisionRejected  Code = 501
 	SectionCorrupt    Code = 502
@@ -85,6 +90,10 @@
 	{AttemptVoided, "attempt_voided", zerolog.InfoLevel, "An attempt whose target stopped answering was excluded in its key's record: it did not run and never will."},
 	{AttemptUnsettled, "attempt_unsettled", zerolog.WarnLevel, "What became of a lost attempt is not known; `reason` says why."},
 	{TargetLeaving, "target_leaving", zerolog.InfoLevel, "The target leaves: it gets no new work, and its targetd is told if it is connected."},
+	{CrashKnown, "crash_known", zerolog.WarnLevel, "The entry knows of a crash; the requests `in_flight` are suspects until they are answered."},
+	{CrashUnreadable, "crash_unreadable", zerolog.ErrorLevel, "The record of a crash could not be read."},
+	{SuspectCleared, "suspect_cleared", zerolog.InfoLevel, "A suspect was answered and is no longer one."},
+	{RetryRefused, "retry_refused", zerolog.WarnLevel, "The retry budget of the service is spent: the caller is told the last attempt's outcome."},
 	{RequestQueued, "request_queued", zerolog.DebugLevel, "The target took an attempt into its queue."},
 	{RequestNotRun, "request_not_run", zerolog.InfoLevel, "The target refused an attempt that it had not started."},
 	{RequestStarted, "request_started", zerolog.DebugLevel, "The engine or service was given the request."},
@@ -103,6 +112,7 @@
 	{ClaimWriteDropped, "claim_write_dropped", zerolog.ErrorLevel, "A claim's outcome was not recorded; later requests with its key hear `unknown`."},
 	{ProcessPaused, "process_paused", zerolog.WarnLevel, "The process stood still for longer than the silence timeout; it dropped its connections and starts nothing that came over them."},
 	{DrainBegun, "drain_begun", zerolog.InfoLevel, "The target takes no more work and refuses what waits; `from` says who asked, empty for a signal."},
+	{EngineCrashed, "engine_crashed", zerolog.ErrorLevel, "The engine crashed; the requests `in_flight` become suspects."},
 	{RevisionInForce, "revision_in_force", zerolog.InfoLevel, "A newer configuration is in force in this process."},
 	{RevisionRejected, "revision_rejected", zerolog.ErrorLevel, "A configuration could not be read and the older one stays."},
 	{SectionCorrupt, "section_corrupt", zerolog.ErrorLevel, "A section from `from` does not have its digest and is asked of the next source."},
--- a/internal/members/controller.go
+++ b/internal/members/controller.go
@@ -22,7 +22,6 @@
 	callTimeout = 3 * time.Second         // for one read or write
 	vmInterval  = 2 * time.Second         // between two readings of the VM list
 	retryPause  = 500 * time.Millisecond
-	dutyPause   = time.Second // between two looks at the duty while polling
 )
 
 // Store is the part of the platform's API that the controller uses.
@@ -171,21 +170,7 @@
 		} else {
 			seen = version
 		}
-		c.rest(ctx)
-	}
-}
-
-// rest returns at once if it is the process's duty to watch, and otherwise
-// when the next read is due or the duty has changed.
-func (c *Controller) rest(ctx context.Context) {
-	began := time.Now()
-	jitter := rand.Float64()
-	for ctx.Err() == nil {
-		d := c.duty()
-		if d.Watch || time.Since(began) >= d.Poll/2+time.Duration(jitter*float64(d.Poll)) {
-			return
-		}
-		pause(ctx, dutyPause)
+		revision.Rest(ctx, c.duty)
 	}
 }
 
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -259,6 +259,7 @@
 	StartByMS      int64
 	IdempotencyKey string
 	BodyDigest     []byte
+	Suspect        bool
 }
 
 func submitToWire(m Submit) *submitWire {
@@ -281,6 +282,7 @@
 		StartByMS:      m.StartBy.Milliseconds(),
 		IdempotencyKey: m.IdempotencyKey,
 		BodyDigest:     m.BodyDigest,
+		Suspect:        m.Suspect,
 	}
 }
 
@@ -305,6 +307,7 @@
 		StartBy:        time.Duration(w.StartByMS) * time.Millisecond,
 		IdempotencyKey: w.IdempotencyKey,
 		BodyDigest:     w.BodyDigest,
+		Suspect:        w.Suspect,
 	}
 }
 
--- a/internal/spread/duty.go
+++ b/internal/spread/duty.go
@@ -18,10 +18,10 @@
 // zone that are alive watch it, and the others read it seldom. A process
 // without any peer watches as well.
 func (n *Node) Duty() revision.Duty {
-	connected := n.connected()
+	connected, changed := n.connected()
 	if len(connected) == 0 {
 		n.noteDuty(true)
-		return revision.Duty{Watch: true}
+		return revision.Duty{Watch: true, Changed: changed}
 	}
 	members := n.members()
 	order := relay.WatchOrder(members, n.opts.Self.Zone)
@@ -34,7 +34,8 @@
 	}
 	watch := relay.Watches(position, before)
 	n.noteDuty(watch)
-	return revision.Duty{Watch: watch, Poll: relayedPoll, Delay: readDelay * time.Duration(n.readOrder(members))}
+	delay := readDelay * time.Duration(n.readOrder(members))
+	return revision.Duty{Watch: watch, Poll: relayedPoll, Delay: delay, Changed: changed}
 }
 
 // readOrder returns how many watchers of the region's other zones read
@@ -102,13 +103,14 @@
 	return out
 }
 
-// connected returns the names of the connected peers.
-func (n *Node) connected() map[string]bool {
+// connected returns the names of the connected peers, and what is closed when
+// they change.
+func (n *Node) connected() (map[string]bool, <-chan struct{}) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	out := make(map[string]bool, len(n.peers))
 	for conn := range n.peers {
 		out[conn.Remote().Name] = true
 	}
-	return out
+	return out, n.changed
 }
--- a/internal/spread/node_test.go
+++ b/internal/spread/node_test.go
@@ -46,7 +46,7 @@
 var key = peer.Key("spread-test-peer-key")
 
 // newProcess starts a process that listens for peers.
-func newProcess(t *testing.T, ctx context.Context, name, region, zone string) *process {
+func newProcess(ctx context.Context, t *testing.T, name, region, zone string) *process {
 	t.Helper()
 	p := &process{scope: tally.NewTestScope("", nil)}
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { p.serve(ctx, w, r) }))
@@ -80,13 +80,13 @@
 
 // newFleet starts n processes in each of two regions with two zones each, all
 // of which know each other.
-func newFleet(t *testing.T, ctx context.Context, n int) []*process {
+func newFleet(ctx context.Context, t *testing.T, n int) []*process {
 	t.Helper()
 	var fleet []*process
 	for z, zone := range []string{"milano-a", "milano-b", "ploiesti-a", "bucuresti-b"} {
 		region := []string{"lombardy", "lombardy", "muntenia", "muntenia"}[z]
 		for i := range n {
-			fleet = append(fleet, newProcess(t, ctx, fmt.Sprintf("%s-%d", zone, i), region, zone))
+			fleet = append(fleet, newProcess(ctx, t, fmt.Sprintf("%s-%d", zone, i), region, zone))
 		}
 	}
 	var all []objects.Object
@@ -143,7 +143,7 @@
 	convey.Convey("In a fleet whose object API is out", t, func() {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		fleet := newFleet(t, ctx, 5)
+		fleet := newFleet(ctx, t, 5)
 
 		convey.Convey("a revision that one process has comes into force everywhere", func() {
 			convey.So(accept(fleet[0], 1, 1000), convey.ShouldBeNil)
@@ -204,7 +204,7 @@
 	convey.Convey("The sections of a revision cross to the other region about once", t, func() {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		fleet := newFleet(t, ctx, 5)
+		fleet := newFleet(ctx, t, 5)
 		const size = 400000
 		time.Sleep(2 * time.Second) // connections stand
 		convey.So(accept(fleet[0], 1, size), convey.ShouldBeNil)
