--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -112,7 +112,7 @@
 		}
 		a.perform(ctx, a.dispatcher.Next(time.Now()))
 		a.publish()
-		if next := a.dispatcher.NextDeadline(); !next.IsZero() {
+		if next := a.dispatcher.NextDeadline(time.Now()); !next.IsZero() {
 			deadline.Reset(max(0, time.Until(next)))
 		}
 	}
--- a/internal/agent/event.go
+++ b/internal/agent/event.go
@@ -131,8 +131,8 @@
 	ok bool
 }
 
-func (e loaded) apply(ctx context.Context, a *Agent, _ time.Time) {
-	a.perform(ctx, a.dispatcher.Loaded(e.id, e.ok))
+func (e loaded) apply(ctx context.Context, a *Agent, now time.Time) {
+	a.perform(ctx, a.dispatcher.Loaded(now, e.id, e.ok))
 }
 
 // unloaded: the engine ended an order to unload.
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -54,6 +54,7 @@
 type Report struct {
 	Running  int
 	Queued   int
+	Ready    int // queued requests that wait for a slot only
 	Draining bool
 }
 
@@ -62,15 +63,18 @@
 	limits   Limits
 	terms    Terms
 	table    *residency.Table
-	queue    []*Request
+	queue    *fairQueue
+	loads    loads
 	running  map[RequestKey]*Request
 	byTeam   map[string]int // running requests
+	borrowed int            // running requests of teams other than the owner
 	draining bool
 }
 
 // Terms says how many of the target's slots a team may use at once.
 type Terms interface {
-	// SlotsFor returns the most slots of the target that team may use.
+	// SlotsFor returns the most slots of the target that team may use. All
+	// teams but the owner share what is lent: together they use no more.
 	SlotsFor(team string) int
 }
 
@@ -84,6 +88,8 @@
 		limits:  limits,
 		terms:   terms,
 		table:   residency.New(limits.Adapters),
+		queue:   newFairQueue(),
+		loads:   newLoads(),
 		running: map[RequestKey]*Request{},
 		byTeam:  map[string]int{},
 	}
@@ -92,6 +98,9 @@
 // SetTerms puts other terms in force. What runs already goes on.
 func (d *Dispatcher) SetTerms(terms Terms) { d.terms = terms }
 
+// SetBudget makes loads wait for the budget b. Without one they start at once.
+func (d *Dispatcher) SetBudget(b Budget) { d.loads.budget = b }
+
 // Submit queues r, or returns the reason why r is refused.
 func (d *Dispatcher) Submit(now time.Time, r *Request) outcome.Reason {
 	switch {
@@ -101,60 +110,101 @@
 		return outcome.Expired
 	case d.terms.SlotsFor(r.Team) <= 0:
 		return outcome.OverTerms
-	case len(d.queue) >= d.limits.Queue:
+	case !r.Adapter.IsZero() && d.loads.backingOff(now, r.Adapter):
+		return outcome.LoadFailed
+	case d.queueFull(r.Team):
 		return outcome.Overloaded
 	}
-	d.queue = append(d.queue, r)
+	if !r.Adapter.IsZero() {
+		d.table.Observe(now, r.Adapter)
+	}
+	d.limitBorrowed(r.Team)
+	d.queue.add(now, r)
 	return outcome.NoReason
 }
 
 // Next returns what to do now. It must be called after every other call that
 // changes the dispatcher, and when the time of NextDeadline has come.
 func (d *Dispatcher) Next(now time.Time) []Action {
-	var actions []Action
-	kept := d.queue[:0]
-	for _, r := range d.queue {
-		a, keep := d.consider(now, r)
-		if keep {
-			kept = append(kept, r)
+	actions := d.refuseWaiting(outcome.Expired, func(r *Request) bool { return !now.Before(r.StartBy) })
+	for len(d.running) < d.limits.Slots {
+		t, i := d.pick()
+		if t == nil {
+			break
 		}
-		if a != nil {
-			actions = append(actions, *a)
+		actions = append(actions, d.start(now, t, i))
+	}
+	return d.load(now, actions)
+}
+
+// pick returns the team and the index of the request to start, or nil: of the
+// teams in their fair order the first with a request that can start now.
+func (d *Dispatcher) pick() (*teamQueue, int) {
+	for _, t := range d.queue.sorted() {
+		if d.slotsLeft(t.team) <= 0 {
+			continue
+		}
+		for i, w := range t.items {
+			if w.request.Adapter.IsZero() || d.table.Usable(w.request.Adapter) {
+				return t, i
+			}
 		}
 	}
-	clear(d.queue[len(kept):])
-	d.queue = kept
-	return actions
+	return nil, 0
 }
 
-// consider returns the action that r gives rise to, if any, and whether r
-// stays in the queue.
-func (d *Dispatcher) consider(now time.Time, r *Request) (*Action, bool) {
-	if !now.Before(r.StartBy) {
-		return &Action{Kind: Refuse, Request: r, Reason: outcome.Expired}, false
+// queueFull reports whether one more request of team may not wait. Borrowers
+// have the part of the queue that they have of the slots, split evenly among
+// those that wait, so that none fills it for the others.
+func (d *Dispatcher) queueFull(team string) bool {
+	if team == d.limits.Owner {
+		return d.queue.n >= d.limits.Queue
 	}
-	if len(d.running) >= d.limits.Slots || d.byTeam[r.Team] >= d.terms.SlotsFor(r.Team) {
-		return nil, true
+	waiting, borrowers := 0, 1
+	for _, t := range d.queue.teams {
+		switch t.team {
+		case team:
+			waiting = len(t.items)
+		case d.limits.Owner:
+		default:
+			borrowers++
+		}
 	}
-	if r.Adapter.IsZero() {
-		return d.start(r), false
+	part := d.limits.Queue * d.terms.SlotsFor(team) / d.limits.Slots / borrowers
+	return waiting >= max(1, part) || d.queue.n >= d.limits.Queue
+}
+
+// slotsLeft returns how many more requests of team the terms let start.
+func (d *Dispatcher) slotsLeft(team string) int {
+	left := d.terms.SlotsFor(team) - d.byTeam[team]
+	if team != d.limits.Owner {
+		left = min(left, d.terms.SlotsFor(team)-d.borrowed)
 	}
-	switch step := d.table.Want(now, r.Adapter); step.Kind {
-	case residency.Ready:
-		d.table.Pin(now, r.Adapter)
-		return d.start(r), false
-	case residency.Load:
-		return &Action{Kind: Load, Adapter: r.Adapter}, true
-	case residency.Unload:
-		return &Action{Kind: Unload, Adapter: step.Victim}, true
+	return left
+}
+
+// limitBorrowed gives borrowers the part of the adapter places that they have
+// of the slots, and at least one.
+func (d *Dispatcher) limitBorrowed(team string) {
+	if team == d.limits.Owner {
+		return
 	}
-	return nil, true
+	most := d.terms.SlotsFor(team) * d.limits.Adapters / d.limits.Slots
+	d.table.LimitBorrowed(d.limits.Owner, max(1, most))
 }
 
-func (d *Dispatcher) start(r *Request) *Action {
+func (d *Dispatcher) start(now time.Time, t *teamQueue, i int) Action {
+	d.queue.charge(t, float64(d.terms.SlotsFor(t.team)))
+	r := d.queue.take(t, i).request
+	if !r.Adapter.IsZero() {
+		d.table.Pin(now, r.Adapter)
+	}
 	d.running[r.Key] = r
 	d.byTeam[r.Team]++
-	return &Action{Kind: Start, Request: r}
+	if r.Team != d.limits.Owner {
+		d.borrowed++
+	}
+	return Action{Kind: Start, Request: r}
 }
 
 // Finished records that a started request has ended, in whatever way.
@@ -165,6 +215,9 @@
 	}
 	delete(d.running, key)
 	d.byTeam[r.Team]--
+	if r.Team != d.limits.Owner {
+		d.borrowed--
+	}
 	if d.byTeam[r.Team] == 0 {
 		delete(d.byTeam, r.Team)
 	}
@@ -176,33 +229,9 @@
 // Withdraw removes a request that waits and reports whether it did. A request
 // that has started is not found.
 func (d *Dispatcher) Withdraw(key RequestKey) bool {
-	for i, r := range d.queue {
-		if r.Key == key {
-			d.queue = append(d.queue[:i], d.queue[i+1:]...)
-			return true
-		}
-	}
-	return false
-}
-
-// Loaded records the end of a load. After a failure, the requests that waited
-// for it are refused.
-func (d *Dispatcher) Loaded(id adapter.ID, ok bool) []Action {
-	if ok {
-		d.table.Loaded(id)
-		return nil
-	}
-	d.table.LoadFailed(id)
-	return d.refuseWaiting(outcome.LoadFailed, func(r *Request) bool { return r.Adapter == id })
+	return len(d.queue.removeIf(func(r *Request) bool { return r.Key == key })) > 0
 }
 
-// Unloaded records the end of an unload.
-func (d *Dispatcher) Unloaded(id adapter.ID) { d.table.Unloaded(id) }
-
-// EngineRestarted records that the engine lost its adapters and requests. The
-// caller reports each running request with Finished as its connection breaks.
-func (d *Dispatcher) EngineRestarted() { d.table.Restarted() }
-
 // Drain stops taking requests and refuses the ones that wait, so that their
 // senders move them elsewhere.
 func (d *Dispatcher) Drain() []Action {
@@ -212,35 +241,75 @@
 
 func (d *Dispatcher) refuseWaiting(reason outcome.Reason, which func(*Request) bool) []Action {
 	var actions []Action
-	kept := d.queue[:0]
-	for _, r := range d.queue {
-		if which(r) {
-			actions = append(actions, Action{Kind: Refuse, Request: r, Reason: reason})
-			continue
-		}
-		kept = append(kept, r)
+	for _, r := range d.queue.removeIf(which) {
+		actions = append(actions, Action{Kind: Refuse, Request: r, Reason: reason})
 	}
-	clear(d.queue[len(kept):])
-	d.queue = kept
 	return actions
 }
 
 // Report returns the target's load.
 func (d *Dispatcher) Report() Report {
-	return Report{Running: len(d.running), Queued: len(d.queue), Draining: d.draining}
+	return Report{Running: len(d.running), Queued: d.queue.n, Ready: d.ready(), Draining: d.draining}
+}
+
+// ready counts the requests that wait for a slot only. While slots are free
+// there are none but those that the terms hold back.
+func (d *Dispatcher) ready() int {
+	if len(d.running) < d.limits.Slots {
+		return 0
+	}
+	n := 0
+	for _, t := range d.queue.teams {
+		for _, w := range t.items {
+			if w.request.Adapter.IsZero() || d.table.Usable(w.request.Adapter) {
+				n++
+			}
+		}
+	}
+	return n
 }
 
 // Resident returns the adapters that the engine holds, in order of name.
 func (d *Dispatcher) Resident() []adapter.ID { return d.table.Resident() }
 
-// NextDeadline returns the earliest time at which a waiting request expires,
-// or zero when none waits.
-func (d *Dispatcher) NextDeadline() time.Time {
+// Floor returns the decayed demand for the adapter that a load would replace.
+func (d *Dispatcher) Floor(now time.Time) float64 { return d.table.Floor(now) }
+
+// NextDeadline returns the earliest time at which a waiting request expires or
+// may be loaded for, or zero when none waits.
+func (d *Dispatcher) NextDeadline(now time.Time) time.Time {
 	var first time.Time
-	for _, r := range d.queue {
-		if first.IsZero() || r.StartBy.Before(first) {
-			first = r.StartBy
+	for _, t := range d.queue.teams {
+		for _, w := range t.items {
+			if first.IsZero() || w.request.StartBy.Before(first) {
+				first = w.request.StartBy
+			}
 		}
 	}
+	if first.IsZero() {
+		return first
+	}
+	if next := d.loads.budget.NextTake(now); next.After(now) && next.Before(first) {
+		first = next
+	}
 	return first
 }
+
+// Held returns the adapters that the engine holds, is loading, or will load for
+// requests that wait, so that further requests for them come here too.
+func (d *Dispatcher) Held() []adapter.ID {
+	held := d.table.Held()
+	seen := make(map[adapter.ID]bool, len(held)+d.queue.n)
+	for _, id := range held {
+		seen[id] = true
+	}
+	for _, t := range d.queue.teams {
+		for _, w := range t.items {
+			if id := w.request.Adapter; !id.IsZero() && !seen[id] {
+				seen[id] = true
+				held = append(held, id)
+			}
+		}
+	}
+	return held
+}
