Decide loads by demand and start fairly by team; measure by a driver

The queue was first in first out, the victim the adapter used longest ago, and every queued request could unload for itself. Now: start-time fair queueing by team with priority and deadline as a bounded head start; decayed demand picks the victim; a right to load is taken before room is made; requests whose adapter is resident pass those that wait, up to a bound; failed loads back off; borrowers' adapter places and queue part are limited like their slots.

New packages: loadbudget (shares and granter whose rights move and are never copied). placement.View chooses among the holders and two homes by cost.

Ruled out by trial runs of the driver: demand sent along by entries, more homes than two, ordering loads by demand.

--- a/pkg/dispatch/loads.go
+++ b/pkg/dispatch/loads.go
@@ -57,7 +57,7 @@
 	budget       Budget
 	failures     map[adapter.ID]failure
 	loading      int
-	rights       int // taken from the budget and not used yet
+	paid         int // places made whose load has its right already
 	nextPrefetch time.Time
 }
 
@@ -147,7 +147,7 @@
 			d.retire(now, w)
 			continue
 		}
-		if !d.loads.take(now, w.need) {
+		if !d.loads.take(now, w.need, place) {
 			return actions
 		}
 		actions = d.orderLoad(now, w.id, actions)
@@ -165,28 +165,26 @@
 	}
 }
 
-// take returns whether a load may start: with a right that is left from a
-// cancelled unload, or a new one.
-func (l *loads) take(now time.Time, need Need) bool {
-	if l.rights == 0 {
-		if !l.budget.Take(now, need) {
-			return false
-		}
-		l.rights++
+// take returns whether a load may be ordered: with the right that its place was
+// made with, or a new one.
+func (l *loads) take(now time.Time, need Need, place bool) bool {
+	if place && l.paid > 0 {
+		l.paid--
+		return true
 	}
-	return true
+	return l.budget.Take(now, need)
 }
 
 // orderLoad uses the right that was taken: it orders the load, or the unload
-// that makes room for it. Then the right is kept for the load.
+// that makes room for it. Then the right stands for the place.
 func (d *Dispatcher) orderLoad(now time.Time, id adapter.ID, actions []Action) []Action {
 	step := d.table.Want(now, id)
 	switch step.Kind {
 	case residency.Load:
-		d.loads.rights--
 		d.loads.loading++
 		return append(actions, Action{Kind: Load, Adapter: id})
 	case residency.Unload:
+		d.loads.paid++
 		return append(actions, Action{Kind: Unload, Adapter: step.Victim})
 	}
 	return actions
@@ -202,7 +200,7 @@
 	id, ok := d.table.Prefetch(now, func(id adapter.ID) bool {
 		return d.terms.SlotsFor(id.Team) > 0 && !d.loads.backingOff(now, id)
 	})
-	if !ok || d.table.Count(residency.Unloading) > 0 || !d.loads.take(now, Need{}) {
+	if !ok || d.table.Count(residency.Unloading) > 0 || !d.loads.take(now, Need{}, d.table.HasPlace(id)) {
 		return actions
 	}
 	d.loads.nextPrefetch = now
--- /dev/null
+++ b/pkg/loadbudget/share_test.go
@@ -0,0 +1,129 @@
+package loadbudget
+
+import (
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/borageusher/borageusher/pkg/dispatch"
+)
+
+var (
+	start  = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	limits = Limits{Rate: 7, Burst: 3, InFlight: 24}
+	need   = dispatch.Need{Waiting: 1, StartBy: start.Add(30 * time.Second)}
+)
+
+func TestShare(t *testing.T) {
+	convey.Convey("A share brings its part of the rate and saves one right", t, func() {
+		s := NewShare(limits, 14, start)
+		convey.So(s.Take(start, need), convey.ShouldBeFalse)
+		next := s.NextTake(start)
+		convey.So(next.Sub(start), convey.ShouldAlmostEqual, 2*time.Second, 2*time.Millisecond)
+		convey.So(s.Take(next, need), convey.ShouldBeTrue)
+		s.Done(next)
+		later := start.Add(time.Hour)
+		convey.So(s.Take(later, need), convey.ShouldBeTrue)
+		s.Done(later)
+		convey.So(s.Take(later, need), convey.ShouldBeFalse)
+	})
+	convey.Convey("A share has no more loads in flight than its part", t, func() {
+		s := NewShare(Limits{Rate: 100, InFlight: 4}, 2, start)
+		for range 2 {
+			s.Receive(start)
+			convey.So(s.Take(start, need), convey.ShouldBeTrue)
+		}
+		s.Receive(start)
+		convey.So(s.Take(start, need), convey.ShouldBeFalse)
+		s.Done(start)
+		convey.So(s.Take(start, need), convey.ShouldBeTrue)
+	})
+	convey.Convey("With less than one load in flight for each target, starts keep apart by the load's duration", t, func() {
+		s := NewShare(Limits{Rate: 100, InFlight: 1}, 4, start)
+		s.Receive(start)
+		s.Receive(start)
+		convey.So(s.Take(start, need), convey.ShouldBeTrue)
+		s.Done(start.Add(time.Second))
+		convey.So(s.Take(start.Add(3*time.Second), need), convey.ShouldBeFalse)
+		convey.So(s.Take(start.Add(4*time.Second), need), convey.ShouldBeTrue)
+	})
+	convey.Convey("A need stands until a right comes", t, func() {
+		s := NewShare(limits, 14, start)
+		s.Take(start, need)
+		asked, ok := s.Asked()
+		convey.So(ok, convey.ShouldBeTrue)
+		convey.So(asked, convey.ShouldResemble, need)
+		s.Receive(start)
+		_, ok = s.Asked()
+		convey.So(ok, convey.ShouldBeFalse)
+	})
+}
+
+// Moves rights through two granters with lost messages, and checks that the
+// loads that start never pass the rate over any time since the beginning.
+func TestSharesKeepTheRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 12).Draw(t, "targets")
+		now := start
+		shares := make([]*Share, n)
+		for i := range shares {
+			shares[i] = NewShare(limits, n, start)
+		}
+		granters := []*Granter{NewGranter(limits), NewGranter(limits)}
+		taken := 0
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
+			i := rapid.IntRange(0, n-1).Draw(t, "target")
+			g := granters[rapid.IntRange(0, 1).Draw(t, "granter")]
+			lost := rapid.Bool().Draw(t, "lost")
+			switch rapid.IntRange(0, 2).Draw(t, "action") {
+			case 0:
+				if shares[i].Take(now, need) {
+					taken++
+					shares[i].Done(now)
+				}
+			case 1:
+				if rights := shares[i].Donate(now); !lost {
+					g.Donate(rights)
+				}
+			case 2:
+				g.Ask("any", need)
+				for range g.Grants() {
+					if !lost {
+						shares[i].Receive(now)
+					}
+				}
+			}
+			if most := limits.Rate*now.Sub(start).Seconds() + 1e-6; float64(taken) > most {
+				t.Fatalf("%d loads started where %.2f are allowed", taken, most)
+			}
+		}
+	})
+}
+
+func TestGranter(t *testing.T) {
+	convey.Convey("Waiting requests go before loading ahead, then the earlier and the more", t, func() {
+		g := NewGranter(Limits{Rate: 7, Burst: 6})
+		g.Ask("ahead", dispatch.Need{})
+		g.Ask("late", dispatch.Need{Waiting: 1, StartBy: start.Add(9 * time.Second)})
+		g.Ask("many", dispatch.Need{Waiting: 8, StartBy: start.Add(9 * time.Second)})
+		g.Ask("early", dispatch.Need{Waiting: 1, StartBy: start.Add(time.Second)})
+		g.Ask("gone", need)
+		g.Forget("gone")
+		convey.So(g.Grants(), convey.ShouldBeEmpty)
+		g.Donate(3.5)
+		convey.So(g.Grants(), convey.ShouldResemble, []string{"early", "many", "late"})
+		g.Donate(0.5)
+		convey.So(g.Grants(), convey.ShouldResemble, []string{"ahead"})
+	})
+	convey.Convey("Rights are not saved up beyond the burst", t, func() {
+		g := NewGranter(limits)
+		g.Donate(100)
+		for _, name := range []string{"a", "b", "c", "d"} {
+			g.Ask(name, need)
+		}
+		convey.So(g.Grants(), convey.ShouldHaveLength, limits.Burst-1)
+	})
+}
--- a/pkg/placement/view.go
+++ b/pkg/placement/view.go
@@ -2,7 +2,10 @@
 
 // homes is the number of targets, in the order of the rendezvous hash, among
 // which an adapter that nobody holds is placed.
-const homes = 3
+const homes = 2
+
+// homeStep is what each further home costs more, as part of a load.
+const homeStep = 0.5
 
 // Costs weigh what a choice may cost.
 type Costs struct {
@@ -33,18 +36,25 @@
 type View struct {
 	costs   Costs
 	members []Member
+	ranks   []rankBasis      // of members
 	index   map[uint64]int32 // members by hash
 }
 
 // NewView returns the view of members, which it keeps. It panics if a member
 // has no slots.
 func NewView(members []Member, costs Costs) *View {
-	v := &View{costs: costs, members: members, index: make(map[uint64]int32, len(members))}
+	v := &View{
+		costs:   costs,
+		members: members,
+		ranks:   make([]rankBasis, len(members)),
+		index:   make(map[uint64]int32, len(members)),
+	}
 	for i, m := range members {
 		if m.Slots <= 0 {
 			panic("placement: member without slots")
 		}
 		v.index[m.Hash] = int32(i)
+		v.ranks[i] = rankBasis{m.Hash, m.class() << (64 - classBits)}
 	}
 	return v
 }
@@ -94,11 +104,11 @@
 		if r.index < 0 {
 			break
 		}
-		missing := v.costs.Stall * v.costs.Load * (1 + hints.Floor(v.members[r.index].Hash))
+		missing := v.missing(r.index, hints) * (1 + homeStep*float64(n))
 		b.offer(r.index, v.cost(r.index, loads)+missing, ^uint64(n), ReasonHome)
 	}
 	if b.index < 0 || v.overloaded(b.index, loads) {
-		v.spill(key.Adapter, loads, &b)
+		v.spill(key.Adapter, hints, loads, &b)
 	}
 	return b.index, b.reason, b.index >= 0
 }
@@ -141,6 +151,12 @@
 	return c
 }
 
+// missing returns what a load at member i costs: the stall now, and the stalls
+// of the requests for the adapter that it replaces.
+func (v *View) missing(i int, hints *Hints) float64 {
+	return v.costs.Stall * v.costs.Load * (1 + hints.Floor(v.members[i].Hash))
+}
+
 // queueSeconds is the time in which a full batch is assumed to end.
 const queueSeconds = 4
 
@@ -163,6 +179,12 @@
 	return c
 }
 
+// rankBasis is what a member's rank is made of.
+type rankBasis struct {
+	hash  uint64
+	class uint64 // in the highest bits
+}
+
 // ranked is a member with its rendezvous rank.
 type ranked struct {
 	index int
@@ -174,10 +196,9 @@
 	for n := range top {
 		top[n].index = -1
 	}
-	for i := range v.members {
-		m := &v.members[i]
-		r := mix(adapter^m.Hash)>>classBits | m.class()<<(64-classBits)
-		last := &top[homes-1]
+	last := &top[homes-1]
+	for i, b := range v.ranks {
+		r := mix(adapter^b.hash)>>classBits | b.class
 		if (last.index >= 0 && r <= last.rank) || !loads.Usable(i) {
 			continue
 		}
@@ -189,11 +210,10 @@
 }
 
 // spill offers all members: the least loaded one of the best class wins.
-func (v *View) spill(adapter uint64, loads Loads, b *best) {
-	missing := v.costs.Stall * v.costs.Load
+func (v *View) spill(adapter uint64, hints *Hints, loads Loads, b *best) {
 	for i := range v.members {
 		if loads.Usable(i) {
-			b.offer(i, v.cost(i, loads)+missing, mix(adapter^v.members[i].Hash), ReasonSpill)
+			b.offer(i, v.cost(i, loads)+v.missing(i, hints), mix(adapter^v.members[i].Hash), ReasonSpill)
 		}
 	}
 }
--- /dev/null
+++ b/pkg/placement/view_test.go
@@ -0,0 +1,136 @@
+package placement
+
+import (
+	"strconv"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+)
+
+// loadTable is the load of members by index.
+type loadTable struct {
+	inFlight []int
+	down     []bool
+}
+
+func (l loadTable) InFlight(i int) int { return l.inFlight[i] }
+func (l loadTable) Usable(i int) bool  { return !l.down[i] }
+
+func newLoadTable(n int) loadTable { return loadTable{make([]int, n), make([]bool, n)} }
+
+func newMembers(n int) []Member {
+	members := make([]Member, n)
+	for i := range members {
+		members[i] = Member{Hash: Hash("t" + strconv.Itoa(i)), Slots: 8}
+	}
+	return members
+}
+
+var costs = Costs{Stall: 4, Batch: 1, Load: 0.5}
+
+func TestView(t *testing.T) {
+	convey.Convey("An adapter that nobody holds goes to its home, and the next request follows", t, func() {
+		members := newMembers(10)
+		v, hints, loads := NewView(members, costs), NewHints(), newLoadTable(10)
+		i, reason, ok := v.Choose(Key{Adapter: 7}, hints, loads)
+		convey.So(ok, convey.ShouldBeTrue)
+		convey.So(reason, convey.ShouldEqual, ReasonHome)
+		hints.Expect(members[i].Hash, 7)
+		loads.inFlight[i] = 6
+		j, reason, _ := v.Choose(Key{Adapter: 7}, hints, loads)
+		convey.So(j, convey.ShouldEqual, i)
+		convey.So(reason, convey.ShouldEqual, ReasonResident)
+	})
+	convey.Convey("A busy holder gives rise to a copy", t, func() {
+		members := newMembers(10)
+		v, hints, loads := NewView(members, costs), NewHints(), newLoadTable(10)
+		hints.Set(members[3].Hash, []uint64{7}, 0)
+		loads.inFlight[3] = 30
+		i, reason, _ := v.Choose(Key{Adapter: 7}, hints, loads)
+		convey.So(i, convey.ShouldNotEqual, 3)
+		convey.So(reason, convey.ShouldNotEqual, ReasonResident)
+	})
+	convey.Convey("A home whose next load costs much gives way to the second", t, func() {
+		members := newMembers(10)
+		v, hints, loads := NewView(members, costs), NewHints(), newLoadTable(10)
+		i, _, _ := v.Choose(Key{Adapter: 7}, hints, loads)
+		hints.Set(members[i].Hash, nil, 50)
+		j, reason, _ := v.Choose(Key{Adapter: 7}, hints, loads)
+		convey.So(j, convey.ShouldNotEqual, i)
+		convey.So(reason, convey.ShouldEqual, ReasonHome)
+	})
+	convey.Convey("The own region goes before the own team, and both before a holder elsewhere", t, func() {
+		members := newMembers(4)
+		members[0].Remote = true
+		members[1].Remote, members[1].Borrowed = true, true
+		members[2].Borrowed = true
+		v, hints, loads := NewView(members, costs), NewHints(), newLoadTable(4)
+		hints.Set(members[0].Hash, []uint64{7}, 0)
+		for _, want := range []int{3, 2, 0, 1} {
+			i, _, ok := v.Choose(Key{Adapter: 7}, hints, loads)
+			convey.So(ok, convey.ShouldBeTrue)
+			convey.So(i, convey.ShouldEqual, want)
+			loads.down[i] = true
+		}
+		_, _, ok := v.Choose(Key{Adapter: 7}, hints, loads)
+		convey.So(ok, convey.ShouldBeFalse)
+	})
+	convey.Convey("Follow-ups with the same prefix stay with one of several holders", t, func() {
+		members := newMembers(10)
+		v, hints, loads := NewView(members, costs), NewHints(), newLoadTable(10)
+		for _, m := range members[:4] {
+			hints.Set(m.Hash, []uint64{7}, 0)
+		}
+		chosen := map[int]bool{}
+		for prefix := range uint64(40) {
+			key := Key{Adapter: 7, Prefix: Hash(strconv.FormatUint(prefix, 10))}
+			i, _, _ := v.Choose(key, hints, loads)
+			j, _, _ := v.Choose(key, hints, loads)
+			convey.So(i, convey.ShouldEqual, j)
+			chosen[i] = true
+		}
+		convey.So(len(chosen), convey.ShouldEqual, 4)
+	})
+}
+
+func TestHints(t *testing.T) {
+	convey.Convey("Hints follow what targets say", t, func() {
+		h := NewHints()
+		h.Set(1, []uint64{10, 11}, 2)
+		h.Set(2, []uint64{11}, 3)
+		convey.So(h.Holders(11), convey.ShouldResemble, []uint64{1, 2})
+		convey.So(h.Floor(2), convey.ShouldEqual, 3)
+		h.Set(1, []uint64{12}, 2)
+		convey.So(h.Holders(10), convey.ShouldBeEmpty)
+		convey.So(h.Holders(11), convey.ShouldResemble, []uint64{2})
+		h.Expect(1, 13)
+		convey.So(h.Holders(13), convey.ShouldResemble, []uint64{1})
+		h.Forget(1)
+		convey.So(h.Holders(12), convey.ShouldBeEmpty)
+		convey.So(h.Holders(13), convey.ShouldBeEmpty)
+	})
+}
+
+// One decision with 300 targets and 63,000 adapters, of which the targets hold
+// eight each.
+func BenchmarkViewChoose300(b *testing.B) {
+	const adapters = 63000
+	members := newMembers(300)
+	v, hints, loads := NewView(members, costs), NewHints(), newLoadTable(300)
+	for i, m := range members {
+		resident := make([]uint64, 8)
+		for n := range resident {
+			resident[n] = mix(uint64(i*8 + n))
+		}
+		hints.Set(m.Hash, resident, 3)
+	}
+	var l Loads = loads
+	b.ReportAllocs()
+	n := uint64(0)
+	for b.Loop() {
+		n++
+		if _, _, ok := v.Choose(Key{Adapter: mix(n % adapters)}, hints, l); !ok {
+			b.Fatal("no target")
+		}
+	}
+}
--- a/pkg/residency/demand.go
+++ b/pkg/residency/demand.go
@@ -10,9 +10,6 @@
 // HalfLife is the time in which the weight of an observed request halves.
 const HalfLife = 5 * time.Minute
 
-// maxKnown is the number of adapters whose demand is remembered.
-const maxKnown = 4096
-
 // maxExponent is the largest exponent of a weight before all are rescaled.
 const maxExponent = 64
 
@@ -22,12 +19,19 @@
 // D. Srivastava and B. Xu, "Forward decay", 2009). It is not safe for
 // concurrent use.
 type Demand struct {
+	most     int // adapters that are remembered
 	landmark time.Time
 	counts   map[adapter.ID]float64
 }
 
-// NewDemand returns an estimate that knows no adapter.
-func NewDemand() *Demand { return &Demand{counts: map[adapter.ID]float64{}} }
+// NewDemand returns an estimate that remembers at most so many adapters. It
+// panics unless their number is positive.
+func NewDemand(most int) *Demand {
+	if most <= 0 {
+		panic("residency: number of adapters is not positive")
+	}
+	return &Demand{most: most, counts: map[adapter.ID]float64{}}
+}
 
 // Observe counts one request for id.
 func (d *Demand) Observe(now time.Time, id adapter.ID) {
@@ -38,7 +42,7 @@
 		d.rescale(now)
 	}
 	d.counts[id] += d.weight(now)
-	if len(d.counts) > maxKnown {
+	if len(d.counts) > d.most {
 		d.prune()
 	}
 }
--- a/pkg/residency/table.go
+++ b/pkg/residency/table.go
@@ -9,6 +9,9 @@
 	"github.com/borageusher/borageusher/pkg/adapter"
 )
 
+// maxKnown is the number of adapters whose demand a table remembers.
+const maxKnown = 4096
+
 // StepKind says what must happen before an adapter can be used.
 type StepKind uint8
 
@@ -51,7 +54,7 @@
 	if room <= 0 {
 		panic("residency: room is not positive")
 	}
-	t := &Table{room: room, entries: make(map[adapter.ID]*entry, room), demand: NewDemand()}
+	t := &Table{room: room, entries: make(map[adapter.ID]*entry, room), demand: NewDemand(maxKnown)}
 	t.machine = newMachine(&t.cursor)
 	return t
 }
