--- a/internal/scenario/doc.go
+++ b/internal/scenario/doc.go
@@ -9,15 +9,24 @@
 //	stop NAME [EXITCODE]          SIGTERM, wait for the end, check the exit code
 //	kill NAME                     SIGKILL and wait for the end
 //	freeze NAME, thaw NAME        SIGSTOP, SIGCONT
+//	signal NAME                   SIGTERM, without waiting
+//	ended NAME [EXITCODE]         wait for the end and check the exit code
+//	mark NAME                     let expect read NAME.log from here on
+//	load [-bg NAME] [-callers N] [-for TIME] [-H HEADER]... [-d BODY] URL...
+//	                              callers that call one after another on kept
+//	                              connections, at the first URL that is ready;
+//	                              the numbers of the outcomes to stdout
 //	fault ADDRESS JSON            set a stand-in's fault, {} to clear it
 //	post ADDRESS/PATH JSON        call a stand-in's admin path
 //	settings NAME entry|target [SECTION.KEY=VALUE...]
 //	                              write NAME.ini: the script's defaults, changed
-//	call [-bg NAME] [-X METHOD] [-H HEADER]... [-d BODY] URL
+//	certificate NAME IP           write NAME.crt and NAME.key, self-signed
+//	call [-bg NAME] [-ca FILE] [-X METHOD] [-H HEADER]... [-d BODY] URL
 //	                              make one call; status, headers and body to stdout
 //	wait_call NAME                wait for a background call; as call
 //	expect NAME PATTERN [WITHIN]  wait for a line in NAME.log
-//	await URL [PATTERN] [WITHIN]  wait until a GET answers 200 with PATTERN in it
+//	await [-ca FILE] URL [PATTERN] [WITHIN]
+//	                              wait until a GET answers 200 with PATTERN in it
 //
 // Each script has a network of its own: $NET is the first three numbers of
 // loopback addresses that no other script uses.
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -41,18 +41,23 @@
 		RequireUniqueNames:  true,
 		Setup:               setup,
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"start":     cmdStart,
-			"stop":      cmdStop,
-			"kill":      cmdKill,
-			"freeze":    cmdFreeze,
-			"thaw":      cmdThaw,
-			"fault":     cmdFault,
-			"post":      cmdPost,
-			"settings":  cmdSettings,
-			"call":      cmdCall,
-			"wait_call": cmdWaitCall,
-			"expect":    cmdExpect,
-			"await":     cmdAwait,
+			"start":       cmdStart,
+			"stop":        cmdStop,
+			"kill":        cmdKill,
+			"freeze":      cmdFreeze,
+			"thaw":        cmdThaw,
+			"fault":       cmdFault,
+			"post":        cmdPost,
+			"settings":    cmdSettings,
+			"certificate": cmdCertificate,
+			"call":        cmdCall,
+			"wait_call":   cmdWaitCall,
+			"expect":      cmdExpect,
+			"await":       cmdAwait,
+			"signal":      cmdSignal,
+			"ended":       cmdEnded,
+			"mark":        cmdMark,
+			"load":        cmdLoad,
 		},
 	})
 }
@@ -64,6 +69,7 @@
 type state struct {
 	processes map[string]*process
 	calls     map[string]*backgroundCall
+	marks     map[string]int // where expect begins to read a log
 }
 
 func setup(env *testscript.Env) error {
@@ -71,7 +77,7 @@
 	env.Setenv("NET", network)
 	env.Setenv("PLATFORM", network+".1:7000")
 	env.Setenv("WEIGHTS", network+".2:7000")
-	s := &state{processes: map[string]*process{}, calls: map[string]*backgroundCall{}}
+	s := &state{processes: map[string]*process{}, calls: map[string]*backgroundCall{}, marks: map[string]int{}}
 	env.Values[stateKey{}] = s
 	env.Defer(s.killAll)
 	examples, err := filepath.Glob("../../examples/*.ini")
