Route by resident adapters and keep load rights in the daemons

An entryd chose by a scan of all targets that allocated on each call, and knew nothing of what was resident. Now each targetd sends what it holds before the end of an answer, and an entryd keeps a view of the targets for each team and service, made anew when targets or configuration change. A targetd takes its part of the weight store's rate from its settings; the granter is not wired yet.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -46,6 +46,7 @@
 type Options struct {
 	Self           target.Target
 	Limits         dispatch.Limits
+	Budget         dispatch.Budget // of loads; nil for none
 	Engine         Engine
 	PlainService   bool // the target is a plain service: no adapters, no state
 	Configurations Configurations
@@ -68,6 +69,7 @@
 	boot       uint64                            // of the engine, zero before its first report
 
 	report atomic.Pointer[dispatch.Report]
+	hint   atomic.Pointer[peer.Residency]
 }
 
 // attempt is one attempt that the agent knows.
@@ -89,6 +91,9 @@
 		attempts:   map[dispatch.RequestKey]*attempt{},
 		voided:     map[dispatch.RequestKey]time.Time{},
 	}
+	if opts.Budget != nil {
+		a.dispatcher.SetBudget(opts.Budget)
+	}
 	a.report.Store(&dispatch.Report{})
 	return a
 }
@@ -146,6 +151,7 @@
 func (a *Agent) publish() {
 	r := a.dispatcher.Report()
 	a.report.Store(&r)
+	a.publishHint(time.Now())
 	a.opts.Scope.Gauge("running").Update(float64(r.Running))
 	a.opts.Scope.Gauge("queued").Update(float64(r.Queued))
 }
--- a/internal/agent/main.go
+++ b/internal/agent/main.go
@@ -22,6 +22,7 @@
 	"github.com/borageusher/borageusher/internal/settings"
 	"github.com/borageusher/borageusher/pkg/configuration"
 	"github.com/borageusher/borageusher/pkg/dispatch"
+	"github.com/borageusher/borageusher/pkg/loadbudget"
 	"github.com/borageusher/borageusher/pkg/target"
 )
 
@@ -81,6 +82,7 @@
 	a := New(Options{
 		Self:           rec.Target,
 		Limits:         dispatch.Limits{Owner: s.Team, Slots: s.Slots, Adapters: s.Adapters, Queue: s.Queue},
+		Budget:         budget(s, time.Now()),
 		Engine:         engine.New(s.Engine, rec.Target.Epoch),
 		PlainService:   s.Plain,
 		Configurations: configurations,
@@ -113,6 +115,15 @@
 	return stop(s, a, reg, srv, signals, log)
 }
 
+// budget returns the target's part of the weight store's rate, or nil when the
+// settings name no rate.
+func budget(s settings.Target, now time.Time) dispatch.Budget {
+	if s.Loads.Rate == 0 {
+		return nil
+	}
+	return loadbudget.NewShare(s.Loads, s.Sharers, now)
+}
+
 // describe returns the target that the settings describe, as a new process.
 func describe(s settings.Target) target.Target {
 	return target.Target{
--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -26,9 +26,10 @@
 		return
 	}
 	s.Log.At(event.PeerConnected).Str("peer", conn.Remote().Name).Send()
-	err = conn.Run(context.WithoutCancel(r.Context()), s.beat, func(m peer.Message) { s.handle(conn, m) })
+	out := &hintingSender{sender: conn, hint: s.Agent.Hint}
+	err = conn.Run(context.WithoutCancel(r.Context()), s.beat, func(m peer.Message) { s.handle(conn, out, m) })
 	s.Log.At(event.PeerLost).Str("peer", conn.Remote().Name).Err(err).Send()
-	s.Agent.post(disconnected{conn: conn})
+	s.Agent.post(disconnected{conn: out})
 }
 
 func (s *Sessions) beat() peer.Heartbeat {
@@ -36,12 +37,12 @@
 	return peer.Heartbeat{Revision: s.Revision(), Running: load.Running, Queued: load.Queued, Draining: load.Draining}
 }
 
-func (s *Sessions) handle(conn *peer.Conn, m peer.Message) {
+func (s *Sessions) handle(conn *peer.Conn, out sender, m peer.Message) {
 	switch m := m.(type) {
 	case peer.Submit:
-		s.Agent.post(submitted{conn: conn, submit: m})
+		s.Agent.post(submitted{conn: out, submit: m})
 	case peer.Resume:
-		s.Agent.post(resumed{conn: conn, resume: m})
+		s.Agent.post(resumed{conn: out, resume: m})
 	case peer.Cancel:
 		s.Agent.post(cancelled{key: dispatch.RequestKey{Request: m.Request, Attempt: m.Attempt}})
 	case peer.Drain:
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,6 +12,7 @@
 
 	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/internal/peer"
+	"github.com/borageusher/borageusher/pkg/placement"
 )
 
 // Options are what an Entry needs.
@@ -21,8 +22,9 @@
 	Revision       func() uint64
 	Targets        Targets
 	Dialer         Dialer
-	MaxInProgress  int           // calls in progress at once
-	StartWithin    time.Duration // a call's deadline to start, unless it names one
+	MaxInProgress  int             // calls in progress at once
+	Costs          placement.Costs // of choices between targets
+	StartWithin    time.Duration   // a call's deadline to start, unless it names one
 	Log            event.Log
 	Scope          tally.Scope
 }
@@ -44,8 +46,8 @@
 		links: newLinks(opts.Dialer, opts.Log, opts.Revision),
 	}
 	last := &router{
-		region:  opts.Self.Region,
 		targets: opts.Targets,
+		views:   newViews(opts.Self.Region, opts.Costs, e.links),
 		links:   e.links,
 		log:     opts.Log,
 		scope:   opts.Scope,
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/borageusher/borageusher/internal/event"
@@ -39,6 +40,10 @@
 	heartbeat   peer.Heartbeat
 	downUntil   time.Time
 	incarnation string // of the targetd that the pendings were sent to
+
+	hints     *targetHints
+	reported  atomic.Int64 // requests that run or wait for a slot, as last reported
+	sentSince atomic.Int64 // requests sent since then that wait for no load
 }
 
 // submit sends an attempt and returns the place where its answer arrives. The
@@ -76,11 +81,13 @@
 	delete(l.pendings, p.key())
 }
 
-// inFlight returns the number of attempts that wait.
-func (l *link) inFlight() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.pendings)
+// load returns the requests that are believed to run there or wait for a slot.
+func (l *link) load() int { return int(l.reported.Load() + l.sentSince.Load()) }
+
+// report records the target's load in place of what was sent before.
+func (l *link) report(load int) {
+	l.reported.Store(int64(load))
+	l.sentSince.Store(0)
 }
 
 // usable reports whether attempts may be sent: the target is not known to be
@@ -116,6 +123,7 @@
 // adopt makes conn the link's connection and resumes what waits. Attempts that
 // were sent to an earlier process at the same address are lost.
 func (l *link) adopt(conn *peer.Conn) {
+	l.forgetHints(conn.Remote().Incarnation)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conn = conn
@@ -136,6 +144,18 @@
 	go l.read(conn)
 }
 
+// forgetHints drops what another process at the same address said. It must be
+// called without l.mu, which is locked while the hints are read.
+func (l *link) forgetHints(incarnation string) {
+	l.mu.Lock()
+	same := l.incarnation == incarnation
+	l.mu.Unlock()
+	if !same {
+		l.hints.forget(l.target.Name)
+		l.report(0)
+	}
+}
+
 // read passes messages to the attempts until conn ends, and then tries to
 // resume them over another connection.
 func (l *link) read(conn *peer.Conn) {
@@ -183,6 +203,11 @@
 		l.mu.Lock()
 		l.heartbeat = m
 		l.mu.Unlock()
+		l.report(m.Running)
+		return
+	case peer.Residency:
+		l.hints.set(l.target.Name, m.Adapters, m.Floor)
+		l.report(m.Load)
 		return
 	case peer.Head:
 		key = attemptKey{m.Request, m.Attempt}
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -13,13 +13,14 @@
 	dialer   Dialer
 	log      event.Log
 	revision func() uint64
+	hints    *targetHints
 
 	mu    sync.Mutex
 	links map[string]*link // by name of the target
 }
 
 func newLinks(dialer Dialer, log event.Log, revision func() uint64) *links {
-	return &links{dialer: dialer, log: log, revision: revision, links: map[string]*link{}}
+	return &links{dialer: dialer, log: log, revision: revision, hints: newTargetHints(), links: map[string]*link{}}
 }
 
 // get returns the link to t, which is made if there is none. A target that was
@@ -34,6 +35,7 @@
 			dialer:   ls.dialer,
 			log:      ls.log,
 			revision: ls.revision,
+			hints:    ls.hints,
 			pendings: map[attemptKey]*pending{},
 		}
 		ls.links[t.Name] = l
--- a/internal/entry/main.go
+++ b/internal/entry/main.go
@@ -68,6 +68,7 @@
 		Targets:        known,
 		Dialer:         dialer,
 		MaxInProgress:  s.MaxInProgress,
+		Costs:          s.Costs,
 		StartWithin:    s.StartWithin,
 		Log:            log,
 		Scope:          scope,
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -29,8 +29,8 @@
 // router is the end of the filter chain: it offers a call to targets until one
 // answers.
 type router struct {
-	region  string
 	targets Targets
+	views   *views
 	links   *links
 	log     event.Log
 	scope   tally.Scope
@@ -45,13 +45,13 @@
 		if !now.Before(c.Deadline) {
 			return rejected(outcome.Expired, "the deadline passed before the request started")
 		}
-		t, ok := r.choose(c, now, tried)
+		t, why, ok := r.choose(c, now, tried)
 		if !ok {
 			break
 		}
 		tried[t.Name] = true
 		r.log.At(event.RouteChosen).Str("request", c.ID).Uint32("attempt", n).Str("target", t.Name).
-			Stringer("adapter", c.Adapter).Str("reason", routeReason(n, last)).Send()
+			Stringer("adapter", c.Adapter).Str("reason", routeReason(n, why, last)).Send()
 		result := r.attempt(ctx, c, t, n, now)
 		if !mayRetry(c, result) {
 			return result
@@ -65,11 +65,11 @@
 	return last
 }
 
-func routeReason(n uint32, last Result) string {
+func routeReason(n uint32, why placement.Reason, last Result) string {
 	if n == 1 {
-		return "home"
+		return why.String()
 	}
-	return "retry_after_" + last.Reason.String()
+	return why.String() + "_after_" + last.Reason.String()
 }
 
 // mayRetry reports whether a result leaves the call to be offered elsewhere.
@@ -83,37 +83,9 @@
 	return c.Repeatable() && result.Reason.Elsewhere()
 }
 
-// choose returns the target for the next attempt.
-func (r *router) choose(c *Call, now time.Time, tried map[string]bool) (target.Target, bool) {
-	var fitting []target.Target
-	var candidates []placement.Candidate
-	for _, t := range r.targets.Targets() {
-		if t.State != target.Live || !fits(c, t) {
-			continue
-		}
-		cand := placement.Candidate{
-			Hash:     placement.Hash(t.Name),
-			Region:   t.Region,
-			Slots:    t.Slots,
-			Tried:    tried[t.Name],
-			Borrowed: t.Team != c.Owner,
-		}
-		if l := r.links.peek(t.Name); l != nil {
-			cand.InFlight = l.inFlight()
-			cand.Tried = cand.Tried || !l.usable(now)
-		}
-		fitting = append(fitting, t)
-		candidates = append(candidates, cand)
-	}
-	key := c.Adapter.String()
-	if c.Adapter.IsZero() {
-		key = c.ID
-	}
-	i, ok := placement.Choose(placement.Hash(key), candidates, r.region)
-	if !ok {
-		return target.Target{}, false
-	}
-	return fitting[i], true
+// choose returns the target for the next attempt and why it was chosen.
+func (r *router) choose(c *Call, now time.Time, tried map[string]bool) (target.Target, placement.Reason, bool) {
+	return r.views.get(c, r.targets.Targets()).choose(c, r.links.hints, now, tried)
 }
 
 // fits reports whether t may run c: a target of the service itself, or one of
--- a/internal/measurement/fleet_bench_test.go
+++ b/internal/measurement/fleet_bench_test.go
@@ -24,24 +24,93 @@
 	return f
 }
 
+// Scenarios beyond steady popularity.
+var scenarios = []scenario{
+	{name: "popularity shift", shift: true, disturbed: disturbed},
+	{name: "cold restart", restart: true, disturbed: disturbed},
+	{name: "store rate halved", halfRate: true, disturbed: disturbed},
+	{name: "one team floods", flood: true, disturbed: disturbed},
+	{name: "cut off from the granter", cutOff: true},
+}
+
 // BenchmarkFleetSteady prints the measures of all policies at steady popularity.
 func BenchmarkFleetSteady(b *testing.B) {
 	for b.Loop() {
 		w := newTable()
+		var points []point
 		for _, d := range []deployment{tessaro, dobrescu} {
 			for _, zipf := range []float64{0.8, 1.0, 1.2} {
 				for _, load := range []float64{0.5, 0.8, 0.95} {
 					for _, p := range policies {
-						if os.Getenv("ONLY") != "" && string(p) != os.Getenv("ONLY") {
-							continue
-						}
-						row(w, d, zipf, load, p, play(d, scenario{}, p, zipf, load).summarise(runLength))
+						s := play(d, scenario{}, p, zipf, load).summarise(runLength)
+						row(w, d.name, zipf, load, p, d.missShare(zipf), s)
+						points = append(points, point{d.name, zipf, load, p, s})
 					}
 				}
 			}
 		}
-		_ = w.Flush()
+		flush(b, w)
+		plotSteady(b, points)
+	}
+}
+
+// BenchmarkFleetDisturbed prints the measures after each disturbance, and how
+// long the share of stalled calls takes to come back to its steady value.
+func BenchmarkFleetDisturbed(b *testing.B) {
+	for b.Loop() {
+		w := newTable()
+		recovery := tabwriter.NewWriter(os.Stdout, 2, 0, 2, ' ', 0)
+		_, _ = fmt.Fprintln(recovery, "\ndeployment\tscenario\tpolicy\tsteady stalled\tback within a tenth after\tsteady wait95\twait95 after")
+		for _, d := range []deployment{tessaro, dobrescu} {
+			for _, sc := range scenarios {
+				for _, p := range policies {
+					f := play(d, sc, p, 1.0, 0.5)
+					row(w, d.name+", "+sc.name, 1.0, 0.5, p, d.missShare(1.0), f.summarise(runLength))
+					recover95(recovery, d, sc, p, f)
+				}
+			}
+		}
+		flush(b, w)
+		flush(b, recovery)
+	}
+}
+
+// recover95 prints how calls fare before and after the disturbance. The flooding
+// team's own calls are left out of the waits.
+func recover95(w *tabwriter.Writer, d deployment, sc scenario, p policy, f *fleet) {
+	if sc.disturbed == 0 {
+		return
+	}
+	before := f.m.between(warmUp, disturbed)
+	after := f.m.between(disturbed, runLength)
+	_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%.3f\t%s\t%d\t%d\n", d.name, sc.name, p, share(before, isStalled),
+		recoveryTime(&f.m, share(before, isStalled)),
+		percentile(without(before, "guest1"), 0.95, waitOf).Milliseconds(),
+		percentile(without(after, "guest1"), 0.95, waitOf).Milliseconds())
+}
+
+func without(samples []sample, team string) []sample {
+	var out []sample
+	for _, s := range samples {
+		if s.team != team {
+			out = append(out, s)
+		}
 	}
+	return out
+}
+
+// recoveryWindow is the time over which a share of stalled calls is taken.
+const recoveryWindow = 30 * time.Second
+
+// recoveryTime returns when the first window of calls after the disturbance
+// whose share of stalled calls is within a tenth of steady begins.
+func recoveryTime(m *metrics, steady float64) string {
+	for at := disturbed; at+recoveryWindow <= runLength; at += 10 * time.Second {
+		if share(m.between(at, at+recoveryWindow), isStalled) <= 1.1*steady {
+			return (at - disturbed).String()
+		}
+	}
+	return "never"
 }
 
 func newTable() *tabwriter.Writer {
@@ -50,8 +119,14 @@
 	return w
 }
 
-func row(w *tabwriter.Writer, d deployment, zipf, load float64, p policy, s summary) {
+func flush(b *testing.B, w *tabwriter.Writer) {
+	if err := w.Flush(); err != nil {
+		b.Fatal(err)
+	}
+}
+
+func row(w *tabwriter.Writer, name string, zipf, load float64, p policy, bound float64, s summary) {
 	_, _ = fmt.Fprintf(w, "%s\t%.1f\t%.2f\t%s\t%d\t%d\t%d\t%d\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.2f\t%.2f\t%d\t%d\t%d\n",
-		d.name, zipf, load, p, s.p50.Milliseconds(), s.p95.Milliseconds(), s.p99.Milliseconds(), s.wait95.Milliseconds(),
-		s.stalled, d.missShare(zipf), s.notRun, s.fill, s.fillRunnable, s.loads, s.service, s.beyond, s.peak, s.overTerms)
+		name, zipf, load, p, s.p50.Milliseconds(), s.p95.Milliseconds(), s.p99.Milliseconds(), s.wait95.Milliseconds(),
+		s.stalled, bound, s.notRun, s.fill, s.fillRunnable, s.loads, s.service, s.beyond, s.peak, s.overTerms)
 }
--- a/internal/measurement/store_test.go
+++ b/internal/measurement/store_test.go
@@ -9,14 +9,13 @@
 // store is the weight store: loads start at its rate and take longer while too
 // many are in flight. It counts the orders beyond what it allows.
 type store struct {
-	limits    loadbudget.Limits
-	nextStart time.Time
-	inFlight  int
-	peak      int
-	orders    int
-	beyond    int // orders that came faster than rate and burst allow
-	credit    float64
-	credited  time.Time
+	limits   loadbudget.Limits
+	inFlight int
+	peak     int
+	orders   int
+	beyond   int // orders that came faster than rate and burst allow
+	credit   float64
+	credited time.Time
 }
 
 // order returns how long a load that is ordered now takes.
--- a/internal/measurement/workload_test.go
+++ b/internal/measurement/workload_test.go
@@ -14,7 +14,7 @@
 
 // deployment is one user's deployment.
 type deployment struct {
-	name      string
+	name      string // in tables
 	targets   int
 	limits    loadbudget.Limits
 	short     time.Duration // mean run time of short requests
@@ -107,12 +107,12 @@
 
 // scenario is what happens beyond steady requests.
 type scenario struct {
-	name      string
-	shift     bool // a third of the popularity moves to other adapters
-	restart   bool // one target in six restarts cold
-	halfRate  bool // the store's rate halves
-	flood     bool // one borrower sends ten times its requests
-	cutOff    bool // no target reaches the granter
+	name      string // in tables
+	shift     bool   // a third of the popularity moves to other adapters
+	restart   bool   // one target in six restarts cold
+	halfRate  bool   // the store's rate halves
+	flood     bool   // one borrower sends ten times its requests
+	cutOff    bool   // no target reaches the granter
 	disturbed time.Duration
 }
 
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -25,6 +25,7 @@
 	typeCancel    messageType = 10
 	typeResume    messageType = 11
 	typeDrain     messageType = 30
+	typeResidency messageType = 35
 )
 
 func (Hello) messageType() messageType     { return typeHello }
@@ -39,6 +40,7 @@
 func (Cancel) messageType() messageType    { return typeCancel }
 func (Resume) messageType() messageType    { return typeResume }
 func (Drain) messageType() messageType     { return typeDrain }
+func (Residency) messageType() messageType { return typeResidency }
 
 // Encode returns the wire form of m: its type, then its fields as a CBOR array.
 func Encode(m Message) []byte {
@@ -96,6 +98,8 @@
 		return &resumeWire{}
 	case typeDrain:
 		return &drainWire{}
+	case typeResidency:
+		return &residencyWire{}
 	}
 	return nil
 }
@@ -126,6 +130,8 @@
 		return &resumeWire{Request: m.Request, Attempt: m.Attempt, Next: m.Next, StartByMS: m.StartBy.Milliseconds()}
 	case Drain:
 		return &drainWire{Epoch: m.Epoch}
+	case Residency:
+		return &residencyWire{Adapters: m.Adapters, Floor: m.Floor, Load: m.Load}
 	}
 	panic("peer: unknown message type")
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -33,6 +33,7 @@
 		Cancel{Request: "r1", Attempt: 2},
 		Resume{Request: "r1", Attempt: 2, Next: 5, StartBy: time.Second},
 		Drain{Epoch: 4},
+		Residency{Adapters: []uint64{1, 1 << 63}, Floor: 2.5, Load: 3},
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -15,6 +15,8 @@
 	"github.com/rs/zerolog"
 
 	"github.com/borageusher/borageusher/internal/inifile"
+	"github.com/borageusher/borageusher/pkg/loadbudget"
+	"github.com/borageusher/borageusher/pkg/placement"
 )
 
 // minPeerKey is the least length of the peer key, in bytes.
@@ -41,6 +43,7 @@
 	MaxInProgress int
 	MaxBodyBytes  int
 	StartWithin   time.Duration
+	Costs         placement.Costs
 	UnreadyFor    time.Duration // serving on after readiness says no
 }
 
@@ -54,6 +57,8 @@
 	Slots    int
 	Adapters int
 	Queue    int
+	Loads    loadbudget.Limits // of the weight store; a rate of zero sets no limit
+	Sharers  int               // targets that share the weight store
 }
 
 // ReadEntry reads the settings of entryd from the file at path.
@@ -67,7 +72,12 @@
 		MaxInProgress: f.Int("limits", "in_progress", 2000, 1, 1000000),
 		MaxBodyBytes:  f.Int("limits", "body_bytes", 4<<20, 1024, 16<<20),
 		StartWithin:   f.Duration("limits", "start_within", 30*time.Second, 100*time.Millisecond, 10*time.Minute),
-		UnreadyFor:    f.Duration("process", "unready_for", 5*time.Second, 0, 10*time.Minute),
+		Costs: placement.Costs{
+			Stall: f.Float("placement", "stall_cost", 4, 0, 1000),
+			Batch: f.Float("placement", "batch_cost", 1, 0, 1000),
+			Load:  f.Duration("placement", "load_time", 500*time.Millisecond, time.Millisecond, time.Minute).Seconds(),
+		},
+		UnreadyFor: f.Duration("process", "unready_for", 5*time.Second, 0, 10*time.Minute),
 	}
 	return s, f.Done()
 }
@@ -87,6 +97,11 @@
 		Slots:    f.Int("target", "slots", 8, 1, 4096),
 		Adapters: f.Int("target", "adapters", 8, 1, 4096),
 		Queue:    f.Int("target", "queue", 256, 1, 100000),
+		Loads: loadbudget.Limits{
+			Rate:     f.Float("loads", "rate", 0, 0, 100000),
+			InFlight: f.Int("loads", "in_flight", 1000, 1, 100000),
+		},
+		Sharers: f.Int("loads", "targets", 1, 1, 10000),
 	}
 	return s, f.Done()
 }
--- /dev/null
+++ b/pkg/dispatch/loads_test.go
@@ -0,0 +1,137 @@
+package dispatch
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/borageusher/borageusher/pkg/adapter"
+	"github.com/borageusher/borageusher/pkg/outcome"
+)
+
+// rights is a budget with a number of rights.
+type rights struct{ left int }
+
+func (r *rights) Take(time.Time, Need) bool {
+	if r.left == 0 {
+		return false
+	}
+	r.left--
+	return true
+}
+
+func (r *rights) NextTake(now time.Time) time.Time { return now.Add(time.Second) }
+func (r *rights) Done(time.Time)                   {}
+
+func idOf(team, name string) adapter.ID { return request("", team, name).Adapter }
+
+// serve runs one request to its end, loading its adapter if need be.
+func serve(d *Dispatcher, now time.Time, name, team, ad string) {
+	r := request(name, team, ad)
+	r.StartBy = now.Add(time.Minute)
+	d.Submit(now, r)
+	for range 4 {
+		for _, a := range d.Next(now) {
+			switch a.Kind {
+			case Load:
+				d.Loaded(now, a.Adapter, true)
+			case Unload:
+				d.Unloaded(a.Adapter)
+			}
+		}
+	}
+	d.Finished(now, r.Key)
+}
+
+func TestLoads(t *testing.T) {
+	convey.Convey("A one-off does not push out an adapter in demand", t, func() {
+		d := New(Limits{Owner: "own", Slots: 4, Adapters: 2, Queue: 9}, slots{"own": 4})
+		now := start
+		for n := range 5 {
+			serve(d, now, "hot"+strconv.Itoa(n), "own", "hot")
+		}
+		serve(d, now.Add(time.Second), "one", "own", "one")
+		serve(d, now.Add(2*time.Second), "two", "own", "two")
+		convey.So(d.Resident(), convey.ShouldResemble, []adapter.ID{idOf("own", "hot"), idOf("own", "two")})
+	})
+	convey.Convey("Without a right nothing is unloaded, and one right makes one place", t, func() {
+		d := New(Limits{Owner: "own", Slots: 4, Adapters: 2, Queue: 9}, slots{"own": 4})
+		serve(d, start, "1", "own", "a")
+		serve(d, start, "2", "own", "b")
+		budget := &rights{}
+		d.SetBudget(budget)
+		d.Submit(start, request("3", "own", "c"))
+		d.Submit(start, request("4", "own", "d"))
+		convey.So(d.Next(start), convey.ShouldBeEmpty)
+		convey.So(d.NextDeadline(start), convey.ShouldEqual, start.Add(time.Second))
+		budget.left = 1
+		actions := d.Next(start)
+		convey.So(kinds(actions), convey.ShouldResemble, []ActionKind{Unload})
+		d.Unloaded(actions[0].Adapter)
+		convey.So(kinds(d.Next(start)), convey.ShouldResemble, []ActionKind{Load})
+		convey.So(d.Next(start), convey.ShouldBeEmpty)
+	})
+	convey.Convey("Requests for a resident adapter pass one that waits, but not for ever", t, func() {
+		d := New(Limits{Owner: "own", Slots: 2, Adapters: 1, Queue: 9}, slots{"own": 2})
+		serve(d, start, "0", "own", "a")
+		d.Submit(start, request("1", "own", "a"))
+		d.Next(start)
+		d.Submit(start, request("2", "own", "b"))
+		d.Submit(start, request("3", "own", "a"))
+		convey.So(kinds(d.Next(start)), convey.ShouldResemble, []ActionKind{Start})
+		d.Finished(start, RequestKey{"1", 1})
+		late := start.Add(passingBound)
+		fourth, second := request("4", "own", "a"), d.queue.teams[0].items[0].request
+		fourth.StartBy, second.StartBy = late.Add(time.Minute), late.Add(time.Minute)
+		d.Next(late)
+		d.Submit(late, fourth)
+		convey.So(d.Next(late), convey.ShouldBeEmpty)
+		d.Finished(late, RequestKey{"3", 1})
+		convey.So(kinds(d.Next(late)), convey.ShouldResemble, []ActionKind{Unload})
+	})
+	convey.Convey("A failed load backs off, for that adapter only", t, func() {
+		d := newDispatcher()
+		d.Submit(start, request("1", "own", "a"))
+		d.Next(start)
+		convey.So(kinds(d.Loaded(start, idOf("own", "a"), false)), convey.ShouldResemble, []ActionKind{Refuse})
+		convey.So(d.Submit(start, request("2", "own", "a")), convey.ShouldEqual, outcome.LoadFailed)
+		convey.So(d.Submit(start, request("3", "own", "b")), convey.ShouldEqual, outcome.NoReason)
+		again := start.Add(firstBackoff)
+		convey.So(d.Submit(again, request("4", "own", "a")), convey.ShouldEqual, outcome.NoReason)
+	})
+	convey.Convey("After a restart adapters are loaded ahead in order of demand, behind waiting requests", t, func() {
+		d := New(Limits{Owner: "own", Slots: 4, Adapters: 2, Queue: 9}, slots{"own": 4})
+		for n, ad := range []string{"hot", "hot", "hot", "warm", "warm", "cold"} {
+			serve(d, start, strconv.Itoa(n), "own", ad)
+		}
+		d.EngineRestarted()
+		now := start.Add(time.Second)
+		waiting := request("w", "own", "other")
+		waiting.StartBy = now.Add(time.Minute)
+		d.Submit(now, waiting)
+		actions := d.Next(now)
+		convey.So(actions, convey.ShouldResemble, []Action{{Kind: Load, Adapter: idOf("own", "other")}})
+		d.Loaded(now, idOf("own", "other"), true)
+		actions = d.Next(now)
+		convey.So(kinds(actions), convey.ShouldResemble, []ActionKind{Start, Load})
+		convey.So(actions[1].Adapter, convey.ShouldResemble, idOf("own", "hot"))
+	})
+	convey.Convey("Borrowers' adapters take the places that are lent, no more", t, func() {
+		d := New(Limits{Owner: "own", Slots: 4, Adapters: 4, Queue: 40}, slots{"own": 4, "guest": 2})
+		for n := range 3 {
+			serve(d, start, "o"+strconv.Itoa(n), "own", "o"+strconv.Itoa(n))
+		}
+		for n := range 20 {
+			serve(d, start.Add(time.Second), "g"+strconv.Itoa(n), "guest", "g"+strconv.Itoa(n%7))
+		}
+		borrowed := 0
+		for _, id := range d.Resident() {
+			if id.Team == "guest" {
+				borrowed++
+			}
+		}
+		convey.So(borrowed, convey.ShouldBeBetweenOrEqual, 1, 2)
+	})
+}
--- /dev/null
+++ b/pkg/residency/demand_test.go
@@ -0,0 +1,41 @@
+package residency
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+)
+
+func TestDemand(t *testing.T) {
+	convey.Convey("Counts halve in a half-life and add up", t, func() {
+		d := NewDemand(10)
+		d.Observe(start, id("a"))
+		d.Observe(start, id("a"))
+		convey.So(d.Count(start, id("a")), convey.ShouldAlmostEqual, 2)
+		later := start.Add(HalfLife)
+		convey.So(d.Count(later, id("a")), convey.ShouldAlmostEqual, 1)
+		d.Observe(later, id("a"))
+		convey.So(d.Count(later, id("a")), convey.ShouldAlmostEqual, 2)
+		convey.So(d.Count(later, id("b")), convey.ShouldEqual, 0)
+	})
+	convey.Convey("Counts stay finite and right over months", t, func() {
+		d := NewDemand(10)
+		now := start
+		for range 2000 {
+			d.Observe(now, id("a"))
+			now = now.Add(time.Hour)
+		}
+		convey.So(d.Count(now.Add(-time.Hour), id("a")), convey.ShouldAlmostEqual, 1, 0.001)
+	})
+	convey.Convey("The adapters in demand are remembered", t, func() {
+		d := NewDemand(100)
+		for n := range 5000 {
+			d.Observe(start, id("hot"))
+			d.Observe(start, id(strconv.Itoa(n)))
+		}
+		convey.So(d.Count(start, id("hot")), convey.ShouldAlmostEqual, 5000)
+		convey.So(len(d.counts), convey.ShouldBeLessThanOrEqualTo, 100)
+	})
+}
