Keep a flooding borrower from the others' loads and slots

Now a target asks for each team, owners go first, a borrower has a quota of the rate beyond which it leaves a right for others, and the last lent slot is for a team that has none. A share slows down with the weight store. Ruled out: a strict quota without the other rules (owner 18 s, blocked behind the borrower's need).

--- a/internal/measurement/fleet_test.go
+++ b/internal/measurement/fleet_test.go
@@ -229,16 +229,12 @@
 	byName := map[string]int{}
 	for i, t := range f.targets {
 		byName[t.name] = i
-		if need, ok := t.share.Asked(); ok {
-			f.granter.Ask(t.name, need)
-		} else {
-			f.granter.Forget(t.name)
-		}
+		f.granter.Ask(t.name, t.share.Asked())
 		f.granter.Donate(t.share.Donate(f.now))
 	}
-	for _, name := range f.granter.Grants() {
-		i := byName[name]
-		f.targets[i].share.Receive(f.now)
+	for _, g := range f.granter.Grants(f.now) {
+		i := byName[g.Target]
+		f.targets[i].share.Receive(f.now, g.Team)
 		f.step(i)
 	}
 }
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -177,10 +177,23 @@
 // slotsLeft returns how many more requests of team the terms let start.
 func (d *Dispatcher) slotsLeft(team string) int {
 	left := d.terms.SlotsFor(team) - d.byTeam[team]
-	if team != d.limits.Owner {
-		left = min(left, d.terms.SlotsFor(team)-d.borrowed)
+	if team == d.limits.Owner {
+		return left
+	}
+	lent := d.terms.SlotsFor(team) - d.borrowed
+	if lent == 1 && d.byTeam[team] > 0 {
+		return 0 // the last lent slot is for a team that has none
+	}
+	return min(left, lent)
+}
+
+// partOf returns the part of the target that a borrowing team may use, and zero
+// for the owner.
+func (d *Dispatcher) partOf(team string) float64 {
+	if team == d.limits.Owner {
+		return 0
 	}
-	return left
+	return float64(d.terms.SlotsFor(team)) / float64(d.limits.Slots)
 }
 
 // limitBorrowed gives borrowers the part of the adapter places that they have
--- a/pkg/dispatch/loads.go
+++ b/pkg/dispatch/loads.go
@@ -26,6 +26,8 @@
 type Need struct {
 	Waiting int       // requests that wait for it; zero for loading ahead
 	StartBy time.Time // earliest start-by time among them
+	Team    string    // whose requests they are
+	Part    float64   // of the target that a borrowing team may use; zero for the owner
 }
 
 // Budget says when a load may start, so that all targets together stay within
@@ -91,27 +93,37 @@
 	need  Need
 }
 
-// wants returns the absent adapters of the requests that would start next, in
-// their order: no more requests than the target runs at once.
+// wants returns the absent adapters of the requests that would start next: the
+// owner's first, then the borrowers' in their fair order, for no more requests
+// of a team than the target runs at once.
 func (d *Dispatcher) wants() []want {
 	var out []want
-	seen := 0
-	for _, t := range d.queue.sorted() {
-		if d.slotsLeft(t.team) <= 0 {
-			continue
+	teams := d.queue.sorted()
+	for _, t := range teams {
+		if t.team == d.limits.Owner {
+			out = d.teamWants(out, t)
 		}
-		for _, w := range t.items {
-			if seen >= d.limits.Slots {
-				return out
-			}
-			seen++
-			out = addWant(out, w, d.table)
+	}
+	for _, t := range teams {
+		if t.team != d.limits.Owner {
+			out = d.teamWants(out, t)
 		}
 	}
 	return out
 }
 
-func addWant(out []want, w *waiting, table *residency.Table) []want {
+func (d *Dispatcher) teamWants(out []want, t *teamQueue) []want {
+	if d.slotsLeft(t.team) <= 0 {
+		return out
+	}
+	part := d.partOf(t.team)
+	for _, w := range t.items[:min(len(t.items), d.limits.Slots)] {
+		out = addWant(out, w, part, d.table)
+	}
+	return out
+}
+
+func addWant(out []want, w *waiting, part float64, table *residency.Table) []want {
 	id := w.request.Adapter
 	if id.IsZero() || table.State(id) == residency.Resident || table.State(id) == residency.Loading {
 		return out
@@ -125,7 +137,12 @@
 			return out
 		}
 	}
-	return append(out, want{id: id, first: w, need: Need{Waiting: 1, StartBy: w.request.StartBy}})
+	return append(out, want{id: id, first: w, need: Need{
+		Waiting: 1,
+		StartBy: w.request.StartBy,
+		Team:    w.request.Team,
+		Part:    part,
+	}})
 }
 
 // load orders the loads, and the unloads that make room for them, of the
@@ -148,7 +165,7 @@
 			continue
 		}
 		if !d.loads.take(now, w.need, place) {
-			return actions
+			continue // another team may have a right
 		}
 		actions = d.orderLoad(now, w.id, actions)
 	}
--- a/pkg/loadbudget/doc.go
+++ b/pkg/loadbudget/doc.go
@@ -18,8 +18,8 @@
 //
 //	g := loadbudget.NewGranter(limits)
 //	g.Donate(s.Donate(now))
-//	g.Ask("t1", need)
-//	for _, name := range g.Grants() {
+//	g.Ask("t1", s.Asked())
+//	for _, grant := range g.Grants(now) {
 //		// tell the target, which calls its Share's Receive
 //	}
 package loadbudget
--- a/pkg/loadbudget/granter.go
+++ b/pkg/loadbudget/granter.go
@@ -20,58 +20,126 @@
 // Granter hands rights that targets gave away to the targets that need them. It
 // owns none itself. It is not safe for concurrent use.
 type Granter struct {
+	rate   float64 // of the weight store
 	most   float64 // rights that it keeps
 	rights float64
 	asks   []ask
+	quotas map[string]*quota // of borrowing teams
 }
 
+// quota is what a borrowing team may take before others' needs are covered: a
+// token bucket with its part of the weight store's rate.
+type quota struct {
+	part   float64
+	tokens float64
+	filled time.Time
+	used   time.Time
+}
+
+// Bounds of a quota.
+const (
+	quotaBurst = 2.0
+	quotaKept  = time.Minute // after its last use
+)
+
 // NewGranter returns a granter without rights. It keeps one right less than the
 // burst, because others are on their way to it.
-func NewGranter(limits Limits) *Granter { return &Granter{most: float64(max(1, limits.Burst-1))} }
+func NewGranter(limits Limits) *Granter {
+	return &Granter{
+		rate:   limits.Rate,
+		most:   float64(max(1, limits.Burst-1)),
+		quotas: map[string]*quota{},
+	}
+}
 
 // Donate adds rights that a target gave away. Beyond what the
 // granter keeps they are lost.
 func (g *Granter) Donate(rights float64) { g.rights = min(g.most, g.rights+rights) }
 
-// Ask records what a target needs, in place of an earlier need of the target.
-func (g *Granter) Ask(target string, need dispatch.Need) {
-	for i := range g.asks {
-		if g.asks[i].target == target {
-			g.asks[i].need = need
-			return
+// Ask records what a target needs, one need for each team, in place of all that
+// it asked for before.
+func (g *Granter) Ask(target string, needs []dispatch.Need) {
+	kept := g.asks[:0]
+	for _, a := range g.asks {
+		if a.target != target {
+			kept = append(kept, a)
 		}
 	}
-	g.asks = append(g.asks, ask{target, need})
+	g.asks = kept
+	for _, n := range needs {
+		g.asks = append(g.asks, ask{target, n})
+	}
 }
 
-// Forget drops the need of a target that no longer has one.
-func (g *Granter) Forget(target string) {
-	for i := range g.asks {
-		if g.asks[i].target == target {
-			g.asks = append(g.asks[:i], g.asks[i+1:]...)
-			return
-		}
-	}
+// Grant is one right for a team's need at a target.
+type Grant struct {
+	Target string
+	Team   string
 }
 
-// Grants returns the targets that get one right each, the most urgent first:
-// requests that wait go before loading ahead, then the earliest start-by time
-// counts, moved by the number of waiting requests.
-func (g *Granter) Grants() []string {
+// Grants returns the rights to hand out, the most urgent first:
+// requests that wait go before loading ahead, then those of the targets' owners
+// before borrowers', then the earliest start-by time counts, moved by the number
+// of waiting requests. A borrowing team beyond its
+// quota leaves one right for others.
+func (g *Granter) Grants(now time.Time) []Grant {
 	sort.SliceStable(g.asks, func(i, j int) bool { return g.asks[i].before(g.asks[j]) })
-	var out []string
-	for g.rights >= 1 && len(g.asks) > 0 {
-		out = append(out, g.asks[0].target)
-		g.asks = g.asks[1:]
-		g.rights--
+	g.fill(now)
+	var out []Grant
+	kept := g.asks[:0]
+	for _, a := range g.asks {
+		if g.rights < 1 || !g.grant(now, a.need) {
+			kept = append(kept, a)
+			continue
+		}
+		out = append(out, Grant{a.target, a.need.Team})
 	}
+	g.asks = kept
 	return out
 }
 
+// grant takes one right for need and reports whether it may have it.
+func (g *Granter) grant(now time.Time, need dispatch.Need) bool {
+	if need.Part > 0 {
+		q := g.quotas[need.Team]
+		if q == nil {
+			q = &quota{tokens: quotaBurst, filled: now}
+			g.quotas[need.Team] = q
+		}
+		q.part, q.used = need.Part, now
+		if q.tokens < 1 && g.rights < 2 {
+			return false
+		}
+		q.tokens = max(0, q.tokens-1)
+	}
+	g.rights--
+	return true
+}
+
+// fill adds to the quotas, and forgets those that were not used for long. The
+// owners count as one whole part beside the borrowers.
+func (g *Granter) fill(now time.Time) {
+	parts := 1.0
+	for team, q := range g.quotas {
+		if now.Sub(q.used) > quotaKept {
+			delete(g.quotas, team)
+			continue
+		}
+		parts += q.part
+	}
+	for _, q := range g.quotas {
+		q.tokens = min(quotaBurst, q.tokens+now.Sub(q.filled).Seconds()*g.rate*q.part/parts)
+		q.filled = now
+	}
+}
+
 func (a ask) before(b ask) bool {
 	if (a.need.Waiting > 0) != (b.need.Waiting > 0) {
 		return a.need.Waiting > 0
 	}
+	if (a.need.Part > 0) != (b.need.Part > 0) {
+		return a.need.Part == 0
+	}
 	return a.due().Before(b.due())
 }
 
--- a/pkg/loadbudget/share.go
+++ b/pkg/loadbudget/share.go
@@ -13,6 +13,14 @@
 	InFlight int     // loads in flight before they slow down
 }
 
+// Adaptation to a slow weight store.
+const (
+	slowLoad   = 3   // times the shortest load beyond which a load is slow
+	slowDown   = 0.7 // of the speed after a slow load
+	speedUp    = 0.1 // added to the speed after another load
+	leastSpeed = 0.1
+)
+
 // Share is one target's part of the weight store's rate. It implements
 // dispatch.Budget and is not safe for concurrent use.
 type Share struct {
@@ -23,8 +31,12 @@
 	accrued  time.Time // when rights was last brought up to date
 	inFlight int
 	started  time.Time
-	next     time.Time // earliest next start after a slow load
-	asked    *dispatch.Need
+	next     time.Time       // earliest next start after a slow load
+	asked    []dispatch.Need // one for each team, of the last round of tries
+	askedAt  time.Time
+	granted  map[string]int // rights that came for a team's need
+	shortest time.Duration  // of the loads so far
+	speed    float64        // part of the rate in use, below 1 while loads are slow
 }
 
 // NewShare returns one target's part of limits, split evenly over so many
@@ -34,7 +46,7 @@
 		panic("loadbudget: rate and targets must be positive")
 	}
 	part := float64(limits.InFlight) / float64(targets)
-	s := &Share{rate: limits.Rate / float64(targets), most: max(1, int(part)), accrued: now}
+	s := &Share{rate: limits.Rate / float64(targets), most: max(1, int(part)), accrued: now, speed: 1, granted: map[string]int{}}
 	if part > 0 && part < 1 {
 		s.pace = 1 / part
 	}
@@ -48,17 +60,33 @@
 	if s.inFlight >= s.most || now.Before(s.next) {
 		return false
 	}
-	if s.rights < 1 {
-		s.asked = &need
+	if s.granted[need.Team] == 0 && s.rights < 1 {
+		s.ask(now, need)
 		return false
 	}
-	s.rights--
+	if s.granted[need.Team] > 0 {
+		s.granted[need.Team]--
+	} else {
+		s.rights--
+	}
 	s.inFlight++
 	s.started = now
-	s.asked = nil
 	return true
 }
 
+// ask notes a need, the first of its team in a round of tries at one time.
+func (s *Share) ask(now time.Time, need dispatch.Need) {
+	if !s.askedAt.Equal(now) {
+		s.asked, s.askedAt = s.asked[:0], now
+	}
+	for _, n := range s.asked {
+		if n.Team == need.Team {
+			return
+		}
+	}
+	s.asked = append(s.asked, need)
+}
+
 // NextTake implements dispatch.Budget: it returns when the target's own rate
 // brings the next right.
 func (s *Share) NextTake(now time.Time) time.Time {
@@ -67,7 +95,7 @@
 		return time.Time{}
 	}
 	missing := max(0, 1-s.rights)
-	next := now.Add(time.Duration(missing/s.rate*float64(time.Second)) + time.Millisecond)
+	next := now.Add(time.Duration(missing/(s.rate*s.speed)*float64(time.Second)) + time.Millisecond)
 	if next.Before(s.next) {
 		return s.next
 	}
@@ -79,33 +107,53 @@
 // the mean number in flight stays within the part (J. D. C. Little, 1961).
 func (s *Share) Done(now time.Time) {
 	s.inFlight = max(0, s.inFlight-1)
+	s.adapt(now.Sub(s.started))
 	if s.pace > 0 {
 		s.next = s.started.Add(time.Duration(s.pace * float64(now.Sub(s.started))))
 	}
 }
 
-// Asked returns the need that found no right, and false if there is none. It
-// stands until the right comes.
-func (s *Share) Asked() (dispatch.Need, bool) {
-	if s.asked == nil {
-		return dispatch.Need{}, false
+// adapt lowers the rate when a load took much longer than the shortest one, as
+// when the weight store has become slower than its limits say, and raises it
+// step by step otherwise (additive increase, multiplicative decrease; D.-M. Chiu
+// and R. Jain, 1989).
+func (s *Share) adapt(took time.Duration) {
+	if s.shortest == 0 || took < s.shortest {
+		s.shortest = took
+	}
+	if took > slowLoad*s.shortest {
+		s.speed = max(leastSpeed, s.speed*slowDown)
+		return
 	}
-	return *s.asked, true
+	s.speed = min(1, s.speed+speedUp)
 }
 
+// Asked returns the needs that found no right in the last round of tries, one
+// for each team. They stand until rights come. The caller must not change them.
+func (s *Share) Asked() []dispatch.Need { return s.asked }
+
 // Donate takes all rights out of the share, for a granter, and returns them.
 func (s *Share) Donate(now time.Time) float64 {
 	s.accrue(now)
 	rights := s.rights
 	s.rights = 0
+	for team, n := range s.granted {
+		rights += float64(n)
+		delete(s.granted, team)
+	}
 	return rights
 }
 
-// Receive adds one right that a granter gave.
-func (s *Share) Receive(now time.Time) {
+// Receive adds one right that a granter gave for a team's need.
+func (s *Share) Receive(now time.Time, team string) {
 	s.accrue(now)
-	s.rights++
-	s.asked = nil
+	s.granted[team]++
+	for i, n := range s.asked {
+		if n.Team == team {
+			s.asked = append(s.asked[:i], s.asked[i+1:]...)
+			return
+		}
+	}
 }
 
 // accrue adds the rights of the time since the last call. Beyond one, rights are
@@ -117,6 +165,6 @@
 	}
 	s.accrued = now
 	if s.rights < 1 {
-		s.rights = min(1, s.rights+passed.Seconds()*s.rate)
+		s.rights = min(1, s.rights+passed.Seconds()*s.rate*s.speed)
 	}
 }
--- a/pkg/loadbudget/share_test.go
+++ b/pkg/loadbudget/share_test.go
@@ -32,18 +32,18 @@
 	convey.Convey("A share has no more loads in flight than its part", t, func() {
 		s := NewShare(Limits{Rate: 100, InFlight: 4}, 2, start)
 		for range 2 {
-			s.Receive(start)
+			s.Receive(start, need.Team)
 			convey.So(s.Take(start, need), convey.ShouldBeTrue)
 		}
-		s.Receive(start)
+		s.Receive(start, need.Team)
 		convey.So(s.Take(start, need), convey.ShouldBeFalse)
 		s.Done(start)
 		convey.So(s.Take(start, need), convey.ShouldBeTrue)
 	})
 	convey.Convey("With less than one load in flight for each target, starts keep apart by the load's duration", t, func() {
 		s := NewShare(Limits{Rate: 100, InFlight: 1}, 4, start)
-		s.Receive(start)
-		s.Receive(start)
+		s.Receive(start, need.Team)
+		s.Receive(start, need.Team)
 		convey.So(s.Take(start, need), convey.ShouldBeTrue)
 		s.Done(start.Add(time.Second))
 		convey.So(s.Take(start.Add(3*time.Second), need), convey.ShouldBeFalse)
@@ -52,12 +52,9 @@
 	convey.Convey("A need stands until a right comes", t, func() {
 		s := NewShare(limits, 14, start)
 		s.Take(start, need)
-		asked, ok := s.Asked()
-		convey.So(ok, convey.ShouldBeTrue)
-		convey.So(asked, convey.ShouldResemble, need)
-		s.Receive(start)
-		_, ok = s.Asked()
-		convey.So(ok, convey.ShouldBeFalse)
+		convey.So(s.Asked(), convey.ShouldResemble, []dispatch.Need{need})
+		s.Receive(start, need.Team)
+		convey.So(s.Asked(), convey.ShouldBeEmpty)
 	})
 }
 
@@ -89,10 +86,10 @@
 					g.Donate(rights)
 				}
 			case 2:
-				g.Ask("any", need)
-				for range g.Grants() {
+				g.Ask("any", []dispatch.Need{need})
+				for range g.Grants(start) {
 					if !lost {
-						shares[i].Receive(now)
+						shares[i].Receive(now, need.Team)
 					}
 				}
 			}
@@ -103,27 +100,73 @@
 	})
 }
 
+func targets(grants []Grant) []string {
+	var out []string
+	for _, g := range grants {
+		out = append(out, g.Target)
+	}
+	return out
+}
+
 func TestGranter(t *testing.T) {
 	convey.Convey("Waiting requests go before loading ahead, then the earlier and the more", t, func() {
 		g := NewGranter(Limits{Rate: 7, Burst: 6})
-		g.Ask("ahead", dispatch.Need{})
-		g.Ask("late", dispatch.Need{Waiting: 1, StartBy: start.Add(9 * time.Second)})
-		g.Ask("many", dispatch.Need{Waiting: 8, StartBy: start.Add(9 * time.Second)})
-		g.Ask("early", dispatch.Need{Waiting: 1, StartBy: start.Add(time.Second)})
-		g.Ask("gone", need)
-		g.Forget("gone")
-		convey.So(g.Grants(), convey.ShouldBeEmpty)
+		g.Ask("ahead", []dispatch.Need{{}})
+		g.Ask("late", []dispatch.Need{{Waiting: 1, StartBy: start.Add(9 * time.Second)}})
+		g.Ask("many", []dispatch.Need{{Waiting: 8, StartBy: start.Add(9 * time.Second)}})
+		g.Ask("early", []dispatch.Need{{Waiting: 1, StartBy: start.Add(time.Second)}})
+		g.Ask("gone", []dispatch.Need{need})
+		g.Ask("gone", nil)
+		convey.So(g.Grants(start), convey.ShouldBeEmpty)
 		g.Donate(3.5)
-		convey.So(g.Grants(), convey.ShouldResemble, []string{"early", "many", "late"})
+		convey.So(targets(g.Grants(start)), convey.ShouldResemble, []string{"early", "many", "late"})
 		g.Donate(0.5)
-		convey.So(g.Grants(), convey.ShouldResemble, []string{"ahead"})
+		convey.So(targets(g.Grants(start)), convey.ShouldResemble, []string{"ahead"})
 	})
 	convey.Convey("Rights are not saved up beyond the burst", t, func() {
 		g := NewGranter(limits)
 		g.Donate(100)
 		for _, name := range []string{"a", "b", "c", "d"} {
-			g.Ask(name, need)
+			g.Ask(name, []dispatch.Need{need})
+		}
+		convey.So(g.Grants(start), convey.ShouldHaveLength, limits.Burst-1)
+	})
+}
+
+func TestQuota(t *testing.T) {
+	convey.Convey("A borrower beyond its quota leaves rights for others", t, func() {
+		g := NewGranter(limits)
+		flood := dispatch.Need{Waiting: 9, StartBy: start, Team: "guest", Part: 0.5}
+		for range int(quotaBurst) {
+			g.Donate(2)
+			g.Ask("t1", []dispatch.Need{flood})
+			convey.So(targets(g.Grants(start)), convey.ShouldResemble, []string{"t1"})
+		}
+		g.Donate(0.5)
+		g.Ask("t1", []dispatch.Need{flood})
+		convey.So(g.Grants(start), convey.ShouldBeEmpty)
+		g.Ask("t2", []dispatch.Need{need})
+		convey.So(targets(g.Grants(start)), convey.ShouldResemble, []string{"t2"})
+		g.Donate(2)
+		convey.So(targets(g.Grants(start)), convey.ShouldResemble, []string{"t1"})
+	})
+	convey.Convey("A share slows down with the weight store and recovers", t, func() {
+		s := NewShare(limits, 1, start)
+		now := start
+		load := func(took time.Duration) {
+			s.Receive(now, need.Team)
+			s.Take(now, need)
+			now = now.Add(took)
+			s.Done(now)
+		}
+		load(time.Second)
+		load(time.Second)
+		convey.So(s.speed, convey.ShouldEqual, 1)
+		load(4 * time.Second)
+		convey.So(s.speed, convey.ShouldEqual, slowDown)
+		for range 20 {
+			load(time.Second)
 		}
-		convey.So(g.Grants(), convey.ShouldHaveLength, limits.Burst-1)
+		convey.So(s.speed, convey.ShouldEqual, 1)
 	})
 }
