Grant rights to load over the connections of the entryds

Without a granter a target that waits has one load in rate/targets: three seconds each for tessaro. An entryd whose settings name the rate now offers to grant; a targetd picks one of its connections by rendezvous hashing, gives its unused rights there and asks for those it needs. Ruled out: connections between targetds, which need a watch of the members in every targetd.

--- a/Makefile
+++ b/Makefile
@@ -24,8 +24,11 @@
 demo: build
 	./examples/demo.sh $(BIN)
 
+# Prints the tables of docs/MEASUREMENTS.md and writes the plots in docs/plots.
 bench:
-	$(GO) test -run '^$$' -bench . -benchmem ./pkg/... ./internal/...
+	mkdir -p docs/plots
+	MEASUREMENT_PLOTS=$(CURDIR)/docs/plots $(GO) test -run '^$$' -bench Fleet -benchtime 1x ./internal/measurement
+	$(GO) test -run '^$$' -bench . -benchmem ./pkg/...
 
 # What a node costs, with real processes: some minutes, see internal/scale.
 scale:
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -13,6 +13,7 @@
 	"github.com/borageusher/borageusher/pkg/adapter"
 	"github.com/borageusher/borageusher/pkg/configuration"
 	"github.com/borageusher/borageusher/pkg/dispatch"
+	"github.com/borageusher/borageusher/pkg/loadbudget"
 	"github.com/borageusher/borageusher/pkg/outcome"
 	"github.com/borageusher/borageusher/pkg/target"
 )
@@ -46,7 +47,7 @@
 type Options struct {
 	Self           target.Target
 	Limits         dispatch.Limits
-	Budget         dispatch.Budget // of loads; nil for none
+	Share          *loadbudget.Share // of the weight store's rate; nil for no limit
 	Engine         Engine
 	PlainService   bool // the target is a plain service: no adapters, no state
 	Configurations Configurations
@@ -68,6 +69,8 @@
 	voided     map[dispatch.RequestKey]time.Time // attempts that must not start, until their start-by time
 	boot       uint64                            // of the engine, zero before its first report
 
+	granters granters
+
 	report atomic.Pointer[dispatch.Report]
 	hint   atomic.Pointer[peer.Residency]
 }
@@ -91,8 +94,9 @@
 		attempts:   map[dispatch.RequestKey]*attempt{},
 		voided:     map[dispatch.RequestKey]time.Time{},
 	}
-	if opts.Budget != nil {
-		a.dispatcher.SetBudget(opts.Budget)
+	a.granters.names = map[sender]string{}
+	if opts.Share != nil {
+		a.dispatcher.SetBudget(opts.Share)
 	}
 	a.report.Store(&dispatch.Report{})
 	return a
@@ -106,6 +110,8 @@
 	}
 	sweep := time.NewTicker(sweepInterval)
 	defer sweep.Stop()
+	balance := time.NewTicker(askInterval)
+	defer balance.Stop()
 	deadline := time.NewTimer(time.Hour)
 	defer deadline.Stop()
 	for {
@@ -117,6 +123,9 @@
 		case now := <-sweep.C:
 			a.sweep(now)
 		case <-deadline.C:
+		case now := <-balance.C:
+			a.balance(now)
+			continue
 		}
 		a.perform(ctx, a.dispatcher.Next(time.Now()))
 		a.publish()
--- a/internal/agent/event.go
+++ b/internal/agent/event.go
@@ -109,6 +109,7 @@
 type disconnected struct{ conn sender }
 
 func (e disconnected) apply(_ context.Context, a *Agent, now time.Time) {
+	delete(a.granters.names, e.conn)
 	for _, at := range a.attempts {
 		at.answer.detach(now, e.conn)
 	}
--- a/internal/agent/main.go
+++ b/internal/agent/main.go
@@ -82,7 +82,7 @@
 	a := New(Options{
 		Self:           rec.Target,
 		Limits:         dispatch.Limits{Owner: s.Team, Slots: s.Slots, Adapters: s.Adapters, Queue: s.Queue},
-		Budget:         budget(s, time.Now()),
+		Share:          share(s, time.Now()),
 		Engine:         engine.New(s.Engine, rec.Target.Epoch),
 		PlainService:   s.Plain,
 		Configurations: configurations,
@@ -115,9 +115,9 @@
 	return stop(s, a, reg, srv, signals, log)
 }
 
-// budget returns the target's part of the weight store's rate, or nil when the
+// share returns the target's part of the weight store's rate, or nil when the
 // settings name no rate.
-func budget(s settings.Target, now time.Time) dispatch.Budget {
+func share(s settings.Target, now time.Time) *loadbudget.Share {
 	if s.Loads.Rate == 0 {
 		return nil
 	}
--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -47,6 +47,10 @@
 		s.Agent.post(cancelled{key: dispatch.RequestKey{Request: m.Request, Attempt: m.Attempt}})
 	case peer.Drain:
 		s.drain(conn, m)
+	case peer.LoadOffer:
+		s.Agent.post(offered{conn: out, name: conn.Remote().Name})
+	case peer.LoadGrant:
+		s.Agent.post(granted{team: m.Team})
 	case peer.Ack:
 		s.Agent.post(acked{key: dispatch.RequestKey{Request: m.Request, Attempt: m.Attempt}, next: m.Next})
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,6 +12,7 @@
 
 	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/internal/peer"
+	"github.com/borageusher/borageusher/pkg/loadbudget"
 	"github.com/borageusher/borageusher/pkg/placement"
 )
 
@@ -22,9 +23,10 @@
 	Revision       func() uint64
 	Targets        Targets
 	Dialer         Dialer
-	MaxInProgress  int             // calls in progress at once
-	Costs          placement.Costs // of choices between targets
-	StartWithin    time.Duration   // a call's deadline to start, unless it names one
+	MaxInProgress  int               // calls in progress at once
+	Loads          loadbudget.Limits // that this entryd grants; a rate of zero for none
+	Costs          placement.Costs   // of choices between targets
+	StartWithin    time.Duration     // a call's deadline to start, unless it names one
 	Log            event.Log
 	Scope          tally.Scope
 }
@@ -45,6 +47,7 @@
 		limit: &limitFilter{most: int64(opts.MaxInProgress)},
 		links: newLinks(opts.Dialer, opts.Log, opts.Revision),
 	}
+	e.links.granter = newGranter(opts.Loads, opts.Log)
 	last := &router{
 		targets: opts.Targets,
 		views:   newViews(opts.Self.Region, opts.Costs, e.links),
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -41,6 +41,7 @@
 	downUntil   time.Time
 	incarnation string // of the targetd that the pendings were sent to
 
+	granter   *granter // nil if this entryd grants no rights to load
 	hints     *targetHints
 	reported  atomic.Int64 // requests that run or wait for a slot, as last reported
 	sentSince atomic.Int64 // requests sent since then that wait for no load
@@ -140,6 +141,9 @@
 		_, _ = conn.Send(peer.Resume{Request: key.request, Attempt: key.attempt, Next: next, StartBy: p.submit.StartBy})
 	}
 	l.incarnation = incarnation
+	if l.granter != nil {
+		_, _ = conn.Send(peer.LoadOffer{}) // a lost connection is seen by its reader
+	}
 	l.log.At(event.PeerConnected).Str("peer", conn.Remote().Name).Send()
 	go l.read(conn)
 }
@@ -205,6 +209,11 @@
 		l.mu.Unlock()
 		l.report(m.Running)
 		return
+	case peer.LoadReport:
+		if l.granter != nil {
+			l.granter.report(time.Now(), l, m)
+		}
+		return
 	case peer.Residency:
 		l.hints.set(l.target.Name, m.Adapters, m.Floor)
 		l.report(m.Load)
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -14,6 +14,7 @@
 	log      event.Log
 	revision func() uint64
 	hints    *targetHints
+	granter  *granter // nil if this entryd grants no rights to load
 
 	mu    sync.Mutex
 	links map[string]*link // by name of the target
@@ -36,6 +37,7 @@
 			log:      ls.log,
 			revision: ls.revision,
 			hints:    ls.hints,
+			granter:  ls.granter,
 			pendings: map[attemptKey]*pending{},
 		}
 		ls.links[t.Name] = l
--- a/internal/entry/main.go
+++ b/internal/entry/main.go
@@ -69,6 +69,7 @@
 		Dialer:         dialer,
 		MaxInProgress:  s.MaxInProgress,
 		Costs:          s.Costs,
+		Loads:          s.Loads,
 		StartWithin:    s.StartWithin,
 		Log:            log,
 		Scope:          scope,
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -26,6 +26,7 @@
 	RequestRejected   Code = 303
 	AnswerResumed     Code = 304
 	TargetLeaving     Code = 330
+	LoadGranted       Code = 340
 	RequestQueued     Code = 400
 	RequestNotRun     Code = 401
 	RequestStarted    Code = 402
@@ -70,6 +71,7 @@
 	{RequestRejected, "request_rejected", zerolog.InfoLevel, "The request was refused at the entry, before any target."},
 	{AnswerResumed, "answer_resumed", zerolog.InfoLevel, "An answer goes on over a new connection from part `next`."},
 	{TargetLeaving, "target_leaving", zerolog.InfoLevel, "The target leaves: it gets no new work, and its targetd is told if it is connected."},
+	{LoadGranted, "load_granted", zerolog.InfoLevel, "Placement decision: `target` may load one adapter for `team` with a right that another target gave."},
 	{RequestQueued, "request_queued", zerolog.DebugLevel, "The target took an attempt into its queue."},
 	{RequestNotRun, "request_not_run", zerolog.InfoLevel, "The target refused an attempt that it had not started."},
 	{RequestStarted, "request_started", zerolog.DebugLevel, "The engine or service was given the request."},
--- a/internal/measurement/fleet_test.go
+++ b/internal/measurement/fleet_test.go
@@ -105,6 +105,8 @@
 	waiting  map[dispatch.RequestKey]*attempt
 	running  map[dispatch.RequestKey]*attempt
 	since    time.Time // of the last change, for the batch fill
+	donated  time.Time // last report to the granter
+	hadNeeds bool      // in the last report
 }
 
 // attempt is a call at a target.
@@ -167,7 +169,7 @@
 func (f *fleet) newTarget(name string, p policy) *targetState {
 	t := &targetState{
 		name: name, loadedAt: map[adapter.ID]time.Time{}, held: map[adapter.ID]bool{}, since: epoch,
-		waiting: map[dispatch.RequestKey]*attempt{}, running: map[dispatch.RequestKey]*attempt{},
+		donated: epoch, waiting: map[dispatch.RequestKey]*attempt{}, running: map[dispatch.RequestKey]*attempt{},
 	}
 	if p != policyOwn {
 		t.node = newLRUNode()
@@ -211,8 +213,9 @@
 
 // Times of the driver.
 const (
-	budgetTick = 20 * time.Millisecond  // between two exchanges with the granter
-	sweepTick  = 500 * time.Millisecond // between two calls of an idle decider
+	budgetTick = 50 * time.Millisecond // between two looks for needs to report
+	donateTick = time.Second           // between two reports of a target without needs
+	sweepTick  = time.Second           // between two calls of an idle decider
 )
 
 func (f *fleet) sweep(i int) {
@@ -229,7 +232,12 @@
 	byName := map[string]int{}
 	for i, t := range f.targets {
 		byName[t.name] = i
-		f.granter.Ask(t.name, t.share.Asked())
+		needs := t.share.Asked()
+		if len(needs) == 0 && !t.hadNeeds && f.now.Sub(t.donated) < donateTick {
+			continue
+		}
+		t.donated, t.hadNeeds = f.now, len(needs) > 0
+		f.granter.Ask(t.name, needs)
 		f.granter.Donate(t.share.Donate(f.now))
 	}
 	for _, g := range f.granter.Grants(f.now) {
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -13,34 +13,40 @@
 type messageType byte
 
 const (
-	typeHello     messageType = 1
-	typeProof     messageType = 2
-	typeHeartbeat messageType = 3
-	typeSubmit    messageType = 4
-	typeRefusal   messageType = 5
-	typeHead      messageType = 6
-	typePart      messageType = 7
-	typeEnd       messageType = 8
-	typeAck       messageType = 9
-	typeCancel    messageType = 10
-	typeResume    messageType = 11
-	typeDrain     messageType = 30
-	typeResidency messageType = 35
+	typeHello      messageType = 1
+	typeProof      messageType = 2
+	typeHeartbeat  messageType = 3
+	typeSubmit     messageType = 4
+	typeRefusal    messageType = 5
+	typeHead       messageType = 6
+	typePart       messageType = 7
+	typeEnd        messageType = 8
+	typeAck        messageType = 9
+	typeCancel     messageType = 10
+	typeResume     messageType = 11
+	typeDrain      messageType = 30
+	typeResidency  messageType = 35
+	typeLoadOffer  messageType = 36
+	typeLoadReport messageType = 37
+	typeLoadGrant  messageType = 38
 )
 
-func (Hello) messageType() messageType     { return typeHello }
-func (Proof) messageType() messageType     { return typeProof }
-func (Heartbeat) messageType() messageType { return typeHeartbeat }
-func (Submit) messageType() messageType    { return typeSubmit }
-func (Refusal) messageType() messageType   { return typeRefusal }
-func (Head) messageType() messageType      { return typeHead }
-func (Part) messageType() messageType      { return typePart }
-func (End) messageType() messageType       { return typeEnd }
-func (Ack) messageType() messageType       { return typeAck }
-func (Cancel) messageType() messageType    { return typeCancel }
-func (Resume) messageType() messageType    { return typeResume }
-func (Drain) messageType() messageType     { return typeDrain }
-func (Residency) messageType() messageType { return typeResidency }
+func (Hello) messageType() messageType      { return typeHello }
+func (Proof) messageType() messageType      { return typeProof }
+func (Heartbeat) messageType() messageType  { return typeHeartbeat }
+func (Submit) messageType() messageType     { return typeSubmit }
+func (Refusal) messageType() messageType    { return typeRefusal }
+func (Head) messageType() messageType       { return typeHead }
+func (Part) messageType() messageType       { return typePart }
+func (End) messageType() messageType        { return typeEnd }
+func (Ack) messageType() messageType        { return typeAck }
+func (Cancel) messageType() messageType     { return typeCancel }
+func (Resume) messageType() messageType     { return typeResume }
+func (Drain) messageType() messageType      { return typeDrain }
+func (Residency) messageType() messageType  { return typeResidency }
+func (LoadOffer) messageType() messageType  { return typeLoadOffer }
+func (LoadReport) messageType() messageType { return typeLoadReport }
+func (LoadGrant) messageType() messageType  { return typeLoadGrant }
 
 // Encode returns the wire form of m: its type, then its fields as a CBOR array.
 func Encode(m Message) []byte {
@@ -100,6 +106,12 @@
 		return &drainWire{}
 	case typeResidency:
 		return &residencyWire{}
+	case typeLoadOffer:
+		return &loadOfferWire{}
+	case typeLoadReport:
+		return &loadReportWire{}
+	case typeLoadGrant:
+		return &loadGrantWire{}
 	}
 	return nil
 }
@@ -132,6 +144,12 @@
 		return &drainWire{Epoch: m.Epoch}
 	case Residency:
 		return &residencyWire{Adapters: m.Adapters, Floor: m.Floor, Load: m.Load}
+	case LoadOffer:
+		return &loadOfferWire{}
+	case LoadReport:
+		return loadReportToWire(m)
+	case LoadGrant:
+		return &loadGrantWire{Team: m.Team}
 	}
 	panic("peer: unknown message type")
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -34,6 +34,9 @@
 		Resume{Request: "r1", Attempt: 2, Next: 5, StartBy: time.Second},
 		Drain{Epoch: 4},
 		Residency{Adapters: []uint64{1, 1 << 63}, Floor: 2.5, Load: 3},
+		LoadOffer{},
+		LoadReport{Rights: 0.5, Needs: []LoadNeed{{Team: "t", Waiting: 2, StartBy: time.Second, Part: 0.5}}},
+		LoadGrant{Team: "t"},
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -44,7 +44,8 @@
 	MaxBodyBytes  int
 	StartWithin   time.Duration
 	Costs         placement.Costs
-	UnreadyFor    time.Duration // serving on after readiness says no
+	Loads         loadbudget.Limits // of the weight store; a rate of zero grants nothing
+	UnreadyFor    time.Duration     // serving on after readiness says no
 }
 
 // Target are the settings of targetd.
@@ -77,6 +78,10 @@
 			Batch: f.Float("placement", "batch_cost", 1, 0, 1000),
 			Load:  f.Duration("placement", "load_time", 500*time.Millisecond, time.Millisecond, time.Minute).Seconds(),
 		},
+		Loads: loadbudget.Limits{
+			Rate:  f.Float("loads", "rate", 0, 0, 100000),
+			Burst: f.Int("loads", "burst", 1, 1, 1000),
+		},
 		UnreadyFor: f.Duration("process", "unready_for", 5*time.Second, 0, 10*time.Minute),
 	}
 	return s, f.Done()
