--- a/internal/agent/main.go
+++ b/internal/agent/main.go
@@ -23,6 +23,7 @@
 	"github.com/borageusher/borageusher/internal/suspects"
 	"github.com/borageusher/borageusher/pkg/claim"
 	"github.com/borageusher/borageusher/pkg/dispatch"
+	"github.com/borageusher/borageusher/pkg/loadbudget"
 	"github.com/borageusher/borageusher/pkg/target"
 )
 
@@ -91,6 +92,7 @@
 	a := New(Options{
 		Self:           rec.Target,
 		Limits:         dispatch.Limits{Owner: s.Team, Slots: s.Slots, Adapters: s.Adapters, Queue: s.Queue},
+		Share:          share(s, time.Now()),
 		Engine:         engine.New(s.Engine, rec.Target.Epoch),
 		PlainService:   s.Plain,
 		Crashes:        suspects.NewRecorder(store.For(objects.ForSuspects)),
@@ -129,6 +131,15 @@
 	return stop(s, a, reg, srv, signals, log)
 }
 
+// share returns the target's part of the weight store's rate, or nil when the
+// settings name no rate.
+func share(s settings.Target, now time.Time) *loadbudget.Share {
+	if s.Loads.Rate == 0 {
+		return nil
+	}
+	return loadbudget.NewShare(s.Loads, s.Sharers, now)
+}
+
 // describe returns the target that the settings describe, as a new process.
 func describe(s settings.Target) target.Target {
 	return target.Target{
--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -30,10 +30,11 @@
 	s.Log.At(event.PeerConnected).Str("peer", conn.Remote().Name).Send()
 	detach := s.attach(conn)
 	defer detach()
-	s.Agent.post(connected{conn: conn, end: conn})
-	err = conn.Run(context.WithoutCancel(r.Context()), s.beat, func(m peer.Message) { s.handle(conn, m) })
+	out := &hintingSender{sender: conn, hint: s.Agent.Hint}
+	s.Agent.post(connected{conn: out, end: conn})
+	err = conn.Run(context.WithoutCancel(r.Context()), s.beat, func(m peer.Message) { s.handle(conn, out, m) })
 	s.Log.At(event.PeerLost).Str("peer", conn.Remote().Name).Err(err).Send()
-	s.Agent.post(disconnected{conn: conn})
+	s.Agent.post(disconnected{conn: out})
 }
 
 func (s *Sessions) beat() peer.Heartbeat {
@@ -45,19 +46,23 @@
 	return m
 }
 
-func (s *Sessions) handle(conn *peer.Conn, m peer.Message) {
+func (s *Sessions) handle(conn *peer.Conn, out sender, m peer.Message) {
 	if s.News != nil && s.News.Handle(conn, m) {
 		return
 	}
 	switch m := m.(type) {
 	case peer.Submit:
-		s.Agent.post(submitted{conn: conn, submit: m, read: time.Now()})
+		s.Agent.post(submitted{conn: out, submit: m, read: time.Now()})
 	case peer.Resume:
-		s.Agent.post(resumed{conn: conn, resume: m})
+		s.Agent.post(resumed{conn: out, resume: m})
 	case peer.Cancel:
 		s.Agent.post(cancelled{key: dispatch.RequestKey{Request: m.Request, Attempt: m.Attempt}})
 	case peer.Drain:
 		s.drain(conn, m)
+	case peer.LoadOffer:
+		s.Agent.post(offered{conn: out, name: conn.Remote().Name})
+	case peer.LoadGrant:
+		s.Agent.post(granted{team: m.Team})
 	case peer.Ack:
 		s.Agent.post(acked{key: dispatch.RequestKey{Request: m.Request, Attempt: m.Attempt}, next: m.Next})
 	}
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -25,8 +25,8 @@
 // router is the end of the filter chain: it offers a call to targets until one
 // answers.
 type router struct {
-	region  string
 	targets Targets
+	views   *views
 	links   *links
 	loads   *loads
 	claims  Claims
@@ -53,16 +53,16 @@
 		if !now.Before(c.Deadline) {
 			return rejected(outcome.Expired, "the deadline passed before the request started")
 		}
-		t, ok := r.choose(c, now, avoid(c, tried))
+		t, why, ok := r.choose(c, now, avoid(c, tried))
 		if !ok {
-			t, ok = r.choose(c, now, tried)
+			t, why, ok = r.choose(c, now, tried)
 		}
 		if !ok {
 			break
 		}
 		tried[t.Name] = true
 		r.log.At(event.RouteChosen).Str("request", c.ID).Uint32("attempt", n).Str("target", t.Name).
-			Stringer("adapter", c.Adapter).Str("reason", routeReason(n, last)).Send()
+			Stringer("adapter", c.Adapter).Str("reason", routeReason(n, why, last)).Send()
 		result := noteCrash(c, t.Name, r.attempt(ctx, c, t, n, now))
 		c.MayHaveRun = c.MayHaveRun || result.Outcome == outcome.Unknown
 		if !mayRetry(c, result) {
@@ -89,11 +89,11 @@
 	}
 }
 
-func routeReason(n uint32, last Result) string {
+func routeReason(n uint32, why placement.Reason, last Result) string {
 	if n == 1 {
-		return "home"
+		return why.String()
 	}
-	return "retry_after_" + last.Reason.String()
+	return why.String() + "_after_" + last.Reason.String()
 }
 
 // mayRetry reports whether a result leaves the call to be offered elsewhere.
@@ -107,45 +107,13 @@
 	return c.Repeatable() && result.Reason.Elsewhere()
 }
 
-// choose returns the target for the next attempt.
-func (r *router) choose(c *Call, now time.Time, tried map[string]bool) (target.Target, bool) {
-	var fitting []target.Target
-	var candidates []placement.Candidate
-	for _, t := range r.targets.Targets() {
-		if t.State != target.Live || !fits(c, t) {
-			continue
-		}
-		cand := placement.Candidate{
-			Hash:     placement.Hash(t.Name),
-			Region:   t.Region,
-			Slots:    t.Slots,
-			Tried:    tried[t.Name],
-			Borrowed: t.Team != c.Owner,
-		}
-		if l := r.links.peek(t.Name); l != nil {
-			cand.InFlight = l.inFlight()
-			cand.Tried = cand.Tried || !l.usable(now)
-		}
-		if c.Suspect { // the choice must be the same at all entries
-			cand.InFlight = 0
-			cand.Region = r.region
-		}
-		fitting = append(fitting, t)
-		candidates = append(candidates, cand)
-	}
-	key := c.Adapter.String()
-	if c.Adapter.IsZero() {
-		key = c.ID
-	}
-	hash := placement.Hash(key)
+// choose returns the target for the next attempt and why it was chosen.
+func (r *router) choose(c *Call, now time.Time, tried map[string]bool) (target.Target, placement.Reason, bool) {
+	v := r.views.get(c, r.targets.Targets())
 	if c.Suspect {
-		hash = trialKey(c)
-	}
-	i, ok := placement.Choose(hash, candidates, r.region)
-	if !ok {
-		return target.Target{}, false
+		return v.chooseForTrial(c, now, tried)
 	}
-	return fitting[i], true
+	return v.choose(c, r.links.hints, now, tried)
 }
 
 // fits reports whether t may run c: a target of the service itself, or one of
