--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/borageusher/borageusher/internal/event"
@@ -41,6 +42,11 @@
 	downUntil   time.Time
 	lastUsed    time.Time
 	incarnation string // of the targetd that the pendings were sent to
+
+	granter   *granter // nil if this entryd grants no rights to load
+	hints     *targetHints
+	reported  atomic.Int64 // requests that run or wait for a slot, as last reported
+	sentSince atomic.Int64 // requests sent since then that wait for no load
 }
 
 // submit sends an attempt and returns the place where its answer arrives. The
@@ -78,11 +84,20 @@
 	delete(l.pendings, p.key())
 }
 
-// inFlight returns the number of attempts that wait.
-func (l *link) inFlight() int {
+// waiting reports whether an attempt waits for its answer.
+func (l *link) waiting() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.pendings)
+	return len(l.pendings) > 0
+}
+
+// load returns the requests that are believed to run there or wait for a slot.
+func (l *link) load() int { return int(l.reported.Load() + l.sentSince.Load()) }
+
+// report records the target's load in place of what was sent before.
+func (l *link) report(load int) {
+	l.reported.Store(int64(load))
+	l.sentSince.Store(0)
 }
 
 // usable reports whether attempts may be sent: the target is not known to be
@@ -119,6 +134,7 @@
 // adopt makes conn the link's connection and resumes what waits. Attempts that
 // were sent to an earlier process at the same address are lost.
 func (l *link) adopt(conn *peer.Conn) {
+	l.forgetHints(conn.Remote().Incarnation)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conn = conn
@@ -136,10 +152,25 @@
 		_, _ = conn.Send(peer.Resume{Request: key.request, Attempt: key.attempt, Next: next, StartBy: p.submit.StartBy})
 	}
 	l.incarnation = incarnation
+	if l.granter != nil {
+		_, _ = conn.Send(peer.LoadOffer{}) // a lost connection is seen by its reader
+	}
 	l.log.At(event.PeerConnected).Str("peer", conn.Remote().Name).Send()
 	go l.read(conn)
 }
 
+// forgetHints drops what another process at the same address said. It must be
+// called without l.mu, which is locked while the hints are read.
+func (l *link) forgetHints(incarnation string) {
+	l.mu.Lock()
+	same := l.incarnation == incarnation
+	l.mu.Unlock()
+	if !same {
+		l.hints.forget(l.target.Name)
+		l.report(0)
+	}
+}
+
 // read passes messages to the attempts until conn ends, and then tries to
 // resume them over another connection.
 func (l *link) read(conn *peer.Conn) {
@@ -186,6 +217,16 @@
 		l.mu.Lock()
 		l.heartbeat = m
 		l.mu.Unlock()
+		l.report(m.Running)
+		return
+	case peer.LoadReport:
+		if l.granter != nil {
+			l.granter.report(time.Now(), l, m)
+		}
+		return
+	case peer.Residency:
+		l.hints.set(l.target.Name, m.Adapters, m.Floor)
+		l.report(m.Load)
 		return
 	case peer.Head:
 		key = attemptKey{m.Request, m.Attempt}
--- a/internal/entry/main.go
+++ b/internal/entry/main.go
@@ -96,6 +96,8 @@
 		News:           node,
 		Claims:         ledger,
 		MaxInProgress:  s.MaxInProgress,
+		Costs:          s.Costs,
+		Loads:          s.Loads,
 		StartWithin:    s.StartWithin,
 		Log:            log,
 		Scope:          scope,
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -8,6 +8,7 @@
 	"github.com/borageusher/borageusher/pkg/outcome"
 	"github.com/borageusher/borageusher/pkg/placement"
 	"github.com/borageusher/borageusher/pkg/quarantine"
+	"github.com/borageusher/borageusher/pkg/target"
 )
 
 // maxCrashes is the number of targets that may crash with a request in flight
@@ -85,6 +86,25 @@
 	return placement.Hash(string(f[:]))
 }
 
+// chooseForTrial returns the target that runs a suspect. The choice depends on
+// nothing that differs between entries but on what can't be reached.
+func (v *routeView) chooseForTrial(c *Call, now time.Time, tried map[string]bool) (target.Target, placement.Reason, bool) {
+	candidates := make([]placement.Candidate, len(v.targets))
+	for i, t := range v.targets {
+		candidates[i] = placement.Candidate{
+			Hash:     placement.Hash(t.Name),
+			Slots:    t.Slots,
+			Tried:    tried[t.Name] || !v.links[i].usable(now),
+			Borrowed: t.Team != c.Owner,
+		}
+	}
+	i, ok := placement.Choose(trialKey(c), candidates, "")
+	if !ok {
+		return target.Target{}, placement.ReasonHome, false
+	}
+	return v.targets[i], placement.ReasonHome, true
+}
+
 // avoid returns tried with the targets that c has crashed.
 func avoid(c *Call, tried map[string]bool) map[string]bool {
 	out := map[string]bool{}
