Leave half a second between candidates that ask another region

Cause: with 200 ms, TestBulkCrossesOnce failed in a full run with -race on a busy machine: 685815 bytes for 223082 of sections; the bound stays at three times. Some hundred kilobytes over a new connection at 60 ms round trip take longer than 200 ms too. Cost: half a second to a revision in the other region, and as much again for each candidate before that is frozen.

--- a/internal/spread/pull.go
+++ b/internal/spread/pull.go
@@ -18,7 +18,7 @@
 	avoidTime     = 3 * time.Second         // how long a peer that did not answer is passed over
 	lookInterval  = time.Second             // between two looks for peers that are ahead
 	startGrace    = time.Second             // how long a starting process waits for a second peer
-	regionPause   = 200 * time.Millisecond  // for each candidate of the region that asks another region first
+	regionPause   = 500 * time.Millisecond  // for each candidate of the region that asks another region first
 	regionLook    = 20 * time.Millisecond   // between two looks for a peer of the region meanwhile
 )
 
