Keep waiting claims from holding slots while the object API is out

A call that the object API refused was read back and later released, though it had no effect.

Change: after a failed claim one attempt tries again every two seconds; the others queue again at once. A refused call is only repeated. Outcomes and deletions are calls of lower priority than claims in the process's budget.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -71,6 +71,7 @@
 	sessions   map[sender]closer                 // open peer connections
 
 	pulse *pulse
+	gate  gate // of claims
 
 	report atomic.Pointer[dispatch.Report]
 }
--- a/internal/agent/claim.go
+++ b/internal/agent/claim.go
@@ -5,6 +5,7 @@
 	"io"
 	"time"
 
+	"github.com/borageusher/borageusher/internal/claims"
 	"github.com/borageusher/borageusher/internal/engine"
 	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/pkg/claim"
@@ -71,11 +72,15 @@
 
 // take claims the attempt's key and passes on what its record decides.
 func (a *Agent) take(ctx context.Context, at *attempt, load dispatch.Report) beginning {
+	if !a.gate.enter(time.Now()) {
+		return deferred
+	}
 	ctx, cancel := context.WithTimeout(ctx, takePatience)
 	defer cancel()
 	v, err := a.opts.Claims.Take(ctx, at.submit.IdempotencyKey, at.claimAttempt(), at.submit.BodyDigest)
+	a.gate.leave(time.Now(), err == nil)
 	if err != nil {
-		at.mayHold = true
+		at.mayHold = at.mayHold || claims.IsKind(err, claims.Unsettled)
 		a.opts.Log.At(event.ClaimDeferred).Str("request", at.submit.Request).Uint32("attempt", at.submit.Attempt).Err(err).Send()
 		return deferred
 	}
--- a/internal/agent/main.go
+++ b/internal/agent/main.go
@@ -82,6 +82,7 @@
 	}
 	ledger := claims.New(claims.Options{
 		Store:     store.For(objects.ForClaims),
+		Later:     store.For(objects.ForOutcomes),
 		Self:      claim.Writer{Name: rec.Target.Name, Incarnation: rec.Target.Incarnation},
 		Retention: s.Retention,
 		Log:       log,
--- a/internal/claims/expire.go
+++ b/internal/claims/expire.go
@@ -82,7 +82,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	l.count(expiring, "delete")
-	err := l.opts.Store.Delete(ctx, objects.Claims, r.name, objects.Version(r.version))
+	err := l.store(expiring).Delete(ctx, objects.Claims, r.name, objects.Version(r.version))
 	if err == nil || objects.IsKind(err, objects.Conflict) {
 		return
 	}
--- a/internal/claims/ledger.go
+++ b/internal/claims/ledger.go
@@ -39,7 +39,8 @@
 
 // Options are what a Ledger needs.
 type Options struct {
-	Store     Store
+	Store     Store // for claims and voids, which callers wait for
+	Later     Store // for outcomes and deletions, which can wait
 	Self      claim.Writer
 	Retention time.Duration // how long records are kept after the run
 	Log       event.Log
@@ -136,7 +137,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	l.count(p, "get")
-	o, err := l.opts.Store.Get(ctx, objects.Claims, name)
+	o, err := l.store(p).Get(ctx, objects.Claims, name)
 	if objects.IsKind(err, objects.NotFound) {
 		return claim.Reply{Kind: claim.Missing}, nil
 	}
@@ -154,16 +155,26 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	l.count(p, "put")
-	version, err := l.opts.Store.Put(ctx, objects.Claims, name, claim.Encode(c.Record), objects.Version(c.Expect))
+	version, err := l.store(p).Put(ctx, objects.Claims, name, claim.Encode(c.Record), objects.Version(c.Expect))
 	switch {
 	case err == nil:
 		return claim.Reply{Kind: claim.Done, Version: uint64(version)}, nil
 	case objects.IsKind(err, objects.Conflict):
 		return claim.Reply{Kind: claim.Conflict}, nil
+	case objects.IsKind(err, objects.Unavailable):
+		return claim.Reply{Kind: claim.Refused}, err
 	}
 	return claim.Reply{Kind: claim.Failed}, err
 }
 
+// store returns the client for calls of a purpose.
+func (l *Ledger) store(p purpose) Store {
+	if p == taking || p == voiding {
+		return l.opts.Store
+	}
+	return l.opts.Later
+}
+
 func (l *Ledger) count(p purpose, method string) {
 	l.opts.Scope.Tagged(map[string]string{"purpose": string(p), "method": method}).Counter("claim_calls").Inc(1)
 }
--- /dev/null
+++ b/internal/claims/ledger_test.go
@@ -0,0 +1,214 @@
+package claims
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/borageusher/borageusher/internal/event"
+	"github.com/borageusher/borageusher/internal/objects"
+	"github.com/borageusher/borageusher/pkg/claim"
+	"github.com/borageusher/borageusher/pkg/outcome"
+)
+
+// memory is an object API in memory that loses answers.
+type memory struct {
+	mu      sync.Mutex
+	objects map[string]objects.Object
+	version objects.Version
+	calls   map[string]int
+	lose    int  // answers of writes to lose from now on
+	out     bool // refuses everything
+}
+
+func newMemory() *memory {
+	return &memory{objects: map[string]objects.Object{}, calls: map[string]int{}}
+}
+
+func (m *memory) Get(_ context.Context, _ objects.ObjectKind, name string) (objects.Object, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.calls["get"]++
+	if m.out {
+		return objects.Object{}, &objects.Error{Op: "get", Kind: objects.Unavailable}
+	}
+	o, ok := m.objects[name]
+	if !ok {
+		return objects.Object{}, &objects.Error{Op: "get", Kind: objects.NotFound}
+	}
+	return o, nil
+}
+
+func (m *memory) Put(_ context.Context, _ objects.ObjectKind, name string, value []byte, expect objects.Version) (objects.Version, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.calls["put"]++
+	if m.out {
+		return 0, &objects.Error{Op: "put", Kind: objects.Unavailable}
+	}
+	if m.objects[name].Version != expect {
+		return 0, &objects.Error{Op: "put", Kind: objects.Conflict}
+	}
+	m.version++
+	m.objects[name] = objects.Object{Name: name, Version: m.version, Value: value}
+	if m.lose > 0 {
+		m.lose--
+		return 0, &objects.Error{Op: "put", Kind: objects.Uncertain}
+	}
+	return m.version, nil
+}
+
+func (m *memory) Delete(_ context.Context, _ objects.ObjectKind, name string, expect objects.Version) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.calls["delete"]++
+	if m.objects[name].Version != expect {
+		return &objects.Error{Op: "delete", Kind: objects.Conflict}
+	}
+	delete(m.objects, name)
+	return nil
+}
+
+func (m *memory) count(method string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.calls[method]
+}
+
+func (m *memory) setOut(out bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.out = out
+}
+
+func newLedger(m *memory, retention time.Duration) *Ledger {
+	return New(Options{
+		Store:     m,
+		Later:     m,
+		Self:      claim.Writer{Name: "t1", Incarnation: "a"},
+		Retention: retention,
+		Log:       event.Discard(),
+		Scope:     tally.NoopScope,
+	})
+}
+
+var (
+	attempt = claim.Attempt{Request: "r1", Number: 1}
+	digest  = []byte("digest")
+)
+
+// eventually polls for a condition.
+func eventually(check func() bool) bool {
+	for range 500 {
+		if check() {
+			return true
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return false
+}
+
+func TestLedger(t *testing.T) {
+	convey.Convey("Given a ledger on an object API", t, func() {
+		m := newMemory()
+		l := newLedger(m, time.Hour)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go l.Run(ctx)
+
+		convey.Convey("claim, outcome and replay are two writes and a read with its lost race", func() {
+			held, err := l.Take(ctx, "k", attempt, digest)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(held.Kind, convey.ShouldEqual, claim.Run)
+			l.Finish("k", held, claim.Answer{Status: 200, Body: []byte("ok")})
+			convey.So(eventually(func() bool { return l.Pending() == 0 }), convey.ShouldBeTrue)
+			convey.So(m.count("put"), convey.ShouldEqual, 2)
+			convey.So(m.count("get"), convey.ShouldEqual, 0)
+			v, err := l.Take(ctx, "k", claim.Attempt{Request: "r2", Number: 1}, digest)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(v.Kind, convey.ShouldEqual, claim.Replay)
+			convey.So(string(v.Record.Answer.Body), convey.ShouldEqual, "ok")
+		})
+		convey.Convey("a lost answer is settled by reading back", func() {
+			m.lose = 1
+			held, err := l.Take(ctx, "k", attempt, digest)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(held.Kind, convey.ShouldEqual, claim.Run)
+			convey.So(m.count("get"), convey.ShouldEqual, 1)
+		})
+		convey.Convey("an outage ends a take without a verdict, and a release follows later", func() {
+			m.setOut(true)
+			short, cancelShort := context.WithTimeout(ctx, 50*time.Millisecond)
+			defer cancelShort()
+			_, err := l.Take(short, "k", attempt, digest)
+			convey.So(IsKind(err, Unavailable), convey.ShouldBeTrue)
+			convey.So(m.count("get"), convey.ShouldEqual, 0)
+			l.Release("k", attempt, digest)
+			convey.So(l.Pending(), convey.ShouldEqual, 1)
+			m.setOut(false)
+			convey.So(eventually(func() bool { return l.Pending() == 0 }), convey.ShouldBeTrue)
+			v, err := l.Void(ctx, "k", attempt, digest)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(v.Kind, convey.ShouldEqual, claim.NotRun)
+		})
+		convey.Convey("a broken-off run is recorded as such", func() {
+			held, err := l.Take(ctx, "k", attempt, digest)
+			convey.So(err, convey.ShouldBeNil)
+			l.Break("k", held, outcome.EngineFailed)
+			convey.So(eventually(func() bool { return l.Pending() == 0 }), convey.ShouldBeTrue)
+			rec, err := l.Read(ctx, "k")
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(rec.State, convey.ShouldEqual, claim.Broken)
+		})
+	})
+	convey.Convey("A full backlog drops writes, which leaves the record claimed", t, func() {
+		m := newMemory()
+		l := newLedger(m, time.Hour)
+		held, err := l.Take(context.Background(), "k", attempt, digest)
+		convey.So(err, convey.ShouldBeNil)
+		for range maxBacklog + 1 {
+			l.Finish("k", held, claim.Answer{Status: 200})
+		}
+		convey.So(l.Pending(), convey.ShouldEqual, maxBacklog)
+	})
+}
+
+func TestExpiry(t *testing.T) {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	convey.Convey("Records are due in order, after the retention", t, func() {
+		k := newKept(time.Minute)
+		k.add(start, "a", 1)
+		k.add(start.Add(time.Second), "b", 2)
+		k.add(start, "unwritten", 0)
+		_, ok := k.next(start.Add(59 * time.Second))
+		convey.So(ok, convey.ShouldBeFalse)
+		r, ok := k.next(start.Add(60 * time.Second))
+		convey.So(ok, convey.ShouldBeTrue)
+		convey.So(r.name, convey.ShouldEqual, "a")
+		_, ok = k.next(start.Add(60 * time.Second))
+		convey.So(ok, convey.ShouldBeFalse)
+	})
+	convey.Convey("A record that was written again is left to its last writer", t, func() {
+		m := newMemory()
+		l := newLedger(m, 0)
+		v, err := l.Void(context.Background(), "k", attempt, digest)
+		convey.So(err, convey.ShouldBeNil)
+		held, err := l.Take(context.Background(), "k", claim.Attempt{Request: "r1", Number: 2}, digest)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(held.Version, convey.ShouldNotEqual, v.Version)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go l.Run(ctx)
+		convey.So(eventually(func() bool { return m.count("delete") == 1 }), convey.ShouldBeTrue)
+		convey.So(len(m.objects), convey.ShouldEqual, 1)
+		l.Finish("k", held, claim.Answer{Status: 200})
+		convey.So(eventually(func() bool { return m.count("delete") == 2 }), convey.ShouldBeTrue)
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		convey.So(len(m.objects), convey.ShouldEqual, 0)
+	})
+}
--- a/internal/entry/main.go
+++ b/internal/entry/main.go
@@ -64,6 +64,7 @@
 	known := members.New(store.For(objects.ForMembers), log)
 	ledger := claims.New(claims.Options{
 		Store:     store.For(objects.ForClaims),
+		Later:     store.For(objects.ForOutcomes),
 		Self:      claim.Writer{Name: self.Name, Incarnation: self.Incarnation},
 		Retention: s.Retention,
 		Log:       log,
--- a/internal/objects/purpose.go
+++ b/internal/objects/purpose.go
@@ -7,6 +7,7 @@
 const (
 	ForClaims        Purpose = "claims"        // claims of non-idempotent requests
 	ForSuspects      Purpose = "suspects"      // requests that were in flight at a crash
+	ForOutcomes      Purpose = "outcomes"      // outcomes and deletions of claims
 	ForRegistration  Purpose = "registration"  // epochs and states of targets
 	ForConfiguration Purpose = "configuration" // the root and its sections
 	ForMembers       Purpose = "members"       // registrations of others
@@ -21,7 +22,7 @@
 	switch p {
 	case ForClaims, ForSuspects:
 		return 0
-	case ForRegistration, ForOperator:
+	case ForOutcomes, ForRegistration, ForOperator:
 		return 0.25
 	}
 	return 0.5
--- a/pkg/claim/operation.go
+++ b/pkg/claim/operation.go
@@ -26,6 +26,7 @@
 	Done     ReplyKind = iota // the call did what was asked
 	Missing                   // there is no record
 	Conflict                  // the record has another version
+	Refused                   // the call had no effect and will have none
 	Failed                    // no answer: a write may take effect, now or later
 )
 
@@ -111,7 +112,7 @@
 	case Failed:
 		o.maybe = true
 		o.known = false
-	default:
+	case Conflict:
 		o.known = false
 	}
 }
--- a/pkg/claim/protocol_test.go
+++ b/pkg/claim/protocol_test.go
@@ -52,7 +52,7 @@
 	if !ok {
 		return
 	}
-	switch rapid.SampledFrom([]string{"answered", "answered", "answered", "lost", "late", "never"}).Draw(t, "fate") {
+	switch rapid.SampledFrom([]string{"answered", "answered", "answered", "lost", "late", "never", "refused"}).Draw(t, "fate") {
 	case "answered":
 		op.Tell(m.perform(c))
 	case "lost":
@@ -63,6 +63,8 @@
 			m.late = append(m.late, c)
 		}
 		op.Tell(Reply{Kind: Failed})
+	case "refused":
+		op.Tell(Reply{Kind: Refused})
 	case "never":
 		op.Tell(Reply{Kind: Failed})
 	}
