--- a/internal/agent/main.go
+++ b/internal/agent/main.go
@@ -20,8 +20,8 @@
 	"github.com/borageusher/borageusher/internal/registration"
 	"github.com/borageusher/borageusher/internal/revision"
 	"github.com/borageusher/borageusher/internal/settings"
+	"github.com/borageusher/borageusher/internal/suspects"
 	"github.com/borageusher/borageusher/pkg/claim"
-	"github.com/borageusher/borageusher/pkg/configuration"
 	"github.com/borageusher/borageusher/pkg/dispatch"
 	"github.com/borageusher/borageusher/pkg/target"
 )
@@ -94,16 +94,19 @@
 		Limits:         dispatch.Limits{Owner: s.Team, Slots: s.Slots, Adapters: s.Adapters, Queue: s.Queue},
 		Engine:         engine.New(s.Engine, rec.Target.Epoch),
 		PlainService:   s.Plain,
+		Crashes:        suspects.NewRecorder(store.For(objects.ForSuspects)),
 		Configurations: configurations,
 		Claims:         ledger,
 		Log:            log,
 		Scope:          scope,
 	})
-	configurations.OnChange(func(cfg *configuration.Configuration) {
-		scope.Gauge("revision").Update(float64(cfg.Revision))
-		a.SetConfiguration(cfg)
-	})
+	configurations.OnChange(a.SetConfiguration)
+	node, known, err := newNode(s, rec.Target, store, configurations, log, scope)
+	if err != nil {
+		return err
+	}
 	sessions := &Sessions{
+		News:     node,
 		Agent:    a,
 		Self:     identity(rec.Target),
 		Key:      peer.Key(s.PeerKey),
@@ -113,6 +116,8 @@
 	srv.Hertz.GET(peer.Path, adaptor.HertzHandler(sessions))
 	go a.Run(ctx)
 	go configurations.Run(ctx)
+	go known.Run(ctx)
+	go node.Run(ctx)
 	reg := newRegistered(registrations, rec, log)
 	go reg.leaveWith(ctx, a)
 	served := make(chan error, 1)
@@ -133,7 +138,7 @@
 		Service:     s.Service,
 		Region:      s.Region,
 		Zone:        s.Zone,
-		Addr:        s.Listen,
+		Addr:        s.DialAddress,
 		Incarnation: daemon.NewIncarnation(),
 		Slots:       s.Slots,
 		State:       target.Live,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,7 +20,9 @@
 	Configurations Configurations
 	Revision       func() uint64
 	Targets        Targets
+	Suspects       Suspects
 	Dialer         Dialer
+	News           News // nil for none
 	Claims         Claims
 	MaxInProgress  int           // calls in progress at once
 	StartWithin    time.Duration // a call's deadline to start, unless it names one
@@ -41,18 +43,20 @@
 func New(opts Options) *Entry {
 	e := &Entry{
 		opts:  opts,
-		limit: &limitFilter{most: int64(opts.MaxInProgress)},
+		limit: newLimitFilter(opts.MaxInProgress),
 		links: newLinks(opts.Dialer, opts.Log, opts.Revision),
 	}
+	e.links.news = opts.News
 	last := &router{
 		region:  opts.Self.Region,
 		targets: opts.Targets,
 		links:   e.links,
+		loads:   newLoads(),
 		claims:  opts.Claims,
 		log:     opts.Log,
 		scope:   opts.Scope,
 	}
-	e.chain = chain(last, identifyFilter{configurations: opts.Configurations}, resolveFilter{}, e.limit)
+	e.chain = chain(last, identifyFilter{configurations: opts.Configurations}, resolveFilter{}, quarantineFilter{suspects: opts.Suspects}, e.limit)
 	return e
 }
 
--- a/internal/entry/main.go
+++ b/internal/entry/main.go
@@ -16,6 +16,8 @@
 	"github.com/borageusher/borageusher/internal/peer"
 	"github.com/borageusher/borageusher/internal/revision"
 	"github.com/borageusher/borageusher/internal/settings"
+	"github.com/borageusher/borageusher/internal/spread"
+	"github.com/borageusher/borageusher/internal/suspects"
 	"github.com/borageusher/borageusher/pkg/claim"
 	"github.com/borageusher/borageusher/pkg/configuration"
 )
@@ -62,6 +64,20 @@
 	store := daemon.NewStore(s.Common, scope)
 	configurations := revision.New(store.For(objects.ForConfiguration), log)
 	known := members.New(store.For(objects.ForMembers), log)
+	node := spread.New(spread.Options{
+		Self:           self,
+		Configurations: configurations,
+		Members:        known,
+		Dialer:         dialer,
+		Seeds:          s.Seeds,
+		Log:            log,
+		Scope:          scope,
+	})
+	configurations.SetDuty(node.Duty)
+	configurations.OnChange(func(*configuration.Configuration) { node.Announce() })
+	known.SetDuty(node.Duty)
+	known.OnChange(node.Announce)
+	crashes := suspects.New(store.For(objects.ForSuspects), log)
 	ledger := claims.New(claims.Options{
 		Store:     store.For(objects.ForClaims),
 		Later:     store.For(objects.ForOutcomes),
@@ -76,7 +92,9 @@
 		Configurations: configurations,
 		Revision:       configurations.Revision,
 		Targets:        known,
+		Suspects:       crashes,
 		Dialer:         dialer,
+		News:           node,
 		Claims:         ledger,
 		MaxInProgress:  s.MaxInProgress,
 		StartWithin:    s.StartWithin,
@@ -89,7 +107,7 @@
 		CertFile:     s.CertFile,
 		KeyFile:      s.KeyFile,
 		MaxBodyBytes: s.MaxBodyBytes,
-		Ready:        func() bool { return configurations.Current() != nil && !stopping.Load() },
+		Ready:        func() bool { return configurations.Current() != nil && crashes.Ready() && !stopping.Load() },
 		Metrics:      metricsHandler,
 
 		SenseDisconnect: true,
@@ -98,11 +116,11 @@
 		return err
 	}
 	e.Register(srv.Hertz)
-	configurations.OnChange(func(cfg *configuration.Configuration) {
-		scope.Gauge("revision").Update(float64(cfg.Revision))
-	})
 	go configurations.Run(ctx)
 	go known.Run(ctx)
+	go node.Run(ctx)
+	go e.CloseIdle(ctx)
+	go crashes.Run(ctx)
 	go e.Run(ctx)
 	log.At(event.Started).Stringer("address", s.Listen).Send()
 	served := make(chan error, 1)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -20,6 +20,7 @@
 	PeerConnected     Code = 200
 	PeerLost          Code = 201
 	PeerRefused       Code = 202
+	RelayLost         Code = 203
 	RouteChosen       Code = 300
 	RouteRefused      Code = 301
 	RequestEnded      Code = 302
@@ -28,6 +29,10 @@
 	AttemptVoided     Code = 310
 	AttemptUnsettled  Code = 311
 	TargetLeaving     Code = 330
+	CrashKnown        Code = 331
+	CrashUnreadable   Code = 332
+	SuspectCleared    Code = 333
+	RetryRefused      Code = 334
 	RequestQueued     Code = 400
 	RequestNotRun     Code = 401
 	RequestStarted    Code = 402
@@ -46,10 +51,15 @@
 	ClaimWriteDropped Code = 443
 	ProcessPaused     Code = 450
 	DrainBegun        Code = 480
+	EngineCrashed     Code = 481
 	RevisionInForce   Code = 500
 	RevisionRejected  Code = 501
+	SectionCorrupt    Code = 502
+	RevisionFromPeer  Code = 503
 	StoreUnavailable  Code = 510
+	DutyChanged       Code = 511
 	MembersChanged    Code = 520
+	MemberLeaving     Code = 521
 )
 
 // definition is what the catalogue says of an event.
@@ -71,6 +81,7 @@
 	{PeerConnected, "peer_connected", zerolog.InfoLevel, "A peer connection is open and both sides proved the key."},
 	{PeerLost, "peer_lost", zerolog.WarnLevel, "A peer connection ended or went silent; `error` says how."},
 	{PeerRefused, "peer_refused", zerolog.WarnLevel, "A process without the right peer key tried to connect."},
+	{RelayLost, "relay_lost", zerolog.InfoLevel, "A connection kept for news could not be opened or ended; the next best peer takes its place."},
 	{RouteChosen, "route_chosen", zerolog.InfoLevel, "Routing decision: the request's next attempt goes to `target`; `reason` says why that one."},
 	{RouteRefused, "route_refused", zerolog.InfoLevel, "The target refused an attempt before running it; `reason` is the target's."},
 	{RequestEnded, "request_ended", zerolog.InfoLevel, "The caller was told the outcome."},
@@ -79,6 +90,10 @@
 	{AttemptVoided, "attempt_voided", zerolog.InfoLevel, "An attempt whose target stopped answering was excluded in its key's record: it did not run and never will."},
 	{AttemptUnsettled, "attempt_unsettled", zerolog.WarnLevel, "What became of a lost attempt is not known; `reason` says why."},
 	{TargetLeaving, "target_leaving", zerolog.InfoLevel, "The target leaves: it gets no new work, and its targetd is told if it is connected."},
+	{CrashKnown, "crash_known", zerolog.WarnLevel, "The entry knows of a crash; the requests `in_flight` are suspects until they are answered."},
+	{CrashUnreadable, "crash_unreadable", zerolog.ErrorLevel, "The record of a crash could not be read."},
+	{SuspectCleared, "suspect_cleared", zerolog.InfoLevel, "A suspect was answered and is no longer one."},
+	{RetryRefused, "retry_refused", zerolog.WarnLevel, "The retry budget of the service is spent: the caller is told the last attempt's outcome."},
 	{RequestQueued, "request_queued", zerolog.DebugLevel, "The target took an attempt into its queue."},
 	{RequestNotRun, "request_not_run", zerolog.InfoLevel, "The target refused an attempt that it had not started."},
 	{RequestStarted, "request_started", zerolog.DebugLevel, "The engine or service was given the request."},
@@ -97,10 +112,15 @@
 	{ClaimWriteDropped, "claim_write_dropped", zerolog.ErrorLevel, "A claim's outcome was not recorded; later requests with its key hear `unknown`."},
 	{ProcessPaused, "process_paused", zerolog.WarnLevel, "The process stood still for longer than the silence timeout; it dropped its connections and starts nothing that came over them."},
 	{DrainBegun, "drain_begun", zerolog.InfoLevel, "The target takes no more work and refuses what waits; `from` says who asked, empty for a signal."},
+	{EngineCrashed, "engine_crashed", zerolog.ErrorLevel, "The engine crashed; the requests `in_flight` become suspects."},
 	{RevisionInForce, "revision_in_force", zerolog.InfoLevel, "A newer configuration is in force in this process."},
 	{RevisionRejected, "revision_rejected", zerolog.ErrorLevel, "A configuration could not be read and the older one stays."},
+	{SectionCorrupt, "section_corrupt", zerolog.ErrorLevel, "A section from `from` does not have its digest and is asked of the next source."},
+	{RevisionFromPeer, "revision_from_peer", zerolog.DebugLevel, "A peer is ahead and is asked for what is missing."},
 	{StoreUnavailable, "store_unavailable", zerolog.WarnLevel, "The object API did not answer; the process goes on with what it knows."},
+	{DutyChanged, "duty_changed", zerolog.InfoLevel, "The process began or ceased to watch the object API for its availability zone."},
 	{MembersChanged, "members_changed", zerolog.InfoLevel, "The set of known targets changed."},
+	{MemberLeaving, "member_leaving", zerolog.InfoLevel, "The platform's list says that the VM of `target` is leaving, and its registration was marked."},
 }
 
 var definitions = func() map[Code]definition {
--- a/internal/scenario/doc.go
+++ b/internal/scenario/doc.go
@@ -12,7 +12,7 @@
 //	signal NAME                   SIGTERM, without waiting
 //	ended NAME [EXITCODE]         wait for the end and check the exit code
 //	mark NAME                     let expect read NAME.log from here on
-//	load [-bg NAME] [-callers N] [-for TIME] [-H HEADER]... [-d BODY] URL...
+//	load [-bg NAME] [-callers N] [-calls N] [-for TIME] [-H HEADER]... [-d BODY] URL...
 //	                              callers that call one after another on kept
 //	                              connections, at the first URL that is ready;
 //	                              the numbers of the outcomes to stdout
@@ -21,15 +21,23 @@
 //	settings NAME entry|target [SECTION.KEY=VALUE...]
 //	                              write NAME.ini: the script's defaults, changed
 //	certificate NAME IP           write NAME.crt and NAME.key, self-signed
-//	call [-bg NAME] [-ca FILE] [-X METHOD] [-H HEADER]... [-d BODY] URL
-//	                              make one call; status, headers and body to stdout
+//	call [-bg NAME] [-ca FILE] [-X METHOD] [-H HEADER]... [-d BODY] [-pause TIME] [-leave TIME] URL
+//	                              make one call; status, headers and body to stdout;
+//	                              read the body after a pause, go away after a time
 //	wait_call NAME                wait for a background call; as call
+//	streams NAME CALLERS TOKENS KEY MODEL URL
+//	                              start concurrent streams with a prompt each
+//	wait_streams NAME             wait for them; "whole: N crossed: N broken: N"
 //	expect NAME PATTERN [WITHIN]  wait for a line in NAME.log
+//	at_most N NAME PATTERN        check that NAME.log has no more lines that match
 //	await [-ca FILE] URL [PATTERN] [WITHIN]
 //	                              wait until a GET answers 200 with PATTERN in it
 //
+// testscript's own stop ends a script as passed, and its kill knows only its
+// own processes; scripts that use either fail.
+//
 // Each script has a network of its own: $NET is the first three numbers of
-// loopback addresses that no other script uses.
+// loopback addresses that no other script uses. $LONG_WORD is a long word.
 //
 // # Usage
 //
