Do not resume attempts that a targetd may have forgotten

Cause: an entryd that was frozen for longer than a targetd keeps a finished answer (10 s) resumed its attempt after it thawed; the targetd took it for one that never arrived and said not run, and the entryd gave a request that may not be repeated to a second target.

Change: a link notes when its targetd was last heard; what waits is resumed within 8 s of that and given up as unknown later.

Ruled out: tombstones at the targetd, which only move the limit.

--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -14,7 +14,7 @@
 
 // Times of a link.
 const (
-	resumeTimeout = 8 * time.Second // how long answers wait for another connection
+	resumeTimeout = 8 * time.Second // how long answers wait for another connection; less than a targetd keeps them
 	downPause     = time.Second     // how long a target that can't be reached is passed over
 )
 
@@ -40,7 +40,8 @@
 	heartbeat   peer.Heartbeat
 	downUntil   time.Time
 	lastUsed    time.Time
-	incarnation string // of the targetd that the pendings were sent to
+	incarnation string    // of the targetd that the pendings were sent to
+	heard       time.Time // when it last sent something
 }
 
 // submit sends an attempt and returns the place where its answer arrives. The
@@ -117,7 +118,9 @@
 }
 
 // adopt makes conn the link's connection and resumes what waits. Attempts that
-// were sent to an earlier process at the same address are lost.
+// were sent to an earlier process at the same address are lost, and so are all
+// when the targetd was last heard so long ago that it may have forgotten them:
+// it could not tell them from attempts that never arrived.
 func (l *link) adopt(conn *peer.Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -125,8 +128,10 @@
 	l.downUntil = time.Time{}
 	l.heartbeat = peer.Heartbeat{}
 	incarnation := conn.Remote().Incarnation
+	now := time.Now()
+	forgotten := now.Sub(l.heard) > resumeTimeout
 	for key, p := range l.pendings {
-		if l.incarnation != incarnation {
+		if forgotten || l.incarnation != incarnation {
 			p.lose()
 			delete(l.pendings, key)
 			continue
@@ -136,6 +141,7 @@
 		_, _ = conn.Send(peer.Resume{Request: key.request, Attempt: key.attempt, Next: next, StartBy: p.submit.StartBy})
 	}
 	l.incarnation = incarnation
+	l.heard = now
 	l.log.At(event.PeerConnected).Str("peer", conn.Remote().Name).Send()
 	go l.read(conn)
 }
@@ -180,6 +186,9 @@
 // handle passes one message to the attempt that it is for. Messages of
 // attempts that nobody waits for are dropped.
 func (l *link) handle(m peer.Message) {
+	l.mu.Lock()
+	l.heard = time.Now()
+	l.mu.Unlock()
 	var key attemptKey
 	switch m := m.(type) {
 	case peer.Heartbeat:
--- a/internal/scenario/doc.go
+++ b/internal/scenario/doc.go
@@ -30,7 +30,7 @@
 //	wait_streams NAME             wait for them; "whole: N crossed: N broken: N"
 //	expect NAME PATTERN [WITHIN]  wait for a line in NAME.log
 //	at_most N NAME PATTERN        check that NAME.log has no more lines that match
-//	await [-ca FILE] URL [PATTERN] [WITHIN]
+//	await [-ca FILE] [-H HEADER]... URL [PATTERN] [WITHIN]
 //	                              wait until a GET answers 200 with PATTERN in it
 //
 // testscript's own stop ends a script as passed, and its kill knows only its
--- a/internal/scenario/wait_test.go
+++ b/internal/scenario/wait_test.go
@@ -74,14 +74,19 @@
 	if neg {
 		ts.Fatalf("await cannot be negated")
 	}
-	authority := ""
-	if len(args) > 2 && args[0] == "-ca" {
-		authority = ts.MkAbs(args[1])
+	o := callOptions{method: "GET"}
+	for len(args) > 2 && (args[0] == "-ca" || args[0] == "-H") {
+		if args[0] == "-ca" {
+			o.authority = ts.MkAbs(args[1])
+		} else {
+			o.headers = append(o.headers, args[1])
+		}
 		args = args[2:]
 	}
 	url, pattern, within := waitArgs(ts, args)
+	o.url = url
 	poll(ts, "await "+strings.Join(args, " "), within, func() (bool, string) {
-		out := doCall(callOptions{method: "GET", authority: authority, url: url})
+		out := doCall(o)
 		return strings.HasPrefix(out, "status: 200\n") && pattern.MatchString(out), out
 	})
 }
