--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -75,6 +75,7 @@
 	sessions   map[sender]closer                 // open peer connections
 
 	pulse *pulse
+	gate  gate // of claims
 
 	granters granters
 
