Run random faults from a seed and check the journals

make soak brings about kills, planned stops, freezes, engine restarts and store faults (refused, lost, silent) against three model targets, two plain ones and two entries under eight callers, and then compares what callers saw with what the engines and the service ran: answers whole and from the adapter that was named; what was only ever said not_run never started; a request with an idempotency key ran at most once; a call is answered again afterwards.

--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,12 @@
 scale:
 	$(GO) test -tags scale -count 1 -v -timeout 30m ./internal/scale
 
+# Random faults for SOAK_FOR from SOAK_SEED, which is printed.
+SOAK_FOR ?= 60s
+SOAK_SEED ?= $(shell date +%s)
+soak:
+	SOAK_FOR=$(SOAK_FOR) SOAK_SEED=$(SOAK_SEED) $(GO) test -count=1 -timeout 2h -v -run TestScenarios/soak ./internal/scenario
+
 # Each fuzz target for ten seconds.
 fuzz:
 	./tools/fuzz.sh 10s
--- a/internal/scenario/doc.go
+++ b/internal/scenario/doc.go
@@ -25,6 +25,8 @@
 //	                              make one call; status, headers and body to stdout
 //	wait_call NAME                wait for a background call; as call
 //	expect NAME PATTERN [WITHIN]  wait for a line in NAME.log
+//	soak ENTRY ENTRY...           random faults and calls for $SOAK_FOR from the seed
+//	                              $SOAK_SEED, then what was seen against what ran
 //	at_most N NAME PATTERN        check that NAME.log has no more lines that match
 //	await [-ca FILE] URL [PATTERN] [WITHIN]
 //	                              wait until a GET answers 200 with PATTERN in it
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -55,6 +55,7 @@
 			"expect":      cmdExpect,
 			"await":       cmdAwait,
 			"at_most":     cmdAtMost,
+			"soak":        cmdSoak,
 			"signal":      cmdSignal,
 			"ended":       cmdEnded,
 			"mark":        cmdMark,
@@ -71,6 +72,7 @@
 	processes map[string]*process
 	calls     map[string]*backgroundCall
 	marks     map[string]int // where expect begins to read a log
+	faulty    map[string]bool
 }
 
 func setup(env *testscript.Env) error {
@@ -78,7 +80,9 @@
 	env.Setenv("NET", network)
 	env.Setenv("PLATFORM", network+".1:7000")
 	env.Setenv("WEIGHTS", network+".2:7000")
-	s := &state{processes: map[string]*process{}, calls: map[string]*backgroundCall{}, marks: map[string]int{}}
+	env.Setenv("SOAK_FOR", fromEnv("SOAK_FOR", defaultSoak))
+	env.Setenv("SOAK_SEED", fromEnv("SOAK_SEED", defaultSeed))
+	s := &state{processes: map[string]*process{}, calls: map[string]*backgroundCall{}, marks: map[string]int{}, faulty: map[string]bool{}}
 	env.Values[stateKey{}] = s
 	env.Defer(s.killAll)
 	examples, err := filepath.Glob("../../examples/*.ini")
@@ -97,6 +101,14 @@
 	return nil
 }
 
+// fromEnv returns an environment variable of the test run, or fallback.
+func fromEnv(name, fallback string) string {
+	if v := os.Getenv(name); v != "" {
+		return v
+	}
+	return fallback
+}
+
 func stateOf(ts *testscript.TestScript) *state {
 	return ts.Value(stateKey{}).(*state)
 }
