--- a/internal/agent/main.go
+++ b/internal/agent/main.go
@@ -22,7 +22,6 @@
 	"github.com/borageusher/borageusher/internal/settings"
 	"github.com/borageusher/borageusher/internal/suspects"
 	"github.com/borageusher/borageusher/pkg/claim"
-	"github.com/borageusher/borageusher/pkg/configuration"
 	"github.com/borageusher/borageusher/pkg/dispatch"
 	"github.com/borageusher/borageusher/pkg/target"
 )
@@ -38,9 +37,9 @@
 
 // Main runs the program targetd and returns its exit code.
 func Main(args []string, stderr io.Writer) int {
-	path, ok := daemon.Flags("targetd", purpose, args, stderr)
-	if !ok {
-		return daemon.ExitUsage
+	path, err := daemon.Flags("targetd", purpose, args, stderr)
+	if err != nil {
+		return daemon.ExitOfFlags(err)
 	}
 	s, err := settings.ReadTarget(path)
 	if err != nil {
@@ -100,11 +99,13 @@
 		Log:            log,
 		Scope:          scope,
 	})
-	configurations.OnChange(func(cfg *configuration.Configuration) {
-		scope.Gauge("revision").Update(float64(cfg.Revision))
-		a.SetConfiguration(cfg)
-	})
+	configurations.OnChange(a.SetConfiguration)
+	node, known, err := newNode(s, rec.Target, store, configurations, log, scope)
+	if err != nil {
+		return err
+	}
 	sessions := &Sessions{
+		News:     node,
 		Agent:    a,
 		Self:     identity(rec.Target),
 		Key:      peer.Key(s.PeerKey),
@@ -114,6 +115,8 @@
 	srv.Hertz.GET(peer.Path, adaptor.HertzHandler(sessions))
 	go a.Run(ctx)
 	go configurations.Run(ctx)
+	go known.Run(ctx)
+	go node.Run(ctx)
 	reg := newRegistered(registrations, rec, log)
 	go reg.leaveWith(ctx, a)
 	served := make(chan error, 1)
@@ -134,7 +137,7 @@
 		Service:     s.Service,
 		Region:      s.Region,
 		Zone:        s.Zone,
-		Addr:        s.Listen,
+		Addr:        s.DialAddress,
 		Incarnation: daemon.NewIncarnation(),
 		Slots:       s.Slots,
 		State:       target.Live,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -22,6 +22,7 @@
 	Targets        Targets
 	Suspects       Suspects
 	Dialer         Dialer
+	News           News // nil for none
 	Claims         Claims
 	MaxInProgress  int           // calls in progress at once
 	StartWithin    time.Duration // a call's deadline to start, unless it names one
@@ -45,6 +46,7 @@
 		limit: newLimitFilter(opts.MaxInProgress),
 		links: newLinks(opts.Dialer, opts.Log, opts.Revision),
 	}
+	e.links.news = opts.News
 	last := &router{
 		region:  opts.Self.Region,
 		targets: opts.Targets,
--- a/internal/entry/main.go
+++ b/internal/entry/main.go
@@ -16,6 +16,7 @@
 	"github.com/borageusher/borageusher/internal/peer"
 	"github.com/borageusher/borageusher/internal/revision"
 	"github.com/borageusher/borageusher/internal/settings"
+	"github.com/borageusher/borageusher/internal/spread"
 	"github.com/borageusher/borageusher/internal/suspects"
 	"github.com/borageusher/borageusher/pkg/claim"
 	"github.com/borageusher/borageusher/pkg/configuration"
@@ -25,9 +26,9 @@
 
 // Main runs the program entryd and returns its exit code.
 func Main(args []string, stderr io.Writer) int {
-	path, ok := daemon.Flags("entryd", purpose, args, stderr)
-	if !ok {
-		return daemon.ExitUsage
+	path, err := daemon.Flags("entryd", purpose, args, stderr)
+	if err != nil {
+		return daemon.ExitOfFlags(err)
 	}
 	s, err := settings.ReadEntry(path)
 	if err != nil {
@@ -63,6 +64,19 @@
 	store := daemon.NewStore(s.Common, scope)
 	configurations := revision.New(store.For(objects.ForConfiguration), log)
 	known := members.New(store.For(objects.ForMembers), log)
+	node := spread.New(spread.Options{
+		Self:           self,
+		Configurations: configurations,
+		Members:        known,
+		Dialer:         dialer,
+		Seeds:          s.Seeds,
+		Log:            log,
+		Scope:          scope,
+	})
+	configurations.SetDuty(node.Duty)
+	configurations.OnChange(func(*configuration.Configuration) { node.Announce() })
+	known.SetDuty(node.Duty)
+	known.OnChange(node.Announce)
 	crashes := suspects.New(store.For(objects.ForSuspects), log)
 	ledger := claims.New(claims.Options{
 		Store:     store.For(objects.ForClaims),
@@ -79,6 +93,7 @@
 		Targets:        known,
 		Suspects:       crashes,
 		Dialer:         dialer,
+		News:           node,
 		Claims:         ledger,
 		MaxInProgress:  s.MaxInProgress,
 		StartWithin:    s.StartWithin,
@@ -91,7 +106,7 @@
 		CertFile:     s.CertFile,
 		KeyFile:      s.KeyFile,
 		MaxBodyBytes: s.MaxBodyBytes,
-		Ready:        func() bool { return configurations.Current() != nil && crashes.Loaded() && !stopping.Load() },
+		Ready:        func() bool { return configurations.Current() != nil && crashes.Ready() && !stopping.Load() },
 		Metrics:      metricsHandler,
 
 		SenseDisconnect: true,
@@ -100,11 +115,10 @@
 		return err
 	}
 	e.Register(srv.Hertz)
-	configurations.OnChange(func(cfg *configuration.Configuration) {
-		scope.Gauge("revision").Update(float64(cfg.Revision))
-	})
 	go configurations.Run(ctx)
 	go known.Run(ctx)
+	go node.Run(ctx)
+	go e.CloseIdle(ctx)
 	go crashes.Run(ctx)
 	go e.Run(ctx)
 	log.At(event.Started).Stringer("address", s.Listen).Send()
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -25,6 +25,12 @@
 	typeCancel    messageType = 10
 	typeResume    messageType = 11
 	typeDrain     messageType = 30
+
+	typeStateRequest  messageType = 40
+	typeStateAnswer   messageType = 41
+	typeSectionAnswer messageType = 42
+	typeSurvey        messageType = 43
+	typeSurveyAnswer  messageType = 44
 )
 
 func (Hello) messageType() messageType     { return typeHello }
@@ -96,6 +102,16 @@
 		return &resumeWire{}
 	case typeDrain:
 		return &drainWire{}
+	case typeStateRequest:
+		return &stateRequestWire{}
+	case typeStateAnswer:
+		return &stateAnswerWire{}
+	case typeSectionAnswer:
+		return &sectionAnswerWire{}
+	case typeSurvey:
+		return &surveyWire{}
+	case typeSurveyAnswer:
+		return &surveyAnswerWire{}
 	}
 	return nil
 }
@@ -107,7 +123,7 @@
 	case Proof:
 		return &proofWire{Proof: m.Proof}
 	case Heartbeat:
-		return &heartbeatWire{Revision: m.Revision, Running: m.Running, Queued: m.Queued, Draining: m.Draining}
+		return heartbeatToWire(m)
 	case Submit:
 		return submitToWire(m)
 	case Refusal:
@@ -126,6 +142,16 @@
 		return &resumeWire{Request: m.Request, Attempt: m.Attempt, Next: m.Next, StartByMS: m.StartBy.Milliseconds()}
 	case Drain:
 		return &drainWire{Epoch: m.Epoch}
+	case StateRequest:
+		return &stateRequestWire{Revision: m.Revision, Members: m.Members, Sections: m.Sections}
+	case StateAnswer:
+		return stateAnswerToWire(m)
+	case SectionAnswer:
+		return &sectionAnswerWire{Digest: m.Digest, Data: m.Data}
+	case Survey:
+		return &surveyWire{ID: m.ID}
+	case SurveyAnswer:
+		return &surveyAnswerWire{ID: m.ID, Name: m.Name, Role: m.Role, Revision: m.Revision, Behind: m.Behind}
 	}
 	panic("peer: unknown message type")
 }
@@ -184,10 +210,33 @@
 	Running  int
 	Queued   int
 	Draining bool
+	Members  uint64
+	Active   bool
+	Slow     bool
+}
+
+func heartbeatToWire(m Heartbeat) *heartbeatWire {
+	return &heartbeatWire{
+		Revision: m.Revision,
+		Running:  m.Running,
+		Queued:   m.Queued,
+		Draining: m.Draining,
+		Members:  m.Members,
+		Active:   m.Active,
+		Slow:     m.Slow,
+	}
 }
 
 func (w *heartbeatWire) message() Message {
-	return Heartbeat{Revision: w.Revision, Running: w.Running, Queued: w.Queued, Draining: w.Draining}
+	return Heartbeat{
+		Revision: w.Revision,
+		Running:  w.Running,
+		Queued:   w.Queued,
+		Draining: w.Draining,
+		Members:  w.Members,
+		Active:   w.Active,
+		Slow:     w.Slow,
+	}
 }
 
 type submitWire struct {
--- a/internal/scenario/builtin_test.go
+++ b/internal/scenario/builtin_test.go
@@ -7,9 +7,10 @@
 	"testing"
 )
 
-// endsEarly matches the testscript commands that end a script as passed, so
+// endsEarly matches the testscript commands that end a script as passed (kill,
+// which knows only its own processes, ends it as failed), so
 // that what stands below them is never run.
-var endsEarly = regexp.MustCompile(`(?m)^\s*(\[[^\]]*\]\s*)*(stop|skip)\b.*$`)
+var endsEarly = regexp.MustCompile(`(?m)^\s*(\[[^\]]*\]\s*)*(stop|skip|kill)\b.*$`)
 
 func TestScriptsRunToTheirEnd(t *testing.T) {
 	scripts, err := filepath.Glob("testdata/*.txtar")
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -24,6 +25,9 @@
 	})
 }
 
+// longWordBytes is the length of $LONG_WORD.
+const longWordBytes = 32 << 10
+
 // networks counts the networks given to scripts.
 var networks atomic.Int64
 
@@ -41,25 +45,27 @@
 		RequireUniqueNames:  true,
 		Setup:               setup,
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"start":       cmdStart,
-			"terminate":   cmdTerminate,
-			"kill":        cmdKill,
-			"freeze":      cmdFreeze,
-			"thaw":        cmdThaw,
-			"fault":       cmdFault,
-			"post":        cmdPost,
-			"settings":    cmdSettings,
-			"certificate": cmdCertificate,
-			"call":        cmdCall,
-			"wait_call":   cmdWaitCall,
-			"expect":      cmdExpect,
-			"await":       cmdAwait,
-			"at_most":     cmdAtMost,
-			"soak":        cmdSoak,
-			"signal":      cmdSignal,
-			"ended":       cmdEnded,
-			"mark":        cmdMark,
-			"load":        cmdLoad,
+			"start":        cmdStart,
+			"stop_process": cmdStop,
+			"kill_process": cmdKill,
+			"freeze":       cmdFreeze,
+			"thaw":         cmdThaw,
+			"fault":        cmdFault,
+			"post":         cmdPost,
+			"settings":     cmdSettings,
+			"certificate":  cmdCertificate,
+			"call":         cmdCall,
+			"wait_call":    cmdWaitCall,
+			"expect":       cmdExpect,
+			"await":        cmdAwait,
+			"at_most":      cmdAtMost,
+			"signal":       cmdSignal,
+			"ended":        cmdEnded,
+			"mark":         cmdMark,
+			"load":         cmdLoad,
+			"soak":         cmdSoak,
+			"streams":      cmdStreams,
+			"wait_streams": cmdWaitStreams,
 		},
 	})
 }
@@ -73,6 +79,7 @@
 	calls     map[string]*backgroundCall
 	marks     map[string]int // where expect begins to read a log
 	faulty    map[string]bool
+	streams   map[string]*streamGroup
 }
 
 func setup(env *testscript.Env) error {
@@ -82,7 +89,14 @@
 	env.Setenv("WEIGHTS", network+".2:7000")
 	env.Setenv("SOAK_FOR", fromEnv("SOAK_FOR", defaultSoak))
 	env.Setenv("SOAK_SEED", fromEnv("SOAK_SEED", defaultSeed))
-	s := &state{processes: map[string]*process{}, calls: map[string]*backgroundCall{}, marks: map[string]int{}, faulty: map[string]bool{}}
+	env.Setenv("LONG_WORD", strings.Repeat("x", longWordBytes))
+	s := &state{
+		processes: map[string]*process{},
+		calls:     map[string]*backgroundCall{},
+		marks:     map[string]int{},
+		faulty:    map[string]bool{},
+		streams:   map[string]*streamGroup{},
+	}
 	env.Values[stateKey{}] = s
 	env.Defer(s.killAll)
 	examples, err := filepath.Glob("../../examples/*.ini")
--- a/internal/suspects/controller.go
+++ b/internal/suspects/controller.go
@@ -22,6 +22,10 @@
 	retryPause  = time.Second
 )
 
+// readyAfterFailures is the number of failed first reads after which a process
+// serves without knowing the crashes.
+const readyAfterFailures = 2
+
 // Store is the part of the object API that the controller needs.
 type Store interface {
 	Writer
@@ -34,7 +38,8 @@
 	store Store
 	log   event.Log
 
-	loaded atomic.Bool
+	loaded   atomic.Bool
+	failures atomic.Int32 // of the first read
 
 	mu      sync.RWMutex
 	list    quarantine.List
@@ -98,18 +103,21 @@
 	}
 }
 
-// Loaded reports whether the crashes were read once, so that requests may be
-// judged.
-func (c *Controller) Loaded() bool { return c.loaded.Load() }
+// Ready reports whether requests may be judged: the crashes were read once, or
+// the object API is out, when serving without them beats not serving.
+func (c *Controller) Ready() bool {
+	return c.loaded.Load() || c.failures.Load() >= readyAfterFailures
+}
 
 func (c *Controller) next(ctx context.Context, seen objects.Version) (objects.Version, error) {
-	if c.Loaded() {
+	if c.loaded.Load() {
 		return c.follow(ctx, seen)
 	}
 	lctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	all, version, err := c.store.List(lctx, objects.Suspects)
 	if err != nil {
+		c.failures.Add(1)
 		return seen, err
 	}
 	c.apply(time.Now(), all)
--- a/internal/suspects/suspects_test.go
+++ b/internal/suspects/suspects_test.go
@@ -74,7 +74,7 @@
 		convey.So(r.Record(ctx, crash("2", "bad")), convey.ShouldNotBeNil)
 		convey.So(r.Record(ctx, crash("2", "bad")), convey.ShouldBeNil)
 		c := New(store, event.Discard())
-		convey.So(c.Loaded(), convey.ShouldBeFalse)
+		convey.So(c.Ready(), convey.ShouldBeFalse)
 		judge := func(c *Controller, body string) quarantine.Verdict {
 			v, _ := c.Judge(start, request(body))
 			return v
@@ -86,7 +86,7 @@
 
 		convey.Convey("a controller that loads them judges by them", func() {
 			load(c)
-			convey.So(c.Loaded(), convey.ShouldBeTrue)
+			convey.So(c.Ready(), convey.ShouldBeTrue)
 			convey.So(judge(c, "bad"), convey.ShouldEqual, quarantine.Convicted)
 			convey.So(judge(c, "other"), convey.ShouldEqual, quarantine.Innocent)
 			v, targets := c.Judge(start, request("good"))
@@ -126,3 +126,22 @@
 		}
 	})
 }
+
+// outage is a Store whose reads fail.
+type outage struct{ memory }
+
+func (*outage) List(context.Context, objects.ObjectKind) ([]objects.Object, objects.Version, error) {
+	return nil, 0, &objects.Error{Op: "list", Kind: objects.Unavailable}
+}
+
+func TestReadyInOutage(t *testing.T) {
+	convey.Convey("A process that starts while the object API is out serves after the stated number of failures", t, func() {
+		c := New(&outage{}, event.Discard())
+		for i := 1; i <= readyAfterFailures; i++ {
+			convey.So(c.Ready(), convey.ShouldBeFalse)
+			_, err := c.next(context.Background(), 0)
+			convey.So(err, convey.ShouldNotBeNil)
+		}
+		convey.So(c.Ready(), convey.ShouldBeTrue)
+	})
+}
