--- a/pkg/loadbudget/share.go
+++ b/pkg/loadbudget/share.go
@@ -58,6 +58,7 @@
 func (s *Share) Take(now time.Time, need dispatch.Need) bool {
 	s.accrue(now)
 	if s.inFlight >= s.most || now.Before(s.next) {
+		s.asked = s.asked[:0] // a right could not be used
 		return false
 	}
 	if s.granted[need.Team] == 0 && s.rights < 1 {
--- a/pkg/placement/view.go
+++ b/pkg/placement/view.go
@@ -4,6 +4,10 @@
 // which an adapter that nobody holds is placed.
 const homes = 2
 
+// loadBound is the load, relative to the slots, beyond which a request spills
+// to the least loaded target.
+const loadBound = 1.25
+
 // homeStep is what each further home costs more, as part of a load.
 const homeStep = 0.5
 
--- a/pkg/placement/view_test.go
+++ b/pkg/placement/view_test.go
@@ -93,6 +93,64 @@
 	})
 }
 
+func TestViewHomes(t *testing.T) {
+	key := func(k int) Key { return Key{Adapter: Hash("t/adapter-" + strconv.Itoa(k) + "@1")} }
+	convey.Convey("The same adapter keeps its home, and adapters spread evenly", t, func() {
+		v, hints, loads := NewView(newMembers(10), costs), NewHints(), newLoadTable(10)
+		counts := make([]int, 10)
+		for k := range 10000 {
+			i, _, ok := v.Choose(key(k), hints, loads)
+			j, _, _ := v.Choose(key(k), hints, loads)
+			convey.So(ok && i == j, convey.ShouldBeTrue)
+			counts[i]++
+		}
+		for _, n := range counts {
+			convey.So(n, convey.ShouldBeBetween, 800, 1200)
+		}
+	})
+	convey.Convey("A target that leaves moves only its own adapters", t, func() {
+		v, hints, loads := NewView(newMembers(10), costs), NewHints(), newLoadTable(10)
+		moved, homed := 0, 0
+		for k := range 1000 {
+			loads.down[3] = false
+			before, _, _ := v.Choose(key(k), hints, loads)
+			loads.down[3] = true
+			after, _, _ := v.Choose(key(k), hints, loads)
+			if before == 3 {
+				homed++
+			}
+			if before != after {
+				moved++
+			}
+		}
+		convey.So(moved, convey.ShouldEqual, homed)
+	})
+	convey.Convey("Loaded homes spill, and the own region comes first", t, func() {
+		members := newMembers(4)
+		v, hints, loads := NewView(members, costs), NewHints(), newLoadTable(4)
+		home, _, _ := v.Choose(key(1), hints, loads)
+		loads.inFlight[home] = 30
+		second, _, _ := v.Choose(key(1), hints, loads)
+		convey.So(second, convey.ShouldNotEqual, home)
+		loads.inFlight[second] = 30
+		third, reason, _ := v.Choose(key(1), hints, loads)
+		convey.So(third, convey.ShouldNotEqual, home)
+		convey.So(third, convey.ShouldNotEqual, second)
+		convey.So(reason, convey.ShouldEqual, ReasonSpill)
+		for i := range members {
+			members[i].Remote = i != home
+		}
+		again, _, _ := NewView(members, costs).Choose(key(1), hints, loads)
+		convey.So(again, convey.ShouldEqual, home)
+	})
+	convey.Convey("Nothing is left when all are unusable", t, func() {
+		loads := newLoadTable(1)
+		loads.down[0] = true
+		_, _, ok := NewView(newMembers(1), costs).Choose(key(1), NewHints(), loads)
+		convey.So(ok, convey.ShouldBeFalse)
+	})
+}
+
 func TestHints(t *testing.T) {
 	convey.Convey("Hints follow what targets say", t, func() {
 		h := NewHints()
--- a/pkg/residency/demand_test.go
+++ b/pkg/residency/demand_test.go
@@ -1,11 +1,14 @@
 package residency
 
 import (
+	"runtime"
 	"strconv"
 	"testing"
 	"time"
 
 	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/borageusher/borageusher/pkg/adapter"
 )
 
 func TestDemand(t *testing.T) {
@@ -39,3 +42,25 @@
 		convey.So(len(d.counts), convey.ShouldBeLessThanOrEqualTo, 100)
 	})
 }
+
+// Memory of one known adapter, whose name is kept by the caller.
+func BenchmarkDemandMemory(b *testing.B) {
+	const adapters = 63000
+	ids := make([]adapter.ID, adapters)
+	for n := range ids {
+		ids[n] = id("adapter-" + strconv.Itoa(n))
+	}
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		d := NewDemand(adapters)
+		for _, i := range ids {
+			d.Observe(start, i)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/adapters, "B/adapter")
+		runtime.KeepAlive(d)
+	}
+}
