--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -11,6 +11,7 @@
 	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/internal/peer"
 	"github.com/borageusher/borageusher/pkg/adapter"
+	"github.com/borageusher/borageusher/pkg/claim"
 	"github.com/borageusher/borageusher/pkg/configuration"
 	"github.com/borageusher/borageusher/pkg/dispatch"
 	"github.com/borageusher/borageusher/pkg/loadbudget"
@@ -49,8 +50,10 @@
 	Limits         dispatch.Limits
 	Share          *loadbudget.Share // of the weight store's rate; nil for no limit
 	Engine         Engine
+	Crashes        Crashes
 	PlainService   bool // the target is a plain service: no adapters, no state
 	Configurations Configurations
+	Claims         Claims
 	Log            event.Log
 	Scope          tally.Scope
 }
@@ -68,6 +71,10 @@
 	attempts   map[dispatch.RequestKey]*attempt
 	voided     map[dispatch.RequestKey]time.Time // attempts that must not start, until their start-by time
 	boot       uint64                            // of the engine, zero before its first report
+	broken     []*attempt                        // broke off together, cause not known yet
+	sessions   map[sender]closer                 // open peer connections
+
+	pulse *pulse
 
 	granters granters
 
@@ -81,6 +88,15 @@
 	request *dispatch.Request
 	answer  *answer
 	cancel  context.CancelFunc // set while running
+	boot    uint64             // of the engine that runs it, zero if unknown
+
+	brokeOff chan struct{} // closed when it is known why the run broke off
+
+	// Of attempts with an idempotency key.
+	deferred bool           // the object API did not settle the claim; owned by the loop
+	mayHold  bool           // the record may be claimed for this attempt
+	held     *claim.Verdict // of the claim, while running
+	recorder recorder       // of the answer, for replay
 }
 
 // New returns an agent that does nothing until Run.
@@ -93,6 +109,8 @@
 		dispatcher: dispatch.New(opts.Limits, noTerms{}),
 		attempts:   map[dispatch.RequestKey]*attempt{},
 		voided:     map[dispatch.RequestKey]time.Time{},
+		sessions:   map[sender]closer{},
+		pulse:      newPulse(time.Now()),
 	}
 	a.granters.names = map[sender]string{}
 	if opts.Share != nil {
@@ -112,6 +130,8 @@
 	defer sweep.Stop()
 	balance := time.NewTicker(askInterval)
 	defer balance.Stop()
+	beat := time.NewTicker(beatInterval)
+	defer beat.Stop()
 	deadline := time.NewTimer(time.Hour)
 	defer deadline.Stop()
 	for {
@@ -119,12 +139,19 @@
 		case <-ctx.Done():
 			return
 		case e := <-a.events:
+			a.noticePause(time.Now())
 			e.apply(ctx, a, time.Now())
-		case now := <-sweep.C:
-			a.sweep(now)
+		case <-sweep.C:
+			a.noticePause(time.Now())
+			a.sweep(time.Now())
+		case <-beat.C:
+			a.noticePause(time.Now())
+			continue
 		case <-deadline.C:
-		case now := <-balance.C:
-			a.balance(now)
+			a.noticePause(time.Now())
+		case <-balance.C:
+			a.noticePause(time.Now())
+			a.balance(time.Now())
 			continue
 		}
 		a.perform(ctx, a.dispatcher.Next(time.Now()))
@@ -185,6 +212,10 @@
 
 // refuse tells the sender of at that it did not run.
 func (a *Agent) refuse(at *attempt, reason outcome.Reason) {
+	if reason == outcome.Expired {
+		reason = at.expiry()
+	}
+	a.release(at)
 	a.opts.Log.At(event.RequestNotRun).Str("request", at.submit.Request).Uint32("attempt", at.submit.Attempt).
 		Stringer("reason", reason).Send()
 	a.opts.Scope.Tagged(map[string]string{"reason": reason.String()}).Counter("refused").Inc(1)
@@ -216,7 +247,7 @@
 		a.refuse(at, outcome.Cancelled)
 		return
 	}
-	if at.cancel != nil {
+	if at.cancel != nil && !at.keyed() { // the result of a keyed request is kept for its next sending
 		at.cancel()
 	}
 }
--- a/internal/agent/event.go
+++ b/internal/agent/event.go
@@ -22,6 +22,7 @@
 type submitted struct {
 	conn   sender
 	submit peer.Submit
+	read   time.Time // when the message came
 }
 
 func (e submitted) apply(_ context.Context, a *Agent, now time.Time) {
@@ -31,13 +32,14 @@
 	}
 	at := &attempt{
 		submit: e.submit,
-		answer: newAnswer(key, e.conn),
+		answer: newAnswer(key, a.origin(now, e)),
 		request: &dispatch.Request{
 			Key:      key,
 			Team:     e.submit.Team,
 			Adapter:  e.submit.Adapter,
 			Priority: e.submit.Priority,
 			StartBy:  now.Add(e.submit.StartBy),
+			Suspect:  e.submit.Suspect,
 		},
 	}
 	a.attempts[key] = at
@@ -110,6 +112,7 @@
 
 func (e disconnected) apply(_ context.Context, a *Agent, now time.Time) {
 	delete(a.granters.names, e.conn)
+	delete(a.sessions, e.conn)
 	for _, at := range a.attempts {
 		at.answer.detach(now, e.conn)
 	}
--- a/internal/agent/main.go
+++ b/internal/agent/main.go
@@ -4,12 +4,12 @@
 	"context"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/common/adaptor"
 
+	"github.com/borageusher/borageusher/internal/claims"
 	"github.com/borageusher/borageusher/internal/daemon"
 	"github.com/borageusher/borageusher/internal/engine"
 	"github.com/borageusher/borageusher/internal/event"
@@ -20,7 +20,8 @@
 	"github.com/borageusher/borageusher/internal/registration"
 	"github.com/borageusher/borageusher/internal/revision"
 	"github.com/borageusher/borageusher/internal/settings"
-	"github.com/borageusher/borageusher/pkg/configuration"
+	"github.com/borageusher/borageusher/internal/suspects"
+	"github.com/borageusher/borageusher/pkg/claim"
 	"github.com/borageusher/borageusher/pkg/dispatch"
 	"github.com/borageusher/borageusher/pkg/loadbudget"
 	"github.com/borageusher/borageusher/pkg/target"
@@ -37,9 +38,9 @@
 
 // Main runs the program targetd and returns its exit code.
 func Main(args []string, stderr io.Writer) int {
-	path, ok := daemon.Flags("targetd", purpose, args, stderr)
-	if !ok {
-		return daemon.ExitUsage
+	path, err := daemon.Flags("targetd", purpose, args, stderr)
+	if err != nil {
+		return daemon.ExitOfFlags(err)
 	}
 	s, err := settings.ReadTarget(path)
 	if err != nil {
@@ -61,8 +62,9 @@
 	log := event.New(stderr, "targetd", s.Name, s.LogLevel)
 	scope, metricsHandler, stopMetrics := metrics.New("targetd")
 	defer stopMetrics()
-	store := objects.New(s.Platform, &http.Client{Transport: &http.Transport{}})
-	configurations := revision.New(store, log)
+	store := daemon.NewStore(s.Common, scope)
+	registrations := store.For(objects.ForRegistration)
+	configurations := revision.New(store.For(objects.ForConfiguration), log)
 	srv, err := httpserver.New(httpserver.Options{
 		Address:      s.Listen,
 		CertFile:     s.CertFile,
@@ -75,25 +77,37 @@
 		return err
 	}
 	log.At(event.Started).Stringer("address", s.Listen).Send()
-	rec, ok := register(ctx, store, describe(s), signals, log)
+	rec, ok := register(ctx, registrations, describe(s), signals, log)
 	if !ok {
 		return nil
 	}
+	ledger := claims.New(claims.Options{
+		Store:     store.For(objects.ForClaims),
+		Self:      claim.Writer{Name: rec.Target.Name, Incarnation: rec.Target.Incarnation},
+		Retention: s.Retention,
+		Log:       log,
+		Scope:     scope,
+	})
+	go ledger.Run(ctx)
 	a := New(Options{
 		Self:           rec.Target,
 		Limits:         dispatch.Limits{Owner: s.Team, Slots: s.Slots, Adapters: s.Adapters, Queue: s.Queue},
 		Share:          share(s, time.Now()),
 		Engine:         engine.New(s.Engine, rec.Target.Epoch),
 		PlainService:   s.Plain,
+		Crashes:        suspects.NewRecorder(store.For(objects.ForSuspects)),
 		Configurations: configurations,
+		Claims:         ledger,
 		Log:            log,
 		Scope:          scope,
 	})
-	configurations.OnChange(func(cfg *configuration.Configuration) {
-		scope.Gauge("revision").Update(float64(cfg.Revision))
-		a.SetConfiguration(cfg)
-	})
+	configurations.OnChange(a.SetConfiguration)
+	node, known, err := newNode(s, rec.Target, store, configurations, log, scope)
+	if err != nil {
+		return err
+	}
 	sessions := &Sessions{
+		News:     node,
 		Agent:    a,
 		Self:     identity(rec.Target),
 		Key:      peer.Key(s.PeerKey),
@@ -103,7 +117,9 @@
 	srv.Hertz.GET(peer.Path, adaptor.HertzHandler(sessions))
 	go a.Run(ctx)
 	go configurations.Run(ctx)
-	reg := newRegistered(store, rec, log)
+	go known.Run(ctx)
+	go node.Run(ctx)
+	reg := newRegistered(registrations, rec, log)
 	go reg.leaveWith(ctx, a)
 	served := make(chan error, 1)
 	go func() { served <- srv.Run() }()
@@ -132,7 +148,7 @@
 		Service:     s.Service,
 		Region:      s.Region,
 		Zone:        s.Zone,
-		Addr:        s.Listen,
+		Addr:        s.DialAddress,
 		Incarnation: daemon.NewIncarnation(),
 		Slots:       s.Slots,
 		State:       target.Live,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -22,7 +22,10 @@
 	Configurations Configurations
 	Revision       func() uint64
 	Targets        Targets
+	Suspects       Suspects
 	Dialer         Dialer
+	News           News // nil for none
+	Claims         Claims
 	MaxInProgress  int               // calls in progress at once
 	Loads          loadbudget.Limits // that this entryd grants; a rate of zero for none
 	Costs          placement.Costs   // of choices between targets
@@ -44,18 +47,21 @@
 func New(opts Options) *Entry {
 	e := &Entry{
 		opts:  opts,
-		limit: &limitFilter{most: int64(opts.MaxInProgress)},
+		limit: newLimitFilter(opts.MaxInProgress),
 		links: newLinks(opts.Dialer, opts.Log, opts.Revision),
 	}
 	e.links.granter = newGranter(opts.Loads, opts.Log)
+	e.links.news = opts.News
 	last := &router{
 		targets: opts.Targets,
 		views:   newViews(opts.Self.Region, opts.Costs, e.links),
 		links:   e.links,
+		loads:   newLoads(),
+		claims:  opts.Claims,
 		log:     opts.Log,
 		scope:   opts.Scope,
 	}
-	e.chain = chain(last, identifyFilter{configurations: opts.Configurations}, resolveFilter{}, e.limit)
+	e.chain = chain(last, identifyFilter{configurations: opts.Configurations}, resolveFilter{}, quarantineFilter{suspects: opts.Suspects}, e.limit)
 	return e
 }
 
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -15,6 +15,7 @@
 	revision func() uint64
 	hints    *targetHints
 	granter  *granter // nil if this entryd grants no rights to load
+	news     News     // nil for none
 
 	mu    sync.Mutex
 	links map[string]*link // by name of the target
@@ -38,6 +39,7 @@
 			revision: ls.revision,
 			hints:    ls.hints,
 			granter:  ls.granter,
+			news:     ls.news,
 			pendings: map[attemptKey]*pending{},
 		}
 		ls.links[t.Name] = l
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -18,9 +17,6 @@
 // maxAttempts bounds the targets that one request is offered to.
 const maxAttempts = 4
 
-// routeRetryAfter is what callers are told to wait when no target takes a request.
-const routeRetryAfter = time.Second
-
 // Targets gives the known targets.
 type Targets interface {
 	Targets() []target.Target
@@ -32,12 +28,24 @@
 	targets Targets
 	views   *views
 	links   *links
+	loads   *loads
+	claims  Claims
 	log     event.Log
 	scope   tally.Scope
 }
 
 // Handle implements Handler.
 func (r *router) Handle(ctx context.Context, c *Call, _ time.Time) Result {
+	result := r.offer(ctx, c)
+	if result.Outcome == outcome.NotRun && c.MayHaveRun {
+		result.Outcome = outcome.Unknown // an earlier attempt may have run
+	}
+	return result
+}
+
+// offer offers the call to targets until one answers or none is left.
+func (r *router) offer(ctx context.Context, c *Call) Result {
+	r.loads.request(c)
 	tried := map[string]bool{}
 	last := rejected(outcome.NoTarget, "no target can take the request")
 	for n := uint32(1); n <= maxAttempts; n++ {
@@ -45,26 +53,42 @@
 		if !now.Before(c.Deadline) {
 			return rejected(outcome.Expired, "the deadline passed before the request started")
 		}
-		t, why, ok := r.choose(c, now, tried)
+		t, why, ok := r.choose(c, now, avoid(c, tried))
+		if !ok {
+			t, why, ok = r.choose(c, now, tried)
+		}
 		if !ok {
 			break
 		}
 		tried[t.Name] = true
 		r.log.At(event.RouteChosen).Str("request", c.ID).Uint32("attempt", n).Str("target", t.Name).
 			Stringer("adapter", c.Adapter).Str("reason", routeReason(n, why, last)).Send()
-		result := r.attempt(ctx, c, t, n, now)
+		result := noteCrash(c, t.Name, r.attempt(ctx, c, t, n, now))
+		c.MayHaveRun = c.MayHaveRun || result.Outcome == outcome.Unknown
 		if !mayRetry(c, result) {
+			r.observe(c, result, now)
 			return result
 		}
 		r.log.At(event.RouteRefused).Str("request", c.ID).Uint32("attempt", n).Str("target", t.Name).
 			Stringer("reason", result.Reason).Send()
-		r.scope.Counter("retries").Inc(1)
 		last = result
+		if !r.loads.mayRetry(c, result) {
+			r.log.At(event.RetryRefused).Str("request", c.ID).Str("owner", c.Owner).Str("service", c.Service).Send()
+			break
+		}
+		r.scope.Counter("retries").Inc(1)
 	}
-	last.After = routeRetryAfter
+	last.After = r.loads.after(c, last)
 	return last
 }
 
+// observe learns how long an answered attempt took.
+func (r *router) observe(c *Call, result Result, began time.Time) {
+	if result.Outcome == outcome.Answered {
+		r.loads.answered(c, time.Since(began))
+	}
+}
+
 func routeReason(n uint32, why placement.Reason, last Result) string {
 	if n == 1 {
 		return why.String()
@@ -115,30 +139,30 @@
 		return rejected(outcome.TargetLost, "the target cannot be reached")
 	}
 	defer l.forget(p)
-	return relay(ctx, c, l, p)
+	return r.settle(ctx, c, n, relay(ctx, c, l, p))
 }
 
 func submitOf(c *Call, t target.Target, n uint32, now time.Time) peer.Submit {
 	s := peer.Submit{
-		Request:        c.ID,
-		Attempt:        n,
-		Revision:       c.Configuration.Revision,
-		Epoch:          t.Epoch,
-		Team:           c.Team.Name,
-		Owner:          t.Team,
-		Service:        t.Service,
-		Adapter:        c.Adapter,
-		Method:         c.Method,
-		Path:           c.TargetPath,
-		ContentType:    c.ContentType,
-		Body:           c.TargetBody,
-		Priority:       c.Priority,
-		StartBy:        c.Deadline.Sub(now),
-		IdempotencyKey: c.IdempotencyKey,
+		Request:     c.ID,
+		Attempt:     n,
+		Revision:    c.Configuration.Revision,
+		Epoch:       t.Epoch,
+		Team:        c.Team.Name,
+		Owner:       t.Team,
+		Service:     t.Service,
+		Adapter:     c.Adapter,
+		Method:      c.Method,
+		Path:        c.TargetPath,
+		ContentType: c.ContentType,
+		Body:        c.TargetBody,
+		Priority:    c.Priority,
+		StartBy:     c.Deadline.Sub(now),
+		Suspect:     c.Suspect,
 	}
 	if c.IdempotencyKey != "" {
-		digest := sha256.Sum256(c.Body)
-		s.BodyDigest = digest[:]
+		s.IdempotencyKey = c.claimName()
+		s.BodyDigest = c.claimDigest()
 	}
 	return s
 }
@@ -167,7 +191,9 @@
 	switch m := m.(type) {
 	case peer.Refusal:
 		l.send(peer.Ack{Request: m.Request, Attempt: m.Attempt})
-		return rejected(m.Reason, "the target refused the request before running it"), true
+		result := rejected(m.Reason, "the target refused the request before running it")
+		result.Running, result.Queued = m.Running, m.Queued
+		return result, true
 	case peer.Head:
 		c.Response.Start(m.Status, m.ContentType)
 	case peer.Part:
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -13,18 +13,25 @@
 type messageType byte
 
 const (
-	typeHello      messageType = 1
-	typeProof      messageType = 2
-	typeHeartbeat  messageType = 3
-	typeSubmit     messageType = 4
-	typeRefusal    messageType = 5
-	typeHead       messageType = 6
-	typePart       messageType = 7
-	typeEnd        messageType = 8
-	typeAck        messageType = 9
-	typeCancel     messageType = 10
-	typeResume     messageType = 11
-	typeDrain      messageType = 30
+	typeHello     messageType = 1
+	typeProof     messageType = 2
+	typeHeartbeat messageType = 3
+	typeSubmit    messageType = 4
+	typeRefusal   messageType = 5
+	typeHead      messageType = 6
+	typePart      messageType = 7
+	typeEnd       messageType = 8
+	typeAck       messageType = 9
+	typeCancel    messageType = 10
+	typeResume    messageType = 11
+	typeDrain     messageType = 30
+
+	typeStateRequest  messageType = 40
+	typeStateAnswer   messageType = 41
+	typeSectionAnswer messageType = 42
+	typeSurvey        messageType = 43
+	typeSurveyAnswer  messageType = 44
+
 	typeResidency  messageType = 35
 	typeLoadOffer  messageType = 36
 	typeLoadReport messageType = 37
@@ -112,6 +119,16 @@
 		return &loadReportWire{}
 	case typeLoadGrant:
 		return &loadGrantWire{}
+	case typeStateRequest:
+		return &stateRequestWire{}
+	case typeStateAnswer:
+		return &stateAnswerWire{}
+	case typeSectionAnswer:
+		return &sectionAnswerWire{}
+	case typeSurvey:
+		return &surveyWire{}
+	case typeSurveyAnswer:
+		return &surveyAnswerWire{}
 	}
 	return nil
 }
@@ -123,7 +140,7 @@
 	case Proof:
 		return &proofWire{Proof: m.Proof}
 	case Heartbeat:
-		return &heartbeatWire{Revision: m.Revision, Running: m.Running, Queued: m.Queued, Draining: m.Draining}
+		return heartbeatToWire(m)
 	case Submit:
 		return submitToWire(m)
 	case Refusal:
@@ -150,6 +167,16 @@
 		return loadReportToWire(m)
 	case LoadGrant:
 		return &loadGrantWire{Team: m.Team}
+	case StateRequest:
+		return &stateRequestWire{Revision: m.Revision, Members: m.Members, Sections: m.Sections}
+	case StateAnswer:
+		return stateAnswerToWire(m)
+	case SectionAnswer:
+		return &sectionAnswerWire{Digest: m.Digest, Data: m.Data}
+	case Survey:
+		return &surveyWire{ID: m.ID}
+	case SurveyAnswer:
+		return &surveyAnswerWire{ID: m.ID, Name: m.Name, Role: m.Role, Revision: m.Revision, Behind: m.Behind}
 	}
 	panic("peer: unknown message type")
 }
@@ -208,10 +235,33 @@
 	Running  int
 	Queued   int
 	Draining bool
+	Members  uint64
+	Active   bool
+	Slow     bool
+}
+
+func heartbeatToWire(m Heartbeat) *heartbeatWire {
+	return &heartbeatWire{
+		Revision: m.Revision,
+		Running:  m.Running,
+		Queued:   m.Queued,
+		Draining: m.Draining,
+		Members:  m.Members,
+		Active:   m.Active,
+		Slow:     m.Slow,
+	}
 }
 
 func (w *heartbeatWire) message() Message {
-	return Heartbeat{Revision: w.Revision, Running: w.Running, Queued: w.Queued, Draining: w.Draining}
+	return Heartbeat{
+		Revision: w.Revision,
+		Running:  w.Running,
+		Queued:   w.Queued,
+		Draining: w.Draining,
+		Members:  w.Members,
+		Active:   w.Active,
+		Slow:     w.Slow,
+	}
 }
 
 type submitWire struct {
@@ -234,6 +284,7 @@
 	StartByMS      int64
 	IdempotencyKey string
 	BodyDigest     []byte
+	Suspect        bool
 }
 
 func submitToWire(m Submit) *submitWire {
@@ -256,6 +307,7 @@
 		StartByMS:      m.StartBy.Milliseconds(),
 		IdempotencyKey: m.IdempotencyKey,
 		BodyDigest:     m.BodyDigest,
+		Suspect:        m.Suspect,
 	}
 }
 
@@ -280,6 +332,7 @@
 		StartBy:        time.Duration(w.StartByMS) * time.Millisecond,
 		IdempotencyKey: w.IdempotencyKey,
 		BodyDigest:     w.BodyDigest,
+		Suspect:        w.Suspect,
 	}
 }
 
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -40,6 +40,9 @@
 	Running  int    // requests running, from a targetd
 	Queued   int    // requests waiting, from a targetd
 	Draining bool
+	Members  uint64 // newest registration that the sender knows
+	Active   bool   // requests are in flight on this connection
+	Slow     bool   // the next message may take IdleInterval; set by Conn
 }
 
 // Submit asks a targetd to run a request.
@@ -58,8 +61,9 @@
 	Body           []byte
 	Priority       int8
 	StartBy        time.Duration // time left to start in, from sending
-	IdempotencyKey string
-	BodyDigest     []byte // of the caller's body; set with IdempotencyKey
+	IdempotencyKey string        // name of the key's record, empty without a key
+	BodyDigest     []byte        // of the caller's request; set with IdempotencyKey
+	Suspect        bool          // was in flight at a crash: runs alone among such requests
 }
 
 // Refusal says that an attempt did not run and never will.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -10,6 +10,7 @@
 
 import (
 	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -35,6 +36,14 @@
 	PeerKey  string
 	LogLevel zerolog.Level
 	StopIn   time.Duration // deadline of a planned stop
+
+	// Retention is how long the records of idempotency keys are kept.
+	Retention time.Duration
+	// StoreReads, StoreWrites are calls a second that all processes together
+	// may make of the object API; Processes is the number that shares them.
+	StoreReads, StoreWrites float64
+	Processes               int
+	Seeds                   []netip.AddrPort // targetds to ask while the object API is out
 }
 
 // Entry are the settings of entryd.
@@ -46,20 +55,22 @@
 	Costs         placement.Costs
 	Loads         loadbudget.Limits // of the weight store; a rate of zero grants nothing
 	UnreadyFor    time.Duration     // serving on after readiness says no
+	WriteWithin   time.Duration
 }
 
 // Target are the settings of targetd.
 type Target struct {
 	Common
-	Team     string
-	Service  string
-	Plain    bool // a plain service stands behind
-	Engine   netip.AddrPort
-	Slots    int
-	Adapters int
-	Queue    int
-	Loads    loadbudget.Limits // of the weight store; a rate of zero sets no limit
-	Sharers  int               // targets that share the weight store
+	DialAddress netip.AddrPort // address that entryds dial
+	Team        string
+	Service     string
+	Plain       bool // a plain service stands behind
+	Engine      netip.AddrPort
+	Slots       int
+	Adapters    int
+	Queue       int
+	Loads       loadbudget.Limits // of the weight store; a rate of zero sets no limit
+	Sharers     int               // targets that share the weight store
 }
 
 // ReadEntry reads the settings of entryd from the file at path.
@@ -82,7 +93,8 @@
 			Rate:  f.Float("loads", "rate", 0, 0, 100000),
 			Burst: f.Int("loads", "burst", 1, 1, 1000),
 		},
-		UnreadyFor: f.Duration("process", "unready_for", 5*time.Second, 0, 10*time.Minute),
+		UnreadyFor:  f.Duration("process", "unready_for", 5*time.Second, 0, 10*time.Minute),
+		WriteWithin: f.Duration("limits", "write_within", 20*time.Second, 100*time.Millisecond, 10*time.Minute),
 	}
 	return s, f.Done()
 }
@@ -93,15 +105,17 @@
 	if err != nil {
 		return Target{}, err
 	}
+	common := readCommon(f)
 	s := Target{
-		Common:   readCommon(f),
-		Team:     f.Name("target", "team"),
-		Service:  f.Name("target", "service"),
-		Plain:    f.Choice("target", "kind", "model", "plain") == "plain",
-		Engine:   f.AddrPort("target", "engine"),
-		Slots:    f.Int("target", "slots", 8, 1, 4096),
-		Adapters: f.Int("target", "adapters", 8, 1, 4096),
-		Queue:    f.Int("target", "queue", 256, 1, 100000),
+		Common:      common,
+		DialAddress: f.OptionalAddrPort("listen", "dial_address", common.Listen),
+		Team:        f.Name("target", "team"),
+		Service:     f.Name("target", "service"),
+		Plain:       f.Choice("target", "kind", "model", "plain") == "plain",
+		Engine:      f.AddrPort("target", "engine"),
+		Slots:       f.Int("target", "slots", 8, 1, 4096),
+		Adapters:    f.Int("target", "adapters", 8, 1, 4096),
+		Queue:       f.Int("target", "queue", 256, 1, 100000),
 		Loads: loadbudget.Limits{
 			Rate:     f.Float("loads", "rate", 0, 0, 100000),
 			InFlight: f.Int("loads", "in_flight", 1000, 1, 100000),
@@ -122,8 +136,16 @@
 		CAFile:   f.OptionalText("peers", "authorities", ""),
 		Platform: f.AddrPort("platform", "address"),
 		PeerKey:  f.Text("peers", "key"),
+
+		StoreReads:  f.Float("platform", "reads_per_second", 2000, 1, 1e6),
+		StoreWrites: f.Float("platform", "writes_per_second", 300, 1, 1e6),
+		Processes:   f.Int("platform", "processes", 10, 1, 100000),
+		Seeds:       readSeeds(f),
+
 		LogLevel: readLevel(f),
 		StopIn:   f.Duration("process", "stop_within", 30*time.Second, time.Second, time.Hour),
+
+		Retention: f.Duration("claims", "retention", time.Hour, time.Second, 24*time.Hour),
 	}
 	if c.PeerKey != "" && len(c.PeerKey) < minPeerKey {
 		f.Fail("peers", "key", "(a shorter one)", "at least 16 characters")
@@ -145,3 +167,18 @@
 	}
 	return zerolog.InfoLevel
 }
+
+// readSeeds reads the addresses of peers.seeds, separated by blanks.
+func readSeeds(f *inifile.File) []netip.AddrPort {
+	text := f.OptionalText("peers", "seeds", "")
+	var out []netip.AddrPort
+	for _, word := range strings.Fields(text) {
+		addr, err := netip.ParseAddrPort(word)
+		if err != nil {
+			f.Fail("peers", "seeds", text, "IP addresses with ports, separated by blanks")
+			return nil
+		}
+		out = append(out, addr)
+	}
+	return out
+}
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -21,6 +21,7 @@
 	Adapter  adapter.ID // zero for plain services
 	Priority int8       // higher ones start first
 	StartBy  time.Time  // when the attempt must have started
+	Suspect  bool       // was in flight at a crash: suspects run one at a time
 }
 
 // Limits are the bounds of one target.
@@ -68,6 +69,7 @@
 	running  map[RequestKey]*Request
 	byTeam   map[string]int // running requests
 	borrowed int            // running requests of teams other than the owner
+	suspect  *Request       // the suspect that runs, if any
 	draining bool
 }
 
@@ -145,7 +147,7 @@
 			continue
 		}
 		for i, w := range t.items {
-			if w.request.Adapter.IsZero() || d.table.Usable(w.request.Adapter) {
+			if d.canStart(w.request) {
 				return t, i
 			}
 		}
@@ -153,6 +155,14 @@
 	return nil, 0
 }
 
+// canStart reports whether nothing but a slot is missing for r.
+func (d *Dispatcher) canStart(r *Request) bool {
+	if r.Suspect && d.suspect != nil {
+		return false
+	}
+	return r.Adapter.IsZero() || d.table.Usable(r.Adapter)
+}
+
 // queueFull reports whether one more request of team may not wait. Borrowers
 // have the part of the queue that they have of the slots, split evenly among
 // those that wait, so that none fills it for the others.
@@ -217,6 +227,9 @@
 	if r.Team != d.limits.Owner {
 		d.borrowed++
 	}
+	if r.Suspect {
+		d.suspect = r
+	}
 	return Action{Kind: Start, Request: r}
 }
 
@@ -227,6 +240,9 @@
 		return
 	}
 	delete(d.running, key)
+	if d.suspect == r {
+		d.suspect = nil
+	}
 	d.byTeam[r.Team]--
 	if r.Team != d.limits.Owner {
 		d.borrowed--
@@ -274,7 +290,7 @@
 	n := 0
 	for _, t := range d.queue.teams {
 		for _, w := range t.items {
-			if w.request.Adapter.IsZero() || d.table.Usable(w.request.Adapter) {
+			if d.canStart(w.request) {
 				n++
 			}
 		}
