--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -201,15 +201,23 @@
 		case dispatch.Refuse:
 			a.refuse(a.attempts[action.Request.Key], action.Reason)
 		case dispatch.Load:
-			a.opts.Log.At(event.AdapterLoading).Stringer("adapter", action.Adapter).Str("reason", "request_waits").Send()
+			a.opts.Log.At(event.AdapterLoading).Stringer("adapter", action.Adapter).Str("reason", loadReason(action)).Send()
 			go a.load(ctx, action.Adapter)
 		case dispatch.Unload:
-			a.opts.Log.At(event.AdapterUnloading).Stringer("adapter", action.Adapter).Str("reason", "room_needed").Send()
+			a.opts.Log.At(event.AdapterUnloading).Stringer("adapter", action.Adapter).Str("reason", loadReason(action)).Send()
 			go a.unload(ctx, action.Adapter)
 		}
 	}
 }
 
+// loadReason says in logs why an adapter is loaded, or unloaded to make room.
+func loadReason(action dispatch.Action) string {
+	if action.Ahead {
+		return "demand"
+	}
+	return "request_waits"
+}
+
 // refuse tells the sender of at that it did not run.
 func (a *Agent) refuse(at *attempt, reason outcome.Reason) {
 	if reason == outcome.Expired {
--- a/internal/measurement/fleet_bench_test.go
+++ b/internal/measurement/fleet_bench_test.go
@@ -75,6 +75,21 @@
 	}
 }
 
+// BenchmarkFleetCosts prints what the cost of a stall changes.
+func BenchmarkFleetCosts(b *testing.B) {
+	for b.Loop() {
+		w := newTable()
+		for _, d := range []deployment{tessaro, dobrescu} {
+			for _, stall := range []float64{0.25, 1, 4, 16} {
+				d.costs.Stall = stall
+				name := fmt.Sprintf("%s, stall cost %g", d.name, stall)
+				row(w, name, 1.2, 0.5, policyOwn, d.missShare(1.2), play(d, scenario{}, policyOwn, 1.2, 0.5).summarise(runLength))
+			}
+		}
+		flush(b, w)
+	}
+}
+
 // rowRecovery prints how calls fare before and after the disturbance. The flooding
 // team's own calls are left out of the waits.
 func rowRecovery(w *tabwriter.Writer, d deployment, sc scenario, p policy, f *fleet) {
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -49,6 +49,7 @@
 	Request *Request
 	Adapter adapter.ID
 	Reason  outcome.Reason // for Refuse
+	Ahead   bool           // for Load and Unload: no request waits for the load
 }
 
 // Report is what a target says of itself.
--- a/pkg/dispatch/loads.go
+++ b/pkg/dispatch/loads.go
@@ -221,7 +221,12 @@
 		return actions
 	}
 	d.loads.nextPrefetch = now
-	return d.orderLoad(now, id, actions)
+	first := len(actions)
+	actions = d.orderLoad(now, id, actions)
+	for i := range actions[first:] {
+		actions[first+i].Ahead = true
+	}
+	return actions
 }
 
 // Loaded records the end of a load. After a failure, the requests that waited
