--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -128,10 +128,10 @@
 	}
 	sweep := time.NewTicker(sweepInterval)
 	defer sweep.Stop()
-	balance := time.NewTicker(askInterval)
-	defer balance.Stop()
 	beat := time.NewTicker(beatInterval)
 	defer beat.Stop()
+	balance := time.NewTicker(askInterval)
+	defer balance.Stop()
 	deadline := time.NewTimer(time.Hour)
 	defer deadline.Stop()
 	for {
@@ -149,9 +149,8 @@
 			continue
 		case <-deadline.C:
 			a.noticePause(time.Now())
-		case <-balance.C:
-			a.noticePause(time.Now())
-			a.balance(time.Now())
+		case now := <-balance.C:
+			a.balance(now)
 			continue
 		}
 		a.perform(ctx, a.dispatcher.Next(time.Now()))
@@ -204,7 +203,7 @@
 			a.opts.Log.At(event.AdapterLoading).Stringer("adapter", action.Adapter).Str("reason", loadReason(action)).Send()
 			go a.load(ctx, action.Adapter)
 		case dispatch.Unload:
-			a.opts.Log.At(event.AdapterUnloading).Stringer("adapter", action.Adapter).Str("reason", loadReason(action)).Send()
+			a.opts.Log.At(event.AdapterUnloading).Stringer("adapter", action.Adapter).Str("reason", "room_needed").Send()
 			go a.unload(ctx, action.Adapter)
 		}
 	}
--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -28,9 +28,9 @@
 		return
 	}
 	s.Log.At(event.PeerConnected).Str("peer", conn.Remote().Name).Send()
-	out := &hintingSender{sender: conn, hint: s.Agent.Hint}
 	detach := s.attach(conn)
 	defer detach()
+	out := &hintingSender{sender: conn, hint: s.Agent.Hint}
 	s.Agent.post(connected{conn: out, end: conn})
 	err = conn.Run(context.WithoutCancel(r.Context()), s.beat, func(m peer.Message) { s.handle(conn, out, m) })
 	s.Log.At(event.PeerLost).Str("peer", conn.Remote().Name).Err(err).Send()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -27,9 +27,9 @@
 	News           News // nil for none
 	Claims         Claims
 	MaxInProgress  int               // calls in progress at once
+	StartWithin    time.Duration     // a call's deadline to start, unless it names one
 	Loads          loadbudget.Limits // that this entryd grants; a rate of zero for none
 	Costs          placement.Costs   // of choices between targets
-	StartWithin    time.Duration     // a call's deadline to start, unless it names one
 	Log            event.Log
 	Scope          tally.Scope
 }
@@ -50,8 +50,8 @@
 		limit: newLimitFilter(opts.MaxInProgress),
 		links: newLinks(opts.Dialer, opts.Log, opts.Revision),
 	}
-	e.links.granter = newGranter(opts.Loads, opts.Log)
 	e.links.news = opts.News
+	e.links.granter = newGranter(opts.Loads, opts.Log)
 	last := &router{
 		targets: opts.Targets,
 		views:   newViews(opts.Self.Region, opts.Costs, e.links),
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -84,11 +84,11 @@
 	delete(l.pendings, p.key())
 }
 
-// inFlight returns the number of attempts that wait.
-func (l *link) inFlight() int {
+// waiting reports whether an attempt waits for its answer.
+func (l *link) waiting() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.pendings)
+	return len(l.pendings) > 0
 }
 
 // load returns the requests that are believed to run there or wait for a slot.
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -13,9 +13,9 @@
 	dialer   Dialer
 	log      event.Log
 	revision func() uint64
+	news     News // nil for none
 	hints    *targetHints
 	granter  *granter // nil if this entryd grants no rights to load
-	news     News     // nil for none
 
 	mu    sync.Mutex
 	links map[string]*link // by name of the target
@@ -37,9 +37,9 @@
 			dialer:   ls.dialer,
 			log:      ls.log,
 			revision: ls.revision,
+			news:     ls.news,
 			hints:    ls.hints,
 			granter:  ls.granter,
-			news:     ls.news,
 			pendings: map[attemptKey]*pending{},
 		}
 		ls.links[t.Name] = l
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -109,7 +109,11 @@
 
 // choose returns the target for the next attempt and why it was chosen.
 func (r *router) choose(c *Call, now time.Time, tried map[string]bool) (target.Target, placement.Reason, bool) {
-	return r.views.get(c, r.targets.Targets()).choose(c, r.links.hints, now, tried)
+	v := r.views.get(c, r.targets.Targets())
+	if c.Suspect {
+		return v.chooseForTrial(c, now, tried)
+	}
+	return v.choose(c, r.links.hints, now, tried)
 }
 
 // fits reports whether t may run c: a target of the service itself, or one of
--- a/internal/entry/views.go
+++ b/internal/entry/views.go
@@ -21,7 +21,6 @@
 // routeView is the targets that such calls may go to, with their links.
 type routeView struct {
 	view    *placement.View
-	trials  *placement.View // of suspects, the same at all entryds
 	targets []target.Target
 	links   []*link
 }
@@ -82,19 +81,11 @@
 		v.links = append(v.links, vs.links.get(t))
 	}
 	v.view = placement.NewView(members, vs.costs)
-	alike := append([]placement.Member(nil), members...)
-	for i := range alike {
-		alike[i].Remote = false
-	}
-	v.trials = placement.NewView(alike, vs.costs)
 	return v
 }
 
 // choose returns the target for an attempt of c and why it was chosen.
 func (v *routeView) choose(c *Call, hints *targetHints, now time.Time, tried map[string]bool) (target.Target, placement.Reason, bool) {
-	if c.Suspect {
-		return v.chooseTrial(c, now, tried)
-	}
 	key := placement.Key{
 		Adapter: placement.Hash(c.Adapter.String()),
 		Prefix:  placement.Hash(string(c.TargetBody[:min(len(c.TargetBody), prefixBytes)])),
@@ -117,23 +108,6 @@
 	return v.targets[i], reason, true
 }
 
-// chooseTrial returns the target for an attempt of a suspect. It does not depend
-// on loads and hints, so that all entryds choose the same one.
-func (v *routeView) chooseTrial(c *Call, now time.Time, tried map[string]bool) (target.Target, placement.Reason, bool) {
-	loads := trialLoads{viewLoads{links: v.links, tried: tried, now: now}}
-	i, reason, ok := v.trials.Choose(placement.Key{Adapter: trialKey(c)}, placement.NewHints(), loads)
-	if !ok {
-		return target.Target{}, reason, false
-	}
-	return v.targets[i], reason, true
-}
-
-// trialLoads passes over the loads.
-type trialLoads struct{ viewLoads }
-
-// InFlight implements placement.Loads.
-func (trialLoads) InFlight(int) int { return 0 }
-
 // viewLoads tells the load of a view's members to one call.
 type viewLoads struct {
 	links []*link
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -13,29 +13,28 @@
 type messageType byte
 
 const (
-	typeHello     messageType = 1
-	typeProof     messageType = 2
-	typeHeartbeat messageType = 3
-	typeSubmit    messageType = 4
-	typeRefusal   messageType = 5
-	typeHead      messageType = 6
-	typePart      messageType = 7
-	typeEnd       messageType = 8
-	typeAck       messageType = 9
-	typeCancel    messageType = 10
-	typeResume    messageType = 11
-	typeDrain     messageType = 30
+	typeHello      messageType = 1
+	typeProof      messageType = 2
+	typeHeartbeat  messageType = 3
+	typeSubmit     messageType = 4
+	typeRefusal    messageType = 5
+	typeHead       messageType = 6
+	typePart       messageType = 7
+	typeEnd        messageType = 8
+	typeAck        messageType = 9
+	typeCancel     messageType = 10
+	typeResume     messageType = 11
+	typeDrain      messageType = 30
+	typeResidency  messageType = 35
+	typeLoadOffer  messageType = 36
+	typeLoadReport messageType = 37
+	typeLoadGrant  messageType = 38
 
 	typeStateRequest  messageType = 40
 	typeStateAnswer   messageType = 41
 	typeSectionAnswer messageType = 42
 	typeSurvey        messageType = 43
 	typeSurveyAnswer  messageType = 44
-
-	typeResidency  messageType = 35
-	typeLoadOffer  messageType = 36
-	typeLoadReport messageType = 37
-	typeLoadGrant  messageType = 38
 )
 
 func (Hello) messageType() messageType      { return typeHello }
@@ -111,14 +110,6 @@
 		return &resumeWire{}
 	case typeDrain:
 		return &drainWire{}
-	case typeResidency:
-		return &residencyWire{}
-	case typeLoadOffer:
-		return &loadOfferWire{}
-	case typeLoadReport:
-		return &loadReportWire{}
-	case typeLoadGrant:
-		return &loadGrantWire{}
 	case typeStateRequest:
 		return &stateRequestWire{}
 	case typeStateAnswer:
@@ -129,6 +120,14 @@
 		return &surveyWire{}
 	case typeSurveyAnswer:
 		return &surveyAnswerWire{}
+	case typeResidency:
+		return &residencyWire{}
+	case typeLoadOffer:
+		return &loadOfferWire{}
+	case typeLoadReport:
+		return &loadReportWire{}
+	case typeLoadGrant:
+		return &loadGrantWire{}
 	}
 	return nil
 }
@@ -159,14 +158,6 @@
 		return &resumeWire{Request: m.Request, Attempt: m.Attempt, Next: m.Next, StartByMS: m.StartBy.Milliseconds()}
 	case Drain:
 		return &drainWire{Epoch: m.Epoch}
-	case Residency:
-		return &residencyWire{Adapters: m.Adapters, Floor: m.Floor, Load: m.Load}
-	case LoadOffer:
-		return &loadOfferWire{}
-	case LoadReport:
-		return loadReportToWire(m)
-	case LoadGrant:
-		return &loadGrantWire{Team: m.Team}
 	case StateRequest:
 		return &stateRequestWire{Revision: m.Revision, Members: m.Members, Sections: m.Sections}
 	case StateAnswer:
@@ -177,6 +168,14 @@
 		return &surveyWire{ID: m.ID}
 	case SurveyAnswer:
 		return &surveyAnswerWire{ID: m.ID, Name: m.Name, Role: m.Role, Revision: m.Revision, Behind: m.Behind}
+	case Residency:
+		return &residencyWire{Adapters: m.Adapters, Floor: m.Floor, Load: m.Load}
+	case LoadOffer:
+		return &loadOfferWire{}
+	case LoadReport:
+		return loadReportToWire(m)
+	case LoadGrant:
+		return &loadGrantWire{Team: m.Team}
 	}
 	panic("peer: unknown message type")
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -52,10 +52,10 @@
 	MaxInProgress int
 	MaxBodyBytes  int
 	StartWithin   time.Duration
+	UnreadyFor    time.Duration // serving on after readiness says no
+	WriteWithin   time.Duration
 	Costs         placement.Costs
 	Loads         loadbudget.Limits // of the weight store; a rate of zero grants nothing
-	UnreadyFor    time.Duration     // serving on after readiness says no
-	WriteWithin   time.Duration
 }
 
 // Target are the settings of targetd.
@@ -84,6 +84,8 @@
 		MaxInProgress: f.Int("limits", "in_progress", 2000, 1, 1000000),
 		MaxBodyBytes:  f.Int("limits", "body_bytes", 4<<20, 1024, 16<<20),
 		StartWithin:   f.Duration("limits", "start_within", 30*time.Second, 100*time.Millisecond, 10*time.Minute),
+		UnreadyFor:    f.Duration("process", "unready_for", 5*time.Second, 0, 10*time.Minute),
+		WriteWithin:   f.Duration("limits", "write_within", 20*time.Second, 100*time.Millisecond, 10*time.Minute),
 		Costs: placement.Costs{
 			Stall: f.Float("placement", "stall_cost", 4, 0, 1000),
 			Batch: f.Float("placement", "batch_cost", 1, 0, 1000),
@@ -93,8 +95,6 @@
 			Rate:  f.Float("loads", "rate", 0, 0, 100000),
 			Burst: f.Int("loads", "burst", 1, 1, 1000),
 		},
-		UnreadyFor:  f.Duration("process", "unready_for", 5*time.Second, 0, 10*time.Minute),
-		WriteWithin: f.Duration("limits", "write_within", 20*time.Second, 100*time.Millisecond, 10*time.Minute),
 	}
 	return s, f.Done()
 }
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -20,8 +20,8 @@
 	Team     string
 	Adapter  adapter.ID // zero for plain services
 	Priority int8       // higher ones start first
-	StartBy  time.Time  // when the attempt must have started
 	Suspect  bool       // was in flight at a crash: suspects run one at a time
+	StartBy  time.Time  // when the attempt must have started
 }
 
 // Limits are the bounds of one target.
@@ -148,7 +148,7 @@
 			continue
 		}
 		for i, w := range t.items {
-			if d.canStart(w.request) {
+			if d.startable(w.request) {
 				return t, i
 			}
 		}
@@ -156,8 +156,9 @@
 	return nil, 0
 }
 
-// canStart reports whether nothing but a slot is missing for r.
-func (d *Dispatcher) canStart(r *Request) bool {
+// startable reports whether r waits for nothing but a slot: its adapter is
+// resident, and no other suspect runs if it is one.
+func (d *Dispatcher) startable(r *Request) bool {
 	if r.Suspect && d.suspect != nil {
 		return false
 	}
@@ -291,7 +292,7 @@
 	n := 0
 	for _, t := range d.queue.teams {
 		for _, w := range t.items {
-			if d.canStart(w.request) {
+			if d.startable(w.request) {
 				n++
 			}
 		}
