--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -15,7 +15,7 @@
 
 // Times of a link.
 const (
-	resumeTimeout = 8 * time.Second // how long answers wait for another connection
+	resumeTimeout = 8 * time.Second // how long answers wait for another connection; less than a targetd keeps them
 	downPause     = time.Second     // how long a target that can't be reached is passed over
 )
 
@@ -41,7 +41,8 @@
 	heartbeat   peer.Heartbeat
 	downUntil   time.Time
 	lastUsed    time.Time
-	incarnation string // of the targetd that the pendings were sent to
+	incarnation string    // of the targetd that the pendings were sent to
+	heard       time.Time // when it last sent something
 
 	granter   *granter // nil if this entryd grants no rights to load
 	hints     *targetHints
@@ -132,7 +133,9 @@
 }
 
 // adopt makes conn the link's connection and resumes what waits. Attempts that
-// were sent to an earlier process at the same address are lost.
+// were sent to an earlier process at the same address are lost, and so are all
+// when the targetd was last heard so long ago that it may have forgotten them:
+// it could not tell them from attempts that never arrived.
 func (l *link) adopt(conn *peer.Conn) {
 	l.forgetHints(conn.Remote().Incarnation)
 	l.mu.Lock()
@@ -141,8 +144,10 @@
 	l.downUntil = time.Time{}
 	l.heartbeat = peer.Heartbeat{}
 	incarnation := conn.Remote().Incarnation
+	now := time.Now()
+	forgotten := now.Sub(l.heard) > resumeTimeout
 	for key, p := range l.pendings {
-		if l.incarnation != incarnation {
+		if forgotten || l.incarnation != incarnation {
 			p.lose()
 			delete(l.pendings, key)
 			continue
@@ -155,6 +160,7 @@
 	if l.granter != nil {
 		_, _ = conn.Send(peer.LoadOffer{}) // a lost connection is seen by its reader
 	}
+	l.heard = now
 	l.log.At(event.PeerConnected).Str("peer", conn.Remote().Name).Send()
 	go l.read(conn)
 }
@@ -211,6 +217,9 @@
 // handle passes one message to the attempt that it is for. Messages of
 // attempts that nobody waits for are dropped.
 func (l *link) handle(m peer.Message) {
+	l.mu.Lock()
+	l.heard = time.Now()
+	l.mu.Unlock()
 	var key attemptKey
 	switch m := m.(type) {
 	case peer.Heartbeat:
