Keep copies of a crashing request to two targets

Change: while a target looks into a crash it starts nothing and holds refusals that may come from it; what was in flight is then refused as engine_crashed, which makes it a suspect at its entry. An entry judges again before each further attempt.

stops_cut waited for the start of a run where it meant the first byte at the caller: under the race detector the answer could be cut before its head, and the caller rightly got a plain 502. call_began waits for the head.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -15,6 +15,7 @@
 	"github.com/borageusher/borageusher/pkg/configuration"
 	"github.com/borageusher/borageusher/pkg/dispatch"
 	"github.com/borageusher/borageusher/pkg/outcome"
+	"github.com/borageusher/borageusher/pkg/quarantine"
 	"github.com/borageusher/borageusher/pkg/target"
 )
 
@@ -69,8 +70,8 @@
 	attempts   map[dispatch.RequestKey]*attempt
 	voided     map[dispatch.RequestKey]time.Time // attempts that must not start, until their start-by time
 	boot       uint64                            // of the engine, zero before its first report
-	broken     []*attempt                        // broke off together, cause not known yet
-	sessions   map[sender]closer                 // open peer connections
+	diagnosis  diagnosis
+	sessions   map[sender]closer // open peer connections
 
 	pulse *pulse
 
@@ -85,7 +86,7 @@
 	cancel  context.CancelFunc // set while running
 	boot    uint64             // of the engine that runs it, zero if unknown
 
-	brokeOff chan struct{} // closed when it is known why the run broke off
+	ended chan struct{} // closed when a run that broke off or was not taken was ended
 
 	// Of attempts with an idempotency key.
 	deferred bool           // the object API did not settle the claim; owned by the loop
@@ -104,6 +105,7 @@
 		dispatcher: dispatch.New(opts.Limits, noTerms{}),
 		attempts:   map[dispatch.RequestKey]*attempt{},
 		voided:     map[dispatch.RequestKey]time.Time{},
+		diagnosis:  diagnosis{crashed: map[quarantine.Fingerprint]time.Time{}},
 		sessions:   map[sender]closer{},
 		pulse:      newPulse(time.Now()),
 	}
@@ -139,7 +141,9 @@
 		case <-deadline.C:
 			a.noticePause(time.Now())
 		}
-		a.perform(ctx, a.dispatcher.Next(time.Now()))
+		if !a.diagnosis.open() {
+			a.perform(ctx, a.dispatcher.Next(time.Now()))
+		}
 		a.publish()
 		if next := a.dispatcher.NextDeadline(); !next.IsZero() {
 			deadline.Reset(max(0, time.Until(next)))
@@ -196,6 +200,10 @@
 
 // refuse tells the sender of at that it did not run.
 func (a *Agent) refuse(at *attempt, reason outcome.Reason) {
+	if a.holds(at, reason) {
+		return
+	}
+	reason = a.crashReason(time.Now(), at, reason)
 	if reason == outcome.Expired {
 		reason = at.expiry()
 	}
@@ -217,6 +225,11 @@
 			a.abandon(at)
 		}
 	}
+	for f, until := range a.diagnosis.crashed {
+		if now.After(until) {
+			delete(a.diagnosis.crashed, f)
+		}
+	}
 	for key, until := range a.voided {
 		if now.After(until) {
 			delete(a.voided, key)
@@ -243,6 +256,7 @@
 	began := time.Now()
 	err := a.opts.Engine.Load(ctx, id)
 	if err != nil {
+		time.Sleep(crashSettle) // a crash is known by then
 		a.opts.Log.At(event.AdapterLoadFailed).Stringer("adapter", id).Err(err).Send()
 	} else {
 		a.opts.Log.At(event.AdapterLoaded).Stringer("adapter", id).Dur("took", time.Since(began)).Send()
--- a/internal/agent/event.go
+++ b/internal/agent/event.go
@@ -63,6 +63,8 @@
 		at.submit.Owner != a.opts.Self.Team,
 		at.submit.Service != a.opts.Self.Service:
 		return outcome.WrongTarget
+	case !at.submit.Suspect && a.copyOfCrashed(now, at):
+		return outcome.EngineCrashed
 	}
 	return a.dispatcher.Submit(now, at.request)
 }
--- a/internal/agent/runner.go
+++ b/internal/agent/runner.go
@@ -48,7 +48,7 @@
 	})
 	switch {
 	case engine.IsKind(err, engine.NotStarted):
-		at.answer.refuse(time.Now(), outcome.EngineFailed, load)
+		a.unstarted(at, load)
 	case engine.IsKind(err, engine.NotResident):
 		at.answer.refuse(time.Now(), outcome.LoadFailed, load)
 	case err != nil:
--- a/internal/entry/budget.go
+++ b/internal/entry/budget.go
@@ -67,7 +67,7 @@
 		return false
 	}
 	switch result.Reason {
-	case outcome.Draining, outcome.WrongTarget, outcome.OverTerms, outcome.Behind, outcome.NotReady:
+	case outcome.Draining, outcome.WrongTarget, outcome.OverTerms, outcome.Behind, outcome.NotReady, outcome.EngineCrashed:
 		return true
 	}
 	return false
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -48,13 +48,14 @@
 	}
 	e.links.news = opts.News
 	last := &router{
-		region:  opts.Self.Region,
-		targets: opts.Targets,
-		links:   e.links,
-		loads:   newLoads(),
-		claims:  opts.Claims,
-		log:     opts.Log,
-		scope:   opts.Scope,
+		region:   opts.Self.Region,
+		targets:  opts.Targets,
+		suspects: opts.Suspects,
+		links:    e.links,
+		loads:    newLoads(),
+		claims:   opts.Claims,
+		log:      opts.Log,
+		scope:    opts.Scope,
 	}
 	e.chain = chain(last, identifyFilter{configurations: opts.Configurations}, resolveFilter{}, quarantineFilter{suspects: opts.Suspects}, e.limit)
 	return e
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -27,13 +27,8 @@
 
 // Filter implements Filter.
 func (f quarantineFilter) Filter(ctx context.Context, c *Call, now time.Time, next Handler) Result {
-	verdict, targets := f.suspects.Judge(now, fingerprinted(c))
-	switch verdict {
-	case quarantine.Convicted:
-		return refuseConvicted(c)
-	case quarantine.Suspect:
-		c.Suspect = true
-		c.CrashedOn = targets
+	if result, ok := judge(f.suspects, c, now); !ok {
+		return result
 	}
 	result := next.Handle(ctx, c, now)
 	if c.Suspect && result.Outcome == outcome.Answered {
@@ -42,6 +37,24 @@
 	return result
 }
 
+// judge marks c if it is a suspect. It reports false, with the result, when c
+// must not run.
+func judge(s Suspects, c *Call, now time.Time) (Result, bool) {
+	verdict, targets := s.Judge(now, fingerprinted(c))
+	switch verdict {
+	case quarantine.Convicted:
+		return refuseConvicted(c), false
+	case quarantine.Suspect:
+		c.Suspect = true
+		for _, name := range targets {
+			if !slices.Contains(c.CrashedOn, name) {
+				c.CrashedOn = append(c.CrashedOn, name)
+			}
+		}
+	}
+	return Result{}, true
+}
+
 // refuseConvicted refuses a request that is not run this time. A request with
 // an idempotency key may be one that ran before, so it is not said not to have.
 func refuseConvicted(c *Call) Result {
@@ -64,7 +77,8 @@
 // noteCrash records a target that crashed with c in flight, alone or with its
 // targetd, and returns the result, which forbids further runs after maxCrashes.
 func noteCrash(c *Call, name string, result Result) Result {
-	if result.Outcome != outcome.Unknown || (result.Reason != outcome.EngineCrashed && result.Reason != outcome.TargetLost) {
+	lost := result.Outcome == outcome.Unknown && result.Reason == outcome.TargetLost
+	if result.Reason != outcome.EngineCrashed && !lost {
 		return result
 	}
 	c.Suspect = true
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -25,13 +25,14 @@
 // router is the end of the filter chain: it offers a call to targets until one
 // answers.
 type router struct {
-	region  string
-	targets Targets
-	links   *links
-	loads   *loads
-	claims  Claims
-	log     event.Log
-	scope   tally.Scope
+	region   string
+	targets  Targets
+	suspects Suspects
+	links    *links
+	loads    *loads
+	claims   Claims
+	log      event.Log
+	scope    tally.Scope
 }
 
 // Handle implements Handler.
@@ -53,6 +54,9 @@
 		if !now.Before(c.Deadline) {
 			return rejected(outcome.Expired, "the deadline passed before the request started")
 		}
+		if result, ok := judge(r.suspects, c, now); n > 1 && !ok {
+			return result // others have found out since
+		}
 		t, ok := r.choose(c, now, avoid(c, tried))
 		if !ok {
 			t, ok = r.choose(c, now, tried)
--- a/internal/scenario/call_test.go
+++ b/internal/scenario/call_test.go
@@ -28,12 +28,14 @@
 	pause      time.Duration // before the body is read
 	leave      time.Duration // after which the caller goes away, zero for never
 	url        string
+	began      chan struct{} // closed when the head of the answer has come
 }
 
 // backgroundCall is a call that a script waits for later.
 type backgroundCall struct {
 	done   chan struct{}
 	output string
+	began  chan struct{}
 }
 
 func parseCall(ts *testscript.TestScript, args []string) callOptions {
@@ -82,7 +84,8 @@
 		write(ts, doCall(o))
 		return
 	}
-	c := &backgroundCall{done: make(chan struct{})}
+	o.began = make(chan struct{})
+	c := &backgroundCall{done: make(chan struct{}), began: o.began}
 	stateOf(ts).calls[o.background] = c
 	go func() {
 		c.output = doCall(o)
@@ -99,6 +102,20 @@
 	write(ts, c.output)
 }
 
+func cmdCallBegan(ts *testscript.TestScript, neg bool, args []string) {
+	c := stateOf(ts).calls[one(ts, neg, args, "call_began NAME")]
+	if c == nil || c.began == nil {
+		ts.Fatalf("no call %s was started", args[0])
+	}
+	select {
+	case <-c.began:
+	case <-c.done:
+		ts.Fatalf("call %s ended without a head: %s", args[0], c.output)
+	case <-time.After(waitLimit):
+		ts.Fatalf("call %s did not begin within %v", args[0], waitLimit)
+	}
+}
+
 func write(ts *testscript.TestScript, s string) {
 	_, err := io.WriteString(ts.Stdout(), s)
 	ts.Check(err)
@@ -134,6 +151,9 @@
 		return fmt.Sprintf("failed: %v\n", err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if o.began != nil {
+		close(o.began)
+	}
 	var b bytes.Buffer
 	_, _ = fmt.Fprintf(&b, "status: %d\n", resp.StatusCode)
 	var lines []string
--- a/internal/scenario/doc.go
+++ b/internal/scenario/doc.go
@@ -24,6 +24,7 @@
 //	call [-bg NAME] [-ca FILE] [-X METHOD] [-H HEADER]... [-d BODY] [-pause TIME] [-leave TIME] URL
 //	                              make one call; status, headers and body to stdout;
 //	                              read the body after a pause, go away after a time
+//	call_began NAME               wait for the head of a background call's answer
 //	wait_call NAME                wait for a background call; as call
 //	streams NAME CALLERS TOKENS KEY MODEL URL
 //	                              start concurrent streams with a prompt each
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -56,6 +56,7 @@
 			"certificate":  cmdCertificate,
 			"call":         cmdCall,
 			"wait_call":    cmdWaitCall,
+			"call_began":   cmdCallBegan,
 			"expect":       cmdExpect,
 			"await":        cmdAwait,
 			"at_most":      cmdAtMost,
