--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/borageusher/borageusher/internal/event"
@@ -14,7 +15,7 @@
 
 // Times of a link.
 const (
-	resumeTimeout = 8 * time.Second // how long answers wait for another connection
+	resumeTimeout = 8 * time.Second // how long answers wait for another connection; less than a targetd keeps them
 	downPause     = time.Second     // how long a target that can't be reached is passed over
 )
 
@@ -40,7 +41,13 @@
 	heartbeat   peer.Heartbeat
 	downUntil   time.Time
 	lastUsed    time.Time
-	incarnation string // of the targetd that the pendings were sent to
+	incarnation string    // of the targetd that the pendings were sent to
+	heard       time.Time // when it last sent something
+
+	granter   *granter // nil if this entryd grants no rights to load
+	hints     *targetHints
+	reported  atomic.Int64 // requests that run or wait for a slot, as last reported
+	sentSince atomic.Int64 // requests sent since then that wait for no load
 }
 
 // submit sends an attempt and returns the place where its answer arrives. The
@@ -78,11 +85,20 @@
 	delete(l.pendings, p.key())
 }
 
-// inFlight returns the number of attempts that wait.
-func (l *link) inFlight() int {
+// waiting reports whether an attempt waits for its answer.
+func (l *link) waiting() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.pendings)
+	return len(l.pendings) > 0
+}
+
+// load returns the requests that are believed to run there or wait for a slot.
+func (l *link) load() int { return int(l.reported.Load() + l.sentSince.Load()) }
+
+// report records the target's load in place of what was sent before.
+func (l *link) report(load int) {
+	l.reported.Store(int64(load))
+	l.sentSince.Store(0)
 }
 
 // usable reports whether attempts may be sent: the target is not known to be
@@ -117,16 +133,21 @@
 }
 
 // adopt makes conn the link's connection and resumes what waits. Attempts that
-// were sent to an earlier process at the same address are lost.
+// were sent to an earlier process at the same address are lost, and so are all
+// when the targetd was last heard so long ago that it may have forgotten them:
+// it could not tell them from attempts that never arrived.
 func (l *link) adopt(conn *peer.Conn) {
+	l.forgetHints(conn.Remote().Incarnation)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conn = conn
 	l.downUntil = time.Time{}
 	l.heartbeat = peer.Heartbeat{}
 	incarnation := conn.Remote().Incarnation
+	now := time.Now()
+	forgotten := now.Sub(l.heard) > resumeTimeout
 	for key, p := range l.pendings {
-		if l.incarnation != incarnation {
+		if forgotten || l.incarnation != incarnation {
 			p.lose()
 			delete(l.pendings, key)
 			continue
@@ -136,10 +157,26 @@
 		_, _ = conn.Send(peer.Resume{Request: key.request, Attempt: key.attempt, Next: next, StartBy: p.submit.StartBy})
 	}
 	l.incarnation = incarnation
+	if l.granter != nil {
+		_, _ = conn.Send(peer.LoadOffer{}) // a lost connection is seen by its reader
+	}
+	l.heard = now
 	l.log.At(event.PeerConnected).Str("peer", conn.Remote().Name).Send()
 	go l.read(conn)
 }
 
+// forgetHints drops what another process at the same address said. It must be
+// called without l.mu, which is locked while the hints are read.
+func (l *link) forgetHints(incarnation string) {
+	l.mu.Lock()
+	same := l.incarnation == incarnation
+	l.mu.Unlock()
+	if !same {
+		l.hints.forget(l.target.Name)
+		l.report(0)
+	}
+}
+
 // read passes messages to the attempts until conn ends, and then tries to
 // resume them over another connection.
 func (l *link) read(conn *peer.Conn) {
@@ -180,12 +217,25 @@
 // handle passes one message to the attempt that it is for. Messages of
 // attempts that nobody waits for are dropped.
 func (l *link) handle(m peer.Message) {
+	l.mu.Lock()
+	l.heard = time.Now()
+	l.mu.Unlock()
 	var key attemptKey
 	switch m := m.(type) {
 	case peer.Heartbeat:
 		l.mu.Lock()
 		l.heartbeat = m
 		l.mu.Unlock()
+		l.report(m.Running)
+		return
+	case peer.LoadReport:
+		if l.granter != nil {
+			l.granter.report(time.Now(), l, m)
+		}
+		return
+	case peer.Residency:
+		l.hints.set(l.target.Name, m.Adapters, m.Floor)
+		l.report(m.Load)
 		return
 	case peer.Head:
 		key = attemptKey{m.Request, m.Attempt}
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -14,13 +14,15 @@
 	log      event.Log
 	revision func() uint64
 	news     News // nil for none
+	hints    *targetHints
+	granter  *granter // nil if this entryd grants no rights to load
 
 	mu    sync.Mutex
 	links map[string]*link // by name of the target
 }
 
 func newLinks(dialer Dialer, log event.Log, revision func() uint64) *links {
-	return &links{dialer: dialer, log: log, revision: revision, links: map[string]*link{}}
+	return &links{dialer: dialer, log: log, revision: revision, hints: newTargetHints(), links: map[string]*link{}}
 }
 
 // get returns the link to t, which is made if there is none. A target that was
@@ -36,6 +38,8 @@
 			log:      ls.log,
 			revision: ls.revision,
 			news:     ls.news,
+			hints:    ls.hints,
+			granter:  ls.granter,
 			pendings: map[attemptKey]*pending{},
 		}
 		ls.links[t.Name] = l
--- a/internal/spread/node.go
+++ b/internal/spread/node.go
@@ -57,7 +57,9 @@
 	peers    map[*peer.Conn]*peerState
 	relays   map[string]*relayState // by name of the peer, or address of a seed
 	surveys  map[string]*survey
-	watching bool // the last duty, for the log
+	gone     map[string]time.Time // when the last connection of a peer ended, by its name
+	watching bool                 // the last duty, for the log
+	changed  chan struct{}        // closed and replaced when the connections change
 }
 
 // peerState is what a node knows of the process at the other end of a
@@ -77,6 +79,8 @@
 		peers:   map[*peer.Conn]*peerState{},
 		relays:  map[string]*relayState{},
 		surveys: map[string]*survey{},
+		gone:    map[string]time.Time{},
+		changed: make(chan struct{}),
 	}
 }
 
@@ -93,16 +97,25 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.peers[conn] = &peerState{answers: make(chan peer.Message, answerQueue)}
-	n.opts.Scope.Gauge("peers").Update(float64(len(n.peers)))
+	n.noteConnections()
 	conn.Beat()
 	return func() {
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		delete(n.peers, conn)
-		n.opts.Scope.Gauge("peers").Update(float64(len(n.peers)))
+		n.gone[conn.Remote().Name] = time.Now()
+		n.noteConnections()
 	}
 }
 
+// noteConnections tells those that wait that the connections have changed. The
+// caller holds n.mu.
+func (n *Node) noteConnections() {
+	n.opts.Scope.Gauge("peers").Update(float64(len(n.peers)))
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
 // Beat returns a heartbeat that tells what the process knows.
 func (n *Node) Beat() peer.Heartbeat {
 	return peer.Heartbeat{Revision: n.opts.Configurations.Revision(), Members: uint64(n.opts.Members.Newest())}
