--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -16,6 +16,7 @@
 	"github.com/borageusher/borageusher/pkg/dispatch"
 	"github.com/borageusher/borageusher/pkg/loadbudget"
 	"github.com/borageusher/borageusher/pkg/outcome"
+	"github.com/borageusher/borageusher/pkg/quarantine"
 	"github.com/borageusher/borageusher/pkg/target"
 )
 
@@ -71,8 +72,8 @@
 	attempts   map[dispatch.RequestKey]*attempt
 	voided     map[dispatch.RequestKey]time.Time // attempts that must not start, until their start-by time
 	boot       uint64                            // of the engine, zero before its first report
-	broken     []*attempt                        // broke off together, cause not known yet
-	sessions   map[sender]closer                 // open peer connections
+	diagnosis  diagnosis
+	sessions   map[sender]closer // open peer connections
 
 	pulse *pulse
 	gate  gate // of claims
@@ -91,7 +92,7 @@
 	cancel  context.CancelFunc // set while running
 	boot    uint64             // of the engine that runs it, zero if unknown
 
-	brokeOff chan struct{} // closed when it is known why the run broke off
+	ended chan struct{} // closed when a run that broke off or was not taken was ended
 
 	// Of attempts with an idempotency key.
 	deferred bool           // the object API did not settle the claim; owned by the loop
@@ -110,6 +111,7 @@
 		dispatcher: dispatch.New(opts.Limits, noTerms{}),
 		attempts:   map[dispatch.RequestKey]*attempt{},
 		voided:     map[dispatch.RequestKey]time.Time{},
+		diagnosis:  diagnosis{crashed: map[quarantine.Fingerprint]time.Time{}},
 		sessions:   map[sender]closer{},
 		pulse:      newPulse(time.Now()),
 	}
@@ -154,7 +156,9 @@
 			a.balance(now)
 			continue
 		}
-		a.perform(ctx, a.dispatcher.Next(time.Now()))
+		if !a.diagnosis.open() {
+			a.perform(ctx, a.dispatcher.Next(time.Now()))
+		}
 		a.publish()
 		if next := a.dispatcher.NextDeadline(time.Now()); !next.IsZero() {
 			deadline.Reset(max(0, time.Until(next)))
@@ -220,6 +224,10 @@
 
 // refuse tells the sender of at that it did not run.
 func (a *Agent) refuse(at *attempt, reason outcome.Reason) {
+	if a.holds(at, reason) {
+		return
+	}
+	reason = a.crashReason(time.Now(), at, reason)
 	if reason == outcome.Expired {
 		reason = at.expiry()
 	}
@@ -241,6 +249,11 @@
 			a.abandon(at)
 		}
 	}
+	for f, until := range a.diagnosis.crashed {
+		if now.After(until) {
+			delete(a.diagnosis.crashed, f)
+		}
+	}
 	for key, until := range a.voided {
 		if now.After(until) {
 			delete(a.voided, key)
@@ -267,6 +280,7 @@
 	began := time.Now()
 	err := a.opts.Engine.Load(ctx, id)
 	if err != nil {
+		time.Sleep(crashSettle) // a crash is known by then
 		a.opts.Log.At(event.AdapterLoadFailed).Stringer("adapter", id).Err(err).Send()
 	} else {
 		a.opts.Log.At(event.AdapterLoaded).Stringer("adapter", id).Dur("took", time.Since(began)).Send()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -53,13 +53,14 @@
 	e.links.news = opts.News
 	e.links.granter = newGranter(opts.Loads, opts.Log)
 	last := &router{
-		targets: opts.Targets,
-		views:   newViews(opts.Self.Region, opts.Costs, e.links),
-		links:   e.links,
-		loads:   newLoads(),
-		claims:  opts.Claims,
-		log:     opts.Log,
-		scope:   opts.Scope,
+		targets:  opts.Targets,
+		views:    newViews(opts.Self.Region, opts.Costs, e.links),
+		suspects: opts.Suspects,
+		links:    e.links,
+		loads:    newLoads(),
+		claims:   opts.Claims,
+		log:      opts.Log,
+		scope:    opts.Scope,
 	}
 	e.chain = chain(last, identifyFilter{configurations: opts.Configurations}, resolveFilter{}, quarantineFilter{suspects: opts.Suspects}, e.limit)
 	return e
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -25,13 +25,14 @@
 // router is the end of the filter chain: it offers a call to targets until one
 // answers.
 type router struct {
-	targets Targets
-	views   *views
-	links   *links
-	loads   *loads
-	claims  Claims
-	log     event.Log
-	scope   tally.Scope
+	targets  Targets
+	views    *views
+	suspects Suspects
+	links    *links
+	loads    *loads
+	claims   Claims
+	log      event.Log
+	scope    tally.Scope
 }
 
 // Handle implements Handler.
@@ -53,6 +54,9 @@
 		if !now.Before(c.Deadline) {
 			return rejected(outcome.Expired, "the deadline passed before the request started")
 		}
+		if result, ok := judge(r.suspects, c, now); n > 1 && !ok {
+			return result // others have found out since
+		}
 		t, why, ok := r.choose(c, now, avoid(c, tried))
 		if !ok {
 			t, why, ok = r.choose(c, now, tried)
