Prove right adapter, pins and whole answers under failure; mend what failed

Faults found, each with a test that failed before: - A resume of an attempt whose answer was delivered, or had waited too long, and was forgotten, was refused: "not run" of a request that ran (and a second run elsewhere). targetd now remembers ended attempts for two minutes, a resume states its age, and what can't be proved is unknown. - An acknowledgement of the last part counted as one of the end: an end lost with its connection could not be resumed. Acks now say so of the end itself. - The end of a recovery lost attempts that had been resumed meanwhile or that a later loss was still recovering. - Completions were never made again after a break: Repeatable looked at the service, which is set for completions too. - A started target knew nothing of what a full engine held and failed every load; it now reads the engine's list before use and corrects its table by it. - An engine that restarted between admission and run had the request refused; it now waits in the queue, within its start-by time. - A run from before an engine's restart dropped the pin of a later one. - A stream that ended in good order without [DONE] was called whole. - A refused fencing number was only logged; now the targetd takes no more work. - Writing to a caller that reads nothing had no time limit (limits.write_within). - Attempts on an unreachable target dialled one after the other, up to 2 s each. - A run was cancelled without telling the engine while no head had come.

Ruled out: refusing what ran too long ago by a time at the targetd alone (an entryd may be frozen for longer; only the age that it states is comparable); adopting the engine's list unconditionally (it lags: entries that changed since the asking before the last are left alone).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -62,18 +62,24 @@
 	// Owned by the loop.
 	dispatcher *dispatch.Dispatcher
 	attempts   map[dispatch.RequestKey]*attempt
-	voided     map[dispatch.RequestKey]time.Time // attempts that must not start, until their start-by time
-	boot       uint64                            // of the engine, zero before its first report
+	history    history
+	boot       uint64 // of the engine, zero before its first report
+	engineUp   bool   // the engine's report has been read since it was last found down
+	downSince  time.Time
+	replaced   bool // another process has registered this target
 
-	report atomic.Pointer[dispatch.Report]
+	report     atomic.Pointer[dispatch.Report]
+	generation atomic.Uint64 // of the dispatcher's residency
+	stateAsked chan struct{} // holds one request to read the engine's report
 }
 
 // attempt is one attempt that the agent knows.
 type attempt struct {
-	submit  peer.Submit
-	request *dispatch.Request
-	answer  *answer
-	cancel  context.CancelFunc // set while running
+	submit   peer.Submit
+	request  *dispatch.Request
+	answer   *answer
+	cancel   context.CancelFunc // set while running
+	requeues int                // times that the engine lacked the adapter
 }
 
 // New returns an agent that does nothing until Run.
@@ -84,7 +90,8 @@
 		done:       make(chan struct{}),
 		dispatcher: dispatch.New(opts.Limits, noTerms{}),
 		attempts:   map[dispatch.RequestKey]*attempt{},
-		voided:     map[dispatch.RequestKey]time.Time{},
+		history:    newHistory(),
+		stateAsked: make(chan struct{}, 1),
 	}
 	a.report.Store(&dispatch.Report{})
 	return a
@@ -93,6 +100,7 @@
 // Run runs the event loop until ctx is done.
 func (a *Agent) Run(ctx context.Context) {
 	defer close(a.done)
+	a.downSince = time.Now()
 	if !a.opts.PlainService {
 		go a.watchEngine(ctx)
 	}
@@ -110,7 +118,7 @@
 			a.sweep(now)
 		case <-deadline.C:
 		}
-		a.perform(ctx, a.dispatcher.Next(time.Now()))
+		a.perform(ctx, a.next(time.Now()))
 		a.publish()
 		if next := a.dispatcher.NextDeadline(); !next.IsZero() {
 			deadline.Reset(max(0, time.Until(next)))
@@ -157,6 +165,7 @@
 func (a *Agent) publish() {
 	r := a.dispatcher.Report()
 	a.report.Store(&r)
+	a.generation.Store(a.dispatcher.Generation())
 	a.opts.Scope.Gauge("running").Update(float64(r.Running))
 	a.opts.Scope.Gauge("queued").Update(float64(r.Queued))
 }
@@ -190,19 +199,16 @@
 // sweep forgets what nobody can ask for any more.
 func (a *Agent) sweep(now time.Time) {
 	for key, at := range a.attempts {
-		if at.answer.forgettable(now, resumeWindow) {
+		if at.answer.forgettable(now) {
+			a.history.add(now, key, !at.answer.refused(), at.submit.StartBy)
 			delete(a.attempts, key)
 			continue
 		}
-		if at.answer.orphaned(now, resumeWindow) {
+		if at.answer.orphaned(now) {
 			a.abandon(at)
 		}
 	}
-	for key, until := range a.voided {
-		if now.After(until) {
-			delete(a.voided, key)
-		}
-	}
+	a.history.sweep(now)
 }
 
 // abandon ends an attempt whose answer nobody takes.
@@ -222,7 +228,8 @@
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	began := time.Now()
-	err := a.opts.Engine.Load(ctx, id)
+	err := a.orderLoad(ctx, id)
+	a.noteFenced(err)
 	if err != nil {
 		a.opts.Log.At(event.AdapterLoadFailed).Stringer("adapter", id).Err(err).Send()
 	} else {
@@ -237,6 +244,7 @@
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	if err := a.opts.Engine.Unload(ctx, id); err != nil {
+		a.noteFenced(err)
 		a.opts.Log.At(event.EngineUnreachable).Err(err).Send()
 	}
 	a.post(unloaded{id: id})
@@ -246,22 +254,26 @@
 func (a *Agent) watchEngine(ctx context.Context) {
 	ticker := time.NewTicker(stateInterval)
 	defer ticker.Stop()
+	var asOf uint64 // as of the reading before, since reports lag
 	for {
-		a.readState(ctx)
+		generation := a.generation.Load()
+		a.readState(ctx, asOf)
+		asOf = generation
 		select {
 		case <-ticker.C:
+		case <-a.stateAsked:
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-func (a *Agent) readState(ctx context.Context) {
+func (a *Agent) readState(ctx context.Context, asOf uint64) {
 	ctx, cancel := context.WithTimeout(ctx, 4*stateInterval)
 	defer cancel()
 	s, err := a.opts.Engine.State(ctx)
 	if err != nil {
 		return // the engine restarts or hangs; requests to it tell more
 	}
-	a.post(engineReported{state: s})
+	a.post(engineReported{state: s, asOf: asOf})
 }
--- a/internal/agent/answer.go
+++ b/internal/agent/answer.go
@@ -33,10 +33,9 @@
 	head      *peer.Head
 	unacked   []peer.Part
 	first     uint64       // sequence number of unacked[0]
-	final     peer.Message // *End or Refusal as a value, nil until the answer ended
-	finalSent time.Time
-	delivered bool // the final message was acknowledged
-	abandoned bool // nobody waits for the rest
+	final     peer.Message // End or Refusal, nil until the answer ended
+	delivered bool         // the final message was acknowledged
+	abandoned bool         // nobody waits for the rest
 }
 
 func newAnswer(key dispatch.RequestKey, conn sender) *answer {
@@ -107,16 +106,16 @@
 		return
 	}
 	a.final = final
-	a.finalSent = now
 	a.send(now, final)
 }
 
-// ack forgets the parts before next.
-func (a *answer) ack(next uint64) {
+// ack forgets the parts before next. The answer is delivered once its final
+// message was acknowledged as well: parts alone say nothing of the end.
+func (a *answer) ack(next uint64, ended bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.forget(next)
-	if a.final != nil && len(a.unacked) == 0 {
+	if ended && a.final != nil {
 		a.delivered = true
 	}
 }
@@ -168,19 +167,37 @@
 	a.room.Broadcast()
 }
 
-// orphaned reports whether the answer has been detached for longer than keep.
-func (a *answer) orphaned(now time.Time, keep time.Duration) bool {
+// isAbandoned reports whether nobody takes the rest of the answer.
+func (a *answer) isAbandoned() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.conn == nil && now.Sub(a.detached) > keep
+	return a.abandoned
+}
+
+// orphaned reports whether the answer has been detached for longer than resumeWindow.
+func (a *answer) orphaned(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.conn == nil && now.Sub(a.detached) > resumeWindow
 }
 
 // forgettable reports whether nothing more can be asked of the answer: it was
-// delivered, or its final message is older than keep.
-func (a *answer) forgettable(now time.Time, keep time.Duration) bool {
+// delivered, or it has ended and been detached for longer than resumeWindow.
+func (a *answer) forgettable(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.final == nil {
+		return false
+	}
+	return a.delivered || a.abandoned || (a.conn == nil && now.Sub(a.detached) > resumeWindow)
+}
+
+// refused reports whether the attempt ended without having run.
+func (a *answer) refused() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.final != nil && (a.delivered || now.Sub(a.finalSent) > keep)
+	_, ok := a.final.(peer.Refusal)
+	return ok
 }
 
 // send writes m to the connection, if any. The caller holds a.mu.
--- /dev/null
+++ b/internal/agent/answer_test.go
@@ -0,0 +1,139 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/borageusher/borageusher/internal/peer"
+	"github.com/borageusher/borageusher/pkg/dispatch"
+	"github.com/borageusher/borageusher/pkg/outcome"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+var testKey = dispatch.RequestKey{Request: "r", Attempt: 1}
+
+// fakeConn records what is sent to an entryd.
+type fakeConn struct {
+	sent   []peer.Message
+	closed bool
+}
+
+func (c *fakeConn) Send(m peer.Message) (bool, error) {
+	if c.closed {
+		return false, &peer.Error{Op: "send", Kind: peer.Closed}
+	}
+	c.sent = append(c.sent, m)
+	return true, nil
+}
+
+func part(seq uint64, text string) peer.Part {
+	return peer.Part{Request: "r", Attempt: 1, Seq: seq, Data: []byte(text)}
+}
+
+func end(count uint64) peer.End {
+	return peer.End{Request: "r", Attempt: 1, Count: count, Outcome: outcome.Answered}
+}
+
+func TestAnswerResume(t *testing.T) {
+	head := peer.Head{Request: "r", Attempt: 1, Status: 200, ContentType: "text/plain"}
+	convey.Convey("An answer goes on over another connection from the next part", t, func() {
+		first, second := &fakeConn{}, &fakeConn{}
+		a := newAnswer(testKey, first)
+		a.start(start, 200, "text/plain")
+		a.add(start, []byte("a"))
+		a.add(start, []byte("b"))
+		first.closed = true
+		a.add(start, []byte("c"))
+		a.attach(start, second, 1)
+		a.detach(start, first) // noticed late
+		a.end(start, outcome.Answered, outcome.NoReason)
+		convey.So(first.sent, convey.ShouldResemble, []peer.Message{head, part(0, "a"), part(1, "b")})
+		convey.So(second.sent, convey.ShouldResemble, []peer.Message{head, part(1, "b"), part(2, "c"), end(3)})
+	})
+	convey.Convey("Acknowledged parts don't make an answer delivered: its end may be lost", t, func() {
+		a := newAnswer(testKey, &fakeConn{})
+		a.add(start, []byte("a"))
+		a.end(start, outcome.Answered, outcome.NoReason)
+		a.ack(1, false)
+		convey.So(a.forgettable(start), convey.ShouldBeFalse)
+		second := &fakeConn{}
+		a.attach(start, second, 1)
+		convey.So(second.sent, convey.ShouldResemble, []peer.Message{end(1)})
+		a.ack(1, true)
+		convey.So(a.forgettable(start), convey.ShouldBeTrue)
+	})
+	convey.Convey("An ended answer is kept while its slow reader is connected", t, func() {
+		conn := &fakeConn{}
+		a := newAnswer(testKey, conn)
+		a.end(start, outcome.Answered, outcome.NoReason)
+		late := start.Add(2 * resumeWindow)
+		convey.So(a.forgettable(late), convey.ShouldBeFalse)
+		a.detach(late, conn)
+		convey.So(a.forgettable(late.Add(resumeWindow)), convey.ShouldBeFalse)
+		convey.So(a.forgettable(late.Add(2*resumeWindow)), convey.ShouldBeTrue)
+	})
+	convey.Convey("Only the first end counts", t, func() {
+		conn := &fakeConn{}
+		a := newAnswer(testKey, conn)
+		a.end(start, outcome.Answered, outcome.NoReason)
+		a.refuse(start, outcome.Cancelled, dispatch.Report{})
+		convey.So(conn.sent, convey.ShouldResemble, []peer.Message{end(0)})
+		convey.So(a.refused(), convey.ShouldBeFalse)
+	})
+}
+
+func TestAnswerWindow(t *testing.T) {
+	// fill adds parts until the answer ends or keeps the writer waiting.
+	fill := func(a *answer) <-chan bool {
+		done := make(chan bool, 1)
+		go func() {
+			for range maxUnacked + 1 {
+				if !a.add(start, []byte("x")) {
+					done <- false
+					return
+				}
+			}
+			done <- true
+		}()
+		return done
+	}
+	held := func(a *answer) int {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return len(a.unacked)
+	}
+	convey.Convey("A reader that acknowledges nothing holds the writer back, in bounded memory", t, func() {
+		a := newAnswer(testKey, &fakeConn{})
+		done := fill(a)
+		convey.So(waitFor(func() bool { return held(a) == maxUnacked }), convey.ShouldBeTrue)
+		select {
+		case <-done:
+			t.Fatal("the writer did not wait")
+		case <-time.After(20 * time.Millisecond):
+		}
+		a.ack(1, false)
+		convey.So(<-done, convey.ShouldBeTrue)
+		convey.So(held(a), convey.ShouldEqual, maxUnacked)
+	})
+	convey.Convey("Abandoning an answer frees its writer", t, func() {
+		a := newAnswer(testKey, &fakeConn{})
+		done := fill(a)
+		convey.So(waitFor(func() bool { return held(a) == maxUnacked }), convey.ShouldBeTrue)
+		a.abandon()
+		convey.So(<-done, convey.ShouldBeFalse)
+	})
+}
+
+// waitFor polls until check reports true, for at most five seconds.
+func waitFor(check func() bool) bool {
+	for range 5000 {
+		if check() {
+			return true
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return false
+}
--- a/internal/agent/event.go
+++ b/internal/agent/event.go
@@ -51,10 +51,11 @@
 // admit queues at, or returns the reason why it is refused.
 func (a *Agent) admit(now time.Time, at *attempt) outcome.Reason {
 	cfg := a.opts.Configurations.Current()
-	_, void := a.voided[at.request.Key]
 	switch {
-	case void:
+	case a.history.has(at.request.Key):
 		return outcome.TargetLost
+	case a.replaced:
+		return outcome.WrongTarget
 	case cfg == nil:
 		return outcome.NotReady
 	case at.submit.Epoch != a.opts.Self.Epoch,
@@ -77,11 +78,16 @@
 		at.answer.attach(now, e.conn, e.resume.Next)
 		return
 	}
+	unheld := newAnswer(key, e.conn)
+	if !a.history.neverRan(key, e.resume.Age) {
+		unheld.first = e.resume.Next
+		unheld.end(now, outcome.Unknown, outcome.TargetLost)
+		return
+	}
 	// The attempt never arrived. Should it still come over the old connection,
 	// it is refused, so that saying "not run" now stays true.
-	a.voided[key] = now.Add(e.resume.StartBy)
-	unsent := newAnswer(key, e.conn)
-	unsent.refuse(now, outcome.TargetLost, a.dispatcher.Report())
+	a.history.add(now, key, false, e.resume.StartBy)
+	unheld.refuse(now, outcome.TargetLost, a.dispatcher.Report())
 }
 
 // cancelled: an entryd's caller went away.
@@ -95,13 +101,14 @@
 
 // acked: an entryd has consumed parts of an answer.
 type acked struct {
-	key  dispatch.RequestKey
-	next uint64
+	key   dispatch.RequestKey
+	next  uint64
+	ended bool
 }
 
 func (e acked) apply(_ context.Context, a *Agent, _ time.Time) {
 	if at := a.attempts[e.key]; at != nil {
-		at.answer.ack(e.next)
+		at.answer.ack(e.next, e.ended)
 	}
 }
 
@@ -141,14 +148,22 @@
 func (e unloaded) apply(_ context.Context, a *Agent, _ time.Time) { a.dispatcher.Unloaded(e.id) }
 
 // engineReported: the engine said what it holds.
-type engineReported struct{ state engine.State }
+type engineReported struct {
+	state engine.State
+	asOf  uint64 // generation of the residency that the report can speak for
+}
 
-func (e engineReported) apply(_ context.Context, a *Agent, _ time.Time) {
+func (e engineReported) apply(ctx context.Context, a *Agent, now time.Time) {
+	if e.state.Fence > a.opts.Self.Epoch {
+		replaced{by: e.state.Fence}.apply(ctx, a, now)
+	}
 	if a.boot != 0 && e.state.Boot != a.boot {
 		a.opts.Log.At(event.EngineRestarted).Uint64("boot", e.state.Boot).Send()
 		a.dispatcher.EngineRestarted()
 	}
 	a.boot = e.state.Boot
+	a.engineUp = true
+	a.reconcile(ctx, e.state, e.asOf)
 }
 
 // configured: another configuration is in force.
--- a/internal/agent/runner.go
+++ b/internal/agent/runner.go
@@ -7,7 +7,6 @@
 
 	"github.com/borageusher/borageusher/internal/engine"
 	"github.com/borageusher/borageusher/internal/event"
-	"github.com/borageusher/borageusher/pkg/dispatch"
 	"github.com/borageusher/borageusher/pkg/outcome"
 )
 
@@ -20,16 +19,16 @@
 	at.cancel = cancel
 	a.opts.Log.At(event.RequestStarted).Str("request", at.submit.Request).Uint32("attempt", at.submit.Attempt).
 		Stringer("adapter", at.submit.Adapter).Send()
-	load := a.dispatcher.Report()
 	go func() {
 		defer cancel()
-		a.run(ctx, at, load)
-		a.post(finished{key: at.request.Key})
+		a.post(a.run(ctx, at))
 	}()
 }
 
-// run sends the request to the engine and passes its answer on.
-func (a *Agent) run(ctx context.Context, at *attempt, load dispatch.Report) {
+// run sends the request to the engine and passes its answer on. It returns
+// the event that says how it went. When the engine did not run the request,
+// nothing has been said to the sender.
+func (a *Agent) run(ctx context.Context, at *attempt) agentEvent {
 	result, err := a.opts.Engine.Run(ctx, engine.Request{
 		ID:          at.submit.Request,
 		Method:      at.submit.Method,
@@ -40,20 +39,26 @@
 	})
 	switch {
 	case engine.IsKind(err, engine.NotStarted):
-		at.answer.refuse(time.Now(), outcome.EngineFailed, load)
+		return notRun{key: at.request.Key, down: true}
 	case engine.IsKind(err, engine.NotResident):
-		at.answer.refuse(time.Now(), outcome.LoadFailed, load)
+		return notRun{key: at.request.Key}
+	case ctx.Err() != nil:
+		a.cancelRun(at)
+		at.answer.end(time.Now(), outcome.Unknown, outcome.Cancelled)
 	case err != nil:
 		at.answer.end(time.Now(), outcome.Unknown, outcome.EngineFailed)
 	default:
 		a.relay(ctx, at, result)
 	}
+	return finished{key: at.request.Key}
 }
 
 // relay passes an engine's answer on, part by part.
 func (a *Agent) relay(ctx context.Context, at *attempt, result *engine.Answer) {
 	defer func() { _ = result.Body.Close() }() // was read or is given up
 	at.answer.start(time.Now(), result.Status, result.ContentType)
+	streams := !at.submit.Adapter.IsZero() && isEventStream(result.ContentType)
+	var tail streamTail
 	buf := make([]byte, partBytes)
 	for {
 		n, err := result.Body.Read(buf)
@@ -62,6 +67,11 @@
 			at.answer.end(time.Now(), outcome.Unknown, outcome.Cancelled)
 			return
 		}
+		tail.write(buf[:n])
+		if err == io.EOF && streams && !tail.whole() {
+			at.answer.end(time.Now(), outcome.Unknown, outcome.EngineFailed)
+			return
+		}
 		if err == io.EOF {
 			at.answer.end(time.Now(), outcome.Answered, outcome.NoReason)
 			return
--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -45,6 +45,6 @@
 	case peer.Cancel:
 		s.Agent.post(cancelled{key: dispatch.RequestKey{Request: m.Request, Attempt: m.Attempt}})
 	case peer.Ack:
-		s.Agent.post(acked{key: dispatch.RequestKey{Request: m.Request, Attempt: m.Attempt}, next: m.Next})
+		s.Agent.post(acked{key: dispatch.RequestKey{Request: m.Request, Attempt: m.Attempt}, next: m.Next, ended: m.Ended})
 	}
 }
--- /dev/null
+++ b/internal/agent/stream_test.go
@@ -0,0 +1,45 @@
+package agent
+
+import (
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+)
+
+func TestStreamTail(t *testing.T) {
+	convey.Convey("A stream is whole when its last line is its end", t, func() {
+		for text, whole := range map[string]bool{
+			"":                                      false,
+			"data: [DONE]":                          true,
+			"data: [DONE]\n\n":                      true,
+			"data: {}\r\n\r\ndata: [DONE]\r\n\r\n":  true,
+			"data: {\"text\":\"data: [DONE]\"}\n\n": false,
+			"data: [DONE]\n\ndata: {}\n\n":          false,
+			"xdata: [DONE]\n":                       false,
+		} {
+			for _, step := range []int{1, 5, 100} {
+				var tail streamTail
+				for i := 0; i < len(text); i += step {
+					tail.write([]byte(text[i:min(i+step, len(text))]))
+				}
+				convey.So(tail.whole(), convey.ShouldEqual, whole)
+			}
+		}
+		convey.So(isEventStream("text/event-stream; charset=utf-8"), convey.ShouldBeTrue)
+		convey.So(isEventStream("application/json"), convey.ShouldBeFalse)
+	})
+}
+
+func FuzzStreamTail(f *testing.F) {
+	f.Add([]byte("data: {}\n\n"), []byte("data: [DONE]\n\n"))
+	f.Add([]byte{}, []byte("\r\n"))
+	f.Fuzz(func(t *testing.T, a, b []byte) {
+		var split, joined streamTail
+		split.write(a)
+		split.write(b)
+		joined.write(append(append([]byte(nil), a...), b...))
+		if split.whole() != joined.whole() {
+			t.Fatalf("%q and %q are judged otherwise apart than together", a, b)
+		}
+	})
+}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -32,6 +32,7 @@
 // State is what an engine reports of itself. It lags.
 type State struct {
 	Boot    uint64 // differs after a restart
+	Fence   uint64 // highest fencing number seen, zero if not told
 	Running int
 	Loaded  []string // names of the adapters it holds
 }
@@ -84,13 +85,19 @@
 	case http.StatusOK:
 		return nil
 	case http.StatusPreconditionFailed:
-		return &Error{Op: order, Kind: Fenced}
+		return &Error{Op: order, Kind: Fenced, Status: resp.StatusCode}
+	case http.StatusServiceUnavailable:
+		return &Error{Op: order, Kind: Unavailable, Status: resp.StatusCode}
 	}
 	return &Error{Op: order, Kind: Refused, Status: resp.StatusCode}
 }
 
+// maxStateBytes bounds an engine's report.
+const maxStateBytes = 1 << 20
+
 type stateWire struct {
 	Boot    uint64   `json:"boot"`
+	Fence   uint64   `json:"fence"`
 	Running int      `json:"running"`
 	Loaded  []string `json:"loaded"`
 }
@@ -109,8 +116,16 @@
 	if resp.StatusCode != http.StatusOK {
 		return State{}, &Error{Op: "state", Kind: Refused, Status: resp.StatusCode}
 	}
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxStateBytes))
+	if err != nil {
+		return State{}, &Error{Op: "state", Kind: Broken, Err: err}
+	}
+	return decodeState(b)
+}
+
+func decodeState(b []byte) (State, error) {
 	var w stateWire
-	if err := json.NewDecoder(resp.Body).Decode(&w); err != nil {
+	if err := json.Unmarshal(b, &w); err != nil {
 		return State{}, &Error{Op: "state", Kind: Broken, Err: err}
 	}
 	return State(w), nil
--- /dev/null
+++ b/internal/engine/client_test.go
@@ -0,0 +1,136 @@
+package engine
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/borageusher/borageusher/pkg/adapter"
+)
+
+var testID = adapter.ID{Team: "t", Ref: adapter.Ref{Name: "a", Version: 2}}
+
+func serve(t *testing.T, h http.HandlerFunc) *Client {
+	t.Helper()
+	srv := httptest.NewServer(h)
+	t.Cleanup(srv.Close)
+	return New(netip.MustParseAddrPort(srv.Listener.Addr().String()), 7)
+}
+
+func status(code int) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(code) }
+}
+
+func TestOrders(t *testing.T) {
+	convey.Convey("Orders carry the epoch as fencing number, and their refusals are told apart", t, func() {
+		var body []byte
+		c := serve(t, func(_ http.ResponseWriter, r *http.Request) { body, _ = io.ReadAll(r.Body) })
+		convey.So(c.Load(context.Background(), testID), convey.ShouldBeNil)
+		convey.So(string(body), convey.ShouldEqual, `{"order":"load","adapter":"t/a@2","fence":7}`)
+		convey.So(c.Unload(context.Background(), testID), convey.ShouldBeNil)
+		convey.So(string(body), convey.ShouldEqual, `{"order":"unload","adapter":"t/a@2","fence":7}`)
+		for code, kind := range map[int]Kind{412: Fenced, 503: Unavailable, 507: Refused} {
+			convey.So(IsKind(serve(t, status(code)).Load(context.Background(), testID), kind), convey.ShouldBeTrue)
+		}
+	})
+}
+
+func TestState(t *testing.T) {
+	convey.Convey("A report is read, and anything else is an error", t, func() {
+		answer := `{"boot":2,"fence":9,"running":1,"loaded":["t/a@2"]}`
+		c := serve(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, answer) })
+		s, err := c.State(context.Background())
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(s, convey.ShouldResemble, State{Boot: 2, Fence: 9, Running: 1, Loaded: []string{"t/a@2"}})
+		answer = "{"
+		_, err = c.State(context.Background())
+		convey.So(IsKind(err, Broken), convey.ShouldBeTrue)
+	})
+}
+
+func TestRun(t *testing.T) {
+	request := Request{ID: "r", Method: "POST", Path: "/v1/completions", Body: []byte("{}"), Adapter: true}
+	kindOf := func(c *Client, r Request) Kind {
+		_, err := c.Run(context.Background(), r)
+		for k := range kindNames {
+			if IsKind(err, k) {
+				return k
+			}
+		}
+		return 0
+	}
+	convey.Convey("Only what surely did not run is said not to have", t, func() {
+		convey.So(kindOf(serve(t, status(409)), request), convey.ShouldEqual, NotResident)
+		convey.So(kindOf(serve(t, status(503)), request), convey.ShouldEqual, NotStarted)
+		convey.So(kindOf(serve(t, status(500)), request), convey.ShouldEqual, 0)
+		plain := request
+		plain.Adapter = false
+		convey.So(kindOf(serve(t, status(503)), plain), convey.ShouldEqual, 0)
+		hangUp := func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, _ := w.(http.Hijacker).Hijack()
+			_ = conn.Close()
+		}
+		convey.So(kindOf(serve(t, hangUp), request), convey.ShouldEqual, Broken)
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		convey.So(err, convey.ShouldBeNil)
+		addr := netip.MustParseAddrPort(ln.Addr().String())
+		_ = ln.Close()
+		convey.So(kindOf(New(addr, 1), request), convey.ShouldEqual, NotStarted)
+	})
+	convey.Convey("A request is never sent twice, not even over a stale connection", t, func() {
+		var runs atomic.Int32
+		c := serve(t, func(w http.ResponseWriter, r *http.Request) {
+			if runs.Add(1) == 1 {
+				return
+			}
+			_, _ = io.ReadAll(r.Body)
+			conn, _, _ := w.(http.Hijacker).Hijack()
+			_ = conn.Close()
+		})
+		a, err := c.Run(context.Background(), request)
+		convey.So(err, convey.ShouldBeNil)
+		_, _ = io.Copy(io.Discard, a.Body)
+		_ = a.Body.Close()
+		convey.So(kindOf(c, request), convey.ShouldEqual, Broken)
+		convey.So(runs.Load(), convey.ShouldEqual, 2)
+	})
+	convey.Convey("A body that breaks off is an error, and a call ends with its context", t, func() {
+		c := serve(t, func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Length", "10")
+			_, _ = io.WriteString(w, "half")
+		})
+		a, err := c.Run(context.Background(), request)
+		convey.So(err, convey.ShouldBeNil)
+		_, err = io.ReadAll(a.Body)
+		convey.So(err, convey.ShouldEqual, io.ErrUnexpectedEOF)
+
+		gone := make(chan struct{})
+		c = serve(t, func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = io.ReadAll(r.Body)
+			<-r.Context().Done()
+			close(gone)
+		})
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		_, err = c.Run(ctx, request)
+		convey.So(IsKind(err, Broken), convey.ShouldBeTrue)
+		<-gone
+	})
+}
+
+func FuzzState(f *testing.F) {
+	for _, s := range []string{`{"boot":1}`, `{"loaded":[""]}`, `{"boot":-1}`, "", "null"} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		_, _ = decodeState(b) // must not panic
+	})
+}
--- a/internal/engine/error.go
+++ b/internal/engine/error.go
@@ -16,6 +16,7 @@
 	Broken                      // the call broke off; it may have had its effect
 	Refused                     // the engine refused an order
 	Fenced                      // the engine has seen a higher fencing number
+	Unavailable                 // the engine takes no orders now, as while it starts
 )
 
 var kindNames = map[Kind]string{
@@ -24,6 +25,7 @@
 	Broken:      "broken off",
 	Refused:     "refused",
 	Fenced:      "fencing number is old",
+	Unavailable: "unavailable",
 }
 
 // Error is the error type of this package.
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -42,7 +42,7 @@
 	if c.IdempotencyKey != "" {
 		return false
 	}
-	if c.Service == "" {
+	if !c.Adapter.IsZero() {
 		return true
 	}
 	switch c.Method {
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -38,17 +38,18 @@
 	pendings    map[attemptKey]*pending
 	heartbeat   peer.Heartbeat
 	downUntil   time.Time
-	incarnation string // of the targetd that the pendings were sent to
+	incarnation string     // of the targetd that the pendings were sent to
+	lastLost    *peer.Conn // the connection that ended last
 }
 
 // submit sends an attempt and returns the place where its answer arrives. The
 // error is of kind NotSent: the attempt did not run.
 func (l *link) submit(ctx context.Context, s peer.Submit) (*pending, error) {
-	conn, err := l.connect(ctx)
+	conn, err := l.connect(ctx, false)
 	if err != nil {
 		return nil, &Error{Op: "submit", Kind: NotSent, Err: err}
 	}
-	p := newPending(s)
+	p := newPending(s, time.Now())
 	l.mu.Lock()
 	l.pendings[p.key()] = p
 	l.mu.Unlock()
@@ -91,16 +92,22 @@
 	return !now.Before(l.downUntil) && !l.heartbeat.Draining
 }
 
-// connect returns the open connection, dialling if there is none.
-func (l *link) connect(ctx context.Context) (*peer.Conn, error) {
+// connect returns the open connection, dialling if there is none. A target
+// that could not be reached just now is dialled only if insist is set, so that
+// many attempts don't wait one after the other for the same silence.
+func (l *link) connect(ctx context.Context, insist bool) (*peer.Conn, error) {
 	l.dialMu.Lock()
 	defer l.dialMu.Unlock()
 	l.mu.Lock()
 	conn := l.conn
+	down := time.Now().Before(l.downUntil)
 	l.mu.Unlock()
 	if conn != nil {
 		return conn, nil
 	}
+	if down && !insist {
+		return nil, &Error{Op: "connect", Kind: NotSent}
+	}
 	conn, err := l.dialer.Dial(ctx, l.target.Addr)
 	if err != nil {
 		l.log.At(event.PeerLost).Str("peer", l.target.Name).Err(err).Send()
@@ -119,6 +126,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conn = conn
+	l.downUntil = time.Time{}
 	l.heartbeat = peer.Heartbeat{}
 	incarnation := conn.Remote().Incarnation
 	for key, p := range l.pendings {
@@ -129,7 +137,7 @@
 		}
 		next := p.nextPart()
 		l.log.At(event.AnswerResumed).Str("request", key.request).Uint64("next", next).Send()
-		_, _ = conn.Send(peer.Resume{Request: key.request, Attempt: key.attempt, Next: next, StartBy: p.submit.StartBy})
+		_, _ = conn.Send(p.resume(time.Now(), next))
 	}
 	l.incarnation = incarnation
 	l.log.At(event.PeerConnected).Str("peer", conn.Remote().Name).Send()
@@ -140,25 +148,27 @@
 // resume them over another connection.
 func (l *link) read(conn *peer.Conn) {
 	beat := func() peer.Heartbeat { return peer.Heartbeat{Revision: l.revision()} }
-	err := conn.Run(context.Background(), beat, l.handle)
+	err := conn.Run(context.Background(), beat, func(m peer.Message) { l.handle(conn, m) })
 	l.log.At(event.PeerLost).Str("peer", l.target.Name).Err(err).Send()
 	l.mu.Lock()
 	if l.conn == conn {
 		l.conn = nil
 	}
+	l.lastLost = conn
 	waiting := len(l.pendings)
 	l.mu.Unlock()
 	if waiting > 0 {
-		l.recover()
+		l.recover(conn)
 	}
 }
 
-// recover dials until a connection stands or the answers have waited too long.
-func (l *link) recover() {
+// recover dials, after lost has ended, until a connection stands or the answers
+// have waited too long.
+func (l *link) recover(lost *peer.Conn) {
 	ctx, cancel := context.WithTimeout(context.Background(), resumeTimeout)
 	defer cancel()
 	for n := 0; ctx.Err() == nil; n++ {
-		if _, err := l.connect(ctx); err == nil {
+		if _, err := l.connect(ctx, true); err == nil {
 			return
 		}
 		select {
@@ -166,8 +176,17 @@
 		case <-ctx.Done():
 		}
 	}
+	l.giveUp(lost)
+}
+
+// giveUp loses the attempts that wait, unless another connection stands or has
+// stood since lost: then they were resumed, and their time counts anew.
+func (l *link) giveUp(lost *peer.Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.conn != nil || l.lastLost != lost {
+		return
+	}
 	for key, p := range l.pendings {
 		p.lose()
 		delete(l.pendings, key)
@@ -175,8 +194,8 @@
 }
 
 // handle passes one message to the attempt that it is for. Messages of
-// attempts that nobody waits for are dropped.
-func (l *link) handle(m peer.Message) {
+// attempts that nobody waits for are dropped, and the targetd is told to stop.
+func (l *link) handle(conn *peer.Conn, m peer.Message) {
 	var key attemptKey
 	switch m := m.(type) {
 	case peer.Heartbeat:
@@ -198,7 +217,9 @@
 	l.mu.Lock()
 	p := l.pendings[key]
 	l.mu.Unlock()
-	if p != nil {
-		p.deliver(m)
+	if p == nil {
+		_, _ = conn.Send(peer.Cancel{Request: key.request, Attempt: key.attempt}) // a lost connection is seen by its reader
+		return
 	}
+	p.deliver(m)
 }
--- a/internal/entry/main.go
+++ b/internal/entry/main.go
@@ -86,6 +86,7 @@
 		Metrics:      metricsHandler,
 
 		SenseDisconnect: true,
+		WriteWithin:     s.WriteWithin,
 	})
 	if err != nil {
 		return err
--- a/internal/entry/pending.go
+++ b/internal/entry/pending.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/borageusher/borageusher/internal/peer"
 )
@@ -23,6 +24,7 @@
 // to it; the route filter reads from messages.
 type pending struct {
 	submit   peer.Submit
+	sent     time.Time
 	messages chan peer.Message // closed when the attempt is lost
 
 	mu       sync.Mutex
@@ -31,8 +33,8 @@
 	lost     bool
 }
 
-func newPending(s peer.Submit) *pending {
-	return &pending{submit: s, messages: make(chan peer.Message, pendingBuffer)}
+func newPending(s peer.Submit, now time.Time) *pending {
+	return &pending{submit: s, sent: now, messages: make(chan peer.Message, pendingBuffer)}
 }
 
 func (p *pending) key() attemptKey {
@@ -68,6 +70,11 @@
 			return false
 		}
 		p.next++
+	case peer.Refusal:
+		if p.headSeen { // an answer that has begun was run
+			p.loseLocked()
+			return false
+		}
 	case peer.End:
 		if m.Count != p.next {
 			p.loseLocked()
@@ -84,6 +91,17 @@
 	return p.next
 }
 
+// resume returns the message that asks for the answer to go on from part next.
+func (p *pending) resume(now time.Time, next uint64) peer.Resume {
+	return peer.Resume{
+		Request: p.submit.Request,
+		Attempt: p.submit.Attempt,
+		Next:    next,
+		StartBy: p.submit.StartBy,
+		Age:     now.Sub(p.sent),
+	}
+}
+
 // lose says that the answer will not go on.
 func (p *pending) lose() {
 	p.mu.Lock()
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -177,6 +177,7 @@
 		select {
 		case m, ok := <-p.messages:
 			if !ok {
+				l.send(peer.Cancel{Request: p.submit.Request, Attempt: p.submit.Attempt})
 				return Result{Outcome: outcome.Unknown, Reason: outcome.TargetLost, Detail: "the target stopped answering"}
 			}
 			if result, ended := relayMessage(c, l, m); ended {
@@ -194,7 +195,7 @@
 func relayMessage(c *Call, l *link, m peer.Message) (Result, bool) {
 	switch m := m.(type) {
 	case peer.Refusal:
-		l.send(peer.Ack{Request: m.Request, Attempt: m.Attempt})
+		l.send(peer.Ack{Request: m.Request, Attempt: m.Attempt, Ended: true})
 		return rejected(m.Reason, "the target refused the request before running it"), true
 	case peer.Head:
 		c.Response.Start(m.Status, m.ContentType)
@@ -207,7 +208,7 @@
 			l.send(peer.Ack{Request: m.Request, Attempt: m.Attempt, Next: m.Seq + 1})
 		}
 	case peer.End:
-		l.send(peer.Ack{Request: m.Request, Attempt: m.Attempt, Next: m.Count})
+		l.send(peer.Ack{Request: m.Request, Attempt: m.Attempt, Next: m.Count, Ended: true})
 		return Result{Outcome: m.Outcome, Reason: m.Reason}, true
 	}
 	return Result{}, false
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -36,6 +36,9 @@
 	EngineUnreachable Code = 421
 	TargetRegistered  Code = 430
 	TargetReplaced    Code = 431
+	RequestRequeued   Code = 460
+	AdapterAdopted    Code = 461
+	AdapterMissing    Code = 462
 	RevisionInForce   Code = 500
 	RevisionRejected  Code = 501
 	StoreUnavailable  Code = 510
@@ -77,6 +80,9 @@
 	{EngineUnreachable, "engine_unreachable", zerolog.WarnLevel, "The engine does not answer."},
 	{TargetRegistered, "target_registered", zerolog.InfoLevel, "The target is registered with `epoch` as its fencing number."},
 	{TargetReplaced, "target_replaced", zerolog.ErrorLevel, "Another process registered this target; this one takes no more work."},
+	{RequestRequeued, "request_requeued", zerolog.InfoLevel, "The engine did not run a started attempt, because it lacked the adapter or restarted; the attempt waits again."},
+	{AdapterAdopted, "adapter_adopted", zerolog.InfoLevel, "The engine holds an adapter that the target did not know of; it counts as resident."},
+	{AdapterMissing, "adapter_missing", zerolog.WarnLevel, "The engine does not hold an adapter that the target counted as resident; it counts as absent."},
 	{RevisionInForce, "revision_in_force", zerolog.InfoLevel, "A newer configuration is in force in this process."},
 	{RevisionRejected, "revision_rejected", zerolog.ErrorLevel, "A configuration could not be read and the older one stays."},
 	{StoreUnavailable, "store_unavailable", zerolog.WarnLevel, "The object API did not answer; the process goes on with what it knows."},
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -43,6 +43,8 @@
 	// must be off where handlers take connections over, because hertz then
 	// reads from them itself.
 	SenseDisconnect bool
+	// WriteWithin bounds each write to a connection. Zero means no bound.
+	WriteWithin time.Duration
 }
 
 // Server is a daemon's server. Routes are added to Hertz before Run.
@@ -56,6 +58,9 @@
 	if err != nil {
 		return nil, &Error{Op: "listen", Kind: Unavailable, Err: err}
 	}
+	if opts.WriteWithin > 0 {
+		ln = slowListener{Listener: ln, within: opts.WriteWithin}
+	}
 	hlog.SetLevel(hlog.LevelFatal)
 	options := []config.Option{
 		server.WithTransport(standard.NewTransporter),
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -115,11 +115,11 @@
 	case End:
 		return &endWire{Request: m.Request, Attempt: m.Attempt, Count: m.Count, Outcome: uint8(m.Outcome), Reason: uint8(m.Reason)}
 	case Ack:
-		return &ackWire{Request: m.Request, Attempt: m.Attempt, Next: m.Next}
+		return &ackWire{Request: m.Request, Attempt: m.Attempt, Next: m.Next, Ended: m.Ended}
 	case Cancel:
 		return &cancelWire{Request: m.Request, Attempt: m.Attempt}
 	case Resume:
-		return &resumeWire{Request: m.Request, Attempt: m.Attempt, Next: m.Next, StartByMS: m.StartBy.Milliseconds()}
+		return resumeToWire(m)
 	}
 	panic("peer: unknown message type")
 }
@@ -308,9 +308,12 @@
 	Request string
 	Attempt uint32
 	Next    uint64
+	Ended   bool
 }
 
-func (w *ackWire) message() Message { return Ack{Request: w.Request, Attempt: w.Attempt, Next: w.Next} }
+func (w *ackWire) message() Message {
+	return Ack{Request: w.Request, Attempt: w.Attempt, Next: w.Next, Ended: w.Ended}
+}
 
 type cancelWire struct {
 	_       struct{} `cbor:",toarray"`
@@ -326,8 +329,25 @@
 	Attempt   uint32
 	Next      uint64
 	StartByMS int64
+	AgeMS     int64
+}
+
+func resumeToWire(m Resume) *resumeWire {
+	return &resumeWire{
+		Request:   m.Request,
+		Attempt:   m.Attempt,
+		Next:      m.Next,
+		StartByMS: m.StartBy.Milliseconds(),
+		AgeMS:     m.Age.Milliseconds(),
+	}
 }
 
 func (w *resumeWire) message() Message {
-	return Resume{Request: w.Request, Attempt: w.Attempt, Next: w.Next, StartBy: time.Duration(w.StartByMS) * time.Millisecond}
+	return Resume{
+		Request: w.Request,
+		Attempt: w.Attempt,
+		Next:    w.Next,
+		StartBy: time.Duration(w.StartByMS) * time.Millisecond,
+		Age:     time.Duration(w.AgeMS) * time.Millisecond,
+	}
 }
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -103,6 +103,7 @@
 	Request string
 	Attempt uint32
 	Next    uint64
+	Ended   bool // the end or the refusal has arrived too
 }
 
 // Cancel asks a targetd to stop a request.
@@ -118,4 +119,5 @@
 	Attempt uint32
 	Next    uint64
 	StartBy time.Duration // time left to start in, as in Submit
+	Age     time.Duration // since the attempt was sent
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -29,9 +29,9 @@
 		Head{Request: "r1", Attempt: 2, Status: 200, ContentType: "text/plain"},
 		Part{Request: "r1", Attempt: 2, Seq: 7, Data: []byte("x")},
 		End{Request: "r1", Attempt: 2, Count: 8, Outcome: outcome.Answered},
-		Ack{Request: "r1", Attempt: 2, Next: 5},
+		Ack{Request: "r1", Attempt: 2, Next: 5, Ended: true},
 		Cancel{Request: "r1", Attempt: 2},
-		Resume{Request: "r1", Attempt: 2, Next: 5, StartBy: time.Second},
+		Resume{Request: "r1", Attempt: 2, Next: 5, StartBy: time.Second, Age: time.Minute},
 	}
 }
 
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -21,6 +21,8 @@
 	Adapter  adapter.ID // zero for plain services
 	Priority int8       // higher ones start first
 	StartBy  time.Time  // when the attempt must have started
+
+	pinned bool // it holds a pin of its adapter
 }
 
 // Limits are the bounds of one target.
@@ -142,6 +144,7 @@
 	switch step := d.table.Want(now, r.Adapter); step.Kind {
 	case residency.Ready:
 		d.table.Pin(now, r.Adapter)
+		r.pinned = true
 		return d.start(r), false
 	case residency.Load:
 		return &Action{Kind: Load, Adapter: r.Adapter}, true
@@ -168,7 +171,8 @@
 	if d.byTeam[r.Team] == 0 {
 		delete(d.byTeam, r.Team)
 	}
-	if !r.Adapter.IsZero() {
+	if r.pinned {
+		r.pinned = false
 		d.table.Unpin(now, r.Adapter)
 	}
 }
@@ -201,7 +205,10 @@
 
 // EngineRestarted records that the engine lost its adapters and requests. The
 // caller reports each running request with Finished as its connection breaks.
-func (d *Dispatcher) EngineRestarted() { d.table.Restarted() }
+func (d *Dispatcher) EngineRestarted() {
+	d.unpinAll(func(*Request) bool { return true })
+	d.table.Restarted()
+}
 
 // Drain stops taking requests and refuses the ones that wait, so that their
 // senders move them elsewhere.
--- /dev/null
+++ b/pkg/dispatch/requeue_test.go
@@ -0,0 +1,72 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/borageusher/borageusher/pkg/adapter"
+	"github.com/borageusher/borageusher/pkg/outcome"
+)
+
+// running returns a dispatcher on which r1 runs with adapter a.
+func running() *Dispatcher {
+	d := newDispatcher()
+	d.Submit(start, request("r1", "own", "a"))
+	d.Next(start)
+	d.Loaded(request("", "own", "a").Adapter, true)
+	d.Next(start)
+	return d
+}
+
+func TestRequeue(t *testing.T) {
+	a := request("", "own", "a").Adapter
+	convey.Convey("A request whose adapter was missing loads it anew and runs first", t, func() {
+		d := running()
+		d.Submit(start, request("r2", "own", "b"))
+		convey.So(d.Requeue(start, RequestKey{"r1", 1}, true), convey.ShouldEqual, outcome.NoReason)
+		convey.So(d.Report(), convey.ShouldResemble, Report{Queued: 2})
+		actions := d.Next(start)
+		convey.So(kinds(actions), convey.ShouldResemble, []ActionKind{Load})
+		convey.So(actions[0].Adapter, convey.ShouldResemble, a)
+		d.Loaded(a, true)
+		convey.So(d.Next(start)[0].Request.Key.Request, convey.ShouldEqual, "r1")
+	})
+	convey.Convey("It keeps its start-by time", t, func() {
+		d := running()
+		d.Requeue(start, RequestKey{"r1", 1}, true)
+		actions := d.Expire(start.Add(time.Second))
+		convey.So(kinds(actions), convey.ShouldResemble, []ActionKind{Refuse})
+		convey.So(actions[0].Reason, convey.ShouldEqual, outcome.Expired)
+	})
+	convey.Convey("A draining target refuses it", t, func() {
+		d := running()
+		d.Drain()
+		convey.So(d.Requeue(start, RequestKey{"r1", 1}, true), convey.ShouldEqual, outcome.Draining)
+		convey.So(d.Report(), convey.ShouldResemble, Report{Draining: true})
+	})
+	convey.Convey("A request that runs from before a restart holds no pin of the adapter loaded since", t, func() {
+		d := New(Limits{Owner: "own", Slots: 3, Adapters: 1, Queue: 3}, slots{"own": 3})
+		d.Submit(start, request("old", "own", "a"))
+		d.Next(start)
+		d.Loaded(a, true)
+		d.Next(start)
+		d.EngineRestarted()
+		d.Submit(start, request("new", "own", "a"))
+		d.Next(start)
+		d.Loaded(a, true)
+		convey.So(kinds(d.Next(start)), convey.ShouldResemble, []ActionKind{Start})
+		d.Finished(start, RequestKey{"old", 1}) // noticed late
+		d.Submit(start, request("other", "own", "b"))
+		convey.So(d.Next(start), convey.ShouldBeEmpty) // "new" still pins a
+		d.Finished(start, RequestKey{"new", 1})
+		convey.So(kinds(d.Next(start)), convey.ShouldResemble, []ActionKind{Unload})
+	})
+	convey.Convey("The engine's list makes adapters resident without a load", t, func() {
+		d := newDispatcher()
+		d.Reconcile([]adapter.ID{a}, d.Generation())
+		d.Submit(start, request("r1", "own", "a"))
+		convey.So(kinds(d.Next(start)), convey.ShouldResemble, []ActionKind{Start})
+	})
+}
--- a/pkg/residency/table.go
+++ b/pkg/residency/table.go
@@ -31,14 +31,17 @@
 	state    State
 	pins     int
 	lastUsed time.Time
+	changed  uint64 // generation of the last change of state
 }
 
 // Table keeps what one engine holds. It is not safe for concurrent use.
 type Table struct {
-	room    int
-	entries map[adapter.ID]*entry
-	cursor  entryCursor
-	machine *stateless.StateMachine
+	room       int
+	entries    map[adapter.ID]*entry
+	left       map[adapter.ID]uint64 // generation at which an entry was dropped
+	generation uint64                // changes of state so far
+	cursor     entryCursor
+	machine    *stateless.StateMachine
 }
 
 // New returns the table of an empty engine with room for so many adapters. It
@@ -47,7 +50,7 @@
 	if room <= 0 {
 		panic("residency: room is not positive")
 	}
-	t := &Table{room: room, entries: make(map[adapter.ID]*entry, room)}
+	t := &Table{room: room, entries: make(map[adapter.ID]*entry, room), left: map[adapter.ID]uint64{}}
 	t.machine = newMachine(&t.cursor)
 	return t
 }
@@ -178,4 +181,9 @@
 	if err := t.machine.Fire(tr); err != nil {
 		panic("residency: " + err.Error())
 	}
+	t.generation++
+	e.changed = t.generation
+	if e.state == Absent {
+		t.left[e.id] = t.generation
+	}
 }
