--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -11,6 +11,7 @@
 	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/internal/peer"
 	"github.com/borageusher/borageusher/pkg/adapter"
+	"github.com/borageusher/borageusher/pkg/claim"
 	"github.com/borageusher/borageusher/pkg/configuration"
 	"github.com/borageusher/borageusher/pkg/dispatch"
 	"github.com/borageusher/borageusher/pkg/outcome"
@@ -47,8 +48,10 @@
 	Self           target.Target
 	Limits         dispatch.Limits
 	Engine         Engine
+	Crashes        Crashes
 	PlainService   bool // the target is a plain service: no adapters, no state
 	Configurations Configurations
+	Claims         Claims
 	Log            event.Log
 	Scope          tally.Scope
 }
@@ -59,6 +62,8 @@
 	events chan agentEvent
 	done   chan struct{} // closed when the loop has ended
 
+	draining chan struct{} // closed when no more work is taken
+
 	// Owned by the loop.
 	dispatcher *dispatch.Dispatcher
 	attempts   map[dispatch.RequestKey]*attempt
@@ -66,7 +71,11 @@
 	boot       uint64 // of the engine, zero before its first report
 	engineUp   bool   // the engine's report has been read since it was last found down
 	downSince  time.Time
-	replaced   bool // another process has registered this target
+	replaced   bool              // another process has registered this target
+	broken     []*attempt        // broke off together, cause not known yet
+	sessions   map[sender]closer // open peer connections
+
+	pulse *pulse
 
 	report     atomic.Pointer[dispatch.Report]
 	generation atomic.Uint64 // of the dispatcher's residency
@@ -79,7 +88,16 @@
 	request  *dispatch.Request
 	answer   *answer
 	cancel   context.CancelFunc // set while running
-	requeues int                // times that the engine lacked the adapter
+	requeues int                // times that the engine did not run it
+	boot     uint64             // of the engine that runs it, zero if unknown
+
+	brokeOff chan struct{} // closed when it is known why the run broke off
+
+	// Of attempts with an idempotency key.
+	deferred bool           // the object API did not settle the claim; owned by the loop
+	mayHold  bool           // the record may be claimed for this attempt
+	held     *claim.Verdict // of the claim, while running
+	recorder recorder       // of the answer, for replay
 }
 
 // New returns an agent that does nothing until Run.
@@ -88,10 +106,13 @@
 		opts:       opts,
 		events:     make(chan agentEvent, eventBacklog),
 		done:       make(chan struct{}),
+		draining:   make(chan struct{}),
 		dispatcher: dispatch.New(opts.Limits, noTerms{}),
 		attempts:   map[dispatch.RequestKey]*attempt{},
 		history:    newHistory(),
 		stateAsked: make(chan struct{}, 1),
+		sessions:   map[sender]closer{},
+		pulse:      newPulse(time.Now()),
 	}
 	a.report.Store(&dispatch.Report{})
 	return a
@@ -106,6 +127,8 @@
 	}
 	sweep := time.NewTicker(sweepInterval)
 	defer sweep.Stop()
+	beat := time.NewTicker(beatInterval)
+	defer beat.Stop()
 	deadline := time.NewTimer(time.Hour)
 	defer deadline.Stop()
 	for {
@@ -113,10 +136,16 @@
 		case <-ctx.Done():
 			return
 		case e := <-a.events:
+			a.noticePause(time.Now())
 			e.apply(ctx, a, time.Now())
-		case now := <-sweep.C:
-			a.sweep(now)
+		case <-sweep.C:
+			a.noticePause(time.Now())
+			a.sweep(time.Now())
+		case <-beat.C:
+			a.noticePause(time.Now())
+			continue
 		case <-deadline.C:
+			a.noticePause(time.Now())
 		}
 		a.perform(ctx, a.next(time.Now()))
 		a.publish()
@@ -137,20 +166,6 @@
 	a.post(configured{cfg: cfg})
 }
 
-// Idle reports whether no request runs and all answers were delivered.
-func (a *Agent) Idle() bool {
-	reply := make(chan bool, 1)
-	if !a.post(idleAsked{reply: reply}) {
-		return true
-	}
-	select {
-	case idle := <-reply:
-		return idle
-	case <-a.done:
-		return true
-	}
-}
-
 // post hands an event to the loop and reports false when the loop has ended.
 func (a *Agent) post(e agentEvent) bool {
 	select {
@@ -190,6 +205,10 @@
 
 // refuse tells the sender of at that it did not run.
 func (a *Agent) refuse(at *attempt, reason outcome.Reason) {
+	if reason == outcome.Expired {
+		reason = at.expiry()
+	}
+	a.release(at)
 	a.opts.Log.At(event.RequestNotRun).Str("request", at.submit.Request).Uint32("attempt", at.submit.Attempt).
 		Stringer("reason", reason).Send()
 	a.opts.Scope.Tagged(map[string]string{"reason": reason.String()}).Counter("refused").Inc(1)
@@ -218,7 +237,7 @@
 		a.refuse(at, outcome.Cancelled)
 		return
 	}
-	if at.cancel != nil {
+	if at.cancel != nil && !at.keyed() { // the result of a keyed request is kept for its next sending
 		at.cancel()
 	}
 }
--- a/internal/agent/answer_test.go
+++ b/internal/agent/answer_test.go
@@ -29,6 +29,8 @@
 	return true, nil
 }
 
+func (c *fakeConn) Close() { c.closed = true }
+
 func part(seq uint64, text string) peer.Part {
 	return peer.Part{Request: "r", Attempt: 1, Seq: seq, Data: []byte(text)}
 }
--- a/internal/agent/event.go
+++ b/internal/agent/event.go
@@ -22,6 +22,7 @@
 type submitted struct {
 	conn   sender
 	submit peer.Submit
+	read   time.Time // when the message came
 }
 
 func (e submitted) apply(_ context.Context, a *Agent, now time.Time) {
@@ -31,13 +32,14 @@
 	}
 	at := &attempt{
 		submit: e.submit,
-		answer: newAnswer(key, e.conn),
+		answer: newAnswer(key, a.origin(now, e)),
 		request: &dispatch.Request{
 			Key:      key,
 			Team:     e.submit.Team,
 			Adapter:  e.submit.Adapter,
 			Priority: e.submit.Priority,
 			StartBy:  now.Add(e.submit.StartBy),
+			Suspect:  e.submit.Suspect,
 		},
 	}
 	a.attempts[key] = at
@@ -116,6 +118,7 @@
 type disconnected struct{ conn sender }
 
 func (e disconnected) apply(_ context.Context, a *Agent, now time.Time) {
+	delete(a.sessions, e.conn)
 	for _, at := range a.attempts {
 		at.answer.detach(now, e.conn)
 	}
@@ -172,18 +175,3 @@
 func (e configured) apply(_ context.Context, a *Agent, _ time.Time) {
 	a.dispatcher.SetTerms(newLendingTerms(e.cfg, a.opts.Self))
 }
-
-// drained: a planned stop began.
-type drained struct{}
-
-func (drained) apply(ctx context.Context, a *Agent, _ time.Time) {
-	a.perform(ctx, a.dispatcher.Drain())
-}
-
-// idleAsked: someone asks whether anything is left to do.
-type idleAsked struct{ reply chan<- bool }
-
-func (e idleAsked) apply(_ context.Context, a *Agent, now time.Time) {
-	a.sweep(now)
-	e.reply <- a.dispatcher.Report().Running == 0 && len(a.attempts) == 0
-}
--- a/internal/agent/history.go
+++ b/internal/agent/history.go
@@ -10,8 +10,8 @@
 // resume of an older attempt that the agent does not know proves nothing.
 const historyKeep = 2 * time.Minute
 
-// ended is what is remembered of an attempt that is no longer kept.
-type ended struct {
+// pastAttempt is what is remembered of an attempt that is no longer kept.
+type pastAttempt struct {
 	ran   bool // it was started, or may have been
 	until time.Time
 }
@@ -20,16 +20,16 @@
 // never told "not run" of an attempt that ran, and a late submit never starts
 // one that was declared not run.
 type history struct {
-	attempts map[dispatch.RequestKey]ended
+	attempts map[dispatch.RequestKey]pastAttempt
 }
 
 func newHistory() history {
-	return history{attempts: map[dispatch.RequestKey]ended{}}
+	return history{attempts: map[dispatch.RequestKey]pastAttempt{}}
 }
 
 // add remembers the attempt for at least keep.
 func (h history) add(now time.Time, key dispatch.RequestKey, ran bool, keep time.Duration) {
-	h.attempts[key] = ended{ran: ran, until: now.Add(max(keep, historyKeep))}
+	h.attempts[key] = pastAttempt{ran: ran, until: now.Add(max(keep, historyKeep))}
 }
 
 // has reports whether the attempt has ended.
--- a/internal/agent/main.go
+++ b/internal/agent/main.go
@@ -4,12 +4,12 @@
 	"context"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/common/adaptor"
 
+	"github.com/borageusher/borageusher/internal/claims"
 	"github.com/borageusher/borageusher/internal/daemon"
 	"github.com/borageusher/borageusher/internal/engine"
 	"github.com/borageusher/borageusher/internal/event"
@@ -20,6 +20,8 @@
 	"github.com/borageusher/borageusher/internal/registration"
 	"github.com/borageusher/borageusher/internal/revision"
 	"github.com/borageusher/borageusher/internal/settings"
+	"github.com/borageusher/borageusher/internal/suspects"
+	"github.com/borageusher/borageusher/pkg/claim"
 	"github.com/borageusher/borageusher/pkg/dispatch"
 	"github.com/borageusher/borageusher/pkg/target"
 )
@@ -35,9 +37,9 @@
 
 // Main runs the program targetd and returns its exit code.
 func Main(args []string, stderr io.Writer) int {
-	path, ok := daemon.Flags("targetd", purpose, args, stderr)
-	if !ok {
-		return daemon.ExitUsage
+	path, err := daemon.Flags("targetd", purpose, args, stderr)
+	if err != nil {
+		return daemon.ExitOfFlags(err)
 	}
 	s, err := settings.ReadTarget(path)
 	if err != nil {
@@ -59,8 +61,9 @@
 	log := event.New(stderr, "targetd", s.Name, s.LogLevel)
 	scope, metricsHandler, stopMetrics := metrics.New("targetd")
 	defer stopMetrics()
-	store := objects.New(s.Platform, &http.Client{Transport: &http.Transport{}})
-	configurations := revision.New(store, log)
+	store := daemon.NewStore(s.Common, scope)
+	registrations := store.For(objects.ForRegistration)
+	configurations := revision.New(store.For(objects.ForConfiguration), log)
 	srv, err := httpserver.New(httpserver.Options{
 		Address:      s.Listen,
 		CertFile:     s.CertFile,
@@ -73,21 +76,36 @@
 		return err
 	}
 	log.At(event.Started).Stringer("address", s.Listen).Send()
-	rec, ok := register(ctx, store, describe(s), signals, log)
+	rec, ok := register(ctx, registrations, describe(s), signals, log)
 	if !ok {
 		return nil
 	}
+	ledger := claims.New(claims.Options{
+		Store:     store.For(objects.ForClaims),
+		Self:      claim.Writer{Name: rec.Target.Name, Incarnation: rec.Target.Incarnation},
+		Retention: s.Retention,
+		Log:       log,
+		Scope:     scope,
+	})
+	go ledger.Run(ctx)
 	a := New(Options{
 		Self:           rec.Target,
 		Limits:         dispatch.Limits{Owner: s.Team, Slots: s.Slots, Adapters: s.Adapters, Queue: s.Queue},
 		Engine:         engine.New(s.Engine, rec.Target.Epoch),
 		PlainService:   s.Plain,
+		Crashes:        suspects.NewRecorder(store.For(objects.ForSuspects)),
 		Configurations: configurations,
+		Claims:         ledger,
 		Log:            log,
 		Scope:          scope,
 	})
 	configurations.OnChange(a.SetConfiguration)
+	node, known, err := newNode(s, rec.Target, store, configurations, log, scope)
+	if err != nil {
+		return err
+	}
 	sessions := &Sessions{
+		News:     node,
 		Agent:    a,
 		Self:     identity(rec.Target),
 		Key:      peer.Key(s.PeerKey),
@@ -97,6 +115,10 @@
 	srv.Hertz.GET(peer.Path, adaptor.HertzHandler(sessions))
 	go a.Run(ctx)
 	go configurations.Run(ctx)
+	go known.Run(ctx)
+	go node.Run(ctx)
+	reg := newRegistered(registrations, rec, log)
+	go reg.leaveWith(ctx, a)
 	served := make(chan error, 1)
 	go func() { served <- srv.Run() }()
 	select {
@@ -104,10 +126,7 @@
 		return err
 	case <-signals:
 	}
-	stop(ctx, s, a, store, rec, signals, log)
-	srv.Shutdown(closeTimeout)
-	log.At(event.Stopped).Send()
-	return nil
+	return stop(s, a, reg, srv, signals, log)
 }
 
 // describe returns the target that the settings describe, as a new process.
@@ -158,26 +177,3 @@
 	defer cancel()
 	return registration.Register(ctx, store, self)
 }
-
-// stop drains the target: it takes nothing new, queued requests move on, and
-// running ones end.
-func stop(ctx context.Context, s settings.Target, a *Agent, store registration.Store, rec registration.Record, signals <-chan os.Signal, log event.Log) {
-	log.At(event.Stopping).Int("requests", a.Report().Running).Send()
-	a.Drain()
-	rec = setState(ctx, store, rec, target.Leaving, log)
-	if !daemon.WaitIdle(ctx, a.Idle, signals, s.StopIn) {
-		log.At(event.StopTimedOut).Int("requests", a.Report().Running).Send()
-	}
-	setState(ctx, store, rec, target.Gone, log)
-}
-
-// setState writes the target's state, if the object API lets it.
-func setState(ctx context.Context, store registration.Store, rec registration.Record, state target.State, log event.Log) registration.Record {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	next, err := registration.SetState(ctx, store, rec, state)
-	if err != nil {
-		log.At(event.StoreUnavailable).Str("purpose", "registration").Err(err).Send()
-	}
-	return next
-}
--- a/internal/agent/runner.go
+++ b/internal/agent/runner.go
@@ -17,18 +17,38 @@
 func (a *Agent) start(ctx context.Context, at *attempt) {
 	ctx, cancel := context.WithCancel(ctx)
 	at.cancel = cancel
-	a.opts.Log.At(event.RequestStarted).Str("request", at.submit.Request).Uint32("attempt", at.submit.Attempt).
-		Stringer("adapter", at.submit.Adapter).Send()
+	at.boot = a.boot
+	load := a.dispatcher.Report()
 	go func() {
 		defer cancel()
-		a.post(a.run(ctx, at))
+		switch a.begin(ctx, at, load) {
+		case goOn:
+			a.post(a.runAndSettle(ctx, at))
+		case deferred:
+			a.post(finished{key: at.request.Key})
+			a.post(claimDeferred{key: at.request.Key})
+		default:
+			a.post(finished{key: at.request.Key})
+		}
 	}()
 }
 
+// runAndSettle runs an attempt and records what became of it, unless it did
+// not run and may yet.
+func (a *Agent) runAndSettle(ctx context.Context, at *attempt) agentEvent {
+	e := a.run(ctx, at)
+	if _, ran := e.(finished); ran {
+		a.settle(at)
+	}
+	return e
+}
+
 // run sends the request to the engine and passes its answer on. It returns
 // the event that says how it went. When the engine did not run the request,
 // nothing has been said to the sender.
 func (a *Agent) run(ctx context.Context, at *attempt) agentEvent {
+	a.opts.Log.At(event.RequestStarted).Str("request", at.submit.Request).Uint32("attempt", at.submit.Attempt).
+		Stringer("adapter", at.submit.Adapter).Send()
 	result, err := a.opts.Engine.Run(ctx, engine.Request{
 		ID:          at.submit.Request,
 		Method:      at.submit.Method,
@@ -46,8 +66,9 @@
 		a.cancelRun(at)
 		at.answer.end(time.Now(), outcome.Unknown, outcome.Cancelled)
 	case err != nil:
-		at.answer.end(time.Now(), outcome.Unknown, outcome.EngineFailed)
+		a.breakOff(at)
 	default:
+		at.record(result)
 		a.relay(ctx, at, result)
 	}
 	return finished{key: at.request.Key}
@@ -62,7 +83,7 @@
 	buf := make([]byte, partBytes)
 	for {
 		n, err := result.Body.Read(buf)
-		if n > 0 && !at.answer.add(time.Now(), buf[:n]) {
+		if n > 0 && !at.answer.add(time.Now(), buf[:n]) && !at.keyed() {
 			a.cancelRun(at)
 			at.answer.end(time.Now(), outcome.Unknown, outcome.Cancelled)
 			return
@@ -77,12 +98,12 @@
 			return
 		}
 		if err != nil {
-			reason := outcome.EngineFailed
-			if ctx.Err() != nil {
-				reason = outcome.Cancelled
-				a.cancelRun(at)
+			if ctx.Err() == nil {
+				a.breakOff(at)
+				return
 			}
-			at.answer.end(time.Now(), outcome.Unknown, reason)
+			a.cancelRun(at)
+			at.answer.end(time.Now(), outcome.Unknown, outcome.Cancelled)
 			return
 		}
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,14 +3,13 @@
 //
 // # Usage
 //
-//	path, ok := daemon.Flags("entryd", usage, args, stderr)
-//	if !ok {
-//		return daemon.ExitUsage
+//	path, err := daemon.Flags("entryd", usage, args, stderr)
+//	if err != nil {
+//		return daemon.ExitOfFlags(err)
 //	}
 package daemon
 
 import (
-	"context"
 	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
@@ -22,10 +21,11 @@
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
 
+	"github.com/borageusher/borageusher/internal/objects"
 	"github.com/borageusher/borageusher/internal/peer"
 	"github.com/borageusher/borageusher/internal/settings"
 )
@@ -40,9 +40,9 @@
 // incarnationBytes is the length of a process's random identity.
 const incarnationBytes = 6
 
-// Flags reads the command line of a daemon: the path of its settings file. It
-// reports false after having printed what is wrong.
-func Flags(program, purpose string, args []string, stderr io.Writer) (string, bool) {
+// Flags reads the command line of a daemon: the path of its settings file. The
+// error, flag.ErrHelp among others, has been printed.
+func Flags(program, purpose string, args []string, stderr io.Writer) (string, error) {
 	fs := flag.NewFlagSet(program, flag.ContinueOnError)
 	fs.SetOutput(stderr)
 	fs.Usage = func() {
@@ -51,13 +51,22 @@
 	}
 	path := fs.String("settings", "", "the INI `file` with the settings, see docs/SETTINGS.md")
 	if err := fs.Parse(args); err != nil {
-		return "", false
+		return "", err
 	}
 	if *path == "" || fs.NArg() > 0 {
 		fs.Usage()
-		return "", false
+		return "", errors.New("daemon: exactly the flag -settings is needed")
 	}
-	return *path, true
+	return *path, nil
+}
+
+// ExitOfFlags returns the exit code for an error of Flags, or of a flag set:
+// asking for help is no failure.
+func ExitOfFlags(err error) int {
+	if errors.Is(err, flag.ErrHelp) {
+		return ExitOK
+	}
+	return ExitUsage
 }
 
 // NewIncarnation returns an identity that no other start of any process has.
@@ -85,6 +94,13 @@
 	}, nil
 }
 
+// NewStore returns the client of the object API that the settings describe,
+// with the process's budget.
+func NewStore(c settings.Common, scope tally.Scope) *objects.Client {
+	budget := objects.NewBudget(c.StoreReads, c.StoreWrites, c.Processes)
+	return objects.NewMetered(c.Platform, &http.Client{Transport: &http.Transport{}}, budget, scope)
+}
+
 func readAuthorities(path string) (*x509.CertPool, error) {
 	pem, err := os.ReadFile(path)
 	if err != nil {
@@ -103,25 +119,3 @@
 	signal.Notify(c, os.Interrupt, syscall.SIGTERM)
 	return c
 }
-
-// drainPoll is how often a stopping daemon looks whether it is idle.
-const drainPoll = 20 * time.Millisecond
-
-// WaitIdle waits until idle reports true and returns true. It returns false
-// when the deadline passes, another signal comes, or ctx is done first.
-func WaitIdle(ctx context.Context, idle func() bool, signals <-chan os.Signal, within time.Duration) bool {
-	ctx, cancel := context.WithTimeout(ctx, within)
-	defer cancel()
-	ticker := time.NewTicker(drainPoll)
-	defer ticker.Stop()
-	for !idle() {
-		select {
-		case <-ticker.C:
-		case <-signals:
-			return false
-		case <-ctx.Done():
-			return false
-		}
-	}
-	return true
-}
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -33,6 +33,9 @@
 	Adapter       adapter.ID // zero for plain services
 	TargetPath    string     // path on the target
 	TargetBody    []byte     // body for the target
+	Suspect       bool       // was in flight at a crash and has not been answered since
+	CrashedOn     []string   // targets that crashed with it in flight
+	MayHaveRun    bool       // an attempt ended with an unknown outcome
 }
 
 // Repeatable reports whether the request may run again after its outcome
@@ -58,6 +61,8 @@
 	Reason  outcome.Reason
 	Detail  string        // for the caller, beyond the reason
 	After   time.Duration // when trying again may help, zero if unknown
+	Running int           // at the target that refused
+	Queued  int           // at the target that refused
 }
 
 // Responder passes an answer to the caller.
--- a/internal/entry/main.go
+++ b/internal/entry/main.go
@@ -4,11 +4,9 @@
 	"context"
 	"fmt"
 	"io"
-	"net/http"
-	"os"
 	"sync/atomic"
-	"time"
 
+	"github.com/borageusher/borageusher/internal/claims"
 	"github.com/borageusher/borageusher/internal/daemon"
 	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/internal/httpserver"
@@ -18,18 +16,19 @@
 	"github.com/borageusher/borageusher/internal/peer"
 	"github.com/borageusher/borageusher/internal/revision"
 	"github.com/borageusher/borageusher/internal/settings"
+	"github.com/borageusher/borageusher/internal/spread"
+	"github.com/borageusher/borageusher/internal/suspects"
+	"github.com/borageusher/borageusher/pkg/claim"
+	"github.com/borageusher/borageusher/pkg/configuration"
 )
 
-// closeTimeout is how long a stopping entryd waits for its listener to close.
-const closeTimeout = 300 * time.Millisecond
-
 const purpose = "Takes callers' requests, decides where each goes, and relays the whole answer."
 
 // Main runs the program entryd and returns its exit code.
 func Main(args []string, stderr io.Writer) int {
-	path, ok := daemon.Flags("entryd", purpose, args, stderr)
-	if !ok {
-		return daemon.ExitUsage
+	path, err := daemon.Flags("entryd", purpose, args, stderr)
+	if err != nil {
+		return daemon.ExitOfFlags(err)
 	}
 	s, err := settings.ReadEntry(path)
 	if err != nil {
@@ -62,15 +61,40 @@
 	if err != nil {
 		return err
 	}
-	store := objects.New(s.Platform, &http.Client{Transport: &http.Transport{}})
-	configurations := revision.New(store, log)
-	known := members.New(store, log)
+	store := daemon.NewStore(s.Common, scope)
+	configurations := revision.New(store.For(objects.ForConfiguration), log)
+	known := members.New(store.For(objects.ForMembers), log)
+	node := spread.New(spread.Options{
+		Self:           self,
+		Configurations: configurations,
+		Members:        known,
+		Dialer:         dialer,
+		Seeds:          s.Seeds,
+		Log:            log,
+		Scope:          scope,
+	})
+	configurations.SetDuty(node.Duty)
+	configurations.OnChange(func(*configuration.Configuration) { node.Announce() })
+	known.SetDuty(node.Duty)
+	known.OnChange(node.Announce)
+	crashes := suspects.New(store.For(objects.ForSuspects), log)
+	ledger := claims.New(claims.Options{
+		Store:     store.For(objects.ForClaims),
+		Self:      claim.Writer{Name: self.Name, Incarnation: self.Incarnation},
+		Retention: s.Retention,
+		Log:       log,
+		Scope:     scope,
+	})
+	go ledger.Run(ctx)
 	e := New(Options{
 		Self:           self,
 		Configurations: configurations,
 		Revision:       configurations.Revision,
 		Targets:        known,
+		Suspects:       crashes,
 		Dialer:         dialer,
+		News:           node,
+		Claims:         ledger,
 		MaxInProgress:  s.MaxInProgress,
 		StartWithin:    s.StartWithin,
 		Log:            log,
@@ -82,7 +106,7 @@
 		CertFile:     s.CertFile,
 		KeyFile:      s.KeyFile,
 		MaxBodyBytes: s.MaxBodyBytes,
-		Ready:        func() bool { return configurations.Current() != nil && !stopping.Load() },
+		Ready:        func() bool { return configurations.Current() != nil && crashes.Ready() && !stopping.Load() },
 		Metrics:      metricsHandler,
 
 		SenseDisconnect: true,
@@ -94,6 +118,10 @@
 	e.Register(srv.Hertz)
 	go configurations.Run(ctx)
 	go known.Run(ctx)
+	go node.Run(ctx)
+	go e.CloseIdle(ctx)
+	go crashes.Run(ctx)
+	go e.Run(ctx)
 	log.At(event.Started).Stringer("address", s.Listen).Send()
 	served := make(chan error, 1)
 	go func() { served <- srv.Run() }()
@@ -103,17 +131,5 @@
 	case <-signals:
 	}
 	stopping.Store(true)
-	stop(ctx, s, e, srv, signals, log)
-	return nil
-}
-
-// stop lets the calls in progress end before the process does.
-func stop(ctx context.Context, s settings.Entry, e *Entry, srv *httpserver.Server, signals <-chan os.Signal, log event.Log) {
-	log.At(event.Stopping).Int("requests", e.InProgress()).Send()
-	idle := func() bool { return e.InProgress() == 0 }
-	if !daemon.WaitIdle(ctx, idle, signals, s.StopIn) {
-		log.At(event.StopTimedOut).Int("requests", e.InProgress()).Send()
-	}
-	srv.Shutdown(closeTimeout)
-	log.At(event.Stopped).Send()
+	return stop(s, e, srv, signals, log)
 }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -16,14 +16,23 @@
 	Stopping          Code = 102
 	Stopped           Code = 103
 	StopTimedOut      Code = 104
+	Unready           Code = 105
 	PeerConnected     Code = 200
 	PeerLost          Code = 201
 	PeerRefused       Code = 202
+	RelayLost         Code = 203
 	RouteChosen       Code = 300
 	RouteRefused      Code = 301
 	RequestEnded      Code = 302
 	RequestRejected   Code = 303
 	AnswerResumed     Code = 304
+	AttemptVoided     Code = 310
+	AttemptUnsettled  Code = 311
+	TargetLeaving     Code = 330
+	CrashKnown        Code = 331
+	CrashUnreadable   Code = 332
+	SuspectCleared    Code = 333
+	RetryRefused      Code = 334
 	RequestQueued     Code = 400
 	RequestNotRun     Code = 401
 	RequestStarted    Code = 402
@@ -36,13 +45,24 @@
 	EngineUnreachable Code = 421
 	TargetRegistered  Code = 430
 	TargetReplaced    Code = 431
+	ClaimTaken        Code = 440
+	ClaimDecided      Code = 441
+	ClaimDeferred     Code = 442
+	ClaimWriteDropped Code = 443
+	ProcessPaused     Code = 450
 	RequestRequeued   Code = 460
 	AdapterAdopted    Code = 461
 	AdapterMissing    Code = 462
+	DrainBegun        Code = 480
+	EngineCrashed     Code = 481
 	RevisionInForce   Code = 500
 	RevisionRejected  Code = 501
+	SectionCorrupt    Code = 502
+	RevisionFromPeer  Code = 503
 	StoreUnavailable  Code = 510
+	DutyChanged       Code = 511
 	MembersChanged    Code = 520
+	MemberLeaving     Code = 521
 )
 
 // definition is what the catalogue says of an event.
@@ -59,15 +79,24 @@
 	{Ready, "ready", zerolog.InfoLevel, "The process has a configuration and takes requests."},
 	{Stopping, "stopping", zerolog.InfoLevel, "A planned stop has begun: no new work, work in progress goes on."},
 	{Stopped, "stopped", zerolog.InfoLevel, "The process ends after its last request."},
-	{StopTimedOut, "stop_timed_out", zerolog.ErrorLevel, "The stop's deadline passed with requests in progress; `requests` says how many were cut."},
+	{StopTimedOut, "stop_timed_out", zerolog.ErrorLevel, "The stop's deadline passed or another signal came; `requests` says how many were cut."},
+	{Unready, "unready", zerolog.InfoLevel, "Readiness says no; everything is still served `for` a while, so that the balancer looks elsewhere."},
 	{PeerConnected, "peer_connected", zerolog.InfoLevel, "A peer connection is open and both sides proved the key."},
 	{PeerLost, "peer_lost", zerolog.WarnLevel, "A peer connection ended or went silent; `error` says how."},
 	{PeerRefused, "peer_refused", zerolog.WarnLevel, "A process without the right peer key tried to connect."},
+	{RelayLost, "relay_lost", zerolog.InfoLevel, "A connection kept for news could not be opened or ended; the next best peer takes its place."},
 	{RouteChosen, "route_chosen", zerolog.InfoLevel, "Routing decision: the request's next attempt goes to `target`; `reason` says why that one."},
 	{RouteRefused, "route_refused", zerolog.InfoLevel, "The target refused an attempt before running it; `reason` is the target's."},
 	{RequestEnded, "request_ended", zerolog.InfoLevel, "The caller was told the outcome."},
 	{RequestRejected, "request_rejected", zerolog.InfoLevel, "The request was refused at the entry, before any target."},
 	{AnswerResumed, "answer_resumed", zerolog.InfoLevel, "An answer goes on over a new connection from part `next`."},
+	{AttemptVoided, "attempt_voided", zerolog.InfoLevel, "An attempt whose target stopped answering was excluded in its key's record: it did not run and never will."},
+	{AttemptUnsettled, "attempt_unsettled", zerolog.WarnLevel, "What became of a lost attempt is not known; `reason` says why."},
+	{TargetLeaving, "target_leaving", zerolog.InfoLevel, "The target leaves: it gets no new work, and its targetd is told if it is connected."},
+	{CrashKnown, "crash_known", zerolog.WarnLevel, "The entry knows of a crash; the requests `in_flight` are suspects until they are answered."},
+	{CrashUnreadable, "crash_unreadable", zerolog.ErrorLevel, "The record of a crash could not be read."},
+	{SuspectCleared, "suspect_cleared", zerolog.InfoLevel, "A suspect was answered and is no longer one."},
+	{RetryRefused, "retry_refused", zerolog.WarnLevel, "The retry budget of the service is spent: the caller is told the last attempt's outcome."},
 	{RequestQueued, "request_queued", zerolog.DebugLevel, "The target took an attempt into its queue."},
 	{RequestNotRun, "request_not_run", zerolog.InfoLevel, "The target refused an attempt that it had not started."},
 	{RequestStarted, "request_started", zerolog.DebugLevel, "The engine or service was given the request."},
@@ -80,13 +109,24 @@
 	{EngineUnreachable, "engine_unreachable", zerolog.WarnLevel, "The engine does not answer."},
 	{TargetRegistered, "target_registered", zerolog.InfoLevel, "The target is registered with `epoch` as its fencing number."},
 	{TargetReplaced, "target_replaced", zerolog.ErrorLevel, "Another process registered this target; this one takes no more work."},
+	{ClaimTaken, "claim_taken", zerolog.DebugLevel, "The target holds the claim of a request's idempotency key, before its run."},
+	{ClaimDecided, "claim_decided", zerolog.InfoLevel, "The idempotency key's record decided a request without a run; `verdict` and `reason` say how."},
+	{ClaimDeferred, "claim_deferred", zerolog.WarnLevel, "The object API did not settle a claim; the request waits until its start-by time."},
+	{ClaimWriteDropped, "claim_write_dropped", zerolog.ErrorLevel, "A claim's outcome was not recorded; later requests with its key hear `unknown`."},
+	{ProcessPaused, "process_paused", zerolog.WarnLevel, "The process stood still for longer than the silence timeout; it dropped its connections and starts nothing that came over them."},
 	{RequestRequeued, "request_requeued", zerolog.InfoLevel, "The engine did not run a started attempt, because it lacked the adapter or restarted; the attempt waits again."},
 	{AdapterAdopted, "adapter_adopted", zerolog.InfoLevel, "The engine holds an adapter that the target did not know of; it counts as resident."},
 	{AdapterMissing, "adapter_missing", zerolog.WarnLevel, "The engine does not hold an adapter that the target counted as resident; it counts as absent."},
+	{DrainBegun, "drain_begun", zerolog.InfoLevel, "The target takes no more work and refuses what waits; `from` says who asked, empty for a signal."},
+	{EngineCrashed, "engine_crashed", zerolog.ErrorLevel, "The engine crashed; the requests `in_flight` become suspects."},
 	{RevisionInForce, "revision_in_force", zerolog.InfoLevel, "A newer configuration is in force in this process."},
 	{RevisionRejected, "revision_rejected", zerolog.ErrorLevel, "A configuration could not be read and the older one stays."},
+	{SectionCorrupt, "section_corrupt", zerolog.ErrorLevel, "A section from `from` does not have its digest and is asked of the next source."},
+	{RevisionFromPeer, "revision_from_peer", zerolog.DebugLevel, "A peer is ahead and is asked for what is missing."},
 	{StoreUnavailable, "store_unavailable", zerolog.WarnLevel, "The object API did not answer; the process goes on with what it knows."},
+	{DutyChanged, "duty_changed", zerolog.InfoLevel, "The process began or ceased to watch the object API for its availability zone."},
 	{MembersChanged, "members_changed", zerolog.InfoLevel, "The set of known targets changed."},
+	{MemberLeaving, "member_leaving", zerolog.InfoLevel, "The platform's list says that the VM of `target` is leaving, and its registration was marked."},
 }
 
 var definitions = func() map[Code]definition {
--- a/internal/operator/main.go
+++ b/internal/operator/main.go
@@ -8,6 +8,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/borageusher/borageusher/internal/objects"
 )
 
@@ -36,6 +38,7 @@
 	platform string
 	revision uint64
 	operator string
+	drain    drainFlags
 	out      io.Writer
 	err      io.Writer
 }
@@ -52,10 +55,14 @@
 
 // Main runs the program borageusher and returns its exit code.
 func Main(args []string, out, stderr io.Writer) int {
-	if len(args) == 0 || args[0] == "-h" || args[0] == "--help" || args[0] == "help" {
+	if len(args) == 0 {
 		printUsage(stderr)
 		return exitUsage
 	}
+	if args[0] == "-h" || args[0] == "--help" || args[0] == "help" {
+		printUsage(out)
+		return exitOK
+	}
 	for _, cmd := range commands {
 		if cmd.name == args[0] {
 			return runCommand(cmd, args[1:], out, stderr)
@@ -77,7 +84,12 @@
 	c.flags.StringVar(&c.platform, "platform", "127.0.0.1:7000", "`address` of the platform's object API")
 	c.flags.Uint64Var(&c.revision, "revision", 0, "`revision` that diff showed; accept fails if another is in force")
 	c.flags.StringVar(&c.operator, "operator", "", "`name` to record with an accepted change")
-	if err := c.flags.Parse(args); err != nil {
+	if cmd.name == "drain" {
+		c.drain.add(c)
+	}
+	if err := c.flags.Parse(args); errors.Is(err, flag.ErrHelp) {
+		return exitOK
+	} else if err != nil {
 		return exitUsage
 	}
 	return cmd.run(c)
@@ -97,7 +109,7 @@
 	if err != nil {
 		return nil, &Error{Op: "read flags", Kind: BadFlag, Err: err}
 	}
-	return objects.New(addr, &http.Client{}), nil
+	return objects.New(addr, &http.Client{}).For(objects.ForOperator), nil
 }
 
 // fail prints err and returns the exit code for it.
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -24,6 +24,13 @@
 	typeAck       messageType = 9
 	typeCancel    messageType = 10
 	typeResume    messageType = 11
+	typeDrain     messageType = 30
+
+	typeStateRequest  messageType = 40
+	typeStateAnswer   messageType = 41
+	typeSectionAnswer messageType = 42
+	typeSurvey        messageType = 43
+	typeSurveyAnswer  messageType = 44
 )
 
 func (Hello) messageType() messageType     { return typeHello }
@@ -37,6 +44,7 @@
 func (Ack) messageType() messageType       { return typeAck }
 func (Cancel) messageType() messageType    { return typeCancel }
 func (Resume) messageType() messageType    { return typeResume }
+func (Drain) messageType() messageType     { return typeDrain }
 
 // Encode returns the wire form of m: its type, then its fields as a CBOR array.
 func Encode(m Message) []byte {
@@ -92,6 +100,18 @@
 		return &cancelWire{}
 	case typeResume:
 		return &resumeWire{}
+	case typeDrain:
+		return &drainWire{}
+	case typeStateRequest:
+		return &stateRequestWire{}
+	case typeStateAnswer:
+		return &stateAnswerWire{}
+	case typeSectionAnswer:
+		return &sectionAnswerWire{}
+	case typeSurvey:
+		return &surveyWire{}
+	case typeSurveyAnswer:
+		return &surveyAnswerWire{}
 	}
 	return nil
 }
@@ -103,7 +123,7 @@
 	case Proof:
 		return &proofWire{Proof: m.Proof}
 	case Heartbeat:
-		return &heartbeatWire{Revision: m.Revision, Running: m.Running, Queued: m.Queued, Draining: m.Draining}
+		return heartbeatToWire(m)
 	case Submit:
 		return submitToWire(m)
 	case Refusal:
@@ -120,6 +140,18 @@
 		return &cancelWire{Request: m.Request, Attempt: m.Attempt}
 	case Resume:
 		return resumeToWire(m)
+	case Drain:
+		return &drainWire{Epoch: m.Epoch}
+	case StateRequest:
+		return &stateRequestWire{Revision: m.Revision, Members: m.Members, Sections: m.Sections}
+	case StateAnswer:
+		return stateAnswerToWire(m)
+	case SectionAnswer:
+		return &sectionAnswerWire{Digest: m.Digest, Data: m.Data}
+	case Survey:
+		return &surveyWire{ID: m.ID}
+	case SurveyAnswer:
+		return &surveyAnswerWire{ID: m.ID, Name: m.Name, Role: m.Role, Revision: m.Revision, Behind: m.Behind}
 	}
 	panic("peer: unknown message type")
 }
@@ -178,10 +210,33 @@
 	Running  int
 	Queued   int
 	Draining bool
+	Members  uint64
+	Active   bool
+	Slow     bool
+}
+
+func heartbeatToWire(m Heartbeat) *heartbeatWire {
+	return &heartbeatWire{
+		Revision: m.Revision,
+		Running:  m.Running,
+		Queued:   m.Queued,
+		Draining: m.Draining,
+		Members:  m.Members,
+		Active:   m.Active,
+		Slow:     m.Slow,
+	}
 }
 
 func (w *heartbeatWire) message() Message {
-	return Heartbeat{Revision: w.Revision, Running: w.Running, Queued: w.Queued, Draining: w.Draining}
+	return Heartbeat{
+		Revision: w.Revision,
+		Running:  w.Running,
+		Queued:   w.Queued,
+		Draining: w.Draining,
+		Members:  w.Members,
+		Active:   w.Active,
+		Slow:     w.Slow,
+	}
 }
 
 type submitWire struct {
@@ -204,6 +259,7 @@
 	StartByMS      int64
 	IdempotencyKey string
 	BodyDigest     []byte
+	Suspect        bool
 }
 
 func submitToWire(m Submit) *submitWire {
@@ -226,6 +282,7 @@
 		StartByMS:      m.StartBy.Milliseconds(),
 		IdempotencyKey: m.IdempotencyKey,
 		BodyDigest:     m.BodyDigest,
+		Suspect:        m.Suspect,
 	}
 }
 
@@ -250,6 +307,7 @@
 		StartBy:        time.Duration(w.StartByMS) * time.Millisecond,
 		IdempotencyKey: w.IdempotencyKey,
 		BodyDigest:     w.BodyDigest,
+		Suspect:        w.Suspect,
 	}
 }
 
--- a/pkg/configuration/section.go
+++ b/pkg/configuration/section.go
@@ -34,6 +34,25 @@
 	ChangeID string // identity of the change that made the revision
 	Operator string
 	Sections []SectionRef
+	Earlier  []string // identities of the changes before it, newest first, at most MaxEarlier
+}
+
+// MaxEarlier is the number of earlier changes that a root names, so that an
+// operator whose answer was lost finds out what became of the change.
+const MaxEarlier = 64
+
+// Contains reports whether the change of that identity is the root's own or
+// one of those that it names.
+func (r Root) Contains(changeID string) bool {
+	if r.ChangeID == changeID {
+		return true
+	}
+	for _, id := range r.Earlier {
+		if id == changeID {
+			return true
+		}
+	}
+	return false
 }
 
 // Split encodes c as sections, in order of name. Equal parts of two
@@ -63,7 +82,7 @@
 // otherwise.
 func Join(revision uint64, sections []Section) (*Configuration, error) {
 	var teams []Team
-	var adapters []Adapter
+	adapters := make([]Adapter, 0, adapterCountHint(sections))
 	for _, s := range sections {
 		if sha256.Sum256(s.Data) != s.Digest {
 			return nil, &Error{Op: "join", Kind: Corrupt, Section: s.Name}
@@ -72,9 +91,48 @@
 			return nil, err
 		}
 	}
+	shareNames(adapters)
 	return New(revision, teams, adapters), nil
 }
 
+// adapterCountHint estimates the number of adapters in sections, so that one
+// allocation of about the right size holds them.
+func adapterCountHint(sections []Section) int {
+	const encodedAdapterBytes = 40 // of a typical adapter
+	n := 0
+	for _, s := range sections {
+		n += len(s.Data)
+	}
+	return n / encodedAdapterBytes
+}
+
+// shareNames makes adapters share the memory of equal team and service names
+// and of equal version lists with a single version.
+func shareNames(adapters []Adapter) {
+	names := map[string]string{}
+	share := func(s string) string {
+		if known, ok := names[s]; ok {
+			return known
+		}
+		names[s] = s
+		return s
+	}
+	single := map[adapter.Version][]adapter.Version{}
+	for i := range adapters {
+		a := &adapters[i]
+		a.Team = share(a.Team)
+		a.Service = share(a.Service)
+		if len(a.Versions) != 1 {
+			continue
+		}
+		v := a.Versions[0]
+		if single[v] == nil {
+			single[v] = a.Versions
+		}
+		a.Versions = single[v]
+	}
+}
+
 func joinSection(s Section, teams *[]Team, adapters *[]Adapter) error {
 	if len(s.Name) > 5 && s.Name[:5] == "team/" {
 		var w teamWire
@@ -111,7 +169,7 @@
 
 // EncodeRoot returns r in the form that the object API keeps.
 func EncodeRoot(r Root) []byte {
-	w := rootWire{Revision: r.Revision, ChangeID: r.ChangeID, Operator: r.Operator}
+	w := rootWire{Revision: r.Revision, ChangeID: r.ChangeID, Operator: r.Operator, Earlier: r.Earlier}
 	for _, s := range r.Sections {
 		w.Sections = append(w.Sections, sectionRefWire{Name: s.Name, Digest: s.Digest[:]})
 	}
@@ -125,7 +183,7 @@
 	if err := cbor.Unmarshal(b, &w); err != nil {
 		return Root{}, &Error{Op: "decode root", Kind: Corrupt, Err: err}
 	}
-	r := Root{Revision: w.Revision, ChangeID: w.ChangeID, Operator: w.Operator}
+	r := Root{Revision: w.Revision, ChangeID: w.ChangeID, Operator: w.Operator, Earlier: w.Earlier}
 	for _, s := range w.Sections {
 		d, ok := digestFromBytes(s.Digest)
 		if !ok {
@@ -136,6 +194,17 @@
 	return r, nil
 }
 
+// Follow makes r name the change of the root before it and those that that one
+// names.
+func (r Root) Follow(previous Root) Root {
+	if previous.ChangeID == "" {
+		return r
+	}
+	earlier := append([]string{previous.ChangeID}, previous.Earlier...)
+	r.Earlier = earlier[:min(len(earlier), MaxEarlier)]
+	return r
+}
+
 // RootOf returns the root of a revision made of sections.
 func RootOf(revision uint64, changeID, operator string, sections []Section) Root {
 	r := Root{Revision: revision, ChangeID: changeID, Operator: operator}
