--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -118,6 +118,7 @@
 		for _, end := range p.ends {
 			_ = end.Close() // the cut is the point
 		}
+		delete(r.pairs, p)
 	}
 }
 
