--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -14,6 +14,7 @@
 	"github.com/borageusher/borageusher/pkg/claim"
 	"github.com/borageusher/borageusher/pkg/configuration"
 	"github.com/borageusher/borageusher/pkg/dispatch"
+	"github.com/borageusher/borageusher/pkg/loadbudget"
 	"github.com/borageusher/borageusher/pkg/outcome"
 	"github.com/borageusher/borageusher/pkg/target"
 )
@@ -47,6 +48,7 @@
 type Options struct {
 	Self           target.Target
 	Limits         dispatch.Limits
+	Share          *loadbudget.Share // of the weight store's rate; nil for no limit
 	Engine         Engine
 	Crashes        Crashes
 	PlainService   bool // the target is a plain service: no adapters, no state
@@ -76,10 +78,14 @@
 	sessions   map[sender]closer // open peer connections
 
 	pulse *pulse
+	gate  gate // of claims
+
+	granters granters
 
 	report     atomic.Pointer[dispatch.Report]
 	generation atomic.Uint64 // of the dispatcher's residency
 	stateAsked chan struct{} // holds one request to read the engine's report
+	hint       atomic.Pointer[peer.Residency]
 }
 
 // attempt is one attempt that the agent knows.
@@ -114,6 +120,10 @@
 		sessions:   map[sender]closer{},
 		pulse:      newPulse(time.Now()),
 	}
+	a.granters.names = map[sender]string{}
+	if opts.Share != nil {
+		a.dispatcher.SetBudget(opts.Share)
+	}
 	a.report.Store(&dispatch.Report{})
 	return a
 }
@@ -129,6 +139,8 @@
 	defer sweep.Stop()
 	beat := time.NewTicker(beatInterval)
 	defer beat.Stop()
+	balance := time.NewTicker(askInterval)
+	defer balance.Stop()
 	deadline := time.NewTimer(time.Hour)
 	defer deadline.Stop()
 	for {
@@ -146,10 +158,13 @@
 			continue
 		case <-deadline.C:
 			a.noticePause(time.Now())
+		case now := <-balance.C:
+			a.balance(now)
+			continue
 		}
 		a.perform(ctx, a.next(time.Now()))
 		a.publish()
-		if next := a.dispatcher.NextDeadline(); !next.IsZero() {
+		if next := a.dispatcher.NextDeadline(time.Now()); !next.IsZero() {
 			deadline.Reset(max(0, time.Until(next)))
 		}
 	}
@@ -181,6 +196,7 @@
 	r := a.dispatcher.Report()
 	a.report.Store(&r)
 	a.generation.Store(a.dispatcher.Generation())
+	a.publishHint(time.Now())
 	a.opts.Scope.Gauge("running").Update(float64(r.Running))
 	a.opts.Scope.Gauge("queued").Update(float64(r.Queued))
 }
@@ -194,7 +210,7 @@
 		case dispatch.Refuse:
 			a.refuse(a.attempts[action.Request.Key], action.Reason)
 		case dispatch.Load:
-			a.opts.Log.At(event.AdapterLoading).Stringer("adapter", action.Adapter).Str("reason", "request_waits").Send()
+			a.opts.Log.At(event.AdapterLoading).Stringer("adapter", action.Adapter).Str("reason", loadReason(action)).Send()
 			go a.load(ctx, action.Adapter)
 		case dispatch.Unload:
 			a.opts.Log.At(event.AdapterUnloading).Stringer("adapter", action.Adapter).Str("reason", "room_needed").Send()
@@ -203,6 +219,14 @@
 	}
 }
 
+// loadReason says in logs why an adapter is loaded, or unloaded to make room.
+func loadReason(action dispatch.Action) string {
+	if action.Ahead {
+		return "demand"
+	}
+	return "request_waits"
+}
+
 // refuse tells the sender of at that it did not run.
 func (a *Agent) refuse(at *attempt, reason outcome.Reason) {
 	if reason == outcome.Expired {
--- a/internal/agent/event.go
+++ b/internal/agent/event.go
@@ -119,6 +119,7 @@
 
 func (e disconnected) apply(_ context.Context, a *Agent, now time.Time) {
 	delete(a.sessions, e.conn)
+	delete(a.granters.names, e.conn)
 	for _, at := range a.attempts {
 		at.answer.detach(now, e.conn)
 	}
@@ -141,8 +142,8 @@
 	ok bool
 }
 
-func (e loaded) apply(ctx context.Context, a *Agent, _ time.Time) {
-	a.perform(ctx, a.dispatcher.Loaded(e.id, e.ok))
+func (e loaded) apply(ctx context.Context, a *Agent, now time.Time) {
+	a.perform(ctx, a.dispatcher.Loaded(now, e.id, e.ok))
 }
 
 // unloaded: the engine ended an order to unload.
--- a/internal/entry/idle.go
+++ b/internal/entry/idle.go
@@ -72,7 +72,7 @@
 	if l.news != nil {
 		m = l.news.Beat()
 	}
-	m.Active = l.inFlight() > 0
+	m.Active = l.waiting()
 	return m
 }
 
--- a/internal/entry/main.go
+++ b/internal/entry/main.go
@@ -80,6 +80,7 @@
 	crashes := suspects.New(store.For(objects.ForSuspects), log)
 	ledger := claims.New(claims.Options{
 		Store:     store.For(objects.ForClaims),
+		Later:     store.For(objects.ForOutcomes),
 		Self:      claim.Writer{Name: self.Name, Incarnation: self.Incarnation},
 		Retention: s.Retention,
 		Log:       log,
@@ -96,6 +97,8 @@
 		News:           node,
 		Claims:         ledger,
 		MaxInProgress:  s.MaxInProgress,
+		Costs:          s.Costs,
+		Loads:          s.Loads,
 		StartWithin:    s.StartWithin,
 		Log:            log,
 		Scope:          scope,
@@ -116,6 +119,7 @@
 		return err
 	}
 	e.Register(srv.Hertz)
+	RegisterStatus(srv.Hertz, s.OperatorKey, node)
 	go configurations.Run(ctx)
 	go known.Run(ctx)
 	go node.Run(ctx)
--- a/internal/revision/controller.go
+++ b/internal/revision/controller.go
@@ -18,7 +18,6 @@
 	watchGrace  = 1500 * time.Millisecond // beyond watchWait, after which a watch counts as silent
 	callTimeout = 3 * time.Second         // for one read
 	retryPause  = 500 * time.Millisecond
-	dutyPause   = time.Second // between two looks at the duty while polling
 )
 
 // Duty says how a process follows the object API.
@@ -29,6 +28,8 @@
 	// sections, so that one process of a region reads them and the others get
 	// them from it.
 	Delay time.Duration
+	// Changed is closed when the duty may have changed; nil if it never is.
+	Changed <-chan struct{}
 }
 
 // Store is the part of the object API that the controller reads.
@@ -124,21 +125,28 @@
 		} else {
 			seen = version
 		}
-		c.rest(ctx)
+		Rest(ctx, c.duty)
 	}
 }
 
-// rest returns at once if it is the process's duty to watch, and otherwise
-// when the next read is due or the duty has changed.
-func (c *Controller) rest(ctx context.Context) {
+// Rest returns at once if it is the process's duty to watch, and otherwise
+// when the next read is due or the duty has become to watch.
+func Rest(ctx context.Context, duty func() Duty) {
 	began := time.Now()
 	jitter := rand.Float64()
 	for ctx.Err() == nil {
-		d := c.duty()
-		if d.Watch || time.Since(began) >= d.Poll/2+time.Duration(jitter*float64(d.Poll)) {
+		d := duty()
+		left := d.Poll/2 + time.Duration(jitter*float64(d.Poll)) - time.Since(began)
+		if d.Watch || left <= 0 {
 			return
 		}
-		pause(ctx, dutyPause)
+		timer := time.NewTimer(left)
+		select {
+		case <-d.Changed:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
 	}
 }
 
--- a/pkg/dispatch/requeue.go
+++ b/pkg/dispatch/requeue.go
@@ -8,8 +8,8 @@
 	"github.com/borageusher/borageusher/pkg/residency"
 )
 
-// Requeue puts a started request, which the engine did not run, back to the
-// head of the queue. Its start-by time stays. If missing is set, the engine
+// Requeue puts a started request, which the engine did not run, back into
+// the queue, at the place of its arrival. Its start-by time stays. If missing is set, the engine
 // lacks the adapter, which is loaded anew. While the target drains, Requeue
 // returns the reason to refuse the request instead. It panics if no such
 // request runs.
@@ -27,7 +27,7 @@
 	if d.draining {
 		return outcome.Draining
 	}
-	d.queue = append([]*Request{r}, d.queue...)
+	d.queue.add(r.arrived, r)
 	return outcome.NoReason
 }
 
