--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -14,6 +14,7 @@
 	"github.com/borageusher/borageusher/pkg/claim"
 	"github.com/borageusher/borageusher/pkg/configuration"
 	"github.com/borageusher/borageusher/pkg/dispatch"
+	"github.com/borageusher/borageusher/pkg/loadbudget"
 	"github.com/borageusher/borageusher/pkg/outcome"
 	"github.com/borageusher/borageusher/pkg/target"
 )
@@ -47,6 +48,7 @@
 type Options struct {
 	Self           target.Target
 	Limits         dispatch.Limits
+	Share          *loadbudget.Share // of the weight store's rate; nil for no limit
 	Engine         Engine
 	Crashes        Crashes
 	PlainService   bool // the target is a plain service: no adapters, no state
@@ -75,7 +77,10 @@
 	pulse *pulse
 	gate  gate // of claims
 
+	granters granters
+
 	report atomic.Pointer[dispatch.Report]
+	hint   atomic.Pointer[peer.Residency]
 }
 
 // attempt is one attempt that the agent knows.
@@ -108,6 +113,10 @@
 		sessions:   map[sender]closer{},
 		pulse:      newPulse(time.Now()),
 	}
+	a.granters.names = map[sender]string{}
+	if opts.Share != nil {
+		a.dispatcher.SetBudget(opts.Share)
+	}
 	a.report.Store(&dispatch.Report{})
 	return a
 }
@@ -122,6 +131,8 @@
 	defer sweep.Stop()
 	beat := time.NewTicker(beatInterval)
 	defer beat.Stop()
+	balance := time.NewTicker(askInterval)
+	defer balance.Stop()
 	deadline := time.NewTimer(time.Hour)
 	defer deadline.Stop()
 	for {
@@ -139,10 +150,13 @@
 			continue
 		case <-deadline.C:
 			a.noticePause(time.Now())
+		case now := <-balance.C:
+			a.balance(now)
+			continue
 		}
 		a.perform(ctx, a.dispatcher.Next(time.Now()))
 		a.publish()
-		if next := a.dispatcher.NextDeadline(); !next.IsZero() {
+		if next := a.dispatcher.NextDeadline(time.Now()); !next.IsZero() {
 			deadline.Reset(max(0, time.Until(next)))
 		}
 	}
@@ -173,6 +187,7 @@
 func (a *Agent) publish() {
 	r := a.dispatcher.Report()
 	a.report.Store(&r)
+	a.publishHint(time.Now())
 	a.opts.Scope.Gauge("running").Update(float64(r.Running))
 	a.opts.Scope.Gauge("queued").Update(float64(r.Queued))
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,6 +12,8 @@
 
 	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/internal/peer"
+	"github.com/borageusher/borageusher/pkg/loadbudget"
+	"github.com/borageusher/borageusher/pkg/placement"
 )
 
 // Options are what an Entry needs.
@@ -24,8 +26,10 @@
 	Dialer         Dialer
 	News           News // nil for none
 	Claims         Claims
-	MaxInProgress  int           // calls in progress at once
-	StartWithin    time.Duration // a call's deadline to start, unless it names one
+	MaxInProgress  int               // calls in progress at once
+	StartWithin    time.Duration     // a call's deadline to start, unless it names one
+	Loads          loadbudget.Limits // that this entryd grants; a rate of zero for none
+	Costs          placement.Costs   // of choices between targets
 	Log            event.Log
 	Scope          tally.Scope
 }
@@ -47,9 +51,10 @@
 		links: newLinks(opts.Dialer, opts.Log, opts.Revision),
 	}
 	e.links.news = opts.News
+	e.links.granter = newGranter(opts.Loads, opts.Log)
 	last := &router{
-		region:  opts.Self.Region,
 		targets: opts.Targets,
+		views:   newViews(opts.Self.Region, opts.Costs, e.links),
 		links:   e.links,
 		loads:   newLoads(),
 		claims:  opts.Claims,
