--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -157,10 +157,10 @@
 		_, _ = conn.Send(peer.Resume{Request: key.request, Attempt: key.attempt, Next: next, StartBy: p.submit.StartBy})
 	}
 	l.incarnation = incarnation
-	l.heard = now
 	if l.granter != nil {
 		_, _ = conn.Send(peer.LoadOffer{}) // a lost connection is seen by its reader
 	}
+	l.heard = now
 	l.log.At(event.PeerConnected).Str("peer", conn.Remote().Name).Send()
 	go l.read(conn)
 }
--- a/internal/scenario/doc.go
+++ b/internal/scenario/doc.go
@@ -29,6 +29,8 @@
 //	                              start concurrent streams with a prompt each
 //	wait_streams NAME             wait for them; "whole: N crossed: N broken: N"
 //	expect NAME PATTERN [WITHIN]  wait for a line in NAME.log
+//	soak ENTRY ENTRY...           random faults and calls for $SOAK_FOR from the seed
+//	                              $SOAK_SEED, then what was seen against what ran
 //	at_most N NAME PATTERN        check that NAME.log has no more lines that match
 //	await [-ca FILE] [-H HEADER]... URL [PATTERN] [WITHIN]
 //	                              wait until a GET answers 200 with PATTERN in it
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -63,6 +63,7 @@
 			"ended":        cmdEnded,
 			"mark":         cmdMark,
 			"load":         cmdLoad,
+			"soak":         cmdSoak,
 			"streams":      cmdStreams,
 			"wait_streams": cmdWaitStreams,
 		},
@@ -77,6 +78,7 @@
 	processes map[string]*process
 	calls     map[string]*backgroundCall
 	marks     map[string]int // where expect begins to read a log
+	faulty    map[string]bool
 	streams   map[string]*streamGroup
 }
 
@@ -85,11 +87,14 @@
 	env.Setenv("NET", network)
 	env.Setenv("PLATFORM", network+".1:7000")
 	env.Setenv("WEIGHTS", network+".2:7000")
+	env.Setenv("SOAK_FOR", fromEnv("SOAK_FOR", defaultSoak))
+	env.Setenv("SOAK_SEED", fromEnv("SOAK_SEED", defaultSeed))
 	env.Setenv("LONG_WORD", strings.Repeat("x", longWordBytes))
 	s := &state{
 		processes: map[string]*process{},
 		calls:     map[string]*backgroundCall{},
 		marks:     map[string]int{},
+		faulty:    map[string]bool{},
 		streams:   map[string]*streamGroup{},
 	}
 	env.Values[stateKey{}] = s
@@ -110,6 +115,14 @@
 	return nil
 }
 
+// fromEnv returns an environment variable of the test run, or fallback.
+func fromEnv(name, fallback string) string {
+	if v := os.Getenv(name); v != "" {
+		return v
+	}
+	return fallback
+}
+
 func stateOf(ts *testscript.TestScript) *state {
 	return ts.Value(stateKey{}).(*state)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -53,6 +53,7 @@
 	MaxBodyBytes  int
 	StartWithin   time.Duration
 	UnreadyFor    time.Duration // serving on after readiness says no
+	OperatorKey   string        // for the operators' routes, which are off without it
 	WriteWithin   time.Duration
 	Costs         placement.Costs
 	Loads         loadbudget.Limits // of the weight store; a rate of zero grants nothing
@@ -96,6 +97,10 @@
 			Burst: f.Int("loads", "burst", 1, 1, 1000),
 		},
 	}
+	s.OperatorKey = f.OptionalText("operators", "key", "")
+	if s.OperatorKey != "" && len(s.OperatorKey) < minPeerKey {
+		f.Fail("operators", "key", "(a shorter one)", "at least 16 characters")
+	}
 	return s, f.Done()
 }
 
