--- a/internal/scenario/soak_calls_test.go
+++ b/internal/scenario/soak_calls_test.go
@@ -94,6 +94,9 @@
 			c.note(seen)
 		}
 		time.Sleep(time.Duration(rng.IntN(30)) * time.Millisecond)
+		if seen.outcome == "failed" || seen.outcome == "not_run" {
+			time.Sleep(refusedPause)
+		}
 	}
 }
 
