Assemble the daemons in steps, and serve unjudged only in an outage

Cause: run of entryd had grown to eighty lines and shared its wiring, copied, with targetd. And an entryd was ready without the crashes after two failed reads also when only those reads failed, which quarantine_outage forbids and passed by timing only.

Change: daemon.Controllers and NewLedger for both daemons; entryd's process has one method a step. objects.Client tells whether the API has answered any call; an entryd serves without the crashes only if not.

--- a/internal/agent/main.go
+++ b/internal/agent/main.go
@@ -9,7 +9,6 @@
 
 	"github.com/cloudwego/hertz/pkg/common/adaptor"
 
-	"github.com/borageusher/borageusher/internal/claims"
 	"github.com/borageusher/borageusher/internal/daemon"
 	"github.com/borageusher/borageusher/internal/engine"
 	"github.com/borageusher/borageusher/internal/event"
@@ -18,10 +17,8 @@
 	"github.com/borageusher/borageusher/internal/objects"
 	"github.com/borageusher/borageusher/internal/peer"
 	"github.com/borageusher/borageusher/internal/registration"
-	"github.com/borageusher/borageusher/internal/revision"
 	"github.com/borageusher/borageusher/internal/settings"
 	"github.com/borageusher/borageusher/internal/suspects"
-	"github.com/borageusher/borageusher/pkg/claim"
 	"github.com/borageusher/borageusher/pkg/dispatch"
 	"github.com/borageusher/borageusher/pkg/loadbudget"
 	"github.com/borageusher/borageusher/pkg/target"
@@ -64,13 +61,13 @@
 	defer stopMetrics()
 	store := daemon.NewStore(s.Common, scope)
 	registrations := store.For(objects.ForRegistration)
-	configurations := revision.New(store.For(objects.ForConfiguration), log)
+	controllers := daemon.NewControllers(store, log)
 	srv, err := httpserver.New(httpserver.Options{
 		Address:      s.Listen,
 		CertFile:     s.CertFile,
 		KeyFile:      s.KeyFile,
 		MaxBodyBytes: 1 << 20,
-		Ready:        func() bool { return configurations.Current() != nil },
+		Ready:        func() bool { return controllers.Configurations.Current() != nil },
 		Metrics:      metricsHandler,
 	})
 	if err != nil {
@@ -81,14 +78,13 @@
 	if !ok {
 		return nil
 	}
-	ledger := claims.New(claims.Options{
-		Store:     store.For(objects.ForClaims),
-		Later:     store.For(objects.ForOutcomes),
-		Self:      claim.Writer{Name: rec.Target.Name, Incarnation: rec.Target.Incarnation},
-		Retention: s.Retention,
-		Log:       log,
-		Scope:     scope,
-	})
+	self := identity(rec.Target)
+	dialer, err := daemon.NewDialer(self, s.Common)
+	if err != nil {
+		return err
+	}
+	controllers.Join(self, s.Common, dialer, log, scope)
+	ledger := daemon.NewLedger(self, s.Common, store, log, scope)
 	go ledger.Run(ctx)
 	a := New(Options{
 		Self:           rec.Target,
@@ -97,29 +93,23 @@
 		Engine:         engine.New(s.Engine, rec.Target.Epoch),
 		PlainService:   s.Plain,
 		Crashes:        suspects.NewRecorder(store.For(objects.ForSuspects)),
-		Configurations: configurations,
+		Configurations: controllers.Configurations,
 		Claims:         ledger,
 		Log:            log,
 		Scope:          scope,
 	})
-	configurations.OnChange(a.SetConfiguration)
-	node, known, err := newNode(s, rec.Target, store, configurations, log, scope)
-	if err != nil {
-		return err
-	}
+	controllers.Configurations.OnChange(a.SetConfiguration)
 	sessions := &Sessions{
-		News:     node,
+		News:     controllers.News,
 		Agent:    a,
-		Self:     identity(rec.Target),
+		Self:     self,
 		Key:      peer.Key(s.PeerKey),
 		Log:      log,
-		Revision: configurations.Revision,
+		Revision: controllers.Configurations.Revision,
 	}
 	srv.Hertz.GET(peer.Path, adaptor.HertzHandler(sessions))
 	go a.Run(ctx)
-	go configurations.Run(ctx)
-	go known.Run(ctx)
-	go node.Run(ctx)
+	controllers.Run(ctx)
 	reg := newRegistered(registrations, rec, log)
 	go reg.leaveWith(ctx, a)
 	served := make(chan error, 1)
--- /dev/null
+++ b/internal/daemon/controllers.go
@@ -0,0 +1,71 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/borageusher/borageusher/internal/claims"
+	"github.com/borageusher/borageusher/internal/event"
+	"github.com/borageusher/borageusher/internal/members"
+	"github.com/borageusher/borageusher/internal/objects"
+	"github.com/borageusher/borageusher/internal/peer"
+	"github.com/borageusher/borageusher/internal/revision"
+	"github.com/borageusher/borageusher/internal/settings"
+	"github.com/borageusher/borageusher/internal/spread"
+	"github.com/borageusher/borageusher/pkg/claim"
+	"github.com/borageusher/borageusher/pkg/configuration"
+)
+
+// Controllers keep what a process knows of the system: the configuration in
+// force and the registered targets. They follow the object API and the peers.
+type Controllers struct {
+	Configurations *revision.Controller
+	Members        *members.Controller
+	News           *spread.Node // nil before Join
+}
+
+// NewControllers returns controllers that know nothing yet.
+func NewControllers(store *objects.Client, log event.Log) *Controllers {
+	return &Controllers{
+		Configurations: revision.New(store.For(objects.ForConfiguration), log),
+		Members:        members.New(store.For(objects.ForMembers), log),
+	}
+}
+
+// Join connects the controllers with the peers of the process self. It must be
+// called once, before Run.
+func (c *Controllers) Join(self peer.Identity, s settings.Common, dialer *peer.Dialer, log event.Log, scope tally.Scope) {
+	c.News = spread.New(spread.Options{
+		Self:           self,
+		Configurations: c.Configurations,
+		Members:        c.Members,
+		Dialer:         dialer,
+		Seeds:          s.Seeds,
+		Log:            log,
+		Scope:          scope,
+	})
+	c.Configurations.SetDuty(c.News.Duty)
+	c.Configurations.OnChange(func(*configuration.Configuration) { c.News.Announce() })
+	c.Members.SetDuty(c.News.Duty)
+	c.Members.OnChange(c.News.Announce)
+}
+
+// Run starts the controllers, which end when ctx is done.
+func (c *Controllers) Run(ctx context.Context) {
+	go c.Configurations.Run(ctx)
+	go c.Members.Run(ctx)
+	go c.News.Run(ctx)
+}
+
+// NewLedger returns the claims of the process self.
+func NewLedger(self peer.Identity, s settings.Common, store *objects.Client, log event.Log, scope tally.Scope) *claims.Ledger {
+	return claims.New(claims.Options{
+		Store:     store.For(objects.ForClaims),
+		Later:     store.For(objects.ForOutcomes),
+		Self:      claim.Writer{Name: self.Name, Incarnation: self.Incarnation},
+		Retention: s.Retention,
+		Log:       log,
+		Scope:     scope,
+	})
+}
--- a/internal/entry/main.go
+++ b/internal/entry/main.go
@@ -4,22 +4,20 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
 	"sync/atomic"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/borageusher/borageusher/internal/claims"
 	"github.com/borageusher/borageusher/internal/daemon"
 	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/internal/httpserver"
-	"github.com/borageusher/borageusher/internal/members"
 	"github.com/borageusher/borageusher/internal/metrics"
 	"github.com/borageusher/borageusher/internal/objects"
 	"github.com/borageusher/borageusher/internal/peer"
-	"github.com/borageusher/borageusher/internal/revision"
 	"github.com/borageusher/borageusher/internal/settings"
-	"github.com/borageusher/borageusher/internal/spread"
 	"github.com/borageusher/borageusher/internal/suspects"
-	"github.com/borageusher/borageusher/pkg/claim"
-	"github.com/borageusher/borageusher/pkg/configuration"
 )
 
 const purpose = "Takes callers' requests, decides where each goes, and relays the whole answer."
@@ -42,14 +40,47 @@
 	return daemon.ExitOK
 }
 
+// process is the parts of a running entryd.
+type process struct {
+	settings    settings.Entry
+	log         event.Log
+	controllers *daemon.Controllers
+	crashes     *suspects.Controller
+	ledger      *claims.Ledger
+	entry       *Entry
+	srv         *httpserver.Server
+	stopping    atomic.Bool
+}
+
 func run(s settings.Entry, stderr io.Writer) error {
 	signals := daemon.Signals()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-
-	log := event.New(stderr, "entryd", s.Name, s.LogLevel)
 	scope, metricsHandler, stopMetrics := metrics.New("entryd")
 	defer stopMetrics()
+
+	p := &process{settings: s, log: event.New(stderr, "entryd", s.Name, s.LogLevel)}
+	if err := p.assemble(scope); err != nil {
+		return err
+	}
+	if err := p.listen(metricsHandler); err != nil {
+		return err
+	}
+	p.start(ctx)
+	served := make(chan error, 1)
+	go func() { served <- p.srv.Run() }()
+	select {
+	case err := <-served:
+		return err
+	case <-signals:
+	}
+	p.stopping.Store(true)
+	return stop(s, p.entry, p.srv, signals, p.log)
+}
+
+// assemble makes the parts that serve calls.
+func (p *process) assemble(scope tally.Scope) error {
+	s := p.settings
 	self := peer.Identity{
 		Name:        s.Name,
 		Role:        "entryd",
@@ -62,54 +93,38 @@
 		return err
 	}
 	store := daemon.NewStore(s.Common, scope)
-	configurations := revision.New(store.For(objects.ForConfiguration), log)
-	known := members.New(store.For(objects.ForMembers), log)
-	node := spread.New(spread.Options{
+	p.controllers = daemon.NewControllers(store, p.log)
+	p.controllers.Join(self, s.Common, dialer, p.log, scope)
+	p.crashes = suspects.New(store.For(objects.ForSuspects), p.log)
+	p.ledger = daemon.NewLedger(self, s.Common, store, p.log, scope)
+	p.entry = New(Options{
 		Self:           self,
-		Configurations: configurations,
-		Members:        known,
+		Configurations: p.controllers.Configurations,
+		Revision:       p.controllers.Configurations.Revision,
+		Targets:        p.controllers.Members,
+		Suspects:       p.crashes,
 		Dialer:         dialer,
-		Seeds:          s.Seeds,
-		Log:            log,
-		Scope:          scope,
-	})
-	configurations.SetDuty(node.Duty)
-	configurations.OnChange(func(*configuration.Configuration) { node.Announce() })
-	known.SetDuty(node.Duty)
-	known.OnChange(node.Announce)
-	crashes := suspects.New(store.For(objects.ForSuspects), log)
-	ledger := claims.New(claims.Options{
-		Store:     store.For(objects.ForClaims),
-		Later:     store.For(objects.ForOutcomes),
-		Self:      claim.Writer{Name: self.Name, Incarnation: self.Incarnation},
-		Retention: s.Retention,
-		Log:       log,
-		Scope:     scope,
-	})
-	go ledger.Run(ctx)
-	e := New(Options{
-		Self:           self,
-		Configurations: configurations,
-		Revision:       configurations.Revision,
-		Targets:        known,
-		Suspects:       crashes,
-		Dialer:         dialer,
-		News:           node,
-		Claims:         ledger,
+		News:           p.controllers.News,
+		Claims:         p.ledger,
 		MaxInProgress:  s.MaxInProgress,
 		Costs:          s.Costs,
 		Loads:          s.Loads,
 		StartWithin:    s.StartWithin,
-		Log:            log,
+		Log:            p.log,
 		Scope:          scope,
 	})
-	var stopping atomic.Bool
+	return nil
+}
+
+// listen opens the listener and adds the routes.
+func (p *process) listen(metricsHandler http.Handler) error {
+	s := p.settings
 	srv, err := httpserver.New(httpserver.Options{
 		Address:      s.Listen,
 		CertFile:     s.CertFile,
 		KeyFile:      s.KeyFile,
 		MaxBodyBytes: s.MaxBodyBytes,
-		Ready:        func() bool { return configurations.Current() != nil && crashes.Ready() && !stopping.Load() },
+		Ready:        p.ready,
 		Metrics:      metricsHandler,
 
 		SenseDisconnect: true,
@@ -118,22 +133,23 @@
 	if err != nil {
 		return err
 	}
-	e.Register(srv.Hertz)
-	RegisterStatus(srv.Hertz, s.OperatorKey, node)
-	go configurations.Run(ctx)
-	go known.Run(ctx)
-	go node.Run(ctx)
-	go e.CloseIdle(ctx)
-	go crashes.Run(ctx)
-	go e.Run(ctx)
-	log.At(event.Started).Stringer("address", s.Listen).Send()
-	served := make(chan error, 1)
-	go func() { served <- srv.Run() }()
-	select {
-	case err := <-served:
-		return err
-	case <-signals:
-	}
-	stopping.Store(true)
-	return stop(s, e, srv, signals, log)
+	p.entry.Register(srv.Hertz)
+	RegisterStatus(srv.Hertz, s.OperatorKey, p.controllers.News)
+	p.srv = srv
+	return nil
+}
+
+// ready reports whether callers' requests can be served.
+func (p *process) ready() bool {
+	return p.controllers.Configurations.Current() != nil && p.crashes.Ready() && !p.stopping.Load()
+}
+
+// start starts everything that goes on until ctx is done.
+func (p *process) start(ctx context.Context) {
+	p.controllers.Run(ctx)
+	go p.ledger.Run(ctx)
+	go p.crashes.Run(ctx)
+	go p.entry.CloseIdle(ctx)
+	go p.entry.Run(ctx)
+	p.log.At(event.Started).Stringer("address", p.settings.Listen).Send()
 }
--- a/internal/objects/client.go
+++ b/internal/objects/client.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -53,6 +54,8 @@
 	purpose Purpose
 	budget  *Budget // nil for none
 	scope   tally.Scope
+
+	answered *atomic.Bool // shared by all views
 }
 
 // New returns a client of the API at addr that calls it with httpClient,
@@ -64,9 +67,20 @@
 // NewMetered returns a client whose calls keep to budget, if it is not nil,
 // and are counted in scope by purpose, operation and result.
 func NewMetered(addr netip.AddrPort, httpClient *http.Client, budget *Budget, scope tally.Scope) *Client {
-	return &Client{base: "http://" + addr.String(), http: httpClient, purpose: unnamed, budget: budget, scope: scope}
+	return &Client{
+		base:     "http://" + addr.String(),
+		http:     httpClient,
+		purpose:  unnamed,
+		budget:   budget,
+		scope:    scope,
+		answered: &atomic.Bool{},
+	}
 }
 
+// Answered reports whether the API has answered any call of this client or of
+// its views.
+func (c *Client) Answered() bool { return c.answered.Load() }
+
 // Get returns an object. The error is of kind NotFound when there is none.
 func (c *Client) Get(ctx context.Context, kind ObjectKind, name string) (Object, error) {
 	resp, err := c.do(ctx, "get", http.MethodGet, c.objectURL(kind, name), nil, nil)
@@ -139,6 +153,9 @@
 	}
 	resp, err := c.call(ctx, op, method, target, body, expect)
 	c.count(op, resultName(err))
+	if err == nil || IsKind(err, NotFound) || IsKind(err, Conflict) {
+		c.answered.Store(true)
+	}
 	return resp, err
 }
 
--- a/internal/suspects/controller.go
+++ b/internal/suspects/controller.go
@@ -31,6 +31,8 @@
 	Writer
 	List(ctx context.Context, kind objects.ObjectKind) ([]objects.Object, objects.Version, error)
 	Watch(ctx context.Context, kind objects.ObjectKind, after objects.Version, wait time.Duration) ([]objects.Object, objects.Version, error)
+	// Answered reports whether the object API has answered any call.
+	Answered() bool
 }
 
 // Controller follows the crashes and judges requests by them.
@@ -104,9 +106,13 @@
 }
 
 // Ready reports whether requests may be judged: the crashes were read once, or
-// the object API is out, when serving without them beats not serving.
+// the object API has been out since the process started, when serving without
+// them beats not serving.
 func (c *Controller) Ready() bool {
-	return c.loaded.Load() || c.failures.Load() >= readyAfterFailures
+	if c.loaded.Load() {
+		return true
+	}
+	return c.failures.Load() >= readyAfterFailures && !c.store.Answered()
 }
 
 func (c *Controller) next(ctx context.Context, seen objects.Version) (objects.Version, error) {
--- a/internal/suspects/suspects_test.go
+++ b/internal/suspects/suspects_test.go
@@ -127,8 +127,17 @@
 	})
 }
 
+// Answered implements Store.
+func (m *memory) Answered() bool { return true }
+
 // outage is a Store whose reads fail.
-type outage struct{ memory }
+type outage struct {
+	memory
+	answered bool // other calls were answered
+}
+
+// Answered implements Store.
+func (o *outage) Answered() bool { return o.answered }
 
 func (*outage) List(context.Context, objects.ObjectKind) ([]objects.Object, objects.Version, error) {
 	return nil, 0, &objects.Error{Op: "list", Kind: objects.Unavailable}
@@ -144,4 +153,12 @@
 		}
 		convey.So(c.Ready(), convey.ShouldBeTrue)
 	})
+	convey.Convey("While other calls are answered, it waits for the crashes", t, func() {
+		c := New(&outage{answered: true}, event.Discard())
+		for range 2 * readyAfterFailures {
+			_, err := c.next(context.Background(), 0)
+			convey.So(err, convey.ShouldNotBeNil)
+		}
+		convey.So(c.Ready(), convey.ShouldBeFalse)
+	})
 }
