Let unreachable targets cost neither attempts nor retry budget

An attempt that could not be sent took a retry from the budget, and four of them ended a call, although they cost the service nothing. Ruled out: late news of the dead targets, since a failed dial passes a target over at once.

Change: a result says that its attempt was never sent; such attempts are not counted.

--- a/internal/entry/budget.go
+++ b/internal/entry/budget.go
@@ -60,12 +60,15 @@
 	return ls.of(c).budget.Withdraw()
 }
 
-// costless reports whether a target refused for a reason that has nothing to
-// do with its service failing: its requests move on.
+// costless reports whether an attempt was never sent, or was refused for a
+// reason that has nothing to do with its service failing: its requests move on.
 func costless(result Result) bool {
 	if result.Outcome != outcome.NotRun {
 		return false
 	}
+	if result.Unsent {
+		return true
+	}
 	switch result.Reason {
 	case outcome.Draining, outcome.WrongTarget, outcome.OverTerms, outcome.Behind, outcome.NotReady, outcome.EngineCrashed:
 		return true
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -63,6 +63,7 @@
 	After   time.Duration // when trying again may help, zero if unknown
 	Running int           // at the target that refused
 	Queued  int           // at the target that refused
+	Unsent  bool          // the attempt was never written to a connection
 }
 
 // Responder passes an answer to the caller.
--- a/internal/entry/link_test.go
+++ b/internal/entry/link_test.go
@@ -64,8 +64,12 @@
 	return d.next.Dial(ctx, addr)
 }
 
+func testDialer() Dialer {
+	return &peer.Dialer{Self: peer.Identity{Name: "e1"}, Key: peer.Key("key"), Client: http.DefaultClient}
+}
+
 func newTestLink(f *fakeTarget) (*link, *countingDialer) {
-	d := &countingDialer{next: &peer.Dialer{Self: peer.Identity{Name: "e1"}, Key: peer.Key("key"), Client: http.DefaultClient}}
+	d := &countingDialer{next: testDialer()}
 	ls := newLinks(d, event.Discard(), func() uint64 { return 1 })
 	return ls.get(target.Target{Name: "t1", Addr: f.addr}), d
 }
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -14,7 +14,8 @@
 	"github.com/borageusher/borageusher/pkg/target"
 )
 
-// maxAttempts bounds the targets that one request is offered to.
+// maxAttempts bounds the targets that one request is sent to. Targets that
+// can't be reached don't count.
 const maxAttempts = 4
 
 // Targets gives the known targets.
@@ -49,7 +50,8 @@
 	r.loads.request(c)
 	tried := map[string]bool{}
 	last := rejected(outcome.NoTarget, "no target can take the request")
-	for n := uint32(1); n <= maxAttempts; n++ {
+	sent := 0
+	for n := uint32(1); sent < maxAttempts; n++ {
 		now := time.Now()
 		if !now.Before(c.Deadline) {
 			return rejected(outcome.Expired, "the deadline passed before the request started")
@@ -69,6 +71,9 @@
 			Stringer("adapter", c.Adapter).Str("reason", routeReason(n, why, last)).Send()
 		result := noteCrash(c, t.Name, r.attempt(ctx, c, t, n, now))
 		c.MayHaveRun = c.MayHaveRun || result.Outcome == outcome.Unknown
+		if !result.Unsent {
+			sent++
+		}
 		if !mayRetry(c, result) {
 			r.observe(c, result, now)
 			return result
@@ -144,7 +149,9 @@
 	defer cancel()
 	p, err := l.submit(dialCtx, submitOf(c, t, n, now))
 	if err != nil {
-		return rejected(outcome.TargetLost, "the target cannot be reached")
+		unreachable := rejected(outcome.TargetLost, "the target cannot be reached")
+		unreachable.Unsent = true
+		return unreachable
 	}
 	defer l.forget(p)
 	return r.settle(ctx, c, n, relay(ctx, c, l, p))
--- a/internal/scenario/call_test.go
+++ b/internal/scenario/call_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"os"
+	"regexp"
 	"sort"
 	"strings"
 	"time"
@@ -24,9 +25,10 @@
 	method     string
 	headers    []string
 	body       string
-	authority  string        // path of a certificate to trust, for https
-	pause      time.Duration // before the body is read
-	leave      time.Duration // after which the caller goes away, zero for never
+	authority  string         // path of a certificate to trust, for https
+	pause      time.Duration  // before the body is read
+	leave      time.Duration  // after which the caller goes away, zero for never
+	until      *regexp.Regexp // repeat the call until its output matches, nil for one call
 	url        string
 	began      chan struct{} // closed when the head of the answer has come
 }
@@ -46,6 +48,10 @@
 			o.background = args[1]
 		case "-ca":
 			o.authority = ts.MkAbs(args[1])
+		case "-until":
+			re, err := regexp.Compile("(?m)" + args[1])
+			ts.Check(err)
+			o.until = re
 		case "-X":
 			o.method = args[1]
 		case "-H":
@@ -69,7 +75,7 @@
 		args = args[2:]
 	}
 	if len(args) != 1 {
-		ts.Fatalf("usage: call [-bg NAME] [-ca FILE] [-X METHOD] [-H HEADER]... [-d BODY] [-pause TIME] [-leave TIME] URL")
+		ts.Fatalf("usage: call [-bg NAME] [-until PATTERN] [-ca FILE] [-X METHOD] [-H HEADER]... [-d BODY] [-pause TIME] [-leave TIME] URL")
 	}
 	o.url = args[0]
 	return o
@@ -80,6 +86,10 @@
 		ts.Fatalf("call cannot be negated; check its output")
 	}
 	o := parseCall(ts, args)
+	if o.until != nil {
+		write(ts, callUntil(ts, o))
+		return
+	}
 	if o.background == "" {
 		write(ts, doCall(o))
 		return
@@ -93,6 +103,16 @@
 	}()
 }
 
+// callUntil repeats a call until its output matches, and returns that output.
+func callUntil(ts *testscript.TestScript, o callOptions) string {
+	var last string
+	poll(ts, "call "+o.url, waitLimit, func() (bool, string) {
+		last = doCall(o)
+		return o.until.MatchString(last), last
+	})
+	return last
+}
+
 func cmdWaitCall(ts *testscript.TestScript, neg bool, args []string) {
 	c := stateOf(ts).calls[one(ts, neg, args, "wait_call NAME")]
 	if c == nil {
--- a/internal/scenario/doc.go
+++ b/internal/scenario/doc.go
@@ -21,10 +21,11 @@
 //	settings NAME entry|target [SECTION.KEY=VALUE...]
 //	                              write NAME.ini: the script's defaults, changed
 //	certificate NAME IP           write NAME.crt and NAME.key, self-signed
-//	call [-bg NAME] [-ca FILE] [-X METHOD] [-H HEADER]... [-d BODY] [-pause TIME] [-leave TIME] URL
+//	call [-bg NAME] [-until PATTERN] [-ca FILE] [-X METHOD] [-H HEADER]... [-d BODY] [-pause TIME] [-leave TIME] URL
 //	                              make one call; status, headers and body to stdout;
 //	                              read the body after a pause, go away after a time
 //	call_began NAME               wait for the head of a background call's answer
+//	                              -until repeats the call until its output matches
 //	wait_call NAME                wait for a background call; as call
 //	streams NAME CALLERS TOKENS KEY MODEL URL
 //	                              start concurrent streams with a prompt each
