Answer a watch with the changes that its version covers

The stand-in's watch took its list of changes before the wait ended and the version after it, so a change in between was covered by the version and never delivered. Ruled out: the members' controller and the news between peers, which rightly trust the version.

Change: the list and the version are taken together.

--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -182,7 +182,7 @@
 		case <-changed:
 		case <-timer.C:
 			p.mu.Lock()
-			p.answerList(rc, objects)
+			p.answerList(rc, p.since(rc.Query("kind"), after, true))
 			p.mu.Unlock()
 			return
 		case <-ctx.Done():
