--- a/internal/members/controller.go
+++ b/internal/members/controller.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/netip"
 	"sort"
 	"sync"
 	"time"
 
 	"github.com/borageusher/borageusher/internal/event"
+	"github.com/borageusher/borageusher/internal/jitter"
 	"github.com/borageusher/borageusher/internal/objects"
 	"github.com/borageusher/borageusher/internal/registration"
 	"github.com/borageusher/borageusher/internal/revision"
@@ -166,7 +166,7 @@
 		version, err := c.follow(ctx, seen, wait)
 		if err != nil {
 			c.log.At(event.StoreUnavailable).Str("purpose", "members").Err(err).Send()
-			pause(ctx, retryPause)
+			jitter.Pause(ctx, retryPause)
 		} else {
 			seen = version
 		}
@@ -190,13 +190,3 @@
 	c.Merge(newest, changed, newest)
 	return max(after, version), nil
 }
-
-// pause waits for about d, or until ctx is done.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d/2 + time.Duration(rand.Int64N(int64(d))))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/members/vms.go
+++ b/internal/members/vms.go
@@ -5,6 +5,7 @@
 	"net/netip"
 
 	"github.com/borageusher/borageusher/internal/event"
+	"github.com/borageusher/borageusher/internal/jitter"
 	"github.com/borageusher/borageusher/internal/objects"
 	"github.com/borageusher/borageusher/internal/registration"
 	"github.com/borageusher/borageusher/pkg/target"
@@ -16,7 +17,7 @@
 		if c.duty().Watch {
 			c.readVMs(ctx)
 		}
-		pause(ctx, vmInterval)
+		jitter.Pause(ctx, vmInterval)
 	}
 }
 
--- a/internal/revision/controller.go
+++ b/internal/revision/controller.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/borageusher/borageusher/internal/event"
+	"github.com/borageusher/borageusher/internal/jitter"
 	"github.com/borageusher/borageusher/internal/objects"
 	"github.com/borageusher/borageusher/pkg/configuration"
 )
@@ -121,7 +122,7 @@
 		version, err := c.follow(ctx, seen, wait)
 		if err != nil {
 			c.log.At(event.StoreUnavailable).Str("purpose", "configuration").Err(err).Send()
-			pause(ctx, retryPause)
+			jitter.Pause(ctx, retryPause)
 		} else {
 			seen = version
 		}
@@ -187,7 +188,7 @@
 func (c *Controller) waitFor(ctx context.Context, revision uint64, d time.Duration) {
 	const step = 20 * time.Millisecond
 	for until := time.Now().Add(d); time.Now().Before(until) && c.Revision() < revision; {
-		pause(ctx, step)
+		jitter.Pause(ctx, step)
 	}
 }
 
@@ -235,14 +236,3 @@
 		f(cfg)
 	}
 }
-
-// pause waits for about d, or until ctx is done.
-func pause(ctx context.Context, d time.Duration) {
-	jittered := d/2 + time.Duration(rand.Int64N(int64(d)))
-	timer := time.NewTimer(jittered)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/suspects/controller.go
+++ b/internal/suspects/controller.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/borageusher/borageusher/internal/event"
+	"github.com/borageusher/borageusher/internal/jitter"
 	"github.com/borageusher/borageusher/internal/objects"
 	"github.com/borageusher/borageusher/pkg/quarantine"
 )
@@ -98,7 +98,7 @@
 		version, err := c.next(ctx, seen)
 		if err != nil {
 			c.log.At(event.StoreUnavailable).Str("purpose", "suspects").Err(err).Send()
-			pause(ctx, retryPause)
+			jitter.Pause(ctx, retryPause)
 			continue
 		}
 		seen = version
@@ -170,7 +170,7 @@
 // writeCleared writes what was cleared, together for each crash.
 func (c *Controller) writeCleared(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, clearEvery)
+		jitter.Pause(ctx, clearEvery)
 		for name, fs := range c.takeCleared() {
 			if err := c.writeOne(ctx, name, fs); err != nil {
 				c.putBack(name, fs)
@@ -222,13 +222,3 @@
 	_, err = c.store.Put(ctx, objects.Suspects, name, Encode(crash), o.Version)
 	return err
 }
-
-// pause waits for about d, or until ctx is done.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d/2 + time.Duration(rand.Int64N(int64(d))))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
