--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -34,6 +34,13 @@
 	SuspectCleared    Code = 333
 	RetryRefused      Code = 334
 	LoadGranted       Code = 340
+	AttemptSent       Code = 350
+	AttemptEnded      Code = 351
+	StreamResumed     Code = 352
+	RequestWaiting    Code = 353
+	CrashSuspected    Code = 354
+	TargetAvoided     Code = 355
+	LinesDropped      Code = 356
 	RequestQueued     Code = 400
 	RequestNotRun     Code = 401
 	RequestStarted    Code = 402
@@ -42,8 +49,10 @@
 	AdapterLoaded     Code = 411
 	AdapterLoadFailed Code = 412
 	AdapterUnloading  Code = 413
+	EngineOrdered     Code = 414
 	EngineRestarted   Code = 420
 	EngineUnreachable Code = 421
+	EngineReachable   Code = 422
 	TargetRegistered  Code = 430
 	TargetReplaced    Code = 431
 	ClaimTaken        Code = 440
@@ -62,8 +71,13 @@
 	RevisionFromPeer  Code = 503
 	StoreUnavailable  Code = 510
 	DutyChanged       Code = 511
+	StoreAvailable    Code = 512
+	HistoryGone       Code = 513
 	MembersChanged    Code = 520
 	MemberLeaving     Code = 521
+	TargetChanged     Code = 522
+	TargetUnreadable  Code = 523
+	VersionAnnounced  Code = 524
 )
 
 // definition is what the catalogue says of an event.
@@ -99,6 +113,13 @@
 	{SuspectCleared, "suspect_cleared", zerolog.InfoLevel, "A suspect was answered and is no longer one."},
 	{RetryRefused, "retry_refused", zerolog.WarnLevel, "The retry budget of the service is spent: the caller is told the last attempt's outcome."},
 	{LoadGranted, "load_granted", zerolog.InfoLevel, "Placement decision: `target` may load one adapter for `team` with a right that another target gave."},
+	{AttemptSent, "attempt_sent", zerolog.InfoLevel, "Routing decision: an attempt goes straight to `target`; `load`, `wait_ms` and `state_age_ms` are what decided."},
+	{AttemptEnded, "attempt_ended", zerolog.InfoLevel, "An attempt did not answer the request: `outcome` says whether it was refused, failed or broke, and `next` what follows."},
+	{StreamResumed, "stream_resumed", zerolog.InfoLevel, "A broken stream goes on at another target after event `last_event`."},
+	{RequestWaiting, "request_waiting", zerolog.InfoLevel, "The request waits until `target` has loaded its adapter."},
+	{CrashSuspected, "crash_suspected", zerolog.WarnLevel, "An engine crashed while it ran the request; `crashes` counts the engines that did."},
+	{TargetAvoided, "target_avoided", zerolog.WarnLevel, "The target failed and gets no requests `for` a while, unless there is no other."},
+	{LinesDropped, "lines_dropped", zerolog.WarnLevel, "The log could not be written fast enough and `lines` lines of served requests were left out."},
 	{RequestQueued, "request_queued", zerolog.DebugLevel, "The target took an attempt into its queue."},
 	{RequestNotRun, "request_not_run", zerolog.InfoLevel, "The target refused an attempt that it had not started."},
 	{RequestStarted, "request_started", zerolog.DebugLevel, "The engine or service was given the request."},
@@ -107,8 +128,10 @@
 	{AdapterLoaded, "adapter_loaded", zerolog.InfoLevel, "The engine has loaded `adapter` in `took`."},
 	{AdapterLoadFailed, "adapter_load_failed", zerolog.WarnLevel, "The engine could not load `adapter`."},
 	{AdapterUnloading, "adapter_unloading", zerolog.InfoLevel, "Placement decision: the engine is ordered to unload `adapter`; `reason` says why."},
+	{EngineOrdered, "engine_ordered", zerolog.InfoLevel, "Placement decision: the engine is ordered to load or unload `adapter` in the state that `sequence` names; `outcome` says whether it accepted."},
 	{EngineRestarted, "engine_restarted", zerolog.WarnLevel, "The engine restarted and lost its adapters."},
 	{EngineUnreachable, "engine_unreachable", zerolog.WarnLevel, "The engine does not answer."},
+	{EngineReachable, "engine_reachable", zerolog.InfoLevel, "The engine answers."},
 	{TargetRegistered, "target_registered", zerolog.InfoLevel, "The target is registered with `epoch` as its fencing number."},
 	{TargetReplaced, "target_replaced", zerolog.ErrorLevel, "Another process registered this target; this one takes no more work."},
 	{ClaimTaken, "claim_taken", zerolog.DebugLevel, "The target holds the claim of a request's idempotency key, before its run."},
@@ -127,8 +150,13 @@
 	{RevisionFromPeer, "revision_from_peer", zerolog.DebugLevel, "A peer is ahead and is asked for what is missing."},
 	{StoreUnavailable, "store_unavailable", zerolog.WarnLevel, "The object API did not answer; the process goes on with what it knows."},
 	{DutyChanged, "duty_changed", zerolog.InfoLevel, "The process began or ceased to watch the object API for its availability zone."},
+	{StoreAvailable, "store_available", zerolog.InfoLevel, "The object API answers again after `away`."},
+	{HistoryGone, "history_gone", zerolog.InfoLevel, "The object API no longer has the changes since `version`; everything is listed again."},
 	{MembersChanged, "members_changed", zerolog.InfoLevel, "The set of known targets changed."},
 	{MemberLeaving, "member_leaving", zerolog.InfoLevel, "The platform's list says that the VM of `target` is leaving, and its registration was marked."},
+	{TargetChanged, "target_changed", zerolog.InfoLevel, "The platform's entry of `target` changed; `state` is the new one."},
+	{TargetUnreadable, "target_unreadable", zerolog.WarnLevel, "The platform's entry of `target` can't be used; the others hold."},
+	{VersionAnnounced, "version_announced", zerolog.InfoLevel, "A version of an adapter was announced."},
 }
 
 var definitions = func() map[Code]definition {
--- /dev/null
+++ b/internal/gateway/attempt.go
@@ -0,0 +1,150 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/borageusher/borageusher/internal/event"
+	"github.com/borageusher/borageusher/internal/upstream"
+)
+
+// mostBody bounds an answer that is read as a whole.
+const mostBody = 32 << 20
+
+// attempt sends the call to a target and relays the answer.
+func (g *Gateway) attempt(ctx context.Context, w http.ResponseWriter, c *call, p proposal) outcome {
+	now := time.Now()
+	req := c.request
+	req.Header = g.Dialect.Forward(c.header, Attempt{
+		Instance:  p.replica.ID,
+		Left:      c.left(now),
+		Urgency:   c.route.Urgency,
+		LastEvent: c.lastEvent,
+	})
+	g.Log.At(event.AttemptSent).
+		Str("request", c.meta.ID).
+		Str("target", p.replica.ID).
+		Int("load", p.load).
+		Dur("wait", p.wait).
+		Dur("state_age", p.age).
+		Send()
+	g.Fleet.begin(p.node, c.adapter)
+	defer g.Fleet.end(p.node, c.adapter)
+	answer, err := g.Client.Do(ctx, p.replica.Addr, &req)
+	if err != nil {
+		return g.noAnswer(ctx, c, p, err)
+	}
+	defer answer.Close()
+	c.sent++
+	meta := g.Dialect.Answer(answer.Status, answer.Header)
+	if meta.NotRun && answer.Status != http.StatusBadRequest {
+		return g.refusal(c, p, answer, meta)
+	}
+	c.ran++
+	c.tried[p.replica.ID] = true
+	g.Fleet.observe(time.Now(), p.node, meta.Load, 0)
+	if isStream(answer) && meta.Signed && !meta.Encoded {
+		out := g.relay(ctx, w, c, answer)
+		return g.finish(c, p, meta, out, now)
+	}
+	return g.finish(c, p, meta, g.relayWhole(w, c, answer, meta), now)
+}
+
+// isStream reports whether an answer consists of events.
+func isStream(a *upstream.Answer) bool {
+	return a.Status == http.StatusOK && strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream")
+}
+
+// finish notes what an attempt that ran tells of the target.
+func (g *Gateway) finish(c *call, p proposal, meta AnswerMeta, out outcome, begun time.Time) outcome {
+	now := time.Now()
+	switch out {
+	case delivered:
+		g.Fleet.observe(now, p.node, meta.Load, now.Sub(begun))
+	case broken, failed:
+		g.Fleet.failed(now, p.node)
+		g.ended(c, p, out, nil)
+	}
+	return out
+}
+
+// noAnswer notes an attempt that has no answer.
+func (g *Gateway) noAnswer(ctx context.Context, c *call, p proposal, err error) outcome {
+	now := time.Now()
+	if !upstream.WasSent(err) {
+		c.unsent++
+		c.refused[p.replica.ID] = true
+		if ctx.Err() == nil {
+			g.Fleet.unreachable(now, p.node)
+			g.ended(c, p, notSent, err)
+		}
+		return notSent
+	}
+	c.sent++
+	c.ran++
+	c.tried[p.replica.ID] = true
+	if ctx.Err() == nil {
+		g.Fleet.failed(now, p.node)
+		g.Client.Forget(p.replica.Addr)
+	}
+	g.ended(c, p, broken, err)
+	return broken
+}
+
+// refusal notes an attempt that the target proved not to have run.
+func (g *Gateway) refusal(c *call, p proposal, a *upstream.Answer, meta AnswerMeta) outcome {
+	_, _ = io.Copy(io.Discard, io.LimitReader(a, mostBody)) // the status is all that counts
+	c.refused[p.replica.ID] = true
+	g.Fleet.observe(time.Now(), p.node, meta.Load, 0)
+	if a.Status == http.StatusMisdirectedRequest {
+		g.Fleet.lacks(p.node, c.adapter)
+	}
+	g.ended(c, p, refused, errors.New(http.StatusText(a.Status)))
+	return refused
+}
+
+func (g *Gateway) ended(c *call, p proposal, out outcome, err error) {
+	g.Log.At(event.AttemptEnded).
+		Str("request", c.meta.ID).
+		Str("target", p.replica.ID).
+		Str("outcome", outcomeNames[out]).
+		Err(err).
+		Send()
+}
+
+// relayWhole reads the whole answer and passes it on.
+func (g *Gateway) relayWhole(w http.ResponseWriter, c *call, a *upstream.Answer, meta AnswerMeta) outcome {
+	body, err := io.ReadAll(io.LimitReader(a, mostBody))
+	switch {
+	case err != nil:
+		return broken
+	case a.Status < 300 && (!meta.Signed || meta.Encoded):
+		return broken // not the target's answer
+	case promises(a.Status):
+		return broken // the target did not prove that the request has not run
+	}
+	answer := &whole{status: a.Status, header: a.Header, body: body}
+	if a.Status >= 500 && c.idempotent() && !c.started {
+		c.fallback = answer
+		return failed
+	}
+	if c.started {
+		return broken // a stream can't go on with this
+	}
+	a.Close() // before the caller sends its next request
+	g.deliver(w, answer)
+	return delivered
+}
+
+// promises reports whether a status tells callers that a request has not run.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/gateway/fleet.go
@@ -0,0 +1,429 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/borageusher/borageusher/internal/event"
+	"github.com/borageusher/borageusher/internal/peer"
+	"github.com/borageusher/borageusher/pkg/assignment"
+	"github.com/borageusher/borageusher/pkg/orders"
+	"github.com/borageusher/borageusher/pkg/retry"
+	"github.com/borageusher/borageusher/pkg/routing"
+	"github.com/borageusher/borageusher/pkg/target"
+)
+
+// loadsAtOnce is the number of adapters that an engine loads at the same time,
+// which the platform's page gives.
+const loadsAtOnce = 4
+
+// failureCost is the part of the objective that one recent failure of a target
+// adds to its cost.
+const failureCost = 0.25
+
+// Fleet is what a gateway knows of all targets. It is safe for concurrent use.
+type Fleet struct {
+	zone    string
+	region  string
+	regions map[string]string
+	log     event.Log
+
+	mu       sync.Mutex
+	nodes    map[string]*node // by the target's id
+	cfg      *routing.Configuration
+	versions map[orders.Adapter]int64
+	stay     map[string]*retry.Mean // of requests, by service
+	news     chan struct{}          // closed at the next change of residency or state
+	known    bool                   // the targets were listed
+	joined   func(*node)            // a target with an engine appeared
+}
+
+// NewFleet returns a fleet without targets, seen from an availability zone.
+func NewFleet(zone, region string, regions map[string]string, log event.Log) *Fleet {
+	return &Fleet{
+		zone:     zone,
+		region:   region,
+		regions:  regions,
+		log:      log,
+		nodes:    map[string]*node{},
+		versions: map[orders.Adapter]int64{},
+		stay:     map[string]*retry.Mean{},
+		news:     make(chan struct{}),
+	}
+}
+
+// Known reports whether the targets were listed.
+func (f *Fleet) Known() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.known
+}
+
+// News returns a channel that is closed at the next change that may let a
+// waiting request go on.
+func (f *Fleet) News() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.news
+}
+
+// announce wakes the waiting requests. The caller holds mu.
+func (f *Fleet) announce() {
+	close(f.news)
+	f.news = make(chan struct{})
+}
+
+// put takes a target's entry. The caller holds mu.
+func (f *Fleet) put(r target.Replica) {
+	n := f.nodes[r.ID]
+	if n != nil && (n.replica.Addr != r.Addr || n.replica.Service != r.Service || n.replica.Incarnation() != r.Incarnation()) {
+		f.drop(n) // another start: nothing of the old one holds
+		n = nil
+	}
+	if n == nil {
+		n = newNode(r)
+		n.distance = f.distance(r.Zone)
+		f.nodes[r.ID] = n
+		f.note(r, "added")
+		if f.joined != nil {
+			f.joined(n)
+		}
+		f.announce()
+		return
+	}
+	if n.replica.State != r.State {
+		f.note(r, r.State.String())
+	}
+	n.replica = r
+	n.goneAt = time.Time{}
+}
+
+func (f *Fleet) note(r target.Replica, state string) {
+	f.log.At(event.TargetChanged).
+		Str("target", r.ID).
+		Str("service", r.Service).
+		Stringer("address", r.Addr).
+		Str("state", state).
+		Send()
+}
+
+// remove notes that a target's entry is missing. It counts as gone at once, or
+// at the time settled if entries may still come back until then. The caller
+// holds mu.
+func (f *Fleet) remove(now time.Time, n *node, settled time.Time) {
+	if n.replica.State == target.Live && now.Before(settled) {
+		if n.goneAt.IsZero() {
+			n.goneAt = settled
+			f.note(n.replica, "lapsed")
+		}
+		return
+	}
+	f.note(n.replica, "gone")
+	f.drop(n)
+}
+
+func (f *Fleet) drop(n *node) {
+	delete(f.nodes, n.replica.ID)
+	n.replica.State = target.Gone
+	if n.stopLink != nil {
+		n.stopLink()
+	}
+	f.announce()
+}
+
+// Sweep drops the targets whose entries did not come back.
+func (f *Fleet) Sweep(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, n := range f.nodes {
+		if !n.goneAt.IsZero() && !now.Before(n.goneAt) {
+			f.note(n.replica, "gone")
+			f.drop(n)
+		}
+	}
+}
+
+func (f *Fleet) distance(zone string) assignment.Distance {
+	switch {
+	case zone == f.zone:
+		return assignment.SameZone
+	case f.regions[zone] == f.region:
+		return assignment.SameRegion
+	}
+	return assignment.OtherRegion
+}
+
+// configure takes a newer configuration.
+func (f *Fleet) configure(cfg *routing.Configuration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cfg = cfg
+	for _, n := range f.nodes {
+		f.sendTerms(n, true)
+		if f.joined != nil {
+			f.joined(n)
+		}
+	}
+}
+
+// sendTerms tells a targetd what its engine has room for. The caller holds mu.
+func (f *Fleet) sendTerms(n *node, all bool) {
+	if n.link == nil || f.cfg == nil {
+		return
+	}
+	e := f.cfg.Services[n.replica.Service].Engine
+	if e == nil {
+		return
+	}
+	m := peer.EngineTerms{
+		Instance:     n.replica.ID,
+		Started:      n.replica.Started.UnixMilli(),
+		Places:       e.AdapterSlots,
+		WeightsMB:    e.WeightsMB,
+		AtOnce:       loadsAtOnce,
+		AllAnnounced: all,
+	}
+	if len(e.Models) > 0 {
+		first := e.Models[0]
+		m.Model, m.ModelMB, m.AdapterMB = first.Name, first.WeightsMB, first.AdapterMB
+	}
+	for a, v := range f.versions {
+		m.Announced = append(m.Announced, peer.AdapterVersion{Model: a.Model, Adapter: a.Name, Version: v})
+	}
+	_, _ = n.link.Send(m) // a failed link is dialled again and told all
+}
+
+// version returns the newest announced version of an adapter, zero for none.
+func (f *Fleet) version(a orders.Adapter) int64 {
+	return f.versions[a]
+}
+
+// proposal is the outcome of a choice.
+type proposal struct {
+	node    *node
+	replica target.Replica
+	holds   bool
+	wait    time.Duration
+	load    int
+	age     time.Duration // of what is known of the engine
+}
+
+// choose returns the target for the next attempt of a call, and false when none
+// can take it. A target in avoid is taken only if it is the only one.
+func (f *Fleet) choose(now time.Time, c *call) (proposal, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	nodes, candidates := f.candidates(now, c, true)
+	req := assignment.Request{
+		Key:       c.placement,
+		Adapter:   c.adapter.Name != "",
+		Objective: c.route.Objective,
+		Bytes:     len(c.body),
+	}
+	choice, ok := assignment.Choose(req, candidates)
+	if !ok {
+		nodes, candidates = f.candidates(now, c, false)
+		if choice, ok = assignment.Choose(req, candidates); !ok {
+			return proposal{}, false
+		}
+	}
+	n := nodes[choice.Index]
+	if choice.Copy >= 0 {
+		f.ask(now, nodes[choice.Copy], c.adapter, 1)
+	}
+	p := proposal{node: n, replica: n.replica, holds: choice.Holds, wait: choice.Wait, load: n.estimate(now)}
+	if !n.stateAt.IsZero() {
+		p.age = now.Sub(n.stateAt)
+	}
+	return p, true
+}
+
+// candidates returns the targets of the call's service, in random order so that
+// equal ones share the load.
+func (f *Fleet) candidates(now time.Time, c *call, cautious bool) ([]*node, []assignment.Candidate) {
+	var nodes []*node
+	for _, n := range f.nodes {
+		if n.replica.Service == c.service {
+			nodes = append(nodes, n)
+		}
+	}
+	rand.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
+	mean := f.meanStay(c.service)
+	out := make([]assignment.Candidate, 0, len(nodes))
+	for _, n := range nodes {
+		a := assignment.Candidate{
+			Hash:     n.hash,
+			Distance: n.distance,
+			Slots:    n.replica.Slots,
+			Load:     n.estimate(now),
+			Stay:     max(n.stay.Value(), mean),
+			Holds:    true,
+			Usable:   n.usable(now) && !c.tried[n.replica.ID],
+			Extra:    time.Duration(n.unsoundness(now) * failureCost * float64(c.route.Objective)),
+		}
+		if cautious && (now.Before(n.avoidUntil) || c.refused[n.replica.ID]) {
+			a.Usable = false
+		}
+		if c.model != "" {
+			a.Holds = n.has(c.adapter, f.version(c.adapter))
+			a.Loading = n.arrival()
+			a.CanLoad = c.adapter.Name != "" && n.canLoad(c.adapter)
+		}
+		out = append(out, a)
+	}
+	return nodes, out
+}
+
+func (f *Fleet) meanStay(service string) time.Duration {
+	if m := f.stay[service]; m != nil {
+		return m.Value()
+	}
+	return 0
+}
+
+// want notes that a request waits for an adapter at a target, until done is
+// called.
+func (f *Fleet) want(now time.Time, n *node, a orders.Adapter) (done func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n.waiting[a]++
+	f.ask(now, n, a, n.waiting[a])
+	return func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if n.waiting[a]--; n.waiting[a] <= 0 {
+			delete(n.waiting, a)
+		}
+	}
+}
+
+// ask tells a targetd that an adapter is wanted, unless it was told lately. The
+// caller holds mu.
+func (f *Fleet) ask(now time.Time, n *node, a orders.Adapter, waiting int) {
+	if n.link == nil || now.Sub(n.asked[a]) < orders.WantInterval {
+		return
+	}
+	n.asked[a] = now
+	w := peer.AdapterWant{
+		AdapterVersion: peer.AdapterVersion{Model: a.Model, Adapter: a.Name, Version: f.version(a)},
+		Waiting:        waiting,
+	}
+	_, _ = n.link.Send(peer.AdapterWants{Wants: []peer.AdapterWant{w}}) // asked again later
+}
+
+// remind repeats the want of a request that still waits.
+func (f *Fleet) remind(now time.Time, n *node, a orders.Adapter) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ask(now, n, a, max(1, n.waiting[a]))
+}
+
+// begin notes that an attempt is sent to a target.
+func (f *Fleet) begin(n *node, a orders.Adapter) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n.inFlight++
+	if a.Name != "" {
+		n.running[a]++
+		n.used[a]++
+	}
+}
+
+// end notes that an attempt at a target is over.
+func (f *Fleet) end(n *node, a orders.Adapter) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n.inFlight--
+	if a.Name == "" {
+		return
+	}
+	if n.running[a]--; n.running[a] <= 0 {
+		delete(n.running, a)
+	}
+}
+
+// observe notes what an answer told, and how long the target took.
+func (f *Fleet) observe(now time.Time, n *node, l Load, took time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if l.Slots > 0 {
+		n.observe(now, l)
+	}
+	n.failures = 0
+	if took <= 0 {
+		return
+	}
+	n.stay.Observe(took)
+	m := f.stay[n.replica.Service]
+	if m == nil {
+		m = &retry.Mean{}
+		f.stay[n.replica.Service] = m
+	}
+	m.Observe(took)
+}
+
+// unreachable notes that a connection to a target failed.
+func (f *Fleet) unreachable(now time.Time, n *node) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	pause := n.unreachable(now)
+	f.log.At(event.TargetAvoided).Str("target", n.replica.ID).Str("reason", "unreachable").Dur("for", pause).Send()
+}
+
+// failed notes that a target failed a request.
+func (f *Fleet) failed(now time.Time, n *node) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n.fail(now)
+}
+
+// lacks notes that a target refused a request because it is another start or
+// does not hold what the request needs.
+func (f *Fleet) lacks(n *node, a orders.Adapter) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(n.holds, a)
+}
+
+// reportUse tells the targetds which adapters were used since the last report.
+func (f *Fleet) reportUse() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, n := range f.nodes {
+		if n.link == nil || (len(n.used) == 0 && len(n.running) == 0) {
+			continue
+		}
+		var m peer.AdapterWants
+		for a, count := range n.used {
+			m.Wants = append(m.Wants, f.useOf(n, a, count))
+		}
+		for a := range n.running {
+			if n.used[a] == 0 {
+				m.Wants = append(m.Wants, f.useOf(n, a, 0))
+			}
+		}
+		clear(n.used)
+		_, _ = n.link.Send(m) // a lost report costs some accuracy
+	}
+}
+
+func (f *Fleet) useOf(n *node, a orders.Adapter, count int) peer.AdapterWant {
+	return peer.AdapterWant{
+		AdapterVersion: peer.AdapterVersion{Model: a.Model, Adapter: a.Name, Version: f.version(a)},
+		Used:           count,
+		Running:        n.running[a],
+	}
+}
+
+// entries returns the number of processes that take callers' requests, as far
+// as targetds tell.
+func (f *Fleet) entries() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	most := 0
+	for _, n := range f.nodes {
+		most = max(most, n.state.Entries)
+	}
+	return most
+}
--- /dev/null
+++ b/internal/gateway/links.go
@@ -0,0 +1,106 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/borageusher/borageusher/internal/event"
+	"github.com/borageusher/borageusher/internal/peer"
+	"github.com/borageusher/borageusher/pkg/orders"
+)
+
+// useInterval is the pause between two reports of use to a targetd.
+const useInterval = 250 * time.Millisecond
+
+// links keeps a connection to the targetd beside each engine.
+type links struct {
+	ctx    context.Context
+	fleet  *Fleet
+	dialer *peer.Dialer
+	port   uint16 // of all targetds
+	log    event.Log
+	crash  func(peer.CrashReport)
+}
+
+// join starts the connection to the targetd of a node. It is called with the
+// fleet locked.
+func (l *links) join(n *node) {
+	if l.fleet.cfg == nil || l.fleet.cfg.Services[n.replica.Service].Engine == nil || n.stopLink != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(l.ctx)
+	n.stopLink = cancel
+	addr := netip.AddrPortFrom(n.replica.Addr.Addr(), l.port)
+	go l.keep(ctx, n, n.replica.ID, addr)
+}
+
+// keep dials the targetd again and again until ctx is done.
+func (l *links) keep(ctx context.Context, n *node, id string, addr netip.AddrPort) {
+	for failures := 0; ctx.Err() == nil; failures++ {
+		c, err := l.dialer.Dial(ctx, addr)
+		if err == nil {
+			failures = 0
+			err = l.serve(ctx, n, id, c)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if failures < 2 {
+			l.log.At(event.PeerLost).Str("target", id).Stringer("address", addr).Err(err).Send()
+		}
+		select {
+		case <-time.After(peer.Backoff(failures, rand.Float64())):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// serve takes what the targetd tells until the connection ends.
+func (l *links) serve(ctx context.Context, n *node, id string, c *peer.Conn) error {
+	l.log.At(event.PeerConnected).Str("target", id).Str("peer", c.Remote().Name).Send()
+	f := l.fleet
+	f.mu.Lock()
+	n.link = c
+	f.sendTerms(n, true)
+	f.mu.Unlock()
+	err := c.Run(ctx, func() peer.Heartbeat { return peer.Heartbeat{Active: true} }, func(m peer.Message) {
+		switch m := m.(type) {
+		case peer.EngineState:
+			f.believe(time.Now(), n, m)
+		case peer.CrashReport:
+			l.crash(m)
+		}
+	})
+	f.mu.Lock()
+	n.link = nil
+	f.announce()
+	f.mu.Unlock()
+	return err
+}
+
+// believe takes what a targetd tells of its engine.
+func (f *Fleet) believe(now time.Time, n *node, s peer.EngineState) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.timeLoads(now, n, s)
+	if n.believe(now, s) {
+		f.announce()
+	}
+}
+
+// timeLoads observes how long the adapters that arrived took since they were
+// asked for.
+func (f *Fleet) timeLoads(now time.Time, n *node, s peer.EngineState) {
+	for _, a := range s.Resident {
+		key := orders.Adapter{Model: a.Model, Name: a.Adapter}
+		if !n.coming[key] {
+			continue
+		}
+		if asked, ok := n.asked[key]; ok {
+			n.loadTime.Observe(now.Sub(asked))
+			delete(n.asked, key)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/main.go
@@ -0,0 +1,196 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/borageusher/borageusher/internal/daemon"
+	"github.com/borageusher/borageusher/internal/event"
+	"github.com/borageusher/borageusher/internal/follow"
+	"github.com/borageusher/borageusher/internal/metrics"
+	"github.com/borageusher/borageusher/internal/objects"
+	"github.com/borageusher/borageusher/internal/peer"
+	"github.com/borageusher/borageusher/internal/settings"
+	"github.com/borageusher/borageusher/internal/upstream"
+	"github.com/borageusher/borageusher/pkg/routing"
+)
+
+// Pauses between two watches of a kind: changes within a pause cost one call.
+const (
+	configurationPause = 100 * time.Millisecond
+	// replicaPause is longer, as entries change often, and far below the bound
+	// for targets that leave.
+	replicaPause = 300 * time.Millisecond
+	versionPause = 300 * time.Millisecond
+)
+
+// Times of the listeners.
+const (
+	headerTimeout = 10 * time.Second // of callers, above any limit that a configuration sets
+	sweepInterval = time.Second
+)
+
+// Platform is what a gateway needs of the platform.
+type Platform struct {
+	Store             func(tally.Scope) follow.Source
+	Decoder           Decoder
+	Dialect           Dialect
+	Configurations    objects.ObjectKind
+	ConfigurationName string
+	Replicas          objects.ObjectKind
+	Versions          objects.ObjectKind
+	ReadyPath         string // of the balancer's probe
+}
+
+// process is the parts of a running gateway.
+type process struct {
+	node    settings.Node
+	log     event.Log
+	fleet   *Fleet
+	gateway *Gateway
+	current atomic.Pointer[routing.Configuration]
+	idle    *idleConns
+}
+
+// Main runs the program until a signal ends it.
+func Main(node settings.Node, p Platform, log event.Log) error {
+	signals := daemon.Signals()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	scope, metricsHandler, stopMetrics := metrics.New("entryd")
+	defer stopMetrics()
+	s := assemble(ctx, node, p, log, scope)
+	srv, err := s.listen(p, metricsHandler)
+	if err != nil {
+		return err
+	}
+	log.At(event.Started).Stringer("address", node.Callers).Str("zone", node.Zone).Send()
+	return s.stop(srv, signals)
+}
+
+func assemble(ctx context.Context, node settings.Node, p Platform, log event.Log, scope tally.Scope) *process {
+	s := &process{
+		node:  node,
+		log:   log,
+		fleet: NewFleet(node.Zone, node.Region, node.Regions, log),
+		idle:  newIdleConns(),
+	}
+	self := peer.Identity{
+		Name:        node.Name,
+		Role:        "entryd",
+		Incarnation: daemon.NewIncarnation(),
+		Region:      node.Region,
+		Zone:        node.Zone,
+	}
+	l := &links{
+		ctx:    ctx,
+		fleet:  s.fleet,
+		dialer: &peer.Dialer{Self: self, Key: peer.Key(node.Store.String()), Client: &http.Client{Transport: &http.Transport{}}},
+		port:   node.Peers.Port(),
+		log:    log,
+		crash:  func(peer.CrashReport) {},
+	}
+	s.fleet.joined = l.join
+	client := upstream.New(p.Dialect.RequestID)
+	b := node.Bounds
+	s.gateway = New(Options{
+		Dialect:   p.Dialect,
+		Fleet:     s.fleet,
+		Client:    client,
+		Current:   &s.current,
+		Allowance: newAllowance(b.RetryRatio, b.RetrySlack, b.RetryWindow, time.Now()),
+		Log:       log,
+		Scope:     scope,
+	})
+	store := p.Store(scope)
+	cfg := &configurationSink{p.Decoder, p.ConfigurationName, &s.current, s.fleet, log}
+	go follow.New(store, p.Configurations, cfg, configurationPause, log).Run(ctx)
+	go follow.New(store, p.Replicas, &replicaSink{p.Decoder, s.fleet, log}, replicaPause, log).Run(ctx)
+	go follow.New(store, p.Versions, &versionSink{p.Decoder, s.fleet, log}, versionPause, log).Run(ctx)
+	go s.maintain(ctx, client)
+	return s
+}
+
+// maintain does what recurs until ctx is done.
+func (s *process) maintain(ctx context.Context, client *upstream.Client) {
+	use := time.NewTicker(useInterval)
+	defer use.Stop()
+	sweep := time.NewTicker(sweepInterval)
+	defer sweep.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-use.C:
+			s.fleet.reportUse()
+		case now := <-sweep.C:
+			s.fleet.Sweep(now)
+			client.CloseIdle(now)
+			s.idle.closeExpired(now, s.idleTimeout())
+		}
+	}
+}
+
+func (s *process) idleTimeout() time.Duration {
+	if cfg := s.current.Load(); cfg != nil {
+		return cfg.Limits.IdleTimeout
+	}
+	return 0
+}
+
+// ready reports whether new connections are welcome.
+func (s *process) ready() bool {
+	return s.current.Load() != nil && s.fleet.Known() && !s.gateway.stopping.Load()
+}
+
+// listen starts the listeners and returns the callers' server.
+func (s *process) listen(p Platform, metricsHandler http.Handler) (*http.Server, error) {
+	callers, err := net.Listen("tcp4", s.node.Callers.String())
+	if err != nil {
+		return nil, err
+	}
+	readiness, err := net.Listen("tcp4", s.node.Readiness.String())
+	if err != nil {
+		return nil, err
+	}
+	probe := http.NewServeMux()
+	probe.HandleFunc(p.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !s.ready() {
+			w.WriteHeader(503)
+		}
+	})
+	probe.Handle("/metrics", metricsHandler)
+	go func() { _ = (&http.Server{Handler: probe, ReadHeaderTimeout: headerTimeout}).Serve(readiness) }() // ends with the process
+	srv := &http.Server{Handler: s.gateway, ReadHeaderTimeout: headerTimeout, ConnState: s.idle.note}
+	go func() { _ = srv.Serve(callers) }() // ends with the process
+	return srv, nil
+}
+
+// Times of a planned stop.
+const (
+	// leaveTime is how long everything is still served after readiness turned to
+	// no: two misses of the balancer's probe, one a second, and one more.
+	leaveTime = 3 * time.Second
+	// stopMargin is kept of the platform's patience for the process's own end.
+	stopMargin = 500 * time.Millisecond
+)
+
+// stop waits for a signal and ends the process without cutting requests.
+func (s *process) stop(srv *http.Server, signals <-chan os.Signal) error {
+	sig := <-signals
+	begun := time.Now()
+	s.gateway.stopping.Store(true)
+	s.log.At(event.Stopping).Stringer("signal", sig).Int64("requests", s.gateway.inProgress.Load()).Send()
+	time.Sleep(leaveTime)
+	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(s.node.Bounds.StopWithin-stopMargin))
+	defer cancel()
+	err := srv.Shutdown(ctx)
+	s.log.At(event.Stopped).Err(err).Int64("requests", s.gateway.inProgress.Load()).Send()
+	return nil
+}
--- /dev/null
+++ b/internal/gateway/node.go
@@ -0,0 +1,179 @@
+package gateway
+
+import (
+	"math"
+	"time"
+
+	"github.com/borageusher/borageusher/internal/peer"
+	"github.com/borageusher/borageusher/pkg/assignment"
+	"github.com/borageusher/borageusher/pkg/orders"
+	"github.com/borageusher/borageusher/pkg/placement"
+	"github.com/borageusher/borageusher/pkg/retry"
+	"github.com/borageusher/borageusher/pkg/target"
+)
+
+// Times of what is believed of a target.
+const (
+	// loadFor is how long a target's own word on its load is believed.
+	loadFor = 400 * time.Millisecond
+	// avoidFirst and avoidMost bound how long a target that can't be reached is
+	// avoided: from the time that a restart takes at least to the interval of the
+	// platform's heartbeats, after which its entry tells more.
+	avoidFirst = 250 * time.Millisecond
+	avoidMost  = 1200 * time.Millisecond
+	// unsoundHalfLife is the time in which a failure of a target counts half.
+	unsoundHalfLife = 3 * time.Second
+	// firstLoad is the time that an adapter is assumed to take until one was seen
+	// to load: the figure for loads from the weight store on the users' sheets.
+	firstLoad = 250 * time.Millisecond
+)
+
+// node is what a gateway knows of one target.
+type node struct {
+	replica  target.Replica
+	hash     uint64
+	distance assignment.Distance
+	goneAt   time.Time // the entry lapsed and is gone from then on, zero if it did not
+
+	link     *peer.Conn
+	state    peer.EngineState
+	stateAt  time.Time // zero while nothing was heard
+	holds    map[orders.Adapter]int64
+	coming   map[orders.Adapter]bool
+	stopLink func()
+
+	inFlight     int // own requests
+	load         Load
+	loadAt       time.Time
+	inFlightThen int // own requests at loadAt
+	stay         retry.Mean
+	loadTime     retry.Mean
+	avoidUntil   time.Time
+	failures     int // to connect, in a row
+	unsound      float64
+	unsoundAt    time.Time
+
+	running map[orders.Adapter]int
+	used    map[orders.Adapter]int
+	waiting map[orders.Adapter]int
+	asked   map[orders.Adapter]time.Time // last mention to the targetd
+}
+
+func newNode(r target.Replica) *node {
+	return &node{
+		replica: r,
+		hash:    placement.Hash(r.Addr.String()),
+		holds:   map[orders.Adapter]int64{},
+		coming:  map[orders.Adapter]bool{},
+		running: map[orders.Adapter]int{},
+		used:    map[orders.Adapter]int{},
+		waiting: map[orders.Adapter]int{},
+		asked:   map[orders.Adapter]time.Time{},
+	}
+}
+
+// usable reports whether new requests may go to the target.
+func (n *node) usable(now time.Time) bool {
+	if n.replica.State != target.Live || (!n.goneAt.IsZero() && !now.Before(n.goneAt)) {
+		return false
+	}
+	return n.stateAt.IsZero() || n.state.Reachable || n.link == nil
+}
+
+// estimate returns the requests believed to run or wait at the target.
+func (n *node) estimate(now time.Time) int {
+	if n.loadAt.IsZero() || now.Sub(n.loadAt) > loadFor {
+		return n.inFlight
+	}
+	return max(n.inFlight, n.load.Running+n.load.Waiting+n.inFlight-n.inFlightThen)
+}
+
+// observe notes what the target or its targetd tells of its load.
+func (n *node) observe(now time.Time, l Load) {
+	n.load, n.loadAt, n.inFlightThen = l, now, n.inFlight
+}
+
+// believe replaces what is known of the target's engine.
+func (n *node) believe(now time.Time, s peer.EngineState) (changed bool) {
+	changed = n.state.Reachable != s.Reachable || n.state.Started != s.Started
+	holds := make(map[orders.Adapter]int64, len(s.Resident))
+	for _, a := range s.Resident {
+		key := orders.Adapter{Model: a.Model, Name: a.Adapter}
+		holds[key] = a.Version
+		if n.holds[key] < a.Version {
+			changed = true
+		}
+	}
+	coming := make(map[orders.Adapter]bool, len(s.Coming))
+	for _, a := range s.Coming {
+		coming[orders.Adapter{Model: a.Model, Name: a.Adapter}] = true
+	}
+	n.state, n.stateAt = s, now
+	n.holds, n.coming = holds, coming
+	n.observe(now, Load{Running: s.Running, Waiting: s.Queued, Slots: n.replica.Slots})
+	return changed
+}
+
+// has reports whether the engine holds the adapter in the wanted version, or
+// the model if no adapter is named.
+func (n *node) has(a orders.Adapter, version int64) bool {
+	if a.Name == "" {
+		return n.hasModel(a.Model)
+	}
+	v, ok := n.holds[a]
+	return ok && v >= version
+}
+
+func (n *node) hasModel(model string) bool {
+	for _, m := range n.state.Models {
+		if m == model {
+			return true
+		}
+	}
+	return false
+}
+
+// canLoad reports whether the engine can be told to load an adapter.
+func (n *node) canLoad(a orders.Adapter) bool {
+	return n.link != nil && n.state.Reachable && n.state.Refused < refusedOrders && n.hasModel(a.Model)
+}
+
+// refusedOrders is the number of orders in a row that fail before adapters are
+// loaded elsewhere.
+const refusedOrders = 2
+
+// arrival returns the time until a missing adapter is expected.
+func (n *node) arrival() time.Duration {
+	each := n.loadTime.Value()
+	if each == 0 {
+		each = firstLoad
+	}
+	ahead := len(n.coming) + len(n.waiting)
+	return each * time.Duration(1+ahead/loadsAtOnce)
+}
+
+// unreachable notes a failed connection and returns how long the target is
+// avoided.
+func (n *node) unreachable(now time.Time) time.Duration {
+	pause := avoidMost
+	if n.failures < 3 {
+		pause = min(avoidMost, avoidFirst<<n.failures)
+	}
+	n.failures++
+	n.avoidUntil = now.Add(pause)
+	return pause
+}
+
+// fail notes a failure of a request at the target.
+func (n *node) fail(now time.Time) {
+	n.unsound = n.unsoundness(now) + 1
+	n.unsoundAt = now
+}
+
+// unsoundness returns the decayed number of failures.
+func (n *node) unsoundness(now time.Time) float64 {
+	if n.unsound == 0 {
+		return 0
+	}
+	return n.unsound * math.Exp2(-float64(now.Sub(n.unsoundAt))/float64(unsoundHalfLife))
+}
--- /dev/null
+++ b/internal/gateway/serve.go
@@ -0,0 +1,185 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/borageusher/borageusher/internal/event"
+)
+
+// Bounds of a call.
+const (
+	// mostUnsent is the number of targets that a call tries to reach in vain.
+	mostUnsent = 4
+	// waitPoll is how often a waiting call looks again although nothing changed:
+	// the interval at which its want is repeated.
+	waitPoll = 200 * time.Millisecond
+	// leastLeft is the least time in which an attempt is worth sending.
+	leastLeft = 10 * time.Millisecond
+)
+
+// outcome says what became of an attempt.
+type outcome uint8
+
+const (
+	delivered  outcome = iota // the caller has the whole answer
+	callerLeft                // the caller left, or stopped reading
+	notSent                   // the target never saw the request
+	refused                   // the target proved that it did not run the request
+	failed                    // the target answered with a failure
+	broken                    // the request may have run, without a whole answer
+)
+
+var outcomeNames = map[outcome]string{
+	delivered:  "delivered",
+	callerLeft: "caller_left",
+	notSent:    "not_sent",
+	refused:    "refused",
+	failed:     "failed",
+	broken:     "broken",
+}
+
+// serve makes attempts until the caller has a final answer. caller ends when
+// the caller leaves, ctx also at the call's deadline.
+func (g *Gateway) serve(ctx, caller context.Context, w http.ResponseWriter, c *call) {
+	for {
+		p, reason := g.place(ctx, c)
+		if reason != "" {
+			g.giveUp(caller, w, c, reason)
+			return
+		}
+		now := time.Now()
+		if c.left(now) < leastLeft {
+			g.giveUp(caller, w, c, "deadline")
+			return
+		}
+		if c.sent > 0 && !g.Allowance.take(now, c.service, g.Fleet.entries()) {
+			g.giveUp(caller, w, c, "retry_allowance")
+			return
+		}
+		out := g.attempt(ctx, w, c, p)
+		switch {
+		case out == delivered:
+			g.end(c, http.StatusOK, "delivered")
+			return
+		case out == callerLeft || caller.Err() != nil:
+			g.abandon(c)
+		case ctx.Err() != nil:
+			g.giveUp(caller, w, c, "timeout")
+			return
+		case out == notSent && c.unsent >= mostUnsent:
+			g.giveUp(caller, w, c, "unreachable")
+			return
+		case (out == broken || out == failed) && !c.mayRepeat():
+			g.giveUp(caller, w, c, outcomeNames[out])
+			return
+		}
+	}
+}
+
+// place returns the target of the next attempt, after waiting until it holds
+// the adapter. The reason is empty unless there is none.
+func (g *Gateway) place(ctx context.Context, c *call) (proposal, string) {
+	patience := g.patience(c)
+	var on *node
+	var done func()
+	defer func() {
+		if done != nil {
+			done()
+		}
+	}()
+	for {
+		now := time.Now()
+		news := g.Fleet.News()
+		p, ok := g.Fleet.choose(now, c)
+		switch {
+		case ctx.Err() != nil:
+			return proposal{}, "timeout"
+		case !ok:
+			return proposal{}, "no_target"
+		case p.holds:
+			return p, ""
+		case now.After(patience):
+			return proposal{}, "adapter_not_loaded"
+		}
+		if p.node != on {
+			if done != nil {
+				done()
+			}
+			done, on = g.Fleet.want(now, p.node, c.adapter), p.node
+			g.Log.At(event.RequestWaiting).
+				Str("request", c.meta.ID).
+				Str("adapter", c.adapter.Name).
+				Str("target", p.replica.ID).
+				Dur("wait", p.wait).
+				Dur("state_age", p.age).
+				Send()
+		} else {
+			g.Fleet.remind(now, p.node, c.adapter)
+		}
+		select {
+		case <-news:
+		case <-time.After(waitPoll):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// patience returns until when a call waits for an adapter: two objectives, or
+// half of the time that is left. Then the caller comes back, and finds the
+// adapter loaded.
+func (g *Gateway) patience(c *call) time.Time {
+	now := time.Now()
+	wait := min(2*c.route.Objective, c.left(now)/2)
+	return now.Add(wait)
+}
+
+// giveUp gives the caller the final answer of a call that has none from a
+// target.
+func (g *Gateway) giveUp(caller context.Context, w http.ResponseWriter, c *call, reason string) {
+	if caller.Err() != nil || c.started {
+		g.end(c, 0, reason)
+		panic(http.ErrAbortHandler) // ends the connection without a clean end
+	}
+	if c.fallback != nil {
+		g.deliver(w, c.fallback)
+		g.end(c, c.fallback.status, "failure_passed_on")
+		return
+	}
+	status, after := http.StatusServiceUnavailable, soon
+	if c.ran > 0 {
+		status, after = http.StatusBadGateway, 0
+		if reason == "timeout" || reason == "deadline" {
+			status = http.StatusGatewayTimeout
+		}
+	}
+	if reason == "no_target" {
+		after = min(later, c.left(time.Now())/3)
+	}
+	g.Dialect.Refusal(w.Header(), c.meta.ID, after)
+	w.Header()["Content-Type"] = nil
+	w.WriteHeader(status)
+	g.end(c, status, reason)
+}
+
+// abandon ends a call whose caller left.
+func (g *Gateway) abandon(c *call) {
+	g.end(c, 0, "caller_left")
+	panic(http.ErrAbortHandler) // nobody reads the answer
+}
+
+// deliver writes a whole answer to the caller.
+func (g *Gateway) deliver(w http.ResponseWriter, a *whole) {
+	h := w.Header()
+	for name, values := range g.Dialect.Back(a.header) {
+		h[name] = values
+	}
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil
+	}
+	h["Content-Length"] = []string{strconv.Itoa(len(a.body))}
+	w.WriteHeader(a.status)
+	_, _ = w.Write(a.body) // the caller may be gone
+}
--- /dev/null
+++ b/internal/gateway/sinks.go
@@ -0,0 +1,144 @@
+package gateway
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/borageusher/borageusher/internal/event"
+	"github.com/borageusher/borageusher/internal/objects"
+	"github.com/borageusher/borageusher/pkg/orders"
+	"github.com/borageusher/borageusher/pkg/routing"
+	"github.com/borageusher/borageusher/pkg/target"
+)
+
+// Decoder decodes what the operator and the targets write to the store.
+type Decoder interface {
+	Configuration(b []byte) (*routing.Configuration, error)
+	Replica(id string, b []byte) (target.Replica, error)
+	// Version returns the adapter that an announcement names, with its version.
+	Version(b []byte) (orders.Adapter, int64, error)
+}
+
+// configurationSink puts newer configurations in force.
+type configurationSink struct {
+	decoder Decoder
+	name    string // of the object
+	current *atomic.Pointer[routing.Configuration]
+	fleet   *Fleet
+	log     event.Log
+}
+
+// Replace implements follow.Sink.
+func (s *configurationSink) Replace(now time.Time, all []objects.Object, settled time.Time) {
+	s.Apply(now, all, settled)
+}
+
+// Apply implements follow.Sink. An older version never replaces a newer one.
+func (s *configurationSink) Apply(_ time.Time, changed []objects.Object, _ time.Time) {
+	for _, o := range changed {
+		if o.Deleted || o.Name != s.name {
+			continue
+		}
+		cfg, err := s.decoder.Configuration(o.Value)
+		if err != nil {
+			s.log.At(event.RevisionRejected).Err(err).Send()
+			continue
+		}
+		if before := s.current.Load(); before != nil && before.Version >= cfg.Version {
+			continue
+		}
+		s.current.Store(cfg)
+		s.fleet.configure(cfg)
+		s.log.At(event.RevisionInForce).Int64("revision", cfg.Version).Uint64("object_version", uint64(o.Version)).Send()
+	}
+}
+
+// replicaSink keeps the targets that the platform lists.
+type replicaSink struct {
+	decoder Decoder
+	fleet   *Fleet
+	log     event.Log
+}
+
+// Replace implements follow.Sink.
+func (s *replicaSink) Replace(now time.Time, all []objects.Object, settled time.Time) {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	listed := make(map[string]bool, len(all))
+	for _, o := range all {
+		listed[o.Name] = true
+		s.apply(now, o, settled)
+	}
+	for id, n := range s.fleet.nodes {
+		if !listed[id] {
+			s.fleet.remove(now, n, settled)
+		}
+	}
+	s.fleet.known = true
+}
+
+// Apply implements follow.Sink.
+func (s *replicaSink) Apply(now time.Time, changed []objects.Object, settled time.Time) {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	for _, o := range changed {
+		s.apply(now, o, settled)
+	}
+}
+
+// apply takes one entry. One that can't be used names no target: another writer
+// made it.
+func (s *replicaSink) apply(now time.Time, o objects.Object, settled time.Time) {
+	n := s.fleet.nodes[o.Name]
+	if o.Deleted {
+		if n != nil {
+			s.fleet.remove(now, n, settled)
+		}
+		return
+	}
+	r, err := s.decoder.Replica(o.Name, o.Value)
+	if err != nil {
+		s.log.At(event.TargetUnreadable).Str("target", o.Name).Err(err).Send()
+		if n != nil {
+			s.fleet.remove(now, n, settled)
+		}
+		return
+	}
+	s.fleet.put(r)
+}
+
+// versionSink keeps the announced versions of adapters.
+type versionSink struct {
+	decoder Decoder
+	fleet   *Fleet
+	log     event.Log
+}
+
+// Replace implements follow.Sink.
+func (s *versionSink) Replace(now time.Time, all []objects.Object, settled time.Time) {
+	s.Apply(now, all, settled)
+}
+
+// Apply implements follow.Sink.
+func (s *versionSink) Apply(_ time.Time, changed []objects.Object, _ time.Time) {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	for _, o := range changed {
+		if o.Deleted {
+			continue
+		}
+		a, version, err := s.decoder.Version(o.Value)
+		if err != nil {
+			s.log.At(event.TargetUnreadable).Str("version", o.Name).Err(err).Send()
+			continue
+		}
+		if version <= s.fleet.versions[a] {
+			continue
+		}
+		s.fleet.versions[a] = version
+		s.log.At(event.VersionAnnounced).Str("model", a.Model).Str("adapter", a.Name).Int64("version", version).Send()
+	}
+	for _, n := range s.fleet.nodes {
+		s.fleet.sendTerms(n, false)
+	}
+}
--- /dev/null
+++ b/internal/keeper/main.go
@@ -0,0 +1,53 @@
+package keeper
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/borageusher/borageusher/internal/daemon"
+	"github.com/borageusher/borageusher/internal/event"
+	"github.com/borageusher/borageusher/internal/metrics"
+	"github.com/borageusher/borageusher/internal/peer"
+	"github.com/borageusher/borageusher/internal/settings"
+)
+
+// headerTimeout bounds the opening request of a peer connection.
+const headerTimeout = 2 * time.Second
+
+// Main runs the process beside one engine until a signal ends it.
+func Main(node settings.Node, engine Engine, log event.Log) error {
+	signals := daemon.Signals()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	scope, metricsHandler, stopMetrics := metrics.New("targetd")
+	defer stopMetrics()
+	k := New(Options{
+		Self: peer.Identity{
+			Name:        node.Name,
+			Role:        "targetd",
+			Incarnation: daemon.NewIncarnation(),
+			Region:      node.Region,
+			Zone:        node.Zone,
+		},
+		Key:    peer.Key(node.Store.String()),
+		Engine: engine,
+		Log:    log,
+		Scope:  scope,
+	})
+	listener, err := net.Listen("tcp4", node.Peers.String())
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.Handle(peer.Path, k)
+	mux.Handle("/metrics", metricsHandler)
+	srv := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	go func() { _ = srv.Serve(listener) }() // ends with the process
+	log.At(event.Started).Stringer("address", node.Peers).Stringer("engine", node.Engine).Send()
+	go k.Run(ctx)
+	s := <-signals
+	log.At(event.Stopping).Stringer("signal", s).Send()
+	return nil
+}
--- a/internal/objects/error.go
+++ b/internal/objects/error.go
@@ -15,6 +15,7 @@
 	Conflict                    // the object has another version
 	Unavailable                 // the API did not do what was asked
 	Uncertain                   // a write may or may not have taken effect
+	HistoryGone                 // the changes that a watch asks for are no longer kept
 )
 
 var kindNames = map[Kind]string{
@@ -22,6 +23,7 @@
 	Conflict:    "version conflict",
 	Unavailable: "unavailable",
 	Uncertain:   "answer lost",
+	HistoryGone: "history gone",
 }
 
 // Error is the error type of this package.
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -30,6 +30,11 @@
 	typeLoadReport messageType = 37
 	typeLoadGrant  messageType = 38
 
+	typeEngineTerms  messageType = 50
+	typeAdapterWants messageType = 51
+	typeEngineState  messageType = 52
+	typeCrashReport  messageType = 53
+
 	typeStateRequest  messageType = 40
 	typeStateAnswer   messageType = 41
 	typeSectionAnswer messageType = 42
@@ -54,6 +59,11 @@
 func (LoadReport) messageType() messageType { return typeLoadReport }
 func (LoadGrant) messageType() messageType  { return typeLoadGrant }
 
+func (EngineTerms) messageType() messageType  { return typeEngineTerms }
+func (AdapterWants) messageType() messageType { return typeAdapterWants }
+func (EngineState) messageType() messageType  { return typeEngineState }
+func (CrashReport) messageType() messageType  { return typeCrashReport }
+
 // Encode returns the wire form of m: its type, then its fields as a CBOR array.
 func Encode(m Message) []byte {
 	body, err := cbor.Marshal(toWire(m))
@@ -128,6 +138,14 @@
 		return &loadReportWire{}
 	case typeLoadGrant:
 		return &loadGrantWire{}
+	case typeEngineTerms:
+		return &engineTermsWire{}
+	case typeAdapterWants:
+		return &adapterWantsWire{}
+	case typeEngineState:
+		return &engineStateWire{}
+	case typeCrashReport:
+		return &crashReportWire{}
 	}
 	return nil
 }
@@ -176,6 +194,14 @@
 		return loadReportToWire(m)
 	case LoadGrant:
 		return &loadGrantWire{Team: m.Team}
+	case EngineTerms:
+		return engineTermsToWire(m)
+	case AdapterWants:
+		return adapterWantsToWire(m)
+	case EngineState:
+		return engineStateToWire(m)
+	case CrashReport:
+		return &crashReportWire{Engine: m.Engine, Fingerprints: m.Fingerprints}
 	}
 	panic("peer: unknown message type")
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -42,6 +42,18 @@
 		LoadOffer{},
 		LoadReport{Rights: 0.5, Needs: []LoadNeed{{Team: "t", Waiting: 2, StartBy: time.Second, Part: 0.5}}},
 		LoadGrant{Team: "t"},
+		EngineTerms{
+			Instance: "i", Started: 5, Places: 15, WeightsMB: 75200, Model: "m", ModelMB: 72700, AdapterMB: 66, AtOnce: 4,
+			Announced: []AdapterVersion{{Model: "m", Adapter: "a1", Version: 2}}, AllAnnounced: true,
+		},
+		AdapterWants{Wants: []AdapterWant{{AdapterVersion: AdapterVersion{Model: "m", Adapter: "a1", Version: 2}, Waiting: 1, Used: 2, Running: 3}}},
+		EngineState{
+			Instance: "i", Started: 5, Reachable: true, Models: []string{"m"},
+			Resident: []AdapterVersion{{Model: "m", Adapter: "a1", Version: 1}},
+			Coming:   []AdapterVersion{{Model: "m", Adapter: "a2", Version: 1}},
+			Running:  2, Queued: 1, InUse: 100, Tokens: 200, Refused: 1, Entries: 5,
+		},
+		CrashReport{Engine: "i/5", Fingerprints: [][]byte{{1, 2}, {3}}},
 	}
 }
 
--- a/pkg/placement/choose.go
+++ b/pkg/placement/choose.go
@@ -58,7 +58,7 @@
 	if float64(c.InFlight) >= loadBound*float64(c.Slots) {
 		class++
 	}
-	return score{class: class, rank: mix(key ^ c.Hash)}
+	return score{class: class, rank: Mix(key ^ c.Hash)}
 }
 
 // Hash returns the 64-bit FNV-1a hash of s.
@@ -72,9 +72,9 @@
 	return h
 }
 
-// mix is the finaliser of SplitMix64 (G. L. Steele, D. Lea and C. H. Flood,
+// Mix is the finaliser of SplitMix64 (G. L. Steele, D. Lea and C. H. Flood,
 // 2014).
-func mix(x uint64) uint64 {
+func Mix(x uint64) uint64 {
 	x ^= x >> 30
 	x *= 0xbf58476d1ce4e5b9
 	x ^= x >> 27
--- a/pkg/placement/view.go
+++ b/pkg/placement/view.go
@@ -94,7 +94,7 @@
 	b := best{index: -1}
 	for _, h := range hints.Holders(key.Adapter) {
 		if i, ok := v.index[h]; ok && loads.Usable(int(i)) {
-			rank := mix(key.Adapter ^ key.Prefix ^ h)
+			rank := Mix(key.Adapter ^ key.Prefix ^ h)
 			b.offer(int(i), v.cost(int(i), loads), rank, ReasonResident)
 		}
 	}
@@ -198,7 +198,7 @@
 	}
 	last := &top[homes-1]
 	for i, b := range v.ranks {
-		r := mix(adapter^b.hash)>>classBits | b.class
+		r := Mix(adapter^b.hash)>>classBits | b.class
 		if (last.index >= 0 && r <= last.rank) || !loads.Usable(i) {
 			continue
 		}
@@ -213,7 +213,7 @@
 func (v *View) spill(adapter uint64, hints *Hints, loads Loads, b *best) {
 	for i := range v.members {
 		if loads.Usable(i) {
-			b.offer(i, v.cost(i, loads)+v.missing(i, hints), mix(adapter^v.members[i].Hash), ReasonSpill)
+			b.offer(i, v.cost(i, loads)+v.missing(i, hints), Mix(adapter^v.members[i].Hash), ReasonSpill)
 		}
 	}
 }
--- a/pkg/placement/view_test.go
+++ b/pkg/placement/view_test.go
@@ -178,7 +178,7 @@
 	for i, m := range members {
 		resident := make([]uint64, 8)
 		for n := range resident {
-			resident[n] = mix(uint64(i*8 + n))
+			resident[n] = Mix(uint64(i*8 + n))
 		}
 		hints.Set(m.Hash, resident, 3)
 	}
@@ -187,7 +187,7 @@
 	n := uint64(0)
 	for b.Loop() {
 		n++
-		if _, _, ok := v.Choose(Key{Adapter: mix(n % adapters)}, hints, l); !ok {
+		if _, _, ok := v.Choose(Key{Adapter: Mix(n % adapters)}, hints, l); !ok {
 			b.Fatal("no target")
 		}
 	}
