--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -32,6 +32,8 @@
 	ran     int             // arrivals that may have run
 	unsent  int             // targets that could not be reached
 
+	comeBack time.Duration // until it can be served, as far as known
+
 	started   bool   // the head of the answer was written to the caller
 	lastEvent string // of a stream, the last that was passed on
 	fallback  *whole // a target's failure, delivered if nothing better comes
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -75,14 +75,17 @@
 }
 
 // put takes a target's entry. The caller holds mu.
-func (f *Fleet) put(r target.Replica) {
+func (f *Fleet) put(now time.Time, r target.Replica) {
+	if f.superseded(r) {
+		return
+	}
 	n := f.nodes[r.ID]
 	if n != nil && (n.replica.Addr != r.Addr || n.replica.Service != r.Service || n.replica.Incarnation() != r.Incarnation()) {
 		f.drop(n) // another start: nothing of the old one holds
 		n = nil
 	}
 	if n == nil {
-		n = newNode(r)
+		n = newNode(now, r)
 		n.distance = f.distance(r.Zone)
 		f.nodes[r.ID] = n
 		f.note(r, "added")
@@ -99,6 +102,22 @@
 	n.goneAt = time.Time{}
 }
 
+// superseded reports whether a later start has the target's address, and drops
+// the earlier starts that had it: an entry outlives its target for a while.
+func (f *Fleet) superseded(r target.Replica) bool {
+	for _, n := range f.nodes {
+		if n.replica.Addr != r.Addr || n.replica.ID == r.ID {
+			continue
+		}
+		if n.replica.Started.After(r.Started) {
+			return true
+		}
+		f.note(n.replica, "superseded")
+		f.drop(n)
+	}
+	return false
+}
+
 func (f *Fleet) note(r target.Replica, state string) {
 	f.log.At(event.TargetChanged).
 		Str("target", r.ID).
@@ -239,6 +258,19 @@
 	return p, true
 }
 
+// expects reports whether targets of the call's service may become usable
+// soon: they live, but their engines or targetds do not answer yet.
+func (f *Fleet) expects(now time.Time, c *call) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, n := range f.nodes {
+		if n.replica.Service == c.service && n.replica.State == target.Live && !c.tried[n.replica.ID] && n.settling(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // candidates returns the targets of the call's service, in random order so that
 // equal ones share the load.
 func (f *Fleet) candidates(now time.Time, c *call, cautious bool) ([]*node, []assignment.Candidate) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,7 +22,7 @@
 	// soon is for a refusal whose cause passes within moments.
 	soon = 200 * time.Millisecond
 	// later is for a service without targets: about as long as one takes to start.
-	later = time.Second
+	later = 2 * time.Second
 )
 
 // defaultBodyBytes bounds bodies where the configuration does not.
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -14,6 +14,10 @@
 // useInterval is the pause between two reports of use to a targetd.
 const useInterval = 250 * time.Millisecond
 
+// linkPause is the longest pause between two attempts to connect to a targetd:
+// engines can't be told to load anything meanwhile.
+const linkPause = 500 * time.Millisecond
+
 // links keeps a connection to the targetd beside each engine.
 type links struct {
 	ctx    context.Context
@@ -51,7 +55,7 @@
 			l.log.At(event.PeerLost).Str("target", id).Stringer("address", addr).Err(err).Send()
 		}
 		select {
-		case <-time.After(peer.Backoff(failures, rand.Float64())):
+		case <-time.After(min(linkPause, peer.Backoff(failures, rand.Float64()))):
 		case <-ctx.Done():
 		}
 	}
--- a/internal/gateway/main.go
+++ b/internal/gateway/main.go
@@ -91,7 +91,7 @@
 	l := &links{
 		ctx:    ctx,
 		fleet:  s.fleet,
-		dialer: &peer.Dialer{Self: self, Key: peer.Key(node.Store.String()), Client: &http.Client{Transport: &http.Transport{}}},
+		dialer: &peer.Dialer{Self: self, Key: peer.Key(node.Store.String()), Client: newPeerClient()},
 		port:   node.Peers.Port(),
 		log:    log,
 		crash:  func(peer.CrashReport) {},
@@ -117,6 +117,15 @@
 	return s
 }
 
+// peerDialTimeout is how long a connection to a targetd may take to open: some
+// round trips between regions. A VM without power does not answer at all.
+const peerDialTimeout = 500 * time.Millisecond
+
+func newPeerClient() *http.Client {
+	d := net.Dialer{Timeout: peerDialTimeout}
+	return &http.Client{Transport: &http.Transport{DialContext: d.DialContext}}
+}
+
 // maintain does what recurs until ctx is done.
 func (s *process) maintain(ctx context.Context, client *upstream.Client) {
 	use := time.NewTicker(useInterval)
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -33,6 +33,7 @@
 	replica  target.Replica
 	hash     uint64
 	distance assignment.Distance
+	added    time.Time
 	goneAt   time.Time // the entry lapsed and is gone from then on, zero if it did not
 
 	link     *peer.Conn
@@ -59,8 +60,9 @@
 	asked   map[orders.Adapter]time.Time // last mention to the targetd
 }
 
-func newNode(r target.Replica) *node {
+func newNode(now time.Time, r target.Replica) *node {
 	return &node{
+		added:   now,
 		replica: r,
 		hash:    placement.Hash(r.Addr.String()),
 		holds:   map[orders.Adapter]int64{},
@@ -80,6 +82,15 @@
 	return n.stateAt.IsZero() || n.state.Reachable || n.link == nil
 }
 
+// settleTime is how long after a target appeared its targetd may not be
+// connected yet: a few tries to connect.
+const settleTime = 2 * time.Second
+
+// settling reports whether the target is about to become known.
+func (n *node) settling(now time.Time) bool {
+	return n.stateAt.IsZero() && now.Sub(n.added) < settleTime
+}
+
 // estimate returns the requests believed to run or wait at the target.
 func (n *node) estimate(now time.Time) int {
 	if n.loadAt.IsZero() || now.Sub(n.loadAt) > loadFor {
@@ -135,12 +146,12 @@
 
 // canLoad reports whether the engine can be told to load an adapter.
 func (n *node) canLoad(a orders.Adapter) bool {
-	return n.link != nil && n.state.Reachable && n.state.Refused < refusedOrders && n.hasModel(a.Model)
+	return n.link != nil && n.state.Reachable && n.state.Unanswered < unansweredOrders && n.hasModel(a.Model)
 }
 
-// refusedOrders is the number of orders in a row that fail before adapters are
+// unansweredOrders is the number of orders in a row without an answer before adapters are
 // loaded elsewhere.
-const refusedOrders = 2
+const unansweredOrders = 2
 
 // arrival returns the time until a missing adapter is expected.
 func (n *node) arrival() time.Duration {
@@ -148,7 +159,7 @@
 	if each == 0 {
 		each = firstLoad
 	}
-	ahead := len(n.coming) + len(n.waiting)
+	ahead := len(n.coming) + max(n.state.Wanted, len(n.waiting))
 	return each * time.Duration(1+ahead/loadsAtOnce)
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -18,6 +18,8 @@
 	waitPoll = 200 * time.Millisecond
 	// leastLeft is the least time in which an attempt is worth sending.
 	leastLeft = 10 * time.Millisecond
+	// comeBackPart is the part of the time left within which callers come back.
+	comeBackPart = 3
 )
 
 // outcome says what became of an attempt.
@@ -97,14 +99,17 @@
 		switch {
 		case ctx.Err() != nil:
 			return proposal{}, "timeout"
-		case !ok:
+		case !ok && (now.After(patience) || !g.Fleet.expects(now, c)):
 			return proposal{}, "no_target"
-		case p.holds:
+		case ok && p.holds:
 			return p, ""
-		case now.After(patience):
+		case ok && now.Add(p.wait).After(patience):
+			c.comeBack = p.wait
 			return proposal{}, "adapter_not_loaded"
 		}
-		if p.node != on {
+		if !ok {
+			// A target is about to become known.
+		} else if p.node != on {
 			if done != nil {
 				done()
 			}
@@ -127,13 +132,12 @@
 	}
 }
 
-// patience returns until when a call waits for an adapter: two objectives, or
-// half of the time that is left. Then the caller comes back, and finds the
-// adapter loaded.
+// patience returns until when a call waits for an adapter: one objective, or
+// half of the time that is left. A caller that would wait longer is told when to
+// come back instead.
 func (g *Gateway) patience(c *call) time.Time {
 	now := time.Now()
-	wait := min(2*c.route.Objective, c.left(now)/2)
-	return now.Add(wait)
+	return now.Add(min(c.route.Objective, c.left(now)/2))
 }
 
 // giveUp gives the caller the final answer of a call that has none from a
@@ -156,8 +160,9 @@
 		}
 	}
 	if reason == "no_target" {
-		after = min(later, c.left(time.Now())/3)
+		after = later
 	}
+	after = min(max(after, c.comeBack), c.left(time.Now())/comeBackPart)
 	g.Dialect.Refusal(w.Header(), c.meta.ID, after)
 	w.Header()["Content-Type"] = nil
 	w.WriteHeader(status)
--- a/internal/gateway/sinks.go
+++ b/internal/gateway/sinks.go
@@ -104,7 +104,7 @@
 		}
 		return
 	}
-	s.fleet.put(r)
+	s.fleet.put(now, r)
 }
 
 // versionSink keeps the announced versions of adapters.
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -32,6 +32,9 @@
 type Engine interface {
 	Report(ctx context.Context) (orders.Report, error)
 	Order(ctx context.Context, instance string, sequence int64, o orders.Order) error
+	// Refused reports whether an order failed because the engine refused it, so
+	// that it never takes effect.
+	Refused(err error) bool
 }
 
 // Options are what a Keeper needs.
@@ -53,12 +56,13 @@
 	crashes map[string][][]byte // requests in flight at known crashes
 
 	// Owned by the loop.
-	planner   *orders.Planner
-	terms     peer.EngineTerms
-	state     peer.EngineState
-	report    orders.Report
-	reachable bool
-	refused   int
+	planner    *orders.Planner
+	terms      peer.EngineTerms
+	instances  map[int64]string // identities of the engine's starts
+	state      peer.EngineState
+	report     orders.Report
+	reachable  bool
+	unanswered int // orders in a row
 }
 
 // inboxSize is the number of messages that wait for the loop. Connections wait
@@ -73,6 +77,8 @@
 		links:   map[*peer.Conn]struct{}{},
 		crashes: map[string][][]byte{},
 		planner: orders.NewPlanner(),
+
+		instances: map[int64]string{},
 	}
 }
 
@@ -179,7 +185,14 @@
 	return fresh
 }
 
+// instancesKept bounds the starts of the engine that are remembered.
+const instancesKept = 32
+
 func (k *Keeper) learn(now time.Time, m peer.EngineTerms) {
+	if len(k.instances) > instancesKept {
+		clear(k.instances)
+	}
+	k.instances[m.Started] = m.Instance
 	k.terms = m
 	for _, a := range m.Announced {
 		k.planner.NewVersion(now, orders.Adapter{Model: a.Model, Name: a.Adapter}, a.Version)
@@ -210,7 +223,7 @@
 			return
 		case act := <-k.inbox:
 			act(time.Now())
-			if !k.planner.Waiting(time.Now(), &k.report) {
+			if k.planner.Missing(time.Now(), &k.report) == 0 {
 				continue
 			}
 		case now := <-expire.C:
@@ -249,7 +262,7 @@
 	}
 	k.tell()
 	switch {
-	case len(k.report.Coming) > 0 || k.report.Changing || k.planner.Waiting(time.Now(), &k.report):
+	case len(k.report.Coming) > 0 || k.report.Changing || k.planner.Missing(time.Now(), &k.report) > 0:
 		return loadingInterval
 	case k.entries() == 0:
 		return unusedInterval
@@ -299,17 +312,23 @@
 		Int("resident", len(k.report.Adapters)).
 		Int("coming", len(k.report.Coming)).
 		Dur("took", time.Since(now))
-	if err != nil {
-		k.refused++
-		k.count("failed")
-		e.Str("outcome", "failed").Err(err).Send()
-		return false
-	}
-	e.Str("outcome", "accepted").Send()
-	k.refused = 0
-	k.count("accepted")
-	k.planner.Sent(now, &k.report, o)
-	return true
+	switch {
+	case err == nil:
+		e.Str("outcome", "accepted").Send()
+		k.count("accepted")
+		k.unanswered = 0
+		k.planner.Sent(now, &k.report, o)
+		return true
+	case k.Engine.Refused(err):
+		e.Str("outcome", "refused").Err(err).Send()
+		k.count("refused")
+		k.unanswered = 0
+		return k.planner.Refused(now, o)
+	}
+	e.Str("outcome", "unanswered").Err(err).Send()
+	k.count("unanswered")
+	k.unanswered++
+	return false
 }
 
 func (k *Keeper) count(result string) {
@@ -322,10 +341,7 @@
 	if k.report.Instance != "" {
 		return k.report.Instance
 	}
-	if k.terms.Started == k.report.Started {
-		return k.terms.Instance
-	}
-	return ""
+	return k.instances[k.report.Started]
 }
 
 func (k *Keeper) capacity() orders.Capacity {
@@ -355,17 +371,18 @@
 
 func (k *Keeper) describe() peer.EngineState {
 	s := peer.EngineState{
-		Instance:  k.instance(),
-		Started:   k.report.Started,
-		Reachable: k.reachable,
-		Resident:  describeAdapters(k.report.Adapters),
-		Coming:    describeAdapters(k.report.Coming),
-		Running:   k.report.Running,
-		Queued:    k.report.Queued,
-		InUse:     k.report.InUse,
-		Tokens:    k.report.Tokens,
-		Refused:   k.refused,
-		Entries:   k.entries(),
+		Instance:   k.instance(),
+		Started:    k.report.Started,
+		Reachable:  k.reachable,
+		Resident:   describeAdapters(k.report.Adapters),
+		Coming:     describeAdapters(k.report.Coming),
+		Running:    k.report.Running,
+		Queued:     k.report.Queued,
+		InUse:      k.report.InUse,
+		Tokens:     k.report.Tokens,
+		Unanswered: k.unanswered,
+		Wanted:     k.planner.Missing(time.Now(), &k.report),
+		Entries:    k.entries(),
 	}
 	for _, m := range k.report.Models {
 		s.Models = append(s.Models, m.Name)
--- a/internal/peer/engine.go
+++ b/internal/peer/engine.go
@@ -36,18 +36,19 @@
 
 // EngineState is what a targetd knows of its engine.
 type EngineState struct {
-	Instance  string
-	Started   int64 // Unix milliseconds of the engine's start
-	Reachable bool  // the engine answers its targetd
-	Models    []string
-	Resident  []AdapterVersion
-	Coming    []AdapterVersion
-	Running   int
-	Queued    int
-	InUse     int // cache tokens
-	Tokens    int // cache tokens in all
-	Refused   int // orders in a row that got no answer or a refusal
-	Entries   int // processes connected to the targetd that take callers' requests
+	Instance   string
+	Started    int64 // Unix milliseconds of the engine's start
+	Reachable  bool  // the engine answers its targetd
+	Models     []string
+	Resident   []AdapterVersion
+	Coming     []AdapterVersion
+	Running    int
+	Queued     int
+	InUse      int // cache tokens
+	Tokens     int // cache tokens in all
+	Unanswered int // orders in a row that got no answer
+	Wanted     int // missing adapters that requests wait for
+	Entries    int // processes connected to the targetd that take callers' requests
 }
 
 // CrashReport names the requests that were running at an engine's crash.
@@ -167,52 +168,55 @@
 }
 
 type engineStateWire struct {
-	_         struct{} `cbor:",toarray"`
-	Instance  string
-	Started   int64
-	Reachable bool
-	Models    []string
-	Resident  []adapterVersionWire
-	Coming    []adapterVersionWire
-	Running   int
-	Queued    int
-	InUse     int
-	Tokens    int
-	Refused   int
-	Entries   int
+	_          struct{} `cbor:",toarray"`
+	Instance   string
+	Started    int64
+	Reachable  bool
+	Models     []string
+	Resident   []adapterVersionWire
+	Coming     []adapterVersionWire
+	Running    int
+	Queued     int
+	InUse      int
+	Tokens     int
+	Unanswered int
+	Wanted     int
+	Entries    int
 }
 
 func engineStateToWire(m EngineState) *engineStateWire {
 	return &engineStateWire{
-		Instance:  m.Instance,
-		Started:   m.Started,
-		Reachable: m.Reachable,
-		Models:    m.Models,
-		Resident:  adapterVersionsToWire(m.Resident),
-		Coming:    adapterVersionsToWire(m.Coming),
-		Running:   m.Running,
-		Queued:    m.Queued,
-		InUse:     m.InUse,
-		Tokens:    m.Tokens,
-		Refused:   m.Refused,
-		Entries:   m.Entries,
+		Instance:   m.Instance,
+		Started:    m.Started,
+		Reachable:  m.Reachable,
+		Models:     m.Models,
+		Resident:   adapterVersionsToWire(m.Resident),
+		Coming:     adapterVersionsToWire(m.Coming),
+		Running:    m.Running,
+		Queued:     m.Queued,
+		InUse:      m.InUse,
+		Tokens:     m.Tokens,
+		Unanswered: m.Unanswered,
+		Wanted:     m.Wanted,
+		Entries:    m.Entries,
 	}
 }
 
 func (w *engineStateWire) message() Message {
 	return EngineState{
-		Instance:  w.Instance,
-		Started:   w.Started,
-		Reachable: w.Reachable,
-		Models:    w.Models,
-		Resident:  adapterVersions(w.Resident),
-		Coming:    adapterVersions(w.Coming),
-		Running:   w.Running,
-		Queued:    w.Queued,
-		InUse:     w.InUse,
-		Tokens:    w.Tokens,
-		Refused:   w.Refused,
-		Entries:   w.Entries,
+		Instance:   w.Instance,
+		Started:    w.Started,
+		Reachable:  w.Reachable,
+		Models:     w.Models,
+		Resident:   adapterVersions(w.Resident),
+		Coming:     adapterVersions(w.Coming),
+		Running:    w.Running,
+		Queued:     w.Queued,
+		InUse:      w.InUse,
+		Tokens:     w.Tokens,
+		Unanswered: w.Unanswered,
+		Wanted:     w.Wanted,
+		Entries:    w.Entries,
 	}
 }
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -51,7 +51,7 @@
 			Instance: "i", Started: 5, Reachable: true, Models: []string{"m"},
 			Resident: []AdapterVersion{{Model: "m", Adapter: "a1", Version: 1}},
 			Coming:   []AdapterVersion{{Model: "m", Adapter: "a2", Version: 1}},
-			Running:  2, Queued: 1, InUse: 100, Tokens: 200, Refused: 1, Entries: 5,
+			Running:  2, Queued: 1, InUse: 100, Tokens: 200, Unanswered: 1, Wanted: 2, Entries: 5,
 		},
 		CrashReport{Engine: "i/5", Fingerprints: [][]byte{{1, 2}, {3}}},
 	}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -45,11 +45,11 @@
 		c.release(conn, true)
 		return nil, &Error{Op: "send", Kind: NotSent, Err: ctx.Err()}
 	}
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	stop := context.AfterFunc(ctx, conn.abort)
 	answer, err := c.exchange(conn, req)
 	if err != nil {
 		stop()
-		_ = conn.Close() // its state is unknown
+		conn.abort()
 		return nil, err
 	}
 	answer.conn, answer.client = conn, c
@@ -165,7 +165,7 @@
 // release keeps a connection for reuse, or closes it.
 func (c *Client) release(conn *conn, reuse bool) {
 	if !reuse {
-		_ = conn.Close() // given up
+		conn.abort()
 		return
 	}
 	conn.used = true
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -91,6 +91,13 @@
 	return err == nil && quiet
 }
 
+// abort resets the connection. What was written and is still held up on the way
+// is dropped, so that the target does not start it when nobody waits any more.
+func (c *conn) abort() {
+	_ = c.Conn.(*net.TCPConn).SetLinger(0) // the connection is given up either way
+	_ = c.Close()
+}
+
 // reusable reports whether another request may follow a whole answer.
 func (c *conn) reusable(a *Answer) bool {
 	if c.written != nil {
--- a/pkg/orders/planner.go
+++ b/pkg/orders/planner.go
@@ -112,10 +112,16 @@
 	return Order{Unload: true, Adapter: victim}, true
 }
 
-// Waiting reports whether some adapter is wanted that the engine lacks.
-func (p *Planner) Waiting(now time.Time, r *Report) bool {
-	_, ok := p.mostWanted(now, r)
-	return ok
+// Missing returns the number of adapters that requests wait for and that the
+// engine neither holds nor loads.
+func (p *Planner) Missing(now time.Time, r *Report) int {
+	n := 0
+	for a, d := range p.demand {
+		if d.missing(now, a, r) {
+			n++
+		}
+	}
+	return n
 }
 
 // Expire forgets the adapters that nobody asks for any more.
@@ -145,6 +151,22 @@
 	}
 }
 
+// Refused notes that the engine refused an order in a state that may have
+// changed meanwhile, and reports whether another order may succeed now. An
+// adapter that can't be unloaded is in use.
+func (p *Planner) Refused(now time.Time, o Order) bool {
+	d := p.demand[o.Adapter]
+	if !o.Unload || o.Adapter.Name == "" {
+		return false
+	}
+	if d == nil {
+		d = &demand{counted: now}
+		p.demand[o.Adapter] = d
+	}
+	d.lastUsed = now
+	return true
+}
+
 // outdated returns an order that replaces an adapter of an old version.
 func (p *Planner) outdated(r *Report) (Order, bool) {
 	for _, h := range r.Adapters {
@@ -166,13 +188,7 @@
 	var best Adapter
 	var of *demand
 	for a, d := range p.demand {
-		if now.Sub(d.wanted) > wantedFor || !r.Holds(a.Model) {
-			continue
-		}
-		if _, ok := r.VersionOf(a); ok {
-			continue
-		}
-		if _, ok := r.Arriving(a); ok {
+		if !d.missing(now, a, r) {
 			continue
 		}
 		if of == nil || d.before(of) || (!of.before(d) && a.Name < best.Name) {
@@ -182,6 +198,19 @@
 	return best, of != nil
 }
 
+// missing reports whether requests wait for the adapter and the engine, which
+// holds its model, does nothing about it yet.
+func (d *demand) missing(now time.Time, a Adapter, r *Report) bool {
+	if now.Sub(d.wanted) > wantedFor || !r.Holds(a.Model) {
+		return false
+	}
+	if _, ok := r.VersionOf(a); ok {
+		return false
+	}
+	_, ok := r.Arriving(a)
+	return !ok
+}
+
 func (d *demand) before(o *demand) bool {
 	return d.first.Before(o.first)
 }
