Tell load apart from residency, and watch longer

The load goes in a message of its own now, when it changed by more than entries know, and adapters name their model by its place. Watches wait 10 s, as keep-alive probes find silent connections sooner; an engine that leaves is known from its targetd.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -12,9 +12,8 @@
 // Times of a follower.
 const (
 	// watchWait is how long the store may hold a watch. A connection that went
-	// silent is noticed after it, so it stays below the shortest bound within
-	// which a change must be in force, with the time that a slow store takes.
-	watchWait = 2500 * time.Millisecond
+	// silent is noticed sooner, by its keep-alive probes.
+	watchWait = 10 * time.Second
 	// answerTimeout is how long an answer may take beyond the wait.
 	answerTimeout = time.Second
 	// retryPause is the pause after a failed call, on average. Each call has a
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -294,13 +294,13 @@
 			Usable:   n.usable(now) && !c.tried[n.replica.ID],
 			Extra:    time.Duration(n.unsoundness(now) * failureCost * float64(c.route.Objective)),
 		}
-		if cautious && (now.Before(n.avoidUntil) || c.refused[n.replica.ID]) {
+		if cautious && (now.Before(n.avoidUntil) || n.silent(now) || c.refused[n.replica.ID]) {
 			a.Usable = false
 		}
 		if c.model != "" {
 			a.Holds = n.has(c.adapter, f.version(c.adapter))
 			a.Loading = n.arrival()
-			a.CanLoad = c.adapter.Name != "" && n.canLoad(c.adapter)
+			a.CanLoad = c.adapter.Name != "" && n.canLoad(now, c.adapter)
 		}
 		out = append(out, a)
 	}
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -70,9 +70,13 @@
 	f.sendTerms(n, true)
 	f.mu.Unlock()
 	err := c.Run(ctx, func() peer.Heartbeat { return peer.Heartbeat{Active: true} }, func(m peer.Message) {
+		now := time.Now()
+		f.heard(now, n)
 		switch m := m.(type) {
 		case peer.EngineState:
-			f.believe(time.Now(), n, m)
+			f.believe(now, n, m)
+		case peer.EngineLoad:
+			f.loaded(now, n, m)
 		case peer.CrashReport:
 			l.crash(m)
 		}
@@ -84,6 +88,21 @@
 	return err
 }
 
+// heard notes a message of a targetd.
+func (f *Fleet) heard(now time.Time, n *node) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n.heardAt = now
+}
+
+// loaded takes what a targetd tells of its engine's load.
+func (f *Fleet) loaded(now time.Time, n *node, m peer.EngineLoad) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n.wanted = m.Wanted
+	n.observe(now, Load{Running: m.Running, Waiting: m.Queued, Slots: n.replica.Slots})
+}
+
 // believe takes what a targetd tells of its engine.
 func (f *Fleet) believe(now time.Time, n *node, s peer.EngineState) {
 	f.mu.Lock()
--- a/internal/gateway/main.go
+++ b/internal/gateway/main.go
@@ -24,9 +24,10 @@
 // Pauses between two watches of a kind: changes within a pause cost one call.
 const (
 	configurationPause = 100 * time.Millisecond
-	// replicaPause is longer, as entries change often, and far below the bound
-	// for targets that leave.
-	replicaPause = 300 * time.Millisecond
+	// replicaPause is longer, as entries change often, and a quarter of the bound
+	// for targets that leave on the users' deployments. Engines that leave are
+	// known sooner, from their targetds.
+	replicaPause = 700 * time.Millisecond
 	versionPause = 300 * time.Millisecond
 )
 
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -23,6 +23,9 @@
 	avoidMost  = 1200 * time.Millisecond
 	// unsoundHalfLife is the time in which a failure of a target counts half.
 	unsoundHalfLife = 3 * time.Second
+	// silentAfter is when a targetd counts as silent: two of its heartbeats, and
+	// the way between regions.
+	silentAfter = 2*peer.HeartbeatInterval + 200*time.Millisecond
 	// firstLoad is the time that an adapter is assumed to take until one was seen
 	// to load: the figure for loads from the weight store on the users' sheets.
 	firstLoad = 250 * time.Millisecond
@@ -41,6 +44,8 @@
 	stateAt  time.Time // zero while nothing was heard
 	holds    map[orders.Adapter]int64
 	coming   map[orders.Adapter]bool
+	wanted   int       // missing adapters that requests of all entries wait for
+	heardAt  time.Time // last message of the targetd
 	stopLink func()
 
 	inFlight     int // own requests
@@ -79,7 +84,13 @@
 	if n.replica.State != target.Live || (!n.goneAt.IsZero() && !now.Before(n.goneAt)) {
 		return false
 	}
-	return n.stateAt.IsZero() || n.state.Reachable || n.link == nil
+	return n.stateAt.IsZero() || (n.state.Reachable && !n.state.Departing) || n.link == nil
+}
+
+// silent reports whether the targetd was heard before and is no more, so that
+// its VM may be out of reach.
+func (n *node) silent(now time.Time) bool {
+	return !n.heardAt.IsZero() && now.Sub(n.heardAt) > silentAfter
 }
 
 // settleTime is how long after a target appeared its targetd may not be
@@ -121,7 +132,6 @@
 	}
 	n.state, n.stateAt = s, now
 	n.holds, n.coming = holds, coming
-	n.observe(now, Load{Running: s.Running, Waiting: s.Queued, Slots: n.replica.Slots})
 	return changed
 }
 
@@ -145,8 +155,8 @@
 }
 
 // canLoad reports whether the engine can be told to load an adapter.
-func (n *node) canLoad(a orders.Adapter) bool {
-	return n.link != nil && n.state.Reachable && n.state.Unanswered < unansweredOrders && n.hasModel(a.Model)
+func (n *node) canLoad(now time.Time, a orders.Adapter) bool {
+	return !n.silent(now) && n.link != nil && n.state.Reachable && n.state.Unanswered < unansweredOrders && n.hasModel(a.Model)
 }
 
 // unansweredOrders is the number of orders in a row without an answer before adapters are
@@ -159,7 +169,7 @@
 	if each == 0 {
 		each = firstLoad
 	}
-	ahead := len(n.coming) + max(n.state.Wanted, len(n.waiting))
+	ahead := len(n.coming) + max(n.wanted, len(n.waiting))
 	return each * time.Duration(1+ahead/loadsAtOnce)
 }
 
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -24,6 +24,11 @@
 	loadingInterval = 25 * time.Millisecond
 	// unusedInterval is the pause while no entry is connected.
 	unusedInterval = 500 * time.Millisecond
+	// loadInterval is the pause between two messages on the load, and loadStep the
+	// least difference worth a message: an eighth of the smallest batch of the
+	// users' engines.
+	loadInterval = 200 * time.Millisecond
+	loadStep     = 4
 	// ordersInARow bounds the orders between two reports to entries.
 	ordersInARow = 8
 )
@@ -56,7 +61,10 @@
 	crashes map[string][][]byte // requests in flight at known crashes
 
 	// Owned by the loop.
+	hurry      bool // something arrived that may lead to an order
 	planner    *orders.Planner
+	load       peer.EngineLoad
+	loadTold   time.Time
 	terms      peer.EngineTerms
 	instances  map[int64]string // identities of the engine's starts
 	state      peer.EngineState
@@ -108,6 +116,7 @@
 	k.inbox <- func(time.Time) {
 		k.state.Entries = k.entries()
 		_, _ = c.Send(k.state) // a failed link is dialled again
+		_, _ = c.Send(k.load)
 	}
 }
 
@@ -129,7 +138,10 @@
 	var act func(now time.Time)
 	switch m := m.(type) {
 	case peer.EngineTerms:
-		act = func(now time.Time) { k.learn(now, m) }
+		act = func(now time.Time) {
+			k.learn(now, m)
+			k.hurry = true
+		}
 	case peer.AdapterWants:
 		act = func(now time.Time) { k.want(now, m) }
 	case peer.CrashReport:
@@ -223,7 +235,7 @@
 			return
 		case act := <-k.inbox:
 			act(time.Now())
-			if k.planner.Missing(time.Now(), &k.report) == 0 {
+			if !k.hurry && k.planner.Missing(time.Now(), &k.report) == 0 {
 				continue
 			}
 		case now := <-expire.C:
@@ -232,6 +244,7 @@
 		case <-timer.C:
 		}
 		k.drainInbox()
+		k.hurry = false
 		timer.Reset(k.step(ctx))
 	}
 }
@@ -260,7 +273,7 @@
 			break
 		}
 	}
-	k.tell()
+	k.tell(time.Now())
 	switch {
 	case len(k.report.Coming) > 0 || k.report.Changing || k.planner.Missing(time.Now(), &k.report) > 0:
 		return loadingInterval
@@ -355,17 +368,39 @@
 	}
 }
 
-// tell sends the engine's state to all entries if it changed.
-func (k *Keeper) tell() {
+// tell sends the entries what changed: the engine's state at once, its load if
+// it differs enough to change a choice.
+func (k *Keeper) tell(now time.Time) {
 	state := k.describe()
-	if reflect.DeepEqual(state, k.state) {
+	if !reflect.DeepEqual(state, k.state) {
+		k.state = state
+		k.send(state)
+	}
+	load := peer.EngineLoad{
+		Running: k.report.Running,
+		Queued:  k.report.Queued,
+		Wanted:  k.planner.Missing(now, &k.report),
+	}
+	if !worthTelling(k.load, load) || now.Sub(k.loadTold) < loadInterval {
 		return
 	}
-	k.state = state
+	k.load, k.loadTold = load, now
+	k.send(load)
+}
+
+// worthTelling reports whether a load differs from the one that entries know by
+// more than their own requests tell them.
+func worthTelling(known, now peer.EngineLoad) bool {
+	difference := max(now.Running+now.Queued-known.Running-known.Queued, known.Running+known.Queued-now.Running-now.Queued)
+	return difference >= loadStep || now.Wanted != known.Wanted
+}
+
+// send sends m to all entries.
+func (k *Keeper) send(m peer.Message) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for c := range k.links {
-		_, _ = c.Send(state) // a failed link is dialled again
+		_, _ = c.Send(m) // a failed link is dialled again
 	}
 }
 
@@ -374,14 +409,10 @@
 		Instance:   k.instance(),
 		Started:    k.report.Started,
 		Reachable:  k.reachable,
+		Departing:  k.report.Departing,
 		Resident:   describeAdapters(k.report.Adapters),
 		Coming:     describeAdapters(k.report.Coming),
-		Running:    k.report.Running,
-		Queued:     k.report.Queued,
-		InUse:      k.report.InUse,
-		Tokens:     k.report.Tokens,
 		Unanswered: k.unanswered,
-		Wanted:     k.planner.Missing(time.Now(), &k.report),
 		Entries:    k.entries(),
 	}
 	for _, m := range k.report.Models {
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -34,6 +34,7 @@
 	typeAdapterWants messageType = 51
 	typeEngineState  messageType = 52
 	typeCrashReport  messageType = 53
+	typeEngineLoad   messageType = 54
 
 	typeStateRequest  messageType = 40
 	typeStateAnswer   messageType = 41
@@ -63,6 +64,7 @@
 func (AdapterWants) messageType() messageType { return typeAdapterWants }
 func (EngineState) messageType() messageType  { return typeEngineState }
 func (CrashReport) messageType() messageType  { return typeCrashReport }
+func (EngineLoad) messageType() messageType   { return typeEngineLoad }
 
 // Encode returns the wire form of m: its type, then its fields as a CBOR array.
 func Encode(m Message) []byte {
@@ -146,6 +148,8 @@
 		return &engineStateWire{}
 	case typeCrashReport:
 		return &crashReportWire{}
+	case typeEngineLoad:
+		return &engineLoadWire{}
 	}
 	return nil
 }
@@ -200,6 +204,8 @@
 		return adapterWantsToWire(m)
 	case EngineState:
 		return engineStateToWire(m)
+	case EngineLoad:
+		return &engineLoadWire{Running: m.Running, Queued: m.Queued, Wanted: m.Wanted}
 	case CrashReport:
 		return &crashReportWire{Engine: m.Engine, Fingerprints: m.Fingerprints}
 	}
--- a/internal/peer/engine.go
+++ b/internal/peer/engine.go
@@ -1,5 +1,7 @@
 package peer
 
+import "slices"
+
 // AdapterVersion names an adapter of a model and a version of it.
 type AdapterVersion struct {
 	Model   string
@@ -39,18 +41,22 @@
 	Instance   string
 	Started    int64 // Unix milliseconds of the engine's start
 	Reachable  bool  // the engine answers its targetd
+	Departing  bool  // the engine takes nothing new
 	Models     []string
 	Resident   []AdapterVersion
 	Coming     []AdapterVersion
-	Running    int
-	Queued     int
-	InUse      int // cache tokens
-	Tokens     int // cache tokens in all
 	Unanswered int // orders in a row that got no answer
-	Wanted     int // missing adapters that requests wait for
 	Entries    int // processes connected to the targetd that take callers' requests
 }
 
+// EngineLoad is the load of a targetd's engine. It is sent apart from the state,
+// which is larger and changes less often.
+type EngineLoad struct {
+	Running int
+	Queued  int
+	Wanted  int // missing adapters that requests wait for
+}
+
 // CrashReport names the requests that were running at an engine's crash.
 type CrashReport struct {
 	Engine       string // identity of the engine's start
@@ -172,32 +178,52 @@
 	Instance   string
 	Started    int64
 	Reachable  bool
+	Departing  bool
 	Models     []string
-	Resident   []adapterVersionWire
-	Coming     []adapterVersionWire
-	Running    int
-	Queued     int
-	InUse      int
-	Tokens     int
+	Resident   []heldWire
+	Coming     []heldWire
 	Unanswered int
-	Wanted     int
 	Entries    int
 }
 
+// heldWire names an adapter by its model's place in the list of models, as the
+// names of models are long and few.
+type heldWire struct {
+	_       struct{} `cbor:",toarray"`
+	Model   int
+	Adapter string
+	Version int64
+}
+
+func heldToWire(models []string, in []AdapterVersion) []heldWire {
+	var out []heldWire
+	for _, a := range in {
+		out = append(out, heldWire{Model: slices.Index(models, a.Model), Adapter: a.Adapter, Version: a.Version})
+	}
+	return out
+}
+
+func held(models []string, in []heldWire) []AdapterVersion {
+	var out []AdapterVersion
+	for _, w := range in {
+		if w.Model < 0 || w.Model >= len(models) {
+			continue // of a model that the engine does not hold
+		}
+		out = append(out, AdapterVersion{Model: models[w.Model], Adapter: w.Adapter, Version: w.Version})
+	}
+	return out
+}
+
 func engineStateToWire(m EngineState) *engineStateWire {
 	return &engineStateWire{
 		Instance:   m.Instance,
 		Started:    m.Started,
 		Reachable:  m.Reachable,
+		Departing:  m.Departing,
 		Models:     m.Models,
-		Resident:   adapterVersionsToWire(m.Resident),
-		Coming:     adapterVersionsToWire(m.Coming),
-		Running:    m.Running,
-		Queued:     m.Queued,
-		InUse:      m.InUse,
-		Tokens:     m.Tokens,
+		Resident:   heldToWire(m.Models, m.Resident),
+		Coming:     heldToWire(m.Models, m.Coming),
 		Unanswered: m.Unanswered,
-		Wanted:     m.Wanted,
 		Entries:    m.Entries,
 	}
 }
@@ -207,19 +233,26 @@
 		Instance:   w.Instance,
 		Started:    w.Started,
 		Reachable:  w.Reachable,
+		Departing:  w.Departing,
 		Models:     w.Models,
-		Resident:   adapterVersions(w.Resident),
-		Coming:     adapterVersions(w.Coming),
-		Running:    w.Running,
-		Queued:     w.Queued,
-		InUse:      w.InUse,
-		Tokens:     w.Tokens,
+		Resident:   held(w.Models, w.Resident),
+		Coming:     held(w.Models, w.Coming),
 		Unanswered: w.Unanswered,
-		Wanted:     w.Wanted,
 		Entries:    w.Entries,
 	}
 }
 
+type engineLoadWire struct {
+	_       struct{} `cbor:",toarray"`
+	Running int
+	Queued  int
+	Wanted  int
+}
+
+func (w *engineLoadWire) message() Message {
+	return EngineLoad{Running: w.Running, Queued: w.Queued, Wanted: w.Wanted}
+}
+
 type crashReportWire struct {
 	_            struct{} `cbor:",toarray"`
 	Engine       string
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -49,10 +49,11 @@
 		AdapterWants{Wants: []AdapterWant{{AdapterVersion: AdapterVersion{Model: "m", Adapter: "a1", Version: 2}, Waiting: 1, Used: 2, Running: 3}}},
 		EngineState{
 			Instance: "i", Started: 5, Reachable: true, Models: []string{"m"},
-			Resident: []AdapterVersion{{Model: "m", Adapter: "a1", Version: 1}},
-			Coming:   []AdapterVersion{{Model: "m", Adapter: "a2", Version: 1}},
-			Running:  2, Queued: 1, InUse: 100, Tokens: 200, Unanswered: 1, Wanted: 2, Entries: 5,
+			Resident:  []AdapterVersion{{Model: "m", Adapter: "a1", Version: 1}},
+			Coming:    []AdapterVersion{{Model: "m", Adapter: "a2", Version: 1}},
+			Departing: true, Unanswered: 1, Entries: 5,
 		},
+		EngineLoad{Running: 2, Queued: 1, Wanted: 3},
 		CrashReport{Engine: "i/5", Fingerprints: [][]byte{{1, 2}, {3}}},
 	}
 }
