Forecast loads from observed waits, and pass over engines without a free place

Requests were refused on a forecast that counted the queue twice: of those with a forecast above 0.5 s that were kept, half waited 0.1 s; and the forecast was applied again at each look, so that requests were refused just before their adapter came. It is applied once now. An adapter counted as in use for 1.5 s after its last request, so that under load no place could be freed; entries report use every 250 ms and an early unload is refused, so 350 ms do. An engine that can't free a place says so.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -11,9 +11,6 @@
 
 // Times of a follower.
 const (
-	// watchWait is how long the store may hold a watch. A connection that went
-	// silent is noticed sooner, by its keep-alive probes.
-	watchWait = 10 * time.Second
 	// answerTimeout is how long an answer may take beyond the wait.
 	answerTimeout = time.Second
 	// retryPause is the pause after a failed call, on average. Each call has a
@@ -51,6 +48,7 @@
 	source Source
 	kind   objects.ObjectKind
 	sink   Sink
+	wait   time.Duration
 	pause  time.Duration
 	log    event.Log
 
@@ -61,10 +59,19 @@
 	away     bool
 }
 
-// New returns a follower that pauses between two watches, so that changes that
-// come in quick succession cost one call.
-func New(source Source, kind objects.ObjectKind, sink Sink, pause time.Duration, log event.Log) *Follower {
-	return &Follower{source: source, kind: kind, sink: sink, pause: pause, log: log}
+// Times says how closely a kind is followed.
+type Times struct {
+	// Wait is how long the store may hold a watch. A store that loses a watch's
+	// changes leaves it waiting, so the wait stays below the bound within which a
+	// change must be known.
+	Wait time.Duration
+	// Pause between two watches: changes within it cost one call.
+	Pause time.Duration
+}
+
+// New returns a follower of a kind.
+func New(source Source, kind objects.ObjectKind, sink Sink, times Times, log event.Log) *Follower {
+	return &Follower{source: source, kind: kind, sink: sink, wait: times.Wait, pause: times.Pause, log: log}
 }
 
 // Run follows until ctx is done.
@@ -85,9 +92,9 @@
 	if !f.listed {
 		return f.list(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchWait+answerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, f.wait+answerTimeout)
 	defer cancel()
-	changed, version, err := f.source.Watch(ctx, f.kind, f.version, watchWait)
+	changed, version, err := f.source.Watch(ctx, f.kind, f.version, f.wait)
 	if err != nil {
 		return err
 	}
@@ -101,7 +108,7 @@
 }
 
 func (f *Follower) list(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+answerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, f.wait+answerTimeout)
 	defer cancel()
 	all, version, err := f.source.List(ctx, f.kind)
 	if err != nil {
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -299,7 +299,7 @@
 		}
 		if c.model != "" {
 			a.Holds = n.has(c.adapter, f.version(c.adapter))
-			a.Loading = n.arrival()
+			a.Loading = n.arrival(c.adapter)
 			a.CanLoad = c.adapter.Name != "" && n.canLoad(now, c.adapter)
 		}
 		out = append(out, a)
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -99,7 +99,7 @@
 func (f *Fleet) loaded(now time.Time, n *node, m peer.EngineLoad) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	n.wanted = m.Wanted
+	n.wanted, n.full = m.Wanted, m.Full
 	n.observe(now, Load{Running: m.Running, Waiting: m.Queued, Slots: n.replica.Slots})
 }
 
--- a/internal/gateway/main.go
+++ b/internal/gateway/main.go
@@ -24,13 +24,20 @@
 // Pauses between two watches of a kind: changes within a pause cost one call.
 const (
 	configurationPause = 100 * time.Millisecond
-	// replicaPause is longer, as entries change often, and a quarter of the bound
-	// for targets that leave on the users' deployments. Engines that leave are
+	// replicaPause is longer, as entries change often. Engines that leave are
 	// known sooner, from their targetds.
-	replicaPause = 700 * time.Millisecond
+	replicaPause = 600 * time.Millisecond
 	versionPause = 300 * time.Millisecond
+	// waitPart is the part of the bound within which a change must be known for
+	// which the store may hold a watch.
+	waitPart = 0.55
 )
 
+// times returns how a kind is followed whose changes must be known within bound.
+func times(bound, pause time.Duration) follow.Times {
+	return follow.Times{Wait: time.Duration(waitPart * float64(bound)), Pause: pause}
+}
+
 // Times of the listeners.
 const (
 	headerTimeout = 10 * time.Second // of callers, above any limit that a configuration sets
@@ -111,9 +118,9 @@
 	})
 	store := p.Store(scope)
 	cfg := &configurationSink{p.Decoder, p.ConfigurationName, &s.current, s.fleet, log}
-	go follow.New(store, p.Configurations, cfg, configurationPause, log).Run(ctx)
-	go follow.New(store, p.Replicas, &replicaSink{p.Decoder, s.fleet, log}, replicaPause, log).Run(ctx)
-	go follow.New(store, p.Versions, &versionSink{p.Decoder, s.fleet, log}, versionPause, log).Run(ctx)
+	go follow.New(store, p.Configurations, cfg, times(b.ApplyWithin, configurationPause), log).Run(ctx)
+	go follow.New(store, p.Replicas, &replicaSink{p.Decoder, s.fleet, log}, times(b.DrainWithin, replicaPause), log).Run(ctx)
+	go follow.New(store, p.Versions, &versionSink{p.Decoder, s.fleet, log}, times(b.VersionWithin, versionPause), log).Run(ctx)
 	go s.maintain(ctx, client)
 	return s
 }
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -29,6 +29,9 @@
 	// firstLoad is the time that an adapter is assumed to take until one was seen
 	// to load: the figure for loads from the weight store on the users' sheets.
 	firstLoad = 250 * time.Millisecond
+	// queueAhead is the number of adapters that wait to be loaded for which the
+	// mean time to load counts once more.
+	queueAhead = 4 * loadsAtOnce
 )
 
 // node is what a gateway knows of one target.
@@ -45,6 +48,7 @@
 	holds    map[orders.Adapter]int64
 	coming   map[orders.Adapter]bool
 	wanted   int       // missing adapters that requests of all entries wait for
+	full     bool      // no adapter can make way for them now
 	heardAt  time.Time // last message of the targetd
 	stopLink func()
 
@@ -156,21 +160,25 @@
 
 // canLoad reports whether the engine can be told to load an adapter.
 func (n *node) canLoad(now time.Time, a orders.Adapter) bool {
-	return !n.silent(now) && n.link != nil && n.state.Reachable && n.state.Unanswered < unansweredOrders && n.hasModel(a.Model)
+	return !n.silent(now) && !n.full && n.link != nil && n.state.Reachable && n.state.Unanswered < unansweredOrders && n.hasModel(a.Model)
 }
 
 // unansweredOrders is the number of orders in a row without an answer before adapters are
 // loaded elsewhere.
 const unansweredOrders = 2
 
-// arrival returns the time until a missing adapter is expected.
-func (n *node) arrival() time.Duration {
+// arrival returns the time until a missing adapter is expected. The observed
+// times contain the wait behind other adapters, so only a longer queue than the
+// engine serves at once adds to them.
+func (n *node) arrival(a orders.Adapter) time.Duration {
 	each := n.loadTime.Value()
 	if each == 0 {
 		each = firstLoad
 	}
-	ahead := len(n.coming) + max(n.wanted, len(n.waiting))
-	return each * time.Duration(1+ahead/loadsAtOnce)
+	if n.coming[a] {
+		return each / 2
+	}
+	return each * time.Duration(1+n.wanted/queueAhead)
 }
 
 // unreachable notes a failed connection and returns how long the target is
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -103,7 +103,7 @@
 			return proposal{}, "no_target"
 		case ok && p.holds:
 			return p, ""
-		case ok && now.Add(p.wait).After(patience):
+		case ok && (now.After(patience) || (on == nil && now.Add(p.wait).After(patience))):
 			c.comeBack = p.wait
 			return proposal{}, "adapter_not_loaded"
 		}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -380,8 +380,9 @@
 		Running: k.report.Running,
 		Queued:  k.report.Queued,
 		Wanted:  k.planner.Missing(now, &k.report),
+		Full:    k.planner.Full(),
 	}
-	if !worthTelling(k.load, load) || now.Sub(k.loadTold) < loadInterval {
+	if !worthTelling(k.load, load) || (now.Sub(k.loadTold) < loadInterval && load.Full == k.load.Full) {
 		return
 	}
 	k.load, k.loadTold = load, now
@@ -392,7 +393,7 @@
 // more than their own requests tell them.
 func worthTelling(known, now peer.EngineLoad) bool {
 	difference := max(now.Running+now.Queued-known.Running-known.Queued, known.Running+known.Queued-now.Running-now.Queued)
-	return difference >= loadStep || now.Wanted != known.Wanted
+	return difference >= loadStep || now.Wanted != known.Wanted || now.Full != known.Full
 }
 
 // send sends m to all entries.
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -205,7 +205,7 @@
 	case EngineState:
 		return engineStateToWire(m)
 	case EngineLoad:
-		return &engineLoadWire{Running: m.Running, Queued: m.Queued, Wanted: m.Wanted}
+		return &engineLoadWire{Running: m.Running, Queued: m.Queued, Wanted: m.Wanted, Full: m.Full}
 	case CrashReport:
 		return &crashReportWire{Engine: m.Engine, Fingerprints: m.Fingerprints}
 	}
--- a/internal/peer/engine.go
+++ b/internal/peer/engine.go
@@ -54,7 +54,8 @@
 type EngineLoad struct {
 	Running int
 	Queued  int
-	Wanted  int // missing adapters that requests wait for
+	Wanted  int  // missing adapters that requests wait for
+	Full    bool // no adapter can make way for them now
 }
 
 // CrashReport names the requests that were running at an engine's crash.
@@ -247,10 +248,11 @@
 	Running int
 	Queued  int
 	Wanted  int
+	Full    bool
 }
 
 func (w *engineLoadWire) message() Message {
-	return EngineLoad{Running: w.Running, Queued: w.Queued, Wanted: w.Wanted}
+	return EngineLoad{Running: w.Running, Queued: w.Queued, Wanted: w.Wanted, Full: w.Full}
 }
 
 type crashReportWire struct {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -53,7 +53,7 @@
 			Coming:    []AdapterVersion{{Model: "m", Adapter: "a2", Version: 1}},
 			Departing: true, Unanswered: 1, Entries: 5,
 		},
-		EngineLoad{Running: 2, Queued: 1, Wanted: 3},
+		EngineLoad{Running: 2, Queued: 1, Wanted: 3, Full: true},
 		CrashReport{Engine: "i/5", Fingerprints: [][]byte{{1, 2}, {3}}},
 	}
 }
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -31,8 +31,11 @@
 // Bounds are the limits that the platform's operators set for a deployment.
 type Bounds struct {
 	StopWithin  time.Duration // from the signal to the forced end
+	ApplyWithin time.Duration // until an accepted configuration is in force
 	DrainWithin time.Duration // until a leaving target gets nothing new
 	RetryRatio  float64       // retries for each request of a service
 	RetryWindow time.Duration // in which retries are counted
 	RetrySlack  float64       // retries of a service in a window beside the ratio
+
+	VersionWithin time.Duration // until an announced version of an adapter serves
 }
--- a/pkg/orders/planner.go
+++ b/pkg/orders/planner.go
@@ -16,9 +16,10 @@
 	// estimate of an adapter's demand: some multiples of the time in which
 	// popularity shifts on the users' deployments.
 	halfLife = 8 * time.Second
-	// inUseFor is how long an adapter counts as used after a request for it was
-	// sent; an unload waits for its runs and would keep the place meanwhile.
-	inUseFor = 1500 * time.Millisecond
+	// inUseFor is how long an adapter counts as used after an entry said so:
+	// entries report every 250 ms what runs, and an unload that comes too early
+	// is refused and costs little.
+	inUseFor = 350 * time.Millisecond
 	// forgetAfter bounds the memory for adapters that nobody asks for any more.
 	forgetAfter = 2 * time.Minute
 	// weightsPause is the least time between two loads of weights, so that an
@@ -41,6 +42,7 @@
 	demand      map[Adapter]*demand
 	lastWeights time.Time
 	weightsFor  int64 // start of the engine that weights were last ordered for
+	full        bool
 }
 
 type demand struct {
@@ -86,6 +88,7 @@
 // Next returns the next order for an engine in the reported state, and false
 // when there is nothing to do.
 func (p *Planner) Next(now time.Time, r *Report, c Capacity) (Order, bool) {
+	p.full = false
 	if r.Departing {
 		return Order{}, false
 	}
@@ -107,6 +110,7 @@
 	}
 	victim, ok := p.victim(now, r)
 	if !ok {
+		p.full = true
 		return Order{}, false
 	}
 	return Order{Unload: true, Adapter: victim}, true
@@ -124,6 +128,10 @@
 	return n
 }
 
+// Full reports whether the last call of Next found an adapter wanted and every
+// place in use.
+func (p *Planner) Full() bool { return p.full }
+
 // Expire forgets the adapters that nobody asks for any more.
 func (p *Planner) Expire(now time.Time) {
 	for a, d := range p.demand {
