--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -46,12 +46,12 @@
 	}
 	c.ran++
 	c.tried[p.replica.ID] = true
-	g.Fleet.observe(time.Now(), p.node, meta.Load, 0)
+	g.Fleet.observe(time.Now(), p.node, meta.Load)
 	if isStream(answer) && meta.Signed && !meta.Encoded {
 		out := g.relay(ctx, w, c, answer)
-		return g.finish(c, p, meta, out, now)
+		return g.finish(c, p, out, now)
 	}
-	return g.finish(c, p, meta, g.relayWhole(w, c, answer, meta), now)
+	return g.finish(c, p, g.relayWhole(w, c, answer, meta), now)
 }
 
 // isStream reports whether an answer consists of events.
@@ -60,11 +60,15 @@
 }
 
 // finish notes what an attempt that ran tells of the target.
-func (g *Gateway) finish(c *call, p proposal, meta AnswerMeta, out outcome, begun time.Time) outcome {
+func (g *Gateway) finish(c *call, p proposal, out outcome, begun time.Time) outcome {
 	now := time.Now()
 	switch out {
 	case delivered:
-		g.Fleet.observe(now, p.node, meta.Load, now.Sub(begun))
+		first := now
+		if c.firstEvent.After(begun) {
+			first = c.firstEvent
+		}
+		g.Fleet.served(p.node, first.Sub(begun), now.Sub(begun))
 	case broken, failed:
 		g.Fleet.failed(now, p.node)
 		g.ended(c, p, out, nil)
@@ -99,7 +103,7 @@
 func (g *Gateway) refusal(c *call, p proposal, a *upstream.Answer, meta AnswerMeta) outcome {
 	_, _ = io.Copy(io.Discard, io.LimitReader(a, mostBody)) // the status is all that counts
 	c.refused[p.replica.ID] = true
-	g.Fleet.observe(time.Now(), p.node, meta.Load, 0)
+	g.Fleet.observe(time.Now(), p.node, meta.Load)
 	if a.Status == http.StatusMisdirectedRequest {
 		g.Fleet.lacks(p.node, c.adapter)
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -34,9 +34,10 @@
 
 	comeBack time.Duration // until it can be served, as far as known
 
-	started   bool   // the head of the answer was written to the caller
-	lastEvent string // of a stream, the last that was passed on
-	fallback  *whole // a target's failure, delivered if nothing better comes
+	firstEvent time.Time
+	started    bool   // the head of the answer was written to the caller
+	lastEvent  string // of a stream, the last that was passed on
+	fallback   *whole // a target's failure, delivered if nothing better comes
 }
 
 // whole is an answer that was read to its end.
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -9,7 +9,6 @@
 	"github.com/borageusher/borageusher/internal/peer"
 	"github.com/borageusher/borageusher/pkg/assignment"
 	"github.com/borageusher/borageusher/pkg/orders"
-	"github.com/borageusher/borageusher/pkg/retry"
 	"github.com/borageusher/borageusher/pkg/routing"
 	"github.com/borageusher/borageusher/pkg/target"
 )
@@ -33,10 +32,10 @@
 	nodes    map[string]*node // by the target's id
 	cfg      *routing.Configuration
 	versions map[orders.Adapter]int64
-	stay     map[string]*retry.Mean // of requests, by service
-	news     chan struct{}          // closed at the next change of residency or state
-	known    bool                   // the targets were listed
-	joined   func(*node)            // a target with an engine appeared
+	paces    map[string]*pace // by service
+	news     chan struct{}    // closed at the next change of residency or state
+	known    bool             // the targets were listed
+	joined   func(*node)      // a target with an engine appeared
 }
 
 // NewFleet returns a fleet without targets, seen from an availability zone.
@@ -48,7 +47,7 @@
 		log:      log,
 		nodes:    map[string]*node{},
 		versions: map[orders.Adapter]int64{},
-		stay:     map[string]*retry.Mean{},
+		paces:    map[string]*pace{},
 		news:     make(chan struct{}),
 	}
 }
@@ -281,7 +280,7 @@
 		}
 	}
 	rand.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
-	mean := f.meanStay(c.service)
+	pace := f.paceOf(c.service)
 	out := make([]assignment.Candidate, 0, len(nodes))
 	for _, n := range nodes {
 		a := assignment.Candidate{
@@ -289,7 +288,8 @@
 			Distance: n.distance,
 			Slots:    n.replica.Slots,
 			Load:     n.estimate(now),
-			Stay:     max(n.stay.Value(), mean),
+			First:    n.pace.firstOr(pace),
+			Stay:     pace.stay.Value(),
 			Holds:    true,
 			Usable:   n.usable(now) && !c.tried[n.replica.ID],
 			Extra:    time.Duration(n.unsoundness(now) * failureCost * float64(c.route.Objective)),
@@ -307,11 +307,15 @@
 	return nodes, out
 }
 
-func (f *Fleet) meanStay(service string) time.Duration {
-	if m := f.stay[service]; m != nil {
-		return m.Value()
+// paceOf returns how fast the targets of a service are, on average. The caller
+// holds mu.
+func (f *Fleet) paceOf(service string) *pace {
+	p := f.paces[service]
+	if p == nil {
+		p = &pace{}
+		f.paces[service] = p
 	}
-	return 0
+	return p
 }
 
 // want notes that a request waits for an adapter at a target, until done is
@@ -375,24 +379,23 @@
 	}
 }
 
-// observe notes what an answer told, and how long the target took.
-func (f *Fleet) observe(now time.Time, n *node, l Load, took time.Duration) {
+// observe notes what the head of an answer told.
+func (f *Fleet) observe(now time.Time, n *node, l Load) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if l.Slots > 0 {
 		n.observe(now, l)
 	}
 	n.failures = 0
-	if took <= 0 {
-		return
-	}
-	n.stay.Observe(took)
-	m := f.stay[n.replica.Service]
-	if m == nil {
-		m = &retry.Mean{}
-		f.stay[n.replica.Service] = m
-	}
-	m.Observe(took)
+}
+
+// served notes how long a target took until the first event of an answer and
+// until its end.
+func (f *Fleet) served(n *node, first, took time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n.pace.observe(first, took)
+	f.paceOf(n.replica.Service).observe(first, took)
 }
 
 // unreachable notes that a connection to a target failed.
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -56,7 +56,7 @@
 	load         Load
 	loadAt       time.Time
 	inFlightThen int // own requests at loadAt
-	stay         retry.Mean
+	pace         pace
 	loadTime     retry.Mean
 	avoidUntil   time.Time
 	failures     int // to connect, in a row
@@ -165,7 +165,7 @@
 
 // unansweredOrders is the number of orders in a row without an answer before adapters are
 // loaded elsewhere.
-const unansweredOrders = 2
+const unansweredOrders = 4
 
 // arrival returns the time until a missing adapter is expected. The observed
 // times contain the wait behind other adapters, so only a longer queue than the
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -63,6 +63,7 @@
 	}
 	w.WriteHeader(a.Status)
 	c.started = true
+	c.firstEvent = time.Now()
 }
 
 // readEvent returns the next event with the blank line that ends it. At the end
--- a/pkg/assignment/choose.go
+++ b/pkg/assignment/choose.go
@@ -30,15 +30,13 @@
 
 // Weights of a target's load.
 const (
-	// crowding is the part of the mean stay by which a full batch delays a
-	// request's first event against an empty one.
-	crowding = 0.35
 	// tolerance is the part of the objective by which a home may be slower than
 	// the best target before an adapter is loaded elsewhere.
 	tolerance = 0.3
 	// copyAt is the part of the objective that requests may wait at all holders
-	// before a further copy is loaded.
-	copyAt = 0.12
+	// before a further copy is loaded. A copy takes a place and a load, and what
+	// starts well within the objective loses nothing.
+	copyAt = 0.3
 )
 
 // Request is what a choice needs to know of a request.
@@ -55,6 +53,7 @@
 	Distance Distance
 	Slots    int
 	Load     int           // requests believed to run or wait there
+	First    time.Duration // mean time until a request's first event at the target
 	Stay     time.Duration // mean time of a request at the target
 	Holds    bool          // the adapter is there
 	Loading  time.Duration // until a missing adapter is there
@@ -133,14 +132,16 @@
 // cost returns the wait and the way.
 func (c *Candidate) cost(req Request) time.Duration { return c.wait() + c.way(req) + c.Extra }
 
-// wait returns the time until a request starts at the target, by its load.
+// wait returns the time until a request's first event at the target, by its
+// load: a batch that fills delays the first event, and beyond it requests wait
+// until others end.
 func (c *Candidate) wait() time.Duration {
-	load := float64(c.Load) / float64(max(1, c.Slots))
-	w := crowding * load * load
-	if load >= 1 {
-		w = crowding + load - 1 + 1/float64(max(1, c.Slots))
+	slots := float64(max(1, c.Slots))
+	load := float64(c.Load) / slots
+	if load < 1 {
+		return time.Duration(load * float64(c.First))
 	}
-	return time.Duration(w * float64(c.Stay))
+	return c.First + time.Duration((load-1+1/slots)*float64(c.Stay))
 }
 
 func (c *Candidate) way(req Request) time.Duration {
--- a/pkg/orders/planner.go
+++ b/pkg/orders/planner.go
@@ -22,6 +22,9 @@
 	inUseFor = 350 * time.Millisecond
 	// forgetAfter bounds the memory for adapters that nobody asks for any more.
 	forgetAfter = 2 * time.Minute
+	// replacePause is the time until a replacement that still waits for the runs
+	// of the old version is ordered again.
+	replacePause = time.Second
 	// weightsPause is the least time between two loads of weights, so that an
 	// engine that crashes again and again leaves the weight store to others.
 	weightsPause = 5 * time.Second
@@ -53,6 +56,7 @@
 	first    time.Time // first mention of the present wait
 	waiting  int
 	lastUsed time.Time
+	replaced time.Time // last order that was accepted for it
 }
 
 // NewPlanner returns a planner that knows no demand.
@@ -95,7 +99,7 @@
 	if len(r.Models) == 0 {
 		return p.nextWeights(now, r, c)
 	}
-	if o, ok := p.outdated(r); ok {
+	if o, ok := p.outdated(now, r); ok {
 		return o, true
 	}
 	a, ok := p.mostWanted(now, r)
@@ -154,8 +158,12 @@
 
 // Sent notes that an order was accepted.
 func (p *Planner) Sent(now time.Time, r *Report, o Order) {
-	if o.Adapter.Name == "" && !o.Unload {
+	switch d := p.demand[o.Adapter]; {
+	case o.Unload:
+	case o.Adapter.Name == "":
 		p.lastWeights, p.weightsFor = now, r.Started
+	case d != nil:
+		d.replaced = now
 	}
 }
 
@@ -176,10 +184,10 @@
 }
 
 // outdated returns an order that replaces an adapter of an old version.
-func (p *Planner) outdated(r *Report) (Order, bool) {
+func (p *Planner) outdated(now time.Time, r *Report) (Order, bool) {
 	for _, h := range r.Adapters {
 		d := p.demand[h.Adapter]
-		if d == nil || d.version <= h.Version {
+		if d == nil || d.version <= h.Version || now.Sub(d.replaced) < replacePause {
 			continue
 		}
 		if v, ok := r.Arriving(h.Adapter); ok && v >= d.version {
