Quarantine requests that crash targets, and never wait for the log

A request in flight at two crashes, as the only one, is refused at every entry: an entry that sees a connection break and its target crash tells three targetds, which tell all entries; no store call is made. Log lines are queued with a bound; routine lines are left out before those of failed requests, and their number is told.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -41,6 +41,7 @@
 	CrashSuspected    Code = 354
 	TargetAvoided     Code = 355
 	LinesDropped      Code = 356
+	RequestFailed     Code = 357
 	RequestQueued     Code = 400
 	RequestNotRun     Code = 401
 	RequestStarted    Code = 402
@@ -113,13 +114,14 @@
 	{SuspectCleared, "suspect_cleared", zerolog.InfoLevel, "A suspect was answered and is no longer one."},
 	{RetryRefused, "retry_refused", zerolog.WarnLevel, "The retry budget of the service is spent: the caller is told the last attempt's outcome."},
 	{LoadGranted, "load_granted", zerolog.InfoLevel, "Placement decision: `target` may load one adapter for `team` with a right that another target gave."},
-	{AttemptSent, "attempt_sent", zerolog.InfoLevel, "Routing decision: an attempt goes straight to `target`; `load`, `wait_ms` and `state_age_ms` are what decided."},
-	{AttemptEnded, "attempt_ended", zerolog.InfoLevel, "An attempt did not answer the request: `outcome` says whether it was refused, failed or broke, and `next` what follows."},
+	{AttemptSent, "attempt_sent", zerolog.InfoLevel, "Routing decision: an attempt goes straight to `target`; `load`, `wait` and `state_age` are what decided."},
+	{AttemptEnded, "attempt_ended", zerolog.WarnLevel, "An attempt did not answer the request: `outcome` says whether it was refused, failed or broke."},
 	{StreamResumed, "stream_resumed", zerolog.InfoLevel, "A broken stream goes on at another target after event `last_event`."},
 	{RequestWaiting, "request_waiting", zerolog.InfoLevel, "The request waits until `target` has loaded its adapter."},
 	{CrashSuspected, "crash_suspected", zerolog.WarnLevel, "An engine crashed while it ran the request; `crashes` counts the engines that did."},
 	{TargetAvoided, "target_avoided", zerolog.WarnLevel, "The target failed and gets no requests `for` a while, unless there is no other."},
-	{LinesDropped, "lines_dropped", zerolog.WarnLevel, "The log could not be written fast enough and `lines` lines of served requests were left out."},
+	{LinesDropped, "lines_dropped", zerolog.WarnLevel, "The log could not be written fast enough and `lines` routine lines were left out."},
+	{RequestFailed, "request_failed", zerolog.WarnLevel, "The caller got no answer from a target: `status` and `reason` say what it was told; `targets` names the attempts with what decided them."},
 	{RequestQueued, "request_queued", zerolog.DebugLevel, "The target took an attempt into its queue."},
 	{RequestNotRun, "request_not_run", zerolog.InfoLevel, "The target refused an attempt that it had not started."},
 	{RequestStarted, "request_started", zerolog.DebugLevel, "The engine or service was given the request."},
--- /dev/null
+++ b/internal/event/queue_test.go
@@ -0,0 +1,64 @@
+package event
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/smartystreets/goconvey/convey"
+)
+
+// blockedWriter takes nothing until it is released.
+type blockedWriter struct {
+	release chan struct{}
+	mu      sync.Mutex
+	b       bytes.Buffer
+}
+
+func (w *blockedWriter) Write(p []byte) (int, error) {
+	<-w.release
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.b.Write(p)
+}
+
+func TestQueue(t *testing.T) {
+	convey.Convey("Given a reader of the log that takes nothing", t, func() {
+		w := &blockedWriter{release: make(chan struct{})}
+		q := NewQueue(w)
+		log := New(q, "entryd", "e1", zerolog.InfoLevel)
+		convey.Convey("no line waits for it, routine lines are left out first, and their number is told", func() {
+			for range 5000 {
+				log.At(RouteChosen).Str("request", "served").Send()
+			}
+			for range 300 {
+				log.At(RetryRefused).Str("request", "failed").Send()
+			}
+			close(w.release)
+			q.Close()
+			lines := strings.Split(strings.TrimSpace(w.b.String()), "\n")
+			served, failed := 0, 0
+			for _, l := range lines {
+				switch {
+				case strings.Contains(l, "served"):
+					served++
+				case strings.Contains(l, "failed"):
+					failed++
+				}
+			}
+			convey.So(failed, convey.ShouldEqual, 300)
+			convey.So(served, convey.ShouldBeBetween, 0, 5000)
+			convey.So(w.b.String(), convey.ShouldContainSubstring, fmt.Sprintf(`"lines":%d`, 5000-served))
+		})
+	})
+	convey.Convey("Closing writes what waits", t, func() {
+		var b bytes.Buffer
+		q := NewQueue(&b)
+		New(q, "entryd", "e1", zerolog.InfoLevel).At(Stopped).Send()
+		q.Close()
+		convey.So(b.String(), convey.ShouldContainSubstring, `"name":"stopped"`)
+	})
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/borageusher/borageusher/internal/event"
@@ -32,6 +34,7 @@
 		Dur("wait", p.wait).
 		Dur("state_age", p.age).
 		Send()
+	c.note("sent", p)
 	g.Fleet.begin(p.node, c.adapter)
 	defer g.Fleet.end(p.node, c.adapter)
 	answer, err := g.Client.Do(ctx, p.replica.Addr, &req)
@@ -49,9 +52,9 @@
 	g.Fleet.observe(time.Now(), p.node, meta.Load)
 	if isStream(answer) && meta.Signed && !meta.Encoded {
 		out := g.relay(ctx, w, c, answer)
-		return g.finish(c, p, out, now)
+		return g.finish(ctx, c, p, out, now)
 	}
-	return g.finish(c, p, g.relayWhole(w, c, answer, meta), now)
+	return g.finish(ctx, c, p, g.relayWhole(w, c, answer, meta), now)
 }
 
 // isStream reports whether an answer consists of events.
@@ -60,7 +63,7 @@
 }
 
 // finish notes what an attempt that ran tells of the target.
-func (g *Gateway) finish(c *call, p proposal, out outcome, begun time.Time) outcome {
+func (g *Gateway) finish(ctx context.Context, c *call, p proposal, out outcome, begun time.Time) outcome {
 	now := time.Now()
 	switch out {
 	case delivered:
@@ -70,6 +73,12 @@
 		}
 		g.Fleet.served(p.node, first.Sub(begun), now.Sub(begun))
 	case broken, failed:
+		if ctx.Err() != nil {
+			break // the target is not to blame
+		}
+		if out == broken {
+			g.Crashes.noteBroken(now, p.node.start, c)
+		}
 		g.Fleet.failed(now, p.node)
 		g.ended(c, p, out, nil)
 	}
@@ -83,6 +92,9 @@
 		c.unsent++
 		c.refused[p.replica.ID] = true
 		if ctx.Err() == nil {
+			if errors.Is(err, syscall.ECONNREFUSED) {
+				g.Crashes.noteDown(now, p.node.start)
+			}
 			g.Fleet.unreachable(now, p.node)
 			g.ended(c, p, notSent, err)
 		}
@@ -93,6 +105,7 @@
 	c.tried[p.replica.ID] = true
 	if ctx.Err() == nil {
 		g.Fleet.failed(now, p.node)
+		g.Crashes.noteBroken(now, p.node.start, c)
 		g.Client.Forget(p.replica.Addr)
 	}
 	g.ended(c, p, broken, err)
@@ -111,6 +124,12 @@
 	return refused
 }
 
+// note keeps a decision for the line that a failed call ends with.
+func (c *call) note(what string, p proposal) {
+	c.trail = append(c.trail, fmt.Sprintf("%s %s load=%d wait=%s age=%s at=%s", what, p.replica.ID, p.load,
+		p.wait.Round(time.Millisecond), p.age.Round(time.Millisecond), time.Since(c.start).Round(time.Millisecond)))
+}
+
 func (g *Gateway) ended(c *call, p proposal, out outcome, err error) {
 	g.Log.At(event.AttemptEnded).
 		Str("request", c.meta.ID).
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -35,9 +35,10 @@
 	comeBack time.Duration // until it can be served, as far as known
 
 	firstEvent time.Time
-	started    bool   // the head of the answer was written to the caller
-	lastEvent  string // of a stream, the last that was passed on
-	fallback   *whole // a target's failure, delivered if nothing better comes
+	trail      []string // targets of the attempts, with what decided them
+	started    bool     // the head of the answer was written to the caller
+	lastEvent  string   // of a stream, the last that was passed on
+	fallback   *whole   // a target's failure, delivered if nothing better comes
 }
 
 // whole is an answer that was read to its end.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,6 +35,7 @@
 	Client    *upstream.Client
 	Current   *atomic.Pointer[routing.Configuration]
 	Allowance *allowance
+	Crashes   *crashes
 	Log       event.Log
 	Scope     tally.Scope
 }
@@ -77,6 +78,10 @@
 	c := newCall(now, meta, route, service, r, body)
 	c.revision = cfg.Version
 	g.Allowance.request(now, service)
+	if g.Crashes.convicted(now, c) {
+		g.giveUp(r.Context(), w, c, "quarantined")
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	g.serve(ctx, r.Context(), w, c)
@@ -119,16 +124,23 @@
 
 // end logs and counts how a call ended.
 func (g *Gateway) end(c *call, status int, reason string) {
-	now := time.Now()
-	g.Log.At(event.RequestEnded).
+	code := event.RequestEnded
+	if reason != reasonDelivered {
+		code = event.RequestFailed
+	}
+	e := g.Log.At(code).
 		Str("request", c.meta.ID).
 		Str("route", c.route.Name).
+		Str("adapter", c.adapter.Name).
 		Int64("revision", c.revision).
 		Int("status", status).
 		Str("reason", reason).
 		Int("sent", c.sent).
 		Int("ran", c.ran).
-		Dur("took", now.Sub(c.start)).
-		Send()
+		Dur("took", time.Since(c.start))
+	if code == event.RequestFailed {
+		e = e.Strs("targets", c.trail)
+	}
+	e.Send()
 	g.count(c.route.Kind.String(), reason)
 }
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -25,7 +25,8 @@
 	dialer *peer.Dialer
 	port   uint16 // of all targetds
 	log    event.Log
-	crash  func(peer.CrashReport)
+	down   func(now time.Time, target string)
+	crash  func(time.Time, peer.CrashReport)
 }
 
 // join starts the connection to the targetd of a node. It is called with the
@@ -63,6 +64,7 @@
 
 // serve takes what the targetd tells until the connection ends.
 func (l *links) serve(ctx context.Context, n *node, id string, c *peer.Conn) error {
+	start := n.start
 	l.log.At(event.PeerConnected).Str("target", id).Str("peer", c.Remote().Name).Send()
 	f := l.fleet
 	f.mu.Lock()
@@ -74,11 +76,13 @@
 		f.heard(now, n)
 		switch m := m.(type) {
 		case peer.EngineState:
-			f.believe(now, n, m)
+			if f.believe(now, n, m) {
+				l.down(now, start)
+			}
 		case peer.EngineLoad:
 			f.loaded(now, n, m)
 		case peer.CrashReport:
-			l.crash(m)
+			l.crash(now, m)
 		}
 	})
 	f.mu.Lock()
@@ -103,14 +107,17 @@
 	n.observe(now, Load{Running: m.Running, Waiting: m.Queued, Slots: n.replica.Slots})
 }
 
-// believe takes what a targetd tells of its engine.
-func (f *Fleet) believe(now time.Time, n *node, s peer.EngineState) {
+// believe takes what a targetd tells of its engine, and reports whether the
+// engine ended without a notice.
+func (f *Fleet) believe(now time.Time, n *node, s peer.EngineState) (crashed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.timeLoads(now, n, s)
+	crashed = n.crashed(s)
 	if n.believe(now, s) {
 		f.announce()
 	}
+	return crashed
 }
 
 // timeLoads observes how long the adapters that arrived took since they were
@@ -127,3 +134,22 @@
 		}
 	}
 }
+
+// broadcast sends m to some targetds, which tell all entries.
+func (f *Fleet) broadcast(m peer.CrashReport) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	sent := 0
+	for _, n := range f.nodes {
+		if n.link == nil || sent == reportCopies {
+			continue
+		}
+		if _, err := n.link.Send(m); err == nil {
+			sent++
+		}
+	}
+}
+
+// reportCopies is the number of targetds that are told of a crash, so that the
+// loss of two at once leaves one that tells the other entries.
+const reportCopies = 3
--- a/internal/gateway/main.go
+++ b/internal/gateway/main.go
@@ -61,6 +61,7 @@
 	node    settings.Node
 	log     event.Log
 	fleet   *Fleet
+	crashes *crashes
 	gateway *Gateway
 	current atomic.Pointer[routing.Configuration]
 	idle    *idleConns
@@ -102,8 +103,9 @@
 		dialer: &peer.Dialer{Self: self, Key: peer.Key(node.Store.String()), Client: newPeerClient()},
 		port:   node.Peers.Port(),
 		log:    log,
-		crash:  func(peer.CrashReport) {},
 	}
+	s.crashes = newCrashes(s.fleet.broadcast, log)
+	l.down, l.crash = s.crashes.noteDown, s.crashes.learn
 	s.fleet.joined = l.join
 	client := upstream.New(p.Dialect.RequestID)
 	b := node.Bounds
@@ -112,6 +114,7 @@
 		Fleet:     s.fleet,
 		Client:    client,
 		Current:   &s.current,
+		Crashes:   s.crashes,
 		Allowance: newAllowance(b.RetryRatio, b.RetrySlack, b.RetryWindow, time.Now()),
 		Log:       log,
 		Scope:     scope,
@@ -149,6 +152,7 @@
 		case now := <-sweep.C:
 			s.fleet.Sweep(now)
 			client.CloseIdle(now)
+			s.crashes.expire(now)
 			s.idle.closeExpired(now, s.idleTimeout())
 		}
 	}
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -37,6 +37,7 @@
 // node is what a gateway knows of one target.
 type node struct {
 	replica  target.Replica
+	start    string // name of the target's start in crash reports
 	hash     uint64
 	distance assignment.Distance
 	added    time.Time
@@ -73,6 +74,7 @@
 	return &node{
 		added:   now,
 		replica: r,
+		start:   r.Incarnation().String(),
 		hash:    placement.Hash(r.Addr.String()),
 		holds:   map[orders.Adapter]int64{},
 		coming:  map[orders.Adapter]bool{},
@@ -119,6 +121,15 @@
 	n.load, n.loadAt, n.inFlightThen = l, now, n.inFlight
 }
 
+// crashed reports whether s tells that the engine ended, without a notice, since
+// the last word of its targetd.
+func (n *node) crashed(s peer.EngineState) bool {
+	if n.stateAt.IsZero() || !n.state.Reachable || n.state.Departing {
+		return false
+	}
+	return !s.Reachable || s.Started != n.state.Started
+}
+
 // believe replaces what is known of the target's engine.
 func (n *node) believe(now time.Time, s peer.EngineState) (changed bool) {
 	changed = n.state.Reachable != s.Reachable || n.state.Started != s.Started
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -22,6 +22,9 @@
 	comeBackPart = 3
 )
 
+// reasonDelivered is the reason of a call that a target answered.
+const reasonDelivered = "delivered"
+
 // outcome says what became of an attempt.
 type outcome uint8
 
@@ -64,7 +67,8 @@
 		out := g.attempt(ctx, w, c, p)
 		switch {
 		case out == delivered:
-			g.end(c, http.StatusOK, "delivered")
+			g.Crashes.answered(c)
+			g.end(c, http.StatusOK, reasonDelivered)
 			return
 		case out == callerLeft || caller.Err() != nil:
 			g.abandon(c)
@@ -114,6 +118,7 @@
 				done()
 			}
 			done, on = g.Fleet.want(now, p.node, c.adapter), p.node
+			c.note("waits", p)
 			g.Log.At(event.RequestWaiting).
 				Str("request", c.meta.ID).
 				Str("adapter", c.adapter.Name).
@@ -159,7 +164,7 @@
 			status = http.StatusGatewayTimeout
 		}
 	}
-	if reason == "no_target" {
+	if reason == "no_target" || reason == "quarantined" {
 		after = later
 	}
 	after = min(max(after, c.comeBack), c.left(time.Now())/comeBackPart)
--- a/pkg/quarantine/list.go
+++ b/pkg/quarantine/list.go
@@ -55,6 +55,7 @@
 func (l *List) Add(c Crash) {
 	for _, o := range l.crashes {
 		if o.Name == c.Name {
+			c.InFlight = append(slices.Clone(c.InFlight), o.InFlight...)
 			c.Cleared = append(slices.Clone(c.Cleared), o.Cleared...)
 		}
 	}
--- a/pkg/target/replica.go
+++ b/pkg/target/replica.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"fmt"
 	"net/netip"
 	"time"
 )
@@ -27,3 +28,6 @@
 	ID      string
 	Started int64 // Unix milliseconds
 }
+
+// String returns the incarnation's name in logs and reports.
+func (i Incarnation) String() string { return fmt.Sprintf("%s/%d", i.ID, i.Started) }
