--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -17,6 +17,8 @@
 	Stopped           Code = 103
 	StopTimedOut      Code = 104
 	Unready           Code = 105
+	SettingsReloaded  Code = 106
+	SettingsRejected  Code = 107
 	PeerConnected     Code = 200
 	PeerLost          Code = 201
 	PeerRefused       Code = 202
@@ -97,6 +99,8 @@
 	{Stopped, "stopped", zerolog.InfoLevel, "The process ends after its last request."},
 	{StopTimedOut, "stop_timed_out", zerolog.ErrorLevel, "The stop's deadline passed or another signal came; `requests` says how many were cut."},
 	{Unready, "unready", zerolog.InfoLevel, "Readiness says no; everything is still served `for` a while, so that the balancer looks elsewhere."},
+	{SettingsReloaded, "settings_reloaded", zerolog.InfoLevel, "The settings file was read again; `changed` says whether it differs. New bounds hold from now on."},
+	{SettingsRejected, "settings_rejected", zerolog.ErrorLevel, "The settings file can't be used; the old settings stay in force."},
 	{PeerConnected, "peer_connected", zerolog.InfoLevel, "A peer connection is open and both sides proved the key."},
 	{PeerLost, "peer_lost", zerolog.WarnLevel, "A peer connection ended or went silent; `error` says how."},
 	{PeerRefused, "peer_refused", zerolog.WarnLevel, "A process without the right peer key tried to connect."},
--- a/internal/gateway/allowance.go
+++ b/internal/gateway/allowance.go
@@ -45,6 +45,13 @@
 	}
 }
 
+// limit replaces the allowance's ratio and slack.
+func (a *allowance) limit(ratio, slack float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ratio, a.slack = ratio, slack
+}
+
 // request counts a request for a service.
 func (a *allowance) request(now time.Time, service string) {
 	a.mu.Lock()
--- a/internal/gateway/main.go
+++ b/internal/gateway/main.go
@@ -53,7 +53,8 @@
 	ConfigurationName string
 	Replicas          objects.ObjectKind
 	Versions          objects.ObjectKind
-	ReadyPath         string // of the balancer's probe
+	ReadyPath         string               // of the balancer's probe
+	Changes           <-chan settings.Node // settings that replace the first ones
 }
 
 // process is the parts of a running gateway.
@@ -65,12 +66,14 @@
 	gateway *Gateway
 	current atomic.Pointer[routing.Configuration]
 	idle    *idleConns
+
+	stopWithin atomic.Int64 // nanoseconds
 }
 
 // Main runs the program until a signal ends it.
-func Main(node settings.Node, p Platform, log event.Log) error {
+func Main(ctx context.Context, node settings.Node, p Platform, log event.Log) error {
 	signals := daemon.Signals()
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	scope, metricsHandler, stopMetrics := metrics.New("entryd")
 	defer stopMetrics()
@@ -90,6 +93,7 @@
 		fleet: NewFleet(node.Zone, node.Region, node.Regions, log),
 		idle:  newIdleConns(),
 	}
+	s.stopWithin.Store(int64(node.Bounds.StopWithin))
 	self := peer.Identity{
 		Name:        node.Name,
 		Role:        "entryd",
@@ -124,7 +128,7 @@
 	go follow.New(store, p.Configurations, cfg, times(b.ApplyWithin, configurationPause), log).Run(ctx)
 	go follow.New(store, p.Replicas, &replicaSink{p.Decoder, s.fleet, log}, times(b.DrainWithin, replicaPause), log).Run(ctx)
 	go follow.New(store, p.Versions, &versionSink{p.Decoder, s.fleet, log}, times(b.VersionWithin, versionPause), log).Run(ctx)
-	go s.maintain(ctx, client)
+	go s.maintain(ctx, client, p.Changes)
 	return s
 }
 
@@ -138,7 +142,7 @@
 }
 
 // maintain does what recurs until ctx is done.
-func (s *process) maintain(ctx context.Context, client *upstream.Client) {
+func (s *process) maintain(ctx context.Context, client *upstream.Client, changes <-chan settings.Node) {
 	use := time.NewTicker(useInterval)
 	defer use.Stop()
 	sweep := time.NewTicker(sweepInterval)
@@ -147,6 +151,10 @@
 		select {
 		case <-ctx.Done():
 			return
+		case next := <-changes:
+			b := next.Bounds
+			s.gateway.Allowance.limit(b.RetryRatio, b.RetrySlack)
+			s.stopWithin.Store(int64(b.StopWithin))
 		case <-use.C:
 			s.fleet.reportUse()
 		case now := <-sweep.C:
@@ -209,7 +217,7 @@
 	s.gateway.stopping.Store(true)
 	s.log.At(event.Stopping).Stringer("signal", sig).Int64("requests", s.gateway.inProgress.Load()).Send()
 	time.Sleep(leaveTime)
-	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(s.node.Bounds.StopWithin-stopMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(time.Duration(s.stopWithin.Load())-stopMargin))
 	defer cancel()
 	err := srv.Shutdown(ctx)
 	s.log.At(event.Stopped).Err(err).Int64("requests", s.gateway.inProgress.Load()).Send()
--- a/internal/keeper/main.go
+++ b/internal/keeper/main.go
@@ -17,9 +17,9 @@
 const headerTimeout = 2 * time.Second
 
 // Main runs the process beside one engine until a signal ends it.
-func Main(node settings.Node, engine Engine, log event.Log) error {
+func Main(ctx context.Context, node settings.Node, engine Engine, log event.Log) error {
 	signals := daemon.Signals()
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	scope, metricsHandler, stopMetrics := metrics.New("targetd")
 	defer stopMetrics()
