Test the gateway and the keeper against stand-ins

The tests found that events of a broken stream could be left unflushed when the half event behind them was already there: they are flushed before the connection is cut.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -32,8 +32,10 @@
 	for {
 		e, err := readEvent(reader)
 		if err != nil {
+			if c.started {
+				_ = control.Flush() // the caller may be gone
+			}
 			if errors.Is(err, io.EOF) && len(e) == 0 && c.started {
-				_ = control.Flush()
 				return delivered
 			}
 			return broken // half an event is dropped
