Tell the story of a request from logs

borageusher trace REQUEST LOG... prints the decisions on a request in order, after what the processes that made them believed of the targets concerned, with its age.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -51,7 +51,7 @@
 	c.tried[p.replica.ID] = true
 	g.Fleet.observe(time.Now(), p.node, meta.Load)
 	if isStream(answer) && meta.Signed && !meta.Encoded {
-		out := g.relay(ctx, w, c, answer)
+		out := g.relay(w, c, answer)
 		return g.finish(ctx, c, p, out, now)
 	}
 	return g.finish(ctx, c, p, g.relayWhole(w, c, answer, meta), now)
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -235,7 +235,6 @@
 	nodes, candidates := f.candidates(now, c, true)
 	req := assignment.Request{
 		Key:       c.placement,
-		Adapter:   c.adapter.Name != "",
 		Objective: c.route.Objective,
 		Bytes:     len(c.body),
 	}
--- a/internal/gateway/main.go
+++ b/internal/gateway/main.go
@@ -21,21 +21,21 @@
 	"github.com/borageusher/borageusher/pkg/routing"
 )
 
-// Pauses between two watches of a kind: changes within a pause cost one call.
+// Parts of the bound within which a change of a kind must be known. Together
+// they leave room for a slow answer.
 const (
-	configurationPause = 100 * time.Millisecond
-	// replicaPause is longer, as entries change often. Engines that leave are
-	// known sooner, from their targetds.
-	replicaPause = 600 * time.Millisecond
-	versionPause = 300 * time.Millisecond
-	// waitPart is the part of the bound within which a change must be known for
-	// which the store may hold a watch.
-	waitPart = 0.55
+	// waitPart is how long the store may hold a watch.
+	waitPart = 0.5
+	// pausePart is the pause between two watches: changes within it cost one call.
+	pausePart = 0.05
+	// replicaPausePart is longer, as replicas' entries change all the time. Engines
+	// that leave are known sooner, from their targetds.
+	replicaPausePart = 0.4
 )
 
 // times returns how a kind is followed whose changes must be known within bound.
-func times(bound, pause time.Duration) follow.Times {
-	return follow.Times{Wait: time.Duration(waitPart * float64(bound)), Pause: pause}
+func times(bound time.Duration, pause float64) follow.Times {
+	return follow.Times{Wait: time.Duration(waitPart * float64(bound)), Pause: time.Duration(pause * float64(bound))}
 }
 
 // Times of the listeners.
@@ -125,9 +125,9 @@
 	})
 	store := p.Store(scope)
 	cfg := &configurationSink{p.Decoder, p.ConfigurationName, &s.current, s.fleet, log}
-	go follow.New(store, p.Configurations, cfg, times(b.ApplyWithin, configurationPause), log).Run(ctx)
-	go follow.New(store, p.Replicas, &replicaSink{p.Decoder, s.fleet, log}, times(b.DrainWithin, replicaPause), log).Run(ctx)
-	go follow.New(store, p.Versions, &versionSink{p.Decoder, s.fleet, log}, times(b.VersionWithin, versionPause), log).Run(ctx)
+	go follow.New(store, p.Configurations, cfg, times(b.ApplyWithin, pausePart), log).Run(ctx)
+	go follow.New(store, p.Replicas, &replicaSink{p.Decoder, s.fleet, log}, times(b.DrainWithin, replicaPausePart), log).Run(ctx)
+	go follow.New(store, p.Versions, &versionSink{p.Decoder, s.fleet, log}, times(b.VersionWithin, pausePart), log).Run(ctx)
 	go s.maintain(ctx, client, p.Changes)
 	return s
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -111,9 +111,10 @@
 			c.comeBack = p.wait
 			return proposal{}, "adapter_not_loaded"
 		}
-		if !ok {
+		switch {
+		case !ok:
 			// A target is about to become known.
-		} else if p.node != on {
+		case p.node != on:
 			if done != nil {
 				done()
 			}
@@ -126,7 +127,7 @@
 				Dur("wait", p.wait).
 				Dur("state_age", p.age).
 				Send()
-		} else {
+		default:
 			g.Fleet.remind(now, p.node, c.adapter)
 		}
 		select {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -22,7 +21,7 @@
 const writeMargin = 200 * time.Millisecond
 
 // relay passes the events of a stream on as they come, each as a whole.
-func (g *Gateway) relay(ctx context.Context, w http.ResponseWriter, c *call, a *upstream.Answer) outcome {
+func (g *Gateway) relay(w http.ResponseWriter, c *call, a *upstream.Answer) outcome {
 	if c.lastEvent != "" {
 		g.Log.At(event.StreamResumed).Str("request", c.meta.ID).Str("last_event", c.lastEvent).Send()
 	}
--- a/internal/operator/error.go
+++ b/internal/operator/error.go
@@ -18,6 +18,9 @@
 
 	NotEverywhere // the change is accepted and not yet in force in every process
 	NoReport      // the change is accepted and an entryd did not tell where it is in force
+
+	Unreadable    // a file can't be read
+	NoSuchRequest // no line of the logs names the request
 )
 
 var kindNames = map[Kind]string{
@@ -28,6 +31,9 @@
 
 	NotEverywhere: "accepted, and not yet in force in every process",
 	NoReport:      "accepted, and the entryd did not tell where it is in force",
+
+	Unreadable:    "the file can't be read",
+	NoSuchRequest: "no line of these logs names the request",
 }
 
 // Error is the error type of this package.
--- a/internal/operator/main.go
+++ b/internal/operator/main.go
@@ -53,6 +53,7 @@
 	{"accept", "FILE...", "accept the configuration that questionnaires give", runAccept},
 	{"status", "", "show the accepted revision and the targets", runStatus},
 	{"drain", "TARGET", "start a planned stop of a target", runDrain},
+	{"trace", "REQUEST LOG...", "tell the story of one request from logs", runTrace},
 }
 
 // Main runs the program borageusher and returns its exit code.
--- /dev/null
+++ b/internal/operator/trace.go
@@ -0,0 +1,53 @@
+package operator
+
+import (
+	"os"
+	"time"
+
+	"github.com/borageusher/borageusher/internal/trace"
+)
+
+// runTrace prints the story of a request from the logs of processes.
+func runTrace(c *commandLine) int {
+	args := c.flags.Args()
+	if len(args) < 2 {
+		c.flags.Usage()
+		return exitUsage
+	}
+	var s trace.Story
+	for _, path := range args[1:] {
+		if err := readLog(&s, path); err != nil {
+			return c.fail(err)
+		}
+	}
+	entries := s.Of(args[0])
+	if len(entries) == 0 {
+		return c.fail(&Error{Op: "trace", Kind: NoSuchRequest})
+	}
+	begin := time.Duration(0)
+	for _, e := range entries {
+		if !e.Belief && (begin == 0 || e.Line.At < begin) {
+			begin = e.Line.At
+		}
+	}
+	for _, e := range entries {
+		if e.Belief {
+			c.printf("%-22s believed for %8.3f s  %s\n", e.Line.Process, e.Age.Seconds(), e.Line.String())
+			continue
+		}
+		c.printf("%-22s %+17.3f s  %s\n", e.Line.Process, (e.Line.At - begin).Seconds(), e.Line.String())
+	}
+	return exitOK
+}
+
+func readLog(s *trace.Story, path string) error {
+	if path == "-" {
+		return s.Read(os.Stdin)
+	}
+	f, err := os.Open(path)
+	if err != nil {
+		return &Error{Op: "open log", Kind: Unreadable, Err: err}
+	}
+	defer func() { _ = f.Close() }() // only read
+	return s.Read(f)
+}
--- /dev/null
+++ b/internal/trace/story_test.go
@@ -0,0 +1,74 @@
+package trace
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+)
+
+const plainLog = `{"process":"e1","name":"revision_in_force","revision":4,"time":"2026-01-02T03:04:01.000Z"}
+{"process":"e1","name":"target_changed","target":"t1","state":"added","time":"2026-01-02T03:04:02.000Z"}
+{"process":"e1","name":"target_changed","target":"t9","state":"added","time":"2026-01-02T03:04:02.000Z"}
+{"process":"e1","name":"target_changed","target":"t1","state":"leaving","time":"2026-01-02T03:04:04.000Z"}
+not a line
+{"process":"e2","name":"store_unavailable","kind":"config","time":"2026-01-02T03:04:04.500Z"}
+{"process":"e1","name":"attempt_sent","request":"r1","target":"t1","time":"2026-01-02T03:04:05.000Z"}
+{"process":"e1","name":"attempt_sent","request":"r2","target":"t1","time":"2026-01-02T03:04:05.100Z"}
+{"process":"e1","name":"target_avoided","target":"t1","time":"2026-01-02T03:04:05.200Z"}
+{"process":"e1","name":"request_failed","request":"r1","status":502,"targets":["sent t1 load=1"],"time":"2026-01-02T03:04:05.300Z"}
+`
+
+func names(entries []Entry) string {
+	var out []string
+	for _, e := range entries {
+		name := e.Line.Name
+		if e.Belief {
+			name = "(" + name + ")"
+		}
+		out = append(out, name)
+	}
+	return strings.Join(out, " ")
+}
+
+func TestOf(t *testing.T) {
+	convey.Convey("Given a log", t, func() {
+		var s Story
+		convey.So(s.Read(strings.NewReader(plainLog)), convey.ShouldBeNil)
+		convey.Convey("a request's story has the beliefs of its process, and then its own lines", func() {
+			convey.So(names(s.Of("r1")), convey.ShouldEqual,
+				"(revision_in_force) (target_changed) target_avoided attempt_sent request_failed")
+			convey.So(s.Of("r1")[1].Line.text("state"), convey.ShouldEqual, "leaving")
+			convey.So(s.Of("r1")[1].Age.Seconds(), convey.ShouldEqual, 1.0)
+		})
+		convey.Convey("a request that no line names has none", func() {
+			convey.So(len(s.Of("r3")), convey.ShouldEqual, 0)
+		})
+	})
+	convey.Convey("A time and a name before each object are understood", t, func() {
+		var s Story
+		log := "  5.25 e1 " + `{"process":"e1","name":"attempt_sent","request":"r1","target":"t1"}` + "\n" +
+			"  -1.5 e1 " + `{"process":"e1","name":"revision_in_force","revision":4}` + "\n"
+		convey.So(s.Read(strings.NewReader(log)), convey.ShouldBeNil)
+		got := s.Of("r1")
+		convey.So(names(got), convey.ShouldEqual, "(revision_in_force) attempt_sent")
+		convey.So(got[0].Age.Seconds(), convey.ShouldEqual, 6.75)
+		convey.So(got[1].Line.String(), convey.ShouldEqual, "attempt_sent target=t1")
+	})
+	convey.Convey("A file without log lines is an error", t, func() {
+		var s Story
+		err := s.Read(strings.NewReader("hello\n"))
+		convey.So(IsKind(err, NoLines), convey.ShouldBeTrue)
+	})
+}
+
+func FuzzParse(f *testing.F) {
+	for _, l := range strings.Split(plainLog, "\n") {
+		f.Add([]byte(l))
+	}
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		if l, ok := parse(b); ok {
+			_ = l.String()
+		}
+	})
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -79,7 +79,9 @@
 		return nil, err
 	}
 	for range skippedAnswers + 1 {
-		resp, err := http.ReadResponse(conn.reader, &http.Request{Method: req.Method})
+		resp, err := http.ReadResponse( //nolint:bodyclose // the connection is closed instead
+			conn.reader, &http.Request{Method: req.Method},
+		)
 		if err != nil {
 			return nil, &Error{Op: "read answer", Kind: Broken, Err: err}
 		}
@@ -168,7 +170,6 @@
 		conn.abort()
 		return
 	}
-	conn.used = true
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle[conn.addr] = append(c.idle[conn.addr], conn)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -41,8 +41,7 @@
 	net.Conn
 	addr    netip.AddrPort
 	reader  *bufio.Reader
-	expires time.Time // not used again from then on
-	used    bool
+	expires time.Time     // not used again from then on
 	written chan struct{} // closed once the request's body is written, nil when it is
 }
 
--- a/pkg/assignment/choose.go
+++ b/pkg/assignment/choose.go
@@ -42,7 +42,6 @@
 // Request is what a choice needs to know of a request.
 type Request struct {
 	Key       uint64 // hash of the adapter, or of what else the target may have cached
-	Adapter   bool   // an adapter must be loaded
 	Objective time.Duration
 	Bytes     int // of the request
 }
@@ -74,7 +73,7 @@
 func Choose(req Request, candidates []Candidate) (Choice, bool) {
 	holder, home := -1, -1
 	var holderCost time.Duration
-	least := leastCost(req, candidates)
+	least := leastWait(candidates)
 	for i := range candidates {
 		c := &candidates[i]
 		if !c.Usable {
@@ -115,7 +114,7 @@
 	return candidates[home].wait() < wait/2
 }
 
-func leastCost(req Request, candidates []Candidate) time.Duration {
+func leastWait(candidates []Candidate) time.Duration {
 	least := time.Duration(-1)
 	for i := range candidates {
 		c := &candidates[i]
--- a/pkg/assignment/choose_test.go
+++ b/pkg/assignment/choose_test.go
@@ -8,7 +8,7 @@
 	"github.com/smartystreets/goconvey/convey"
 )
 
-var request = Request{Key: 42, Adapter: true, Objective: time.Second}
+var request = Request{Key: 42, Objective: time.Second}
 
 // idle returns n usable candidates without load that can load adapters.
 func idle(n int) []Candidate {
@@ -91,7 +91,7 @@
 		convey.Convey("the loss of a target moves only the adapters that it was the home of", func() {
 			moved, kept := 0, 0
 			for key := range uint64(500) {
-				r := Request{Key: key * 7919, Adapter: true, Objective: time.Second}
+				r := Request{Key: key * 7919, Objective: time.Second}
 				before, _ := Choose(r, idle(6))
 				fewer := idle(6)
 				fewer[3].Usable = false
