--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -132,6 +132,7 @@
 	e := g.Log.At(code).
 		Str("request", c.meta.ID).
 		Str("route", c.route.Name).
+		Str("service", c.service).
 		Str("adapter", c.adapter.Name).
 		Int64("revision", c.revision).
 		Int("status", status).
--- a/internal/trace/story.go
+++ b/internal/trace/story.go
@@ -85,10 +85,15 @@
 		processes[l.Process] = true
 		things[l.text("target")] = true
 		things[l.text("adapter")] = true
-		for _, t := range trail(l) {
+		targets := trail(l)
+		for _, t := range targets {
 			things[t] = true
 		}
+		if l.Name == "request_failed" && len(targets) == 0 {
+			things[l.text("service")] = true // why no target was found
+		}
 	}
+	delete(things, "") // lines without the field
 	if len(own) == 0 {
 		return nil
 	}
@@ -131,7 +136,7 @@
 			continue
 		}
 		subject := l.text(b.field)
-		if (b.field == "target" || b.field == "adapter") && !things[subject] {
+		if (b.field == "target" || b.field == "adapter") && !things[subject] && !things[l.text("service")] {
 			continue
 		}
 		if l.At > first {
--- a/internal/trace/story_test.go
+++ b/internal/trace/story_test.go
@@ -41,6 +41,12 @@
 			convey.So(s.Of("r1")[1].Line.text("state"), convey.ShouldEqual, "leaving")
 			convey.So(s.Of("r1")[1].Age.Seconds(), convey.ShouldEqual, 1.0)
 		})
+		convey.Convey("that of a request without a target tells of all targets of its service", func() {
+			log := `{"process":"e1","name":"target_changed","target":"t7","service":"s","state":"leaving","time":"2026-01-02T03:04:06.000Z"}` + "\n" +
+				`{"process":"e1","name":"request_failed","request":"r4","service":"s","status":503,"targets":[],"time":"2026-01-02T03:04:07.000Z"}` + "\n"
+			convey.So(s.Read(strings.NewReader(log)), convey.ShouldBeNil)
+			convey.So(names(s.Of("r4")), convey.ShouldEqual, "(revision_in_force) (target_changed) request_failed")
+		})
 		convey.Convey("a request that no line names has none", func() {
 			convey.So(len(s.Of("r3")), convey.ShouldEqual, 0)
 		})
