--- a/internal/event/queue_test.go
+++ b/internal/event/queue_test.go
@@ -62,3 +62,19 @@
 		convey.So(b.String(), convey.ShouldContainSubstring, `"name":"stopped"`)
 	})
 }
+
+// BenchmarkServedRequest writes the two lines that a served request has.
+func BenchmarkServedRequest(b *testing.B) {
+	q := NewQueue(discard{})
+	defer q.Close()
+	log := New(q, "entryd", "e1", zerolog.InfoLevel)
+	b.ReportAllocs()
+	for b.Loop() {
+		log.At(AttemptSent).Str("request", "9c41d07be2a35f68").Str("target", "i-7f3a91c2").Int("load", 3).Send()
+		log.At(RequestEnded).Str("request", "9c41d07be2a35f68").Str("route", "r-1").Int("status", 200).Str("reason", "delivered").Send()
+	}
+}
+
+type discard struct{}
+
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
--- a/internal/trace/story.go
+++ b/internal/trace/story.go
@@ -105,6 +105,15 @@
 	return entries
 }
 
+// forget removes what a process believed.
+func forget(held map[string]Entry, process string) {
+	for key := range held {
+		if strings.HasPrefix(key, process+" ") {
+			delete(held, key)
+		}
+	}
+}
+
 // trail returns the targets that the line of a failed request names.
 func trail(l Line) []string {
 	list, ok := l.Fields["targets"].([]any)
@@ -139,6 +148,9 @@
 		if (b.field == "target" || b.field == "adapter") && !things[subject] && !things[l.text("service")] {
 			continue
 		}
+		if l.Name == "started" && l.At <= first {
+			forget(held, l.Process) // an earlier start's beliefs are gone
+		}
 		if l.At > first {
 			during = append(during, Entry{Line: l})
 			continue
--- a/internal/trace/story_test.go
+++ b/internal/trace/story_test.go
@@ -47,6 +47,12 @@
 			convey.So(s.Read(strings.NewReader(log)), convey.ShouldBeNil)
 			convey.So(names(s.Of("r4")), convey.ShouldEqual, "(revision_in_force) (target_changed) request_failed")
 		})
+		convey.Convey("a process that was started again believes nothing of before", func() {
+			log := `{"process":"e1","name":"started","time":"2026-01-02T03:04:06.000Z"}` + "\n" +
+				`{"process":"e1","name":"attempt_sent","request":"r5","target":"t1","time":"2026-01-02T03:04:07.000Z"}` + "\n"
+			convey.So(s.Read(strings.NewReader(log)), convey.ShouldBeNil)
+			convey.So(names(s.Of("r5")), convey.ShouldEqual, "(started) attempt_sent")
+		})
 		convey.Convey("a request that no line names has none", func() {
 			convey.So(len(s.Of("r3")), convey.ShouldEqual, 0)
 		})
