Wait for an adapter where it is being loaded already, and write log lines whole

Two requests for one adapter could wait at different engines when the home changed between them, so that it was loaded twice; they follow the engine that already loads it now, or is asked to.

--- a/internal/event/queue.go
+++ b/internal/event/queue.go
@@ -1,6 +1,7 @@
 package event
 
 import (
+	"bytes"
 	"encoding/json"
 	"io"
 	"sync"
@@ -18,6 +19,9 @@
 	// routineBytes is the part of it that lines below the level of a warning may
 	// fill, so that those of failed requests are never left out before them.
 	routineBytes = queueBytes / 2
+	// blockBytes is the most that is written at once: a pipe keeps so much in one
+	// piece (PIPE_BUF on Linux), so that no reader gets half a line.
+	blockBytes = 4096
 	// flushInterval is the pause between two writes.
 	flushInterval = 100 * time.Millisecond
 )
@@ -89,9 +93,7 @@
 	lines, dropped := q.waiting, q.dropped
 	q.waiting, q.spare, q.dropped = q.spare[:0], nil, 0
 	q.mu.Unlock()
-	if len(lines) > 0 {
-		_, _ = q.w.Write(lines) // nowhere to tell that the log can't be written
-	}
+	q.writeBlocks(lines)
 	if dropped > 0 {
 		_, _ = q.w.Write(droppedLine(dropped))
 	}
@@ -100,6 +102,22 @@
 	q.mu.Unlock()
 }
 
+// writeBlocks writes whole lines, in blocks that a pipe takes in one piece if one
+// line is not longer.
+func (q *Queue) writeBlocks(lines []byte) {
+	for len(lines) > 0 {
+		n := len(lines)
+		if n > blockBytes {
+			n = bytes.LastIndexByte(lines[:blockBytes], '\n') + 1
+		}
+		if n == 0 {
+			n = bytes.IndexByte(lines, '\n') + 1 // every line ends so
+		}
+		_, _ = q.w.Write(lines[:n]) // nowhere to tell that the log can't be written
+		lines = lines[n:]
+	}
+}
+
 // droppedLine returns the line that says how many were left out.
 func droppedLine(n int) []byte {
 	d := definitions[LinesDropped]
--- a/internal/event/queue_test.go
+++ b/internal/event/queue_test.go
@@ -25,6 +25,14 @@
 	return w.b.Write(p)
 }
 
+// countingWriter keeps what each call wrote.
+type countingWriter struct{ blocks [][]byte }
+
+func (w *countingWriter) Write(p []byte) (int, error) {
+	w.blocks = append(w.blocks, bytes.Clone(p))
+	return len(p), nil
+}
+
 func TestQueue(t *testing.T) {
 	convey.Convey("Given a reader of the log that takes nothing", t, func() {
 		w := &blockedWriter{release: make(chan struct{})}
@@ -54,6 +62,21 @@
 			convey.So(w.b.String(), convey.ShouldContainSubstring, fmt.Sprintf(`"lines":%d`, 5000-served))
 		})
 	})
+	convey.Convey("Lines are written whole, in blocks that a pipe takes in one piece", t, func() {
+		w := &countingWriter{}
+		q := NewQueue(w)
+		log := New(q, "entryd", "e1", zerolog.InfoLevel)
+		for range 200 {
+			log.At(RouteChosen).Str("request", "r").Send()
+		}
+		log.At(RouteChosen).Str("request", strings.Repeat("x", 2*blockBytes)).Send()
+		q.Close()
+		convey.So(len(w.blocks), convey.ShouldBeGreaterThan, 3)
+		for _, b := range w.blocks {
+			convey.So(b[len(b)-1], convey.ShouldEqual, '\n')
+			convey.So(len(b) <= blockBytes || bytes.Count(b, []byte("\n")) == 1, convey.ShouldBeTrue)
+		}
+	})
 	convey.Convey("Closing writes what waits", t, func() {
 		var b bytes.Buffer
 		q := NewQueue(&b)
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -305,9 +305,34 @@
 		}
 		out = append(out, a)
 	}
+	followPending(c.adapter, nodes, out)
 	return nodes, out
 }
 
+// followPending leaves only the target that already loads an adapter, or is
+// asked to, as the one that can, so that requests for it wait together.
+func followPending(a orders.Adapter, nodes []*node, candidates []assignment.Candidate) {
+	pending := -1
+	for i, n := range nodes {
+		if !candidates[i].Usable || !candidates[i].CanLoad {
+			continue
+		}
+		if n.coming[a] {
+			pending = i
+			break
+		}
+		if n.waiting[a] > 0 {
+			pending = i
+		}
+	}
+	if pending < 0 {
+		return
+	}
+	for i := range candidates {
+		candidates[i].CanLoad = i == pending
+	}
+}
+
 // paceOf returns how fast the targets of a service are, on average. The caller
 // holds mu.
 func (f *Fleet) paceOf(service string) *pace {
--- /dev/null
+++ b/internal/gateway/fleet_test.go
@@ -0,0 +1,104 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/borageusher/borageusher/internal/event"
+	"github.com/borageusher/borageusher/internal/peer"
+	"github.com/borageusher/borageusher/pkg/orders"
+	"github.com/borageusher/borageusher/pkg/placement"
+	"github.com/borageusher/borageusher/pkg/routing"
+	"github.com/borageusher/borageusher/pkg/target"
+)
+
+// engineFleet returns a fleet of n engines that hold the model m and can load
+// adapters.
+func engineFleet(now time.Time, n int) *Fleet {
+	f := NewFleet("a", "north", map[string]string{"a": "north"}, event.Discard())
+	f.cfg = routing.New(1, nil, []routing.Service{{Name: "llm", Engine: &routing.Engine{AdapterSlots: 4}}}, routing.Limits{})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range n {
+		id := fmt.Sprintf("i-%d", i)
+		f.put(now, target.Replica{ID: id, Service: "llm", Addr: testAddr(i), Zone: "a", Slots: 4, State: target.Live})
+		f.nodes[id].link = &peer.Conn{}
+		f.nodes[id].heardAt = now
+		f.nodes[id].believe(now, peer.EngineState{Reachable: true, Models: []string{"m"}})
+	}
+	return f
+}
+
+// callFor returns a call that needs an adapter of the model m.
+func callFor(adapter string) *call {
+	return &call{
+		route:     &routing.Route{Objective: time.Second},
+		service:   "llm",
+		model:     "m",
+		adapter:   orders.Adapter{Model: "m", Name: adapter},
+		placement: placement.Hash(adapter),
+		tried:     map[string]bool{},
+		refused:   map[string]bool{},
+	}
+}
+
+func TestPendingHome(t *testing.T) {
+	convey.Convey("Given engines that lack an adapter", t, func() {
+		now := time.Now()
+		f := engineFleet(now, 6)
+		c := callFor("a1")
+		home, ok := f.choose(now, c)
+		convey.So(ok, convey.ShouldBeTrue)
+		convey.So(home.holds, convey.ShouldBeFalse)
+		convey.Convey("requests wait where it is being loaded already, also when that is not its home", func() {
+			for id, n := range f.nodes {
+				if id != home.replica.ID {
+					n.coming[c.adapter] = true
+					break
+				}
+			}
+			for range 20 {
+				got, _ := f.choose(now, c)
+				convey.So(got.node.coming[c.adapter], convey.ShouldBeTrue)
+			}
+		})
+		convey.Convey("they stay together when the home becomes busy", func() {
+			home.node.waiting[c.adapter] = 1
+			home.node.inFlight = 6
+			for range 20 {
+				got, _ := f.choose(now, c)
+				convey.So(got.replica.ID, convey.ShouldEqual, home.replica.ID)
+			}
+		})
+		convey.Convey("they leave a home whose targetd is silent", func() {
+			home.node.waiting[c.adapter] = 1
+			later := now.Add(2 * silentAfter)
+			for _, n := range f.nodes {
+				if n != home.node {
+					n.heardAt = later
+				}
+			}
+			got, ok := f.choose(later, c)
+			convey.So(ok, convey.ShouldBeTrue)
+			convey.So(got.replica.ID, convey.ShouldNotEqual, home.replica.ID)
+		})
+		convey.Convey("and one that can free no place", func() {
+			home.node.waiting[c.adapter] = 1
+			home.node.full = true
+			got, ok := f.choose(now, c)
+			convey.So(ok, convey.ShouldBeTrue)
+			convey.So(got.replica.ID, convey.ShouldNotEqual, home.replica.ID)
+		})
+		convey.Convey("an engine that holds an older version than announced does not hold it", func() {
+			home.node.holds[c.adapter] = 1
+			got, _ := f.choose(now, c)
+			convey.So(got.holds, convey.ShouldBeTrue)
+			f.versions[c.adapter] = 2
+			got, _ = f.choose(now, c)
+			convey.So(got.holds, convey.ShouldBeFalse)
+		})
+	})
+}
--- a/internal/gateway/standin_test.go
+++ b/internal/gateway/standin_test.go
@@ -313,3 +313,8 @@
 	}
 	return false
 }
+
+// testAddr returns an address that nothing listens at.
+func testAddr(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(i)}), 1)
+}
--- a/pkg/assignment/choose.go
+++ b/pkg/assignment/choose.go
@@ -71,8 +71,8 @@
 
 // Choose returns the target for a request, and false when none can take it.
 func Choose(req Request, candidates []Candidate) (Choice, bool) {
-	holder, home := -1, -1
-	var holderCost time.Duration
+	holder, home, spare := -1, -1, -1
+	var holderCost, spareCost time.Duration
 	least := leastWait(candidates)
 	for i := range candidates {
 		c := &candidates[i]
@@ -86,11 +86,17 @@
 		if c.Holds || !c.CanLoad {
 			continue
 		}
+		if spare < 0 || cost < spareCost {
+			spare, spareCost = i, cost
+		}
 		bound := least + time.Duration(tolerance*float64(req.Objective))
 		if cost <= bound+c.way(req) && (home < 0 || c.rank(req) > candidates[home].rank(req)) {
 			home = i
 		}
 	}
+	if home < 0 {
+		home = spare // all that can load the adapter are busy
+	}
 	switch {
 	case holder < 0 && home < 0:
 		return Choice{}, false
--- a/pkg/assignment/choose_test.go
+++ b/pkg/assignment/choose_test.go
@@ -77,6 +77,15 @@
 			got, _ := Choose(request, c)
 			convey.So(got.Index, convey.ShouldNotEqual, home.Index)
 		})
+		convey.Convey("unless no other can load the adapter", func() {
+			for i := range c {
+				c[i].CanLoad = i == home.Index
+			}
+			c[home.Index].Load = 40
+			got, ok := Choose(request, c)
+			convey.So(ok, convey.ShouldBeTrue)
+			convey.So(got.Index, convey.ShouldEqual, home.Index)
+		})
 		convey.Convey("a home that can't load is passed over", func() {
 			c[home.Index].CanLoad = false
 			got, _ := Choose(request, c)
