--- /dev/null
+++ b/internal/gateway/choice.go
@@ -0,0 +1,147 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/borageusher/borageusher/pkg/assignment"
+	"github.com/borageusher/borageusher/pkg/orders"
+	"github.com/borageusher/borageusher/pkg/target"
+)
+
+// failureCost is the part of the objective that one recent failure of a target
+// adds to its cost.
+const failureCost = 0.25
+
+// proposal is the outcome of a choice.
+type proposal struct {
+	node    *node
+	replica target.Replica
+	holds   bool
+	wait    time.Duration
+	load    int
+	age     time.Duration // of what is known of the engine
+}
+
+// choose returns the target for the next attempt of a call, and false when none
+// can take it. A target in avoid is taken only if it is the only one.
+func (f *Fleet) choose(now time.Time, c *call) (proposal, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	nodes, candidates := f.candidates(now, c, true)
+	req := assignment.Request{
+		Key:       c.placement,
+		Objective: c.route.Objective,
+		Bytes:     len(c.body),
+	}
+	choice, ok := assignment.Choose(req, candidates)
+	if !ok {
+		nodes, candidates = f.candidates(now, c, false)
+		if choice, ok = assignment.Choose(req, candidates); !ok {
+			return proposal{}, false
+		}
+	}
+	n := nodes[choice.Index]
+	if choice.Copy >= 0 {
+		f.ask(now, nodes[choice.Copy], c.adapter, 1)
+	}
+	p := proposal{node: n, replica: n.replica, holds: choice.Holds, wait: choice.Wait, load: n.estimate(now)}
+	if !n.stateAt.IsZero() {
+		p.age = now.Sub(n.stateAt)
+	}
+	return p, true
+}
+
+// expects reports whether targets of the call's service may become usable
+// soon: they live, but their engines or targetds do not answer yet.
+func (f *Fleet) expects(now time.Time, c *call) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, n := range f.nodes {
+		if n.replica.Service == c.service && n.replica.State == target.Live && !c.tried[n.replica.ID] && n.settling(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// candidates returns the targets of the call's service, in random order so that
+// equal ones share the load.
+func (f *Fleet) candidates(now time.Time, c *call, cautious bool) ([]*node, []assignment.Candidate) {
+	var nodes []*node
+	for _, n := range f.nodes {
+		if n.replica.Service == c.service {
+			nodes = append(nodes, n)
+		}
+	}
+	rand.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
+	pace := f.paceOf(c.service)
+	out := make([]assignment.Candidate, 0, len(nodes))
+	for _, n := range nodes {
+		a := assignment.Candidate{
+			Hash:     n.hash,
+			Distance: n.distance,
+			Slots:    n.replica.Slots,
+			Load:     n.estimate(now),
+			First:    n.pace.firstOr(pace),
+			Stay:     pace.stay.Value(),
+			Holds:    true,
+			Usable:   n.usable(now) && !c.tried[n.replica.ID],
+			Extra:    time.Duration(n.unsoundness(now) * failureCost * float64(c.route.Objective)),
+		}
+		if cautious && (now.Before(n.avoidUntil) || n.silent(now) || c.refused[n.replica.ID]) {
+			a.Usable = false
+		}
+		if c.model != "" {
+			a.Holds = n.has(c.adapter, f.version(c.adapter))
+			a.Loading = n.arrival(c.adapter)
+			a.CanLoad = c.adapter.Name != "" && n.canLoad(now, c.adapter)
+		}
+		out = append(out, a)
+	}
+	followPending(c.adapter, nodes, out)
+	return nodes, out
+}
+
+// followPending leaves only the target that already loads an adapter, or is
+// asked to, as the one that can, so that requests for it wait together.
+func followPending(a orders.Adapter, nodes []*node, candidates []assignment.Candidate) {
+	pending := -1
+	for i, n := range nodes {
+		if !candidates[i].Usable || !candidates[i].CanLoad {
+			continue
+		}
+		if n.coming[a] {
+			pending = i
+			break
+		}
+		if n.waiting[a] > 0 {
+			pending = i
+		}
+	}
+	if pending < 0 {
+		return
+	}
+	for i := range candidates {
+		candidates[i].CanLoad = i == pending
+	}
+}
+
+// paceOf returns how fast the targets of a service are, on average. The caller
+// holds mu.
+func (f *Fleet) paceOf(service string) *pace {
+	p := f.paces[service]
+	if p == nil {
+		p = &pace{}
+		f.paces[service] = p
+	}
+	return p
+}
+
+// usual returns how long an answer of the service usually takes, zero while
+// none was seen.
+func (f *Fleet) usual(service string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.paceOf(service).stay.Value()
+}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -17,10 +16,6 @@
 // which the platform's page gives.
 const loadsAtOnce = 4
 
-// failureCost is the part of the objective that one recent failure of a target
-// adds to its cost.
-const failureCost = 0.25
-
 // Fleet is what a gateway knows of all targets. It is safe for concurrent use.
 type Fleet struct {
 	zone    string
@@ -219,192 +214,6 @@
 	return f.versions[a]
 }
 
-// proposal is the outcome of a choice.
-type proposal struct {
-	node    *node
-	replica target.Replica
-	holds   bool
-	wait    time.Duration
-	load    int
-	age     time.Duration // of what is known of the engine
-}
-
-// choose returns the target for the next attempt of a call, and false when none
-// can take it. A target in avoid is taken only if it is the only one.
-func (f *Fleet) choose(now time.Time, c *call) (proposal, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	nodes, candidates := f.candidates(now, c, true)
-	req := assignment.Request{
-		Key:       c.placement,
-		Objective: c.route.Objective,
-		Bytes:     len(c.body),
-	}
-	choice, ok := assignment.Choose(req, candidates)
-	if !ok {
-		nodes, candidates = f.candidates(now, c, false)
-		if choice, ok = assignment.Choose(req, candidates); !ok {
-			return proposal{}, false
-		}
-	}
-	n := nodes[choice.Index]
-	if choice.Copy >= 0 {
-		f.ask(now, nodes[choice.Copy], c.adapter, 1)
-	}
-	p := proposal{node: n, replica: n.replica, holds: choice.Holds, wait: choice.Wait, load: n.estimate(now)}
-	if !n.stateAt.IsZero() {
-		p.age = now.Sub(n.stateAt)
-	}
-	return p, true
-}
-
-// expects reports whether targets of the call's service may become usable
-// soon: they live, but their engines or targetds do not answer yet.
-func (f *Fleet) expects(now time.Time, c *call) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, n := range f.nodes {
-		if n.replica.Service == c.service && n.replica.State == target.Live && !c.tried[n.replica.ID] && n.settling(now) {
-			return true
-		}
-	}
-	return false
-}
-
-// candidates returns the targets of the call's service, in random order so that
-// equal ones share the load.
-func (f *Fleet) candidates(now time.Time, c *call, cautious bool) ([]*node, []assignment.Candidate) {
-	var nodes []*node
-	for _, n := range f.nodes {
-		if n.replica.Service == c.service {
-			nodes = append(nodes, n)
-		}
-	}
-	rand.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
-	pace := f.paceOf(c.service)
-	out := make([]assignment.Candidate, 0, len(nodes))
-	for _, n := range nodes {
-		a := assignment.Candidate{
-			Hash:     n.hash,
-			Distance: n.distance,
-			Slots:    n.replica.Slots,
-			Load:     n.estimate(now),
-			First:    n.pace.firstOr(pace),
-			Stay:     pace.stay.Value(),
-			Holds:    true,
-			Usable:   n.usable(now) && !c.tried[n.replica.ID],
-			Extra:    time.Duration(n.unsoundness(now) * failureCost * float64(c.route.Objective)),
-		}
-		if cautious && (now.Before(n.avoidUntil) || n.silent(now) || c.refused[n.replica.ID]) {
-			a.Usable = false
-		}
-		if c.model != "" {
-			a.Holds = n.has(c.adapter, f.version(c.adapter))
-			a.Loading = n.arrival(c.adapter)
-			a.CanLoad = c.adapter.Name != "" && n.canLoad(now, c.adapter)
-		}
-		out = append(out, a)
-	}
-	followPending(c.adapter, nodes, out)
-	return nodes, out
-}
-
-// followPending leaves only the target that already loads an adapter, or is
-// asked to, as the one that can, so that requests for it wait together.
-func followPending(a orders.Adapter, nodes []*node, candidates []assignment.Candidate) {
-	pending := -1
-	for i, n := range nodes {
-		if !candidates[i].Usable || !candidates[i].CanLoad {
-			continue
-		}
-		if n.coming[a] {
-			pending = i
-			break
-		}
-		if n.waiting[a] > 0 {
-			pending = i
-		}
-	}
-	if pending < 0 {
-		return
-	}
-	for i := range candidates {
-		candidates[i].CanLoad = i == pending
-	}
-}
-
-// paceOf returns how fast the targets of a service are, on average. The caller
-// holds mu.
-func (f *Fleet) paceOf(service string) *pace {
-	p := f.paces[service]
-	if p == nil {
-		p = &pace{}
-		f.paces[service] = p
-	}
-	return p
-}
-
-// want notes that a request waits for an adapter at a target, until done is
-// called.
-func (f *Fleet) want(now time.Time, n *node, a orders.Adapter) (done func()) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	n.waiting[a]++
-	f.ask(now, n, a, n.waiting[a])
-	return func() {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		if n.waiting[a]--; n.waiting[a] <= 0 {
-			delete(n.waiting, a)
-		}
-	}
-}
-
-// ask tells a targetd that an adapter is wanted, unless it was told lately. The
-// caller holds mu.
-func (f *Fleet) ask(now time.Time, n *node, a orders.Adapter, waiting int) {
-	if n.link == nil || now.Sub(n.asked[a]) < orders.WantInterval {
-		return
-	}
-	n.asked[a] = now
-	w := peer.AdapterWant{
-		AdapterVersion: peer.AdapterVersion{Model: a.Model, Adapter: a.Name, Version: f.version(a)},
-		Waiting:        waiting,
-	}
-	_, _ = n.link.Send(peer.AdapterWants{Wants: []peer.AdapterWant{w}}) // asked again later
-}
-
-// remind repeats the want of a request that still waits.
-func (f *Fleet) remind(now time.Time, n *node, a orders.Adapter) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.ask(now, n, a, max(1, n.waiting[a]))
-}
-
-// begin notes that an attempt is sent to a target.
-func (f *Fleet) begin(n *node, a orders.Adapter) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	n.inFlight++
-	if a.Name != "" {
-		n.running[a]++
-		n.used[a]++
-	}
-}
-
-// end notes that an attempt at a target is over.
-func (f *Fleet) end(n *node, a orders.Adapter) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	n.inFlight--
-	if a.Name == "" {
-		return
-	}
-	if n.running[a]--; n.running[a] <= 0 {
-		delete(n.running, a)
-	}
-}
-
 // observe notes what the head of an answer told.
 func (f *Fleet) observe(now time.Time, n *node, l Load) {
 	f.mu.Lock()
@@ -447,36 +256,6 @@
 	delete(n.holds, a)
 }
 
-// reportUse tells the targetds which adapters were used since the last report.
-func (f *Fleet) reportUse() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, n := range f.nodes {
-		if n.link == nil || (len(n.used) == 0 && len(n.running) == 0) {
-			continue
-		}
-		var m peer.AdapterWants
-		for a, count := range n.used {
-			m.Wants = append(m.Wants, f.useOf(n, a, count))
-		}
-		for a := range n.running {
-			if n.used[a] == 0 {
-				m.Wants = append(m.Wants, f.useOf(n, a, 0))
-			}
-		}
-		clear(n.used)
-		_, _ = n.link.Send(m) // a lost report costs some accuracy
-	}
-}
-
-func (f *Fleet) useOf(n *node, a orders.Adapter, count int) peer.AdapterWant {
-	return peer.AdapterWant{
-		AdapterVersion: peer.AdapterVersion{Model: a.Model, Adapter: a.Name, Version: f.version(a)},
-		Used:           count,
-		Running:        n.running[a],
-	}
-}
-
 // entries returns the number of processes that take callers' requests, as far
 // as targetds tell.
 func (f *Fleet) entries() int {
@@ -489,14 +268,6 @@
 	return most
 }
 
-// usual returns how long an answer of the service usually takes, zero while
-// none was seen.
-func (f *Fleet) usual(service string) time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.paceOf(service).stay.Value()
-}
-
 // size returns the number of targets.
 func (f *Fleet) size() int {
 	f.mu.Lock()
