--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -105,6 +105,8 @@
 		convey.So(<-r.calls, convey.ShouldResemble, told{replaced: true, names: []string{"a"}})
 		convey.So(<-r.calls, convey.ShouldResemble, told{names: []string{"b"}})
 		convey.So(<-r.calls, convey.ShouldResemble, told{names: []string{"c"}})
+		s.mu.Lock()
+		defer s.mu.Unlock()
 		convey.So(s.from[:3], convey.ShouldResemble, []objects.Version{5, 7, 9})
 	})
 	convey.Convey("When the history is gone it lists again", t, func() {
