--- a/internal/gateway/choice.go
+++ b/internal/gateway/choice.go
@@ -24,7 +24,7 @@
 }
 
 // choose returns the target for the next attempt of a call, and false when none
-// can take it. A target in avoid is taken only if it is the only one.
+// can take it. A target that is avoided for now is taken only if no other can be.
 func (f *Fleet) choose(now time.Time, c *call) (proposal, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
