End attempts at targets whose VMs stand still

Cause: when a VM with its engine stands still, requests that were just sent to it get nothing. Their callers leave after some seconds, and our reset reaches the engine only when it wakes: GONE. The entries know two seconds after the stop that the targetd is silent, and still waited.

Ruled out: the keep-alive probes of the connection to the target. They are answered while a VM stands still, only its programs give no sign.

Change: an attempt that got nothing for 2.5 s from a target whose VM gave no sign for 2.5 s (no message, no refused connection) is ended, so that the caller has its answer before it leaves; a stream that may be resumed goes on elsewhere. A process that stood still itself waits for signs first.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -44,6 +44,7 @@
 	TargetAvoided     Code = 355
 	LinesDropped      Code = 356
 	RequestFailed     Code = 357
+	TargetStill       Code = 358
 	RequestQueued     Code = 400
 	RequestNotRun     Code = 401
 	RequestStarted    Code = 402
@@ -126,6 +127,7 @@
 	{TargetAvoided, "target_avoided", zerolog.WarnLevel, "The target failed and gets no requests `for` a while, unless there is no other."},
 	{LinesDropped, "lines_dropped", zerolog.WarnLevel, "The log could not be written fast enough and `lines` routine lines were left out."},
 	{RequestFailed, "request_failed", zerolog.WarnLevel, "The caller got no answer from a target: `status` and `reason` say what it was told; `targets` names the attempts with what decided them."},
+	{TargetStill, "target_still", zerolog.WarnLevel, "The target's VM gave no sign for a while (`silent`): `attempts` that got nothing from it were ended."},
 	{RequestQueued, "request_queued", zerolog.DebugLevel, "The target took an attempt into its queue."},
 	{RequestNotRun, "request_not_run", zerolog.InfoLevel, "The target refused an attempt that it had not started."},
 	{RequestStarted, "request_started", zerolog.DebugLevel, "The engine or service was given the request."},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -37,10 +37,10 @@
 		Send()
 	c.note("sent", p)
 	g.Scope.Counter("attempts").Inc(1)
-	g.Fleet.begin(p.node, c.adapter)
-	defer g.Fleet.end(p.node, c.adapter)
 	within, cancel := g.limitAttempt(ctx, c)
 	defer cancel()
+	sent := g.Fleet.begin(now, p.node, c.adapter, cancel)
+	defer g.Fleet.end(p.node, c.adapter, sent)
 	answer, err := g.Client.Do(within, p.replica.Addr, &req)
 	if err != nil {
 		return g.noAnswer(ctx, c, p, err, now)
@@ -55,7 +55,7 @@
 	c.tried[p.replica.ID] = true
 	g.Fleet.observe(time.Now(), p.node, meta.Load)
 	if isStream(answer) && meta.Signed && !meta.Encoded {
-		out := g.relay(w, c, answer)
+		out := g.relay(w, c, answer, sent)
 		return g.finish(ctx, c, p, out, now)
 	}
 	return g.finish(ctx, c, p, g.relayWhole(w, c, answer, meta), now)
@@ -74,11 +74,11 @@
 // so that a target that answers nothing does not take all its time.
 func (g *Gateway) limitAttempt(ctx context.Context, c *call) (context.Context, context.CancelFunc) {
 	if c.route.Kind != routing.Safe || c.ran+1 >= c.route.MaxAttempts {
-		return ctx, func() {}
+		return context.WithCancel(ctx)
 	}
 	usual := g.Fleet.usual(c.service)
 	if usual == 0 {
-		return ctx, func() {}
+		return context.WithCancel(ctx)
 	}
 	limit := max(time.Duration(attemptPart*float64(c.route.Objective)), usualTimes*usual)
 	return context.WithTimeout(ctx, limit)
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"github.com/borageusher/borageusher/internal/peer"
@@ -44,21 +45,26 @@
 	f.ask(now, n, a, max(1, n.waiting[a]))
 }
 
-// begin notes that an attempt is sent to a target.
-func (f *Fleet) begin(n *node, a orders.Adapter) {
+// begin notes that an attempt is sent to a target. cancel ends it.
+func (f *Fleet) begin(now time.Time, n *node, a orders.Adapter, cancel context.CancelFunc) *flight {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	sent := &flight{cancel: cancel}
+	f.heardFrom(now, sent)
+	n.flights[sent] = struct{}{}
 	n.inFlight++
 	if a.Name != "" {
 		n.running[a]++
 		n.used[a]++
 	}
+	return sent
 }
 
 // end notes that an attempt at a target is over.
-func (f *Fleet) end(n *node, a orders.Adapter) {
+func (f *Fleet) end(n *node, a orders.Adapter, sent *flight) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	delete(n.flights, sent)
 	n.inFlight--
 	if a.Name == "" {
 		return
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -23,15 +23,17 @@
 	regions map[string]string
 	log     event.Log
 
-	mu       sync.Mutex
-	nodes    map[string]*node // by the target's id
-	cfg      *routing.Configuration
-	versions map[orders.Adapter]int64
-	paces    map[string]*pace // by service
-	news     chan struct{}    // closed at the next change of residency or state
-	known    bool             // the targets were listed
-	current  bool             // the announced versions were listed
-	joined   func(*node)      // a target with an engine appeared
+	mu        sync.Mutex
+	nodes     map[string]*node // by the target's id
+	cfg       *routing.Configuration
+	versions  map[orders.Adapter]int64
+	paces     map[string]*pace // by service
+	news      chan struct{}    // closed at the next change of residency or state
+	known     bool             // the targets were listed
+	current   bool             // the announced versions were listed
+	epoch     time.Time        // start of the times of attempts
+	watchedAt time.Time        // last look at the attempts
+	joined    func(*node)      // a target with an engine appeared
 }
 
 // NewFleet returns a fleet without targets, seen from an availability zone.
@@ -45,6 +47,7 @@
 		versions: map[orders.Adapter]int64{},
 		paces:    map[string]*pace{},
 		news:     make(chan struct{}),
+		epoch:    time.Now(),
 	}
 }
 
--- /dev/null
+++ b/internal/gateway/flights.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/borageusher/borageusher/internal/event"
+	"github.com/borageusher/borageusher/internal/peer"
+)
+
+// Times of attempts at a target whose VM may stand still.
+const (
+	// stillAfter is the time without any sign of a VM after which it counts as
+	// standing still: the time after which a peer connection counts as silent, and
+	// one heartbeat more. Callers wait for at least twice the first of the two.
+	stillAfter = peer.SilenceTimeout + peer.HeartbeatInterval
+	// watchGap is the longest pause between two looks at the attempts: a longer one
+	// means that this process itself stood still.
+	watchGap = time.Second
+)
+
+// flight is an attempt at a target, from its sending to its end.
+type flight struct {
+	heard  atomic.Int64 // last byte of the answer, or the sending: nanoseconds since the fleet's epoch
+	cancel context.CancelFunc
+}
+
+// heardFrom notes that the target sent something.
+func (f *Fleet) heardFrom(now time.Time, a *flight) { a.heard.Store(int64(now.Sub(f.epoch))) }
+
+// leaveStill ends the attempts at targets whose VMs stand still: their targetds
+// are silent, nothing refuses a connection there, and the attempts themselves
+// got nothing for as long. The callers would leave without an answer, and what
+// they left would run when the VM goes on.
+func (f *Fleet) leaveStill(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	paused := now.Sub(f.watchedAt) > watchGap
+	f.watchedAt = now
+	for _, n := range f.nodes {
+		if paused && !n.aliveAt.IsZero() {
+			n.aliveAt = now // nothing could be heard meanwhile
+		}
+		if !n.still(now) {
+			continue
+		}
+		ended := 0
+		for a := range n.flights {
+			if now.Sub(f.epoch)-time.Duration(a.heard.Load()) > stillAfter {
+				a.cancel()
+				ended++
+			}
+		}
+		if ended > 0 {
+			f.log.At(event.TargetStill).Str("target", n.replica.ID).Dur("silent", now.Sub(n.aliveAt)).Int("attempts", ended).Send()
+		}
+	}
+}
+
+// alive notes a sign of a target's VM.
+func (f *Fleet) alive(now time.Time, n *node) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n.aliveAt = now
+}
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"github.com/borageusher/borageusher/internal/event"
@@ -52,6 +54,9 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			l.fleet.alive(time.Now(), n) // the VM runs, its targetd does not
+		}
 		if failures < 2 {
 			l.log.At(event.PeerLost).Str("target", id).Stringer("address", addr).Err(err).Send()
 		}
@@ -96,7 +101,7 @@
 func (f *Fleet) heard(now time.Time, n *node) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	n.heardAt = now
+	n.heardAt, n.aliveAt = now, now
 }
 
 // loaded takes what a targetd tells of its engine's load.
--- a/internal/gateway/main.go
+++ b/internal/gateway/main.go
@@ -155,8 +155,9 @@
 			b := next.Bounds
 			s.gateway.Allowance.limit(b.RetryRatio, b.RetrySlack)
 			s.stopWithin.Store(int64(b.StopWithin))
-		case <-use.C:
+		case now := <-use.C:
 			s.fleet.reportUse()
+			s.fleet.leaveStill(now)
 		case now := <-sweep.C:
 			s.fleet.Sweep(now)
 			client.CloseIdle(now)
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -51,8 +51,10 @@
 	wanted   int       // missing adapters that requests of all entries wait for
 	full     bool      // no adapter can make way for them now
 	heardAt  time.Time // last message of the targetd
+	aliveAt  time.Time // last sign of the target's VM, zero while there was none
 	stopLink func()
 
+	flights      map[*flight]struct{}
 	inFlight     int // own requests
 	load         Load
 	loadAt       time.Time
@@ -78,6 +80,7 @@
 		hash:    placement.Hash(r.Addr.String()),
 		holds:   map[orders.Adapter]int64{},
 		coming:  map[orders.Adapter]bool{},
+		flights: map[*flight]struct{}{},
 		running: map[orders.Adapter]int{},
 		used:    map[orders.Adapter]int{},
 		waiting: map[orders.Adapter]int{},
@@ -99,6 +102,12 @@
 	return !n.heardAt.IsZero() && now.Sub(n.heardAt) > silentAfter
 }
 
+// still reports whether the target's VM seems to stand still: there were signs
+// of it before, and are none any more.
+func (n *node) still(now time.Time) bool {
+	return !n.aliveAt.IsZero() && now.Sub(n.aliveAt) > stillAfter
+}
+
 // settleTime is how long after a target appeared its targetd may not be
 // connected yet: a few tries to connect.
 const settleTime = 2 * time.Second
--- a/internal/gateway/standin_test.go
+++ b/internal/gateway/standin_test.go
@@ -183,6 +183,17 @@
 	}
 }
 
+// slowStream sends n events, each after a pause, and ends the stream.
+func slowStream(c net.Conn, r *http.Request, n int, pause time.Duration) bool {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: yes\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+	for i := range n {
+		time.Sleep(pause)
+		chunk(c, fmt.Sprintf("id: %d\ndata: piece %d\n\n", i+1, i+1))
+	}
+	_, _ = io.WriteString(c, "0\r\n\r\n")
+	return true
+}
+
 func chunk(c net.Conn, text string) { _, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text) }
 
 // events returns what a caller gets of a stream.
@@ -198,12 +209,14 @@
 func testRoutes() []routing.Route {
 	shares := []routing.Share{{Service: "s", Weight: 1}}
 	base := routing.Route{Host: "h", Timeout: 2 * time.Second, Objective: 300 * time.Millisecond, MaxAttempts: 2, Shares: shares}
-	safe, unsafe, stream, once := base, base, base, base
+	safe, unsafe, stream, once, patient := base, base, base, base, base
 	safe.Name, safe.Prefix, safe.Kind = "safe", "/safe/", routing.Safe
 	unsafe.Name, unsafe.Prefix, unsafe.Kind = "unsafe", "/unsafe/", routing.Unsafe
 	stream.Name, stream.Prefix, stream.Kind, stream.Resumable = "stream", "/stream/", routing.Stream, true
 	once.Name, once.Prefix, once.Kind = "once", "/once/", routing.Stream
-	return []routing.Route{safe, unsafe, stream, once}
+	patient.Name, patient.Prefix, patient.Kind = "patient", "/patient/", routing.Stream
+	patient.Timeout = 4 * time.Second
+	return []routing.Route{safe, unsafe, stream, once, patient}
 }
 
 // world is a gateway before some targets.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -21,7 +21,7 @@
 const writeMargin = 200 * time.Millisecond
 
 // relay passes the events of a stream on as they come, each as a whole.
-func (g *Gateway) relay(w http.ResponseWriter, c *call, a *upstream.Answer) outcome {
+func (g *Gateway) relay(w http.ResponseWriter, c *call, a *upstream.Answer, sent *flight) outcome {
 	if c.lastEvent != "" {
 		g.Scope.Counter("streams_resumed").Inc(1)
 		g.Log.At(event.StreamResumed).Str("request", c.meta.ID).Str("last_event", c.lastEvent).Send()
@@ -40,6 +40,7 @@
 			}
 			return broken // half an event is dropped
 		}
+		g.Fleet.heardFrom(time.Now(), sent)
 		if !c.follows(e) {
 			continue
 		}
