Choose homes by when an adapter comes there, and unload old versions

The engine holds up all other loads until the last run on the old one has ended: 163 loads refused in a row at one engine (seconds 13 to 17), requests for other adapters waited there to the end of their patience. A refused load was ordered again at once, every 3 ms. - An engine whose places are all in use was passed over, and when all were, requests were refused at once (315), though places become free all the time. - The choice of a home did not count the time in which the adapter comes, and sent requests to an overloaded holder though waiting for a copy was shorter. - Requests that waited for one adapter moved between two homes.

Change: an old version is unloaded once nothing runs on it, and the new one is loaded where requests wait for it. Homes are compared by the time at which the adapter is expected, with the turnover of places where none is free; requests wait for a place within their patience. A holder that is slower than a home by 0.3 of the objective is passed over. Beyond 0.3 of the objective of waiting requests, further ones load the adapter elsewhere; one that waits stays.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -31,6 +31,7 @@
 	sent    int             // arrivals at targets
 	ran     int             // arrivals that may have run
 	unsent  int             // targets that could not be reached
+	waitsAt *node           // target that is to load the adapter, nil while none is
 
 	comeBack time.Duration // until it can be served, as far as known
 
--- a/internal/gateway/choice.go
+++ b/internal/gateway/choice.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/borageusher/borageusher/pkg/assignment"
-	"github.com/borageusher/borageusher/pkg/orders"
 	"github.com/borageusher/borageusher/pkg/target"
 )
 
@@ -13,6 +12,11 @@
 // adds to its cost.
 const failureCost = 0.25
 
+// pendingPart is the part of the objective within which the requests that wait
+// for an adapter at one target are begun once it is there. It is the part beyond
+// which a further copy of a resident adapter is loaded.
+const pendingPart = 0.3
+
 // proposal is the outcome of a choice.
 type proposal struct {
 	node    *node
@@ -94,38 +98,43 @@
 			a.Usable = false
 		}
 		if c.model != "" {
-			a.Ahead, a.Each = n.ahead(now), pace.queue.Each()
+			a.Ahead, a.Each = n.ahead(now)+n.waitingAll, pace.queue.Each()
 			a.Holds = n.has(c.adapter, f.version(c.adapter))
-			a.Loading = n.arrival(c.adapter)
+			a.Loading = n.arrival(c.adapter, a.Stay)
 			a.CanLoad = c.adapter.Name != "" && n.canLoad(now, c.adapter)
 		}
 		out = append(out, a)
 	}
-	followPending(c.adapter, nodes, out)
+	followPending(c, nodes, out)
 	return nodes, out
 }
 
-// followPending leaves only the target that already loads an adapter, or is
-// asked to, as the one that can, so that requests for it wait together.
-func followPending(a orders.Adapter, nodes []*node, candidates []assignment.Candidate) {
-	pending := -1
+// followPending leaves only the targets that already load an adapter, or are
+// asked to, as those that can, so that requests for it wait together. When more
+// wait than one target can begin within a part of the objective, others may load
+// it as well. A request that waits already stays where it is, unless the adapter
+// is not expected within the objective there.
+func followPending(c *call, nodes []*node, candidates []assignment.Candidate) {
+	bound := time.Duration(pendingPart * float64(c.route.Objective))
+	pending := map[int]bool{}
 	for i, n := range nodes {
-		if !candidates[i].Usable || !candidates[i].CanLoad {
+		a := &candidates[i]
+		if !a.Usable || !a.CanLoad || (!n.coming[c.adapter] && n.waiting[c.adapter] == 0) {
 			continue
 		}
-		if n.coming[a] {
-			pending = i
+		if n == c.waitsAt && a.Loading <= c.route.Objective {
+			pending = map[int]bool{i: true}
 			break
 		}
-		if n.waiting[a] > 0 {
-			pending = i
+		if time.Duration(n.waiting[c.adapter])*a.Each < bound {
+			pending[i] = true
 		}
 	}
-	if pending < 0 {
+	if len(pending) == 0 {
 		return
 	}
 	for i := range candidates {
-		candidates[i].CanLoad = i == pending
+		candidates[i].CanLoad = candidates[i].CanLoad && pending[i]
 	}
 }
 
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -14,10 +14,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n.waiting[a]++
+	n.waitingAll++
 	f.ask(now, n, a, n.waiting[a])
 	return func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
+		n.waitingAll--
 		if n.waiting[a]--; n.waiting[a] <= 0 {
 			delete(n.waiting, a)
 		}
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -49,7 +49,7 @@
 	holds    map[orders.Adapter]int64
 	coming   map[orders.Adapter]bool
 	wanted   int       // missing adapters that requests of all entries wait for
-	full     bool      // no adapter can make way for them now
+	full     bool      // no adapter makes way for them before requests end
 	heardAt  time.Time // last message of the targetd
 	aliveAt  time.Time // last sign of the target's VM, zero while there was none
 	stopLink func()
@@ -68,10 +68,11 @@
 	unsound        float64
 	unsoundAt      time.Time
 
-	running map[orders.Adapter]int
-	used    map[orders.Adapter]int
-	waiting map[orders.Adapter]int
-	asked   map[orders.Adapter]time.Time // last mention to the targetd
+	running    map[orders.Adapter]int
+	used       map[orders.Adapter]int
+	waiting    map[orders.Adapter]int       // own requests that wait for an adapter here
+	waitingAll int                          // their sum
+	asked      map[orders.Adapter]time.Time // last mention to the targetd
 }
 
 func newNode(now time.Time, r target.Replica) *node {
@@ -191,17 +192,19 @@
 
 // canLoad reports whether the engine can be told to load an adapter.
 func (n *node) canLoad(now time.Time, a orders.Adapter) bool {
-	return !n.silent(now) && !n.full && n.link != nil && n.state.Reachable && n.state.Unanswered < unansweredOrders && n.hasModel(a.Model)
+	return !n.silent(now) && n.link != nil && n.state.Reachable && n.state.Unanswered < unansweredOrders && n.hasModel(a.Model)
 }
 
 // unansweredOrders is the number of orders in a row without an answer before adapters are
 // loaded elsewhere.
 const unansweredOrders = 4
 
-// arrival returns the time until a missing adapter is expected. The observed
-// times contain the wait behind other adapters, so only a longer queue than the
-// engine serves at once adds to them.
-func (n *node) arrival(a orders.Adapter) time.Duration {
+// arrival returns the time until a missing adapter is expected, where requests
+// stay for some time. The observed times contain the wait behind other adapters,
+// so only a longer queue than the engine serves at once adds to them. Without a
+// free place, those that wait get the next ones that requests leave; an older
+// version leaves after its last run.
+func (n *node) arrival(a orders.Adapter, stay time.Duration) time.Duration {
 	each := n.loadTime.Value()
 	if each == 0 {
 		each = firstLoad
@@ -209,7 +212,14 @@
 	if n.coming[a] {
 		return each / 2
 	}
-	return each * time.Duration(1+n.wanted/queueAhead)
+	d := each * time.Duration(1+n.wanted/queueAhead)
+	if n.full {
+		d += stay * time.Duration(1+n.wanted) / time.Duration(max(1, len(n.holds)))
+	}
+	if _, ok := n.holds[a]; ok {
+		d += stay
+	}
+	return d
 }
 
 // unreachable notes a failed connection and returns how long the target is
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -89,12 +89,10 @@
 // the adapter. The reason is empty unless there is none.
 func (g *Gateway) place(ctx context.Context, c *call) (proposal, string) {
 	patience := g.patience(c)
-	var on *node
-	var done func()
+	done := func() {}
 	defer func() {
-		if done != nil {
-			done()
-		}
+		done()
+		c.waitsAt = nil
 	}()
 	for {
 		now := time.Now()
@@ -107,19 +105,17 @@
 			return proposal{}, "no_target"
 		case ok && p.holds:
 			return p, ""
-		case ok && (now.After(patience) || (on == nil && now.Add(p.wait).After(patience))):
+		case ok && (now.After(patience) || (c.waitsAt == nil && now.Add(p.wait).After(patience))):
 			c.comeBack = p.wait
 			return proposal{}, "adapter_not_loaded"
 		}
 		switch {
 		case !ok:
 			// A target is about to become known.
-		case p.node != on:
-			if done != nil {
-				done()
-			}
+		case p.node != c.waitsAt:
+			done()
 			g.Scope.Counter("waits_for_adapters").Inc(1)
-			done, on = g.Fleet.want(now, p.node, c.adapter), p.node
+			done, c.waitsAt = g.Fleet.want(now, p.node, c.adapter), p.node
 			c.note("waits", p)
 			g.Log.At(event.RequestWaiting).
 				Str("request", c.meta.ID).
--- a/pkg/assignment/choose.go
+++ b/pkg/assignment/choose.go
@@ -31,7 +31,8 @@
 // Weights of a target's load.
 const (
 	// tolerance is the part of the objective by which a home may be slower than
-	// the best target before an adapter is loaded elsewhere.
+	// the best target before an adapter is loaded elsewhere, and a holder slower
+	// than a home before requests wait for the adapter there.
 	tolerance = 0.3
 	// copyAt is the part of the objective that requests may wait at all holders
 	// before a further copy is loaded. A copy takes a place and a load, and what
@@ -73,76 +74,89 @@
 
 // Choose returns the target for a request, and false when none can take it.
 func Choose(req Request, candidates []Candidate) (Choice, bool) {
-	holder, home, spare := -1, -1, -1
-	var holderCost, spareCost time.Duration
-	least := leastWait(candidates)
-	for i := range candidates {
-		c := &candidates[i]
-		if !c.Usable {
-			continue
-		}
-		cost := c.cost(req)
-		if c.Holds && (holder < 0 || cost < holderCost) {
-			holder, holderCost = i, cost
-		}
-		if c.Holds || !c.CanLoad {
-			continue
-		}
-		if spare < 0 || cost < spareCost {
-			spare, spareCost = i, cost
-		}
-		bound := least + time.Duration(tolerance*float64(req.Objective))
-		if cost <= bound+c.way(req) && (home < 0 || c.rank(req) > candidates[home].rank(req)) {
-			home = i
-		}
-	}
-	if home < 0 {
-		home = spare // all that can load the adapter are busy
-	}
+	holder := nearestHolder(req, candidates)
+	home := homeOf(req, candidates)
 	switch {
 	case holder < 0 && home < 0:
 		return Choice{}, false
 	case holder < 0:
-		c := &candidates[home]
-		return Choice{Index: home, Wait: max(c.wait(), c.Loading), Copy: -1}, true
+		return Choice{Index: home, Wait: candidates[home].wait(), Copy: -1}, true
 	}
 	choice := Choice{Index: holder, Holds: true, Wait: candidates[holder].wait(), Copy: -1}
-	if home >= 0 && needsCopy(req, candidates, holder, home) {
+	switch {
+	case home < 0:
+	case candidates[holder].cost(req) > candidates[home].cost(req)+req.part(tolerance):
+		choice = Choice{Index: home, Wait: candidates[home].wait(), Copy: -1}
+	case needsCopy(req, candidates, holder, home):
 		choice.Copy = home
 	}
 	return choice, true
 }
 
-// needsCopy reports whether the wait at the best holder is worth a load.
-func needsCopy(req Request, candidates []Candidate, holder, home int) bool {
-	wait := candidates[holder].wait()
-	if wait < time.Duration(copyAt*float64(req.Objective)) {
-		return false
+// nearestHolder returns the holder of the adapter with the least cost, -1 if
+// there is none.
+func nearestHolder(req Request, candidates []Candidate) int {
+	best := -1
+	for i := range candidates {
+		c := &candidates[i]
+		if c.Usable && c.Holds && (best < 0 || c.cost(req) < candidates[best].cost(req)) {
+			best = i
+		}
 	}
-	return candidates[home].wait() < wait/2
+	return best
 }
 
-func leastWait(candidates []Candidate) time.Duration {
+// homeOf returns the first in the order of the rendezvous hash of the targets
+// that can load the adapter and are not much slower than the best of them, -1 if
+// none can.
+func homeOf(req Request, candidates []Candidate) int {
 	least := time.Duration(-1)
 	for i := range candidates {
 		c := &candidates[i]
-		if !c.Usable {
+		if c.canBeHome() && (least < 0 || c.wait()+c.Extra < least) {
+			least = c.wait() + c.Extra
+		}
+	}
+	best := -1
+	for i := range candidates {
+		c := &candidates[i]
+		if !c.canBeHome() || c.wait()+c.Extra > least+req.part(tolerance) {
 			continue
 		}
-		if cost := c.wait(); least < 0 || cost < least {
-			least = cost
+		if best < 0 || c.rank(req) > candidates[best].rank(req) {
+			best = i
 		}
 	}
-	return max(0, least)
+	return best
+}
+
+func (c *Candidate) canBeHome() bool { return c.Usable && !c.Holds && c.CanLoad }
+
+// part returns a part of the objective.
+func (r Request) part(x float64) time.Duration { return time.Duration(x * float64(r.Objective)) }
+
+// needsCopy reports whether the wait at the best holder is worth a load.
+func needsCopy(req Request, candidates []Candidate, holder, home int) bool {
+	wait := candidates[holder].wait()
+	return wait >= req.part(copyAt) && candidates[home].queue() < wait/2
 }
 
 // cost returns the wait and the way.
 func (c *Candidate) cost(req Request) time.Duration { return c.wait() + c.way(req) + c.Extra }
 
-// wait returns the time until a request's first event at the target, by its
-// load: engines read prompts one after the other, a batch that fills delays the
-// first event, and beyond it requests wait until others end.
+// wait returns the time until a request's first event at the target. A missing
+// adapter is loaded while the requests before it are served.
 func (c *Candidate) wait() time.Duration {
+	if c.Holds {
+		return c.queue()
+	}
+	return max(c.queue(), c.Loading)
+}
+
+// queue returns the time until a first event by the target's load: engines read
+// prompts one after the other, a batch that fills delays the first event, and
+// beyond it requests wait until others end.
+func (c *Candidate) queue() time.Duration {
 	slots := float64(max(1, c.Slots))
 	load := float64(c.Load) / slots
 	ahead := time.Duration(c.Ahead) * c.Each
--- a/pkg/orders/planner.go
+++ b/pkg/orders/planner.go
@@ -22,9 +22,9 @@
 	inUseFor = 350 * time.Millisecond
 	// forgetAfter bounds the memory for adapters that nobody asks for any more.
 	forgetAfter = 2 * time.Minute
-	// replacePause is the time until a replacement that still waits for the runs
-	// of the old version is ordered again.
-	replacePause = time.Second
+	// refusedPause is the time until a load that the engine refused is ordered
+	// again: about the age of its report.
+	refusedPause = 100 * time.Millisecond
 	// weightsPause is the least time between two loads of weights, so that an
 	// engine that crashes again and again leaves the weight store to others.
 	weightsPause = 5 * time.Second
@@ -46,6 +46,7 @@
 	lastWeights time.Time
 	weightsFor  int64 // start of the engine that weights were last ordered for
 	full        bool
+	noLoads     time.Time // until then the engine is not asked to load adapters
 }
 
 type demand struct {
@@ -56,7 +57,6 @@
 	first    time.Time // first mention of the present wait
 	waiting  int
 	lastUsed time.Time
-	replaced time.Time // last order that was accepted for it
 }
 
 // NewPlanner returns a planner that knows no demand.
@@ -106,7 +106,7 @@
 	if !ok {
 		return Order{}, false
 	}
-	if len(r.Coming) >= c.InFlight {
+	if len(r.Coming) >= c.InFlight || now.Before(p.noLoads) {
 		return Order{}, false
 	}
 	if len(r.Adapters)+len(r.Coming) < c.Adapters() {
@@ -158,12 +158,8 @@
 
 // Sent notes that an order was accepted.
 func (p *Planner) Sent(now time.Time, r *Report, o Order) {
-	switch d := p.demand[o.Adapter]; {
-	case o.Unload:
-	case o.Adapter.Name == "":
+	if o.Adapter.Name == "" && !o.Unload {
 		p.lastWeights, p.weightsFor = now, r.Started
-	case d != nil:
-		d.replaced = now
 	}
 }
 
@@ -171,10 +167,11 @@
 // changed meanwhile, and reports whether another order may succeed now. An
 // adapter that can't be unloaded is in use.
 func (p *Planner) Refused(now time.Time, o Order) bool {
-	d := p.demand[o.Adapter]
 	if !o.Unload || o.Adapter.Name == "" {
+		p.noLoads = now.Add(refusedPause)
 		return false
 	}
+	d := p.demand[o.Adapter]
 	if d == nil {
 		d = &demand{counted: now}
 		p.demand[o.Adapter] = d
@@ -183,17 +180,17 @@
 	return true
 }
 
-// outdated returns an order that replaces an adapter of an old version.
+// outdated returns an order that unloads an adapter of an old version that no
+// request is believed to use. The new one is loaded when requests wait for it:
+// an order to replace the old one in place holds up all other loads until the
+// last run on it has ended.
 func (p *Planner) outdated(now time.Time, r *Report) (Order, bool) {
 	for _, h := range r.Adapters {
 		d := p.demand[h.Adapter]
-		if d == nil || d.version <= h.Version || now.Sub(d.replaced) < replacePause {
-			continue
-		}
-		if v, ok := r.Arriving(h.Adapter); ok && v >= d.version {
+		if d == nil || d.version <= h.Version || now.Sub(d.lastUsed) < inUseFor {
 			continue
 		}
-		return Order{Adapter: h.Adapter, Version: d.version}, true
+		return Order{Unload: true, Adapter: h.Adapter}, true
 	}
 	return Order{}, false
 }
