Adapt the adapters on their way to the weight store

The number is on the users' sheets and not in the configuration.

Change: each engine fetches fewer while its loads take 1.5 times the shortest one seen, and more again otherwise; adapters that it has had before come from its VM's memory and do not count. A want counts as older for each request that waits for it. The lines on a request's end tell how long it waited for adapters and when its first event came.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -108,7 +108,7 @@
 	{RelayLost, "relay_lost", zerolog.InfoLevel, "A connection kept for news could not be opened or ended; the next best peer takes its place."},
 	{RouteChosen, "route_chosen", zerolog.InfoLevel, "Routing decision: the request's next attempt goes to `target`; `reason` says why that one."},
 	{RouteRefused, "route_refused", zerolog.InfoLevel, "The target refused an attempt before running it; `reason` is the target's."},
-	{RequestEnded, "request_ended", zerolog.InfoLevel, "The caller was told the outcome."},
+	{RequestEnded, "request_ended", zerolog.InfoLevel, "The caller was told the outcome; `waited` is the time spent on waiting for an adapter, `first_event` that until the first event of a stream."},
 	{RequestRejected, "request_rejected", zerolog.InfoLevel, "The request was refused at the entry, before any target."},
 	{AnswerResumed, "answer_resumed", zerolog.InfoLevel, "An answer goes on over a new connection from part `next`."},
 	{AttemptVoided, "attempt_voided", zerolog.InfoLevel, "An attempt whose target stopped answering was excluded in its key's record: it did not run and never will."},
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -33,6 +33,7 @@
 	unsent  int             // targets that could not be reached
 	waitsAt *node           // target that is to load the adapter, nil while none is
 
+	waited   time.Duration // for adapters
 	comeBack time.Duration // until it can be served, as far as known
 
 	firstEvent time.Time
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -139,7 +139,11 @@
 		Str("reason", reason).
 		Int("sent", c.sent).
 		Int("ran", c.ran).
+		Dur("waited", c.waited).
 		Dur("took", time.Since(c.start))
+	if !c.firstEvent.IsZero() {
+		e = e.Dur("first_event", c.firstEvent.Sub(c.start))
+	}
 	if code == event.RequestFailed {
 		e = e.Strs("targets", c.trail)
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -90,8 +90,10 @@
 func (g *Gateway) place(ctx context.Context, c *call) (proposal, string) {
 	patience := g.patience(c)
 	done := func() {}
+	begun := time.Now()
 	defer func() {
 		done()
+		c.waited += time.Since(begun)
 		c.waitsAt = nil
 	}()
 	for {
--- a/pkg/orders/planner.go
+++ b/pkg/orders/planner.go
@@ -25,6 +25,10 @@
 	// refusedPause is the time until a load that the engine refused is ordered
 	// again: about the age of its report.
 	refusedPause = 100 * time.Millisecond
+	// waitingWorth is how much longer a want counts as waiting for each request
+	// that waits: the time of a load, so that an adapter for two requests goes
+	// before one that was asked for a load earlier.
+	waitingWorth = 250 * time.Millisecond
 	// weightsPause is the least time between two loads of weights, so that an
 	// engine that crashes again and again leaves the weight store to others.
 	weightsPause = 5 * time.Second
@@ -46,6 +50,7 @@
 	lastWeights time.Time
 	weightsFor  int64 // start of the engine that weights were last ordered for
 	full        bool
+	window      window
 	noLoads     time.Time // until then the engine is not asked to load adapters
 }
 
@@ -93,6 +98,7 @@
 // when there is nothing to do.
 func (p *Planner) Next(now time.Time, r *Report, c Capacity) (Order, bool) {
 	p.full = false
+	p.window.watch(now, r)
 	if r.Departing {
 		return Order{}, false
 	}
@@ -106,7 +112,7 @@
 	if !ok {
 		return Order{}, false
 	}
-	if len(r.Coming) >= c.InFlight || now.Before(p.noLoads) {
+	if !p.window.has(r, a, c.InFlight) || now.Before(p.noLoads) {
 		return Order{}, false
 	}
 	if len(r.Adapters)+len(r.Coming) < c.Adapters() {
@@ -195,8 +201,8 @@
 	return Order{}, false
 }
 
-// mostWanted returns the missing adapter that most requests wait for, and of
-// those the one that has waited longest.
+// mostWanted returns the missing adapter that requests have waited for longest,
+// where each further request that waits counts as some time.
 func (p *Planner) mostWanted(now time.Time, r *Report) (Adapter, bool) {
 	var best Adapter
 	var of *demand
@@ -225,7 +231,12 @@
 }
 
 func (d *demand) before(o *demand) bool {
-	return d.first.Before(o.first)
+	return d.due().Before(o.due())
+}
+
+// due orders the wants.
+func (d *demand) due() time.Time {
+	return d.first.Add(-time.Duration(d.waiting) * waitingWorth)
 }
 
 // victim returns the resident adapter with the least demand that no request is
--- a/pkg/orders/planner_test.go
+++ b/pkg/orders/planner_test.go
@@ -56,6 +56,16 @@
 			convey.So(ok, convey.ShouldBeTrue)
 			convey.So(o, convey.ShouldResemble, Order{Adapter: named("b"), Version: 4})
 		})
+		convey.Convey("one that more requests wait for comes first, unless another has waited for much longer", func() {
+			p.Want(start, Want{Adapter: named("old"), Waiting: 1})
+			later := start.Add(waitingWorth)
+			p.Want(later, Want{Adapter: named("many"), Waiting: 3})
+			o, _ := p.Next(later, holding(), capacity)
+			convey.So(o.Adapter, convey.ShouldResemble, named("many"))
+			p.Want(later, Want{Adapter: named("old"), Waiting: 3})
+			o, _ = p.Next(later, holding(), capacity)
+			convey.So(o.Adapter, convey.ShouldResemble, named("old"))
+		})
 		convey.Convey("a want that is not repeated lapses", func() {
 			p.Want(start, Want{Adapter: named("b"), Waiting: 1})
 			_, ok := p.Next(start.Add(2*wantedFor), holding("a"), capacity)
