Count what is unready, how old knowledge is, and what was waited for

Left of the operators' side: the age of the configuration, of targets' entries and of versions, unready time with its reason, the wait for adapters and broken streams were no metrics, and the state on the users' platform had a command of its own. Now: knowledge_age_seconds, unready_milliseconds, adapter_wait_seconds, streams_broken; a line at each change of readiness with the reason; and borageusher status -store. TestReadiness, TestAge, the scenario status and TestMetricsPage pass.

--- a/cmd/borageusher/main.go
+++ b/cmd/borageusher/main.go
@@ -9,8 +9,5 @@
 )
 
 func main() {
-	if len(os.Args) > 1 && os.Args[1] == "platform-status" {
-		os.Exit(platform.Status(os.Args[2:], os.Stdout, os.Stderr))
-	}
-	os.Exit(operator.Main(os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(operator.Main(os.Args[1:], os.Stdout, os.Stderr, platform.Status))
 }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -99,7 +99,7 @@
 	{Stopping, "stopping", zerolog.InfoLevel, "A planned stop has begun: no new work, work in progress goes on."},
 	{Stopped, "stopped", zerolog.InfoLevel, "The process ends after its last request."},
 	{StopTimedOut, "stop_timed_out", zerolog.ErrorLevel, "The stop's deadline passed or another signal came; `requests` says how many were cut."},
-	{Unready, "unready", zerolog.InfoLevel, "Readiness says no; everything is still served `for` a while, so that the balancer looks elsewhere."},
+	{Unready, "unready", zerolog.InfoLevel, "Readiness says no, for a `reason` or because of a stop; then everything is still served `for` a while, so that the balancer looks elsewhere."},
 	{SettingsReloaded, "settings_reloaded", zerolog.InfoLevel, "The settings file was read again; `changed` says whether it differs. New bounds hold from now on."},
 	{SettingsRejected, "settings_rejected", zerolog.ErrorLevel, "The settings file can't be used; the old settings stay in force."},
 	{PeerConnected, "peer_connected", zerolog.InfoLevel, "A peer connection is open and both sides proved the key."},
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/borageusher/borageusher/internal/event"
@@ -54,8 +55,9 @@
 
 	version  objects.Version
 	listed   bool
-	answered time.Time // last answer of the store
-	returned time.Time // when the store last came back
+	answered time.Time                 // last answer of the store
+	seen     atomic.Pointer[time.Time] // the same, or the start, for other goroutines
+	returned time.Time                 // when the store last came back
 	away     bool
 }
 
@@ -71,9 +73,16 @@
 
 // New returns a follower of a kind.
 func New(source Source, kind objects.ObjectKind, sink Sink, times Times, log event.Log) *Follower {
-	return &Follower{source: source, kind: kind, sink: sink, wait: times.Wait, pause: times.Pause, log: log}
+	f := &Follower{source: source, kind: kind, sink: sink, wait: times.Wait, pause: times.Pause, log: log}
+	begun := time.Now()
+	f.seen.Store(&begun)
+	return f
 }
 
+// Age returns the time since the store last answered, or since the start if it
+// never did: how old what the sink knows may be, beyond the time of a watch.
+func (f *Follower) Age(now time.Time) time.Duration { return now.Sub(*f.seen.Load()) }
+
 // Run follows until ctx is done.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -131,6 +140,7 @@
 		f.returned = now
 	}
 	f.answered = now
+	f.seen.Store(&now)
 	if f.returned.IsZero() {
 		return time.Time{}
 	}
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -139,3 +139,20 @@
 		convey.So((<-r.calls).settling, convey.ShouldBeTrue)
 	})
 }
+
+func TestAge(t *testing.T) {
+	convey.Convey("The age grows until the store answers", t, func() {
+		s := &script{lists: []answer{{objects: object("a"), version: 1, after: 300 * time.Millisecond}}}
+		sink := &recorder{calls: make(chan told, 4)}
+		f := New(s, "kind", sink, Times{Wait: time.Second}, event.Discard())
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go f.Run(ctx)
+		time.Sleep(200 * time.Millisecond)
+		convey.So(f.Age(time.Now()), convey.ShouldBeGreaterThanOrEqualTo, 200*time.Millisecond)
+		<-sink.calls
+		answered := time.Now()
+		convey.So(f.Age(answered), convey.ShouldBeLessThan, 100*time.Millisecond)
+		convey.So(f.Age(answered.Add(time.Minute)), convey.ShouldBeGreaterThanOrEqualTo, time.Minute)
+	})
+}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -53,10 +53,19 @@
 
 // Known reports whether the targets and the versions of adapters were listed, so
 // that requests can be sent.
-func (f *Fleet) Known() bool {
+func (f *Fleet) Known() bool { return f.unknown() == "" }
+
+// unknown names what was not listed yet, empty if nothing is missing.
+func (f *Fleet) unknown() string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.known && f.current
+	switch {
+	case !f.known:
+		return "no_targets"
+	case !f.current:
+		return "no_versions"
+	}
+	return ""
 }
 
 // News returns a channel that is closed at the next change that may let a
--- a/internal/gateway/main.go
+++ b/internal/gateway/main.go
@@ -67,6 +67,9 @@
 	current atomic.Pointer[routing.Configuration]
 	idle    *idleConns
 
+	readiness *readiness
+	followers map[string]*follow.Follower // by what they follow
+
 	stopWithin atomic.Int64 // nanoseconds
 }
 
@@ -92,6 +95,8 @@
 		log:   log,
 		fleet: NewFleet(node.Zone, node.Region, node.Regions, log),
 		idle:  newIdleConns(),
+
+		readiness: &readiness{log: log, scope: scope},
 	}
 	s.stopWithin.Store(int64(node.Bounds.StopWithin))
 	self := peer.Identity{
@@ -125,9 +130,14 @@
 	})
 	store := p.Store(scope)
 	cfg := &configurationSink{p.Decoder, p.ConfigurationName, &s.current, s.fleet, log}
-	go follow.New(store, p.Configurations, cfg, times(b.ApplyWithin, pausePart), log).Run(ctx)
-	go follow.New(store, p.Replicas, &replicaSink{p.Decoder, s.fleet, log}, times(b.DrainWithin, replicaPausePart), log).Run(ctx)
-	go follow.New(store, p.Versions, &versionSink{p.Decoder, s.fleet, log}, times(b.VersionWithin, pausePart), log).Run(ctx)
+	s.followers = map[string]*follow.Follower{
+		"configuration": follow.New(store, p.Configurations, cfg, times(b.ApplyWithin, pausePart), log),
+		"targets":       follow.New(store, p.Replicas, &replicaSink{p.Decoder, s.fleet, log}, times(b.DrainWithin, replicaPausePart), log),
+		"versions":      follow.New(store, p.Versions, &versionSink{p.Decoder, s.fleet, log}, times(b.VersionWithin, pausePart), log),
+	}
+	for _, f := range s.followers {
+		go f.Run(ctx)
+	}
 	go s.maintain(ctx, client, p.Changes)
 	return s
 }
@@ -181,8 +191,11 @@
 			scope.Tagged(map[string]string{"service": name}).Gauge("retry_allowance_left").Update(left)
 		}
 	}
+	for of, f := range s.followers {
+		scope.Tagged(map[string]string{"of": of}).Gauge("knowledge_age_seconds").Update(f.Age(now).Seconds())
+	}
 	ready := 0.0
-	if s.ready() {
+	if s.ready(now) {
 		ready = 1
 	}
 	scope.Gauge("ready").Update(ready)
@@ -195,11 +208,6 @@
 	return 0
 }
 
-// ready reports whether new connections are welcome.
-func (s *process) ready() bool {
-	return s.current.Load() != nil && s.fleet.Known() && !s.gateway.stopping.Load()
-}
-
 // listen starts the listeners and returns the callers' server.
 func (s *process) listen(p Platform, metricsHandler http.Handler) (*http.Server, error) {
 	callers, err := net.Listen("tcp4", s.node.Callers.String())
@@ -212,7 +220,7 @@
 	}
 	probe := http.NewServeMux()
 	probe.HandleFunc(p.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
-		if !s.ready() {
+		if !s.ready(time.Now()) {
 			w.WriteHeader(503)
 		}
 	})
--- /dev/null
+++ b/internal/gateway/readiness_test.go
@@ -0,0 +1,49 @@
+package gateway
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/smartystreets/goconvey/convey"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/borageusher/borageusher/internal/event"
+)
+
+func TestReadiness(t *testing.T) {
+	convey.Convey("Changes of readiness are logged once, and unready time is counted by reason", t, func() {
+		var log bytes.Buffer
+		scope := tally.NewTestScope("", nil)
+		r := &readiness{log: event.New(&log, "entryd", "e1", zerolog.InfoLevel), scope: scope}
+		start := time.Unix(100, 0)
+		for _, step := range []struct {
+			ms     int
+			reason string
+		}{{0, "no_configuration"}, {300, "no_configuration"}, {500, "no_targets"}, {700, ""}, {5000, ""}, {6000, "stopping"}, {6500, "stopping"}} {
+			r.note(start.Add(time.Duration(step.ms)*time.Millisecond), step.reason)
+		}
+		convey.So(strings.Count(log.String(), `"name":"unready"`), convey.ShouldEqual, 3)
+		convey.So(strings.Count(log.String(), `"name":"ready"`), convey.ShouldEqual, 1)
+		counted := map[string]int64{}
+		for _, c := range scope.Snapshot().Counters() {
+			counted[c.Tags()["reason"]] = c.Value()
+		}
+		convey.So(counted, convey.ShouldResemble, map[string]int64{"no_configuration": 500, "no_targets": 200, "stopping": 500})
+	})
+	convey.Convey("The reasons name what is missing", t, func() {
+		w := newWorld(t)
+		s := &process{gateway: w.gateway, fleet: w.fleet}
+		convey.So(s.unready(), convey.ShouldEqual, "no_configuration")
+		s.current.Store(w.gateway.Current.Load())
+		convey.So(s.unready(), convey.ShouldBeEmpty)
+		w.fleet.current = false
+		convey.So(s.unready(), convey.ShouldEqual, "no_versions")
+		w.fleet.known = false
+		convey.So(s.unready(), convey.ShouldEqual, "no_targets")
+		w.gateway.stopping.Store(true)
+		convey.So(s.unready(), convey.ShouldEqual, "stopping")
+	})
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -93,6 +93,9 @@
 	begun := time.Now()
 	defer func() {
 		done()
+		if c.waitsAt != nil {
+			g.Scope.Histogram("adapter_wait_seconds", latencies).RecordDuration(time.Since(begun))
+		}
 		c.waited += time.Since(begun)
 		c.waitsAt = nil
 	}()
@@ -148,6 +151,9 @@
 // giveUp gives the caller the final answer of a call that has none from a
 // target.
 func (g *Gateway) giveUp(caller context.Context, w http.ResponseWriter, c *call, reason string) {
+	if caller.Err() == nil && c.started {
+		g.Scope.Counter("streams_broken").Inc(1)
+	}
 	if caller.Err() != nil || c.started {
 		g.end(c, 0, reason)
 		panic(http.ErrAbortHandler) // ends the connection without a clean end
--- a/internal/operator/accept.go
+++ b/internal/operator/accept.go
@@ -166,7 +166,7 @@
 	if !ok {
 		return exitUsage
 	}
-	store, err := c.store()
+	store, err := c.objectAPI()
 	if err != nil {
 		return c.fail(err)
 	}
--- a/internal/operator/commands.go
+++ b/internal/operator/commands.go
@@ -4,6 +4,8 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"fmt"
+	"net/netip"
 
 	"github.com/borageusher/borageusher/internal/objects"
 	"github.com/borageusher/borageusher/internal/registration"
@@ -47,7 +49,7 @@
 	if !ok {
 		return exitUsage
 	}
-	store, err := c.store()
+	store, err := c.objectAPI()
 	if err != nil {
 		return c.fail(err)
 	}
@@ -64,7 +66,10 @@
 }
 
 func runStatus(c *commandLine) int {
-	store, err := c.store()
+	if c.store != "" {
+		return runPlatformStatus(c)
+	}
+	store, err := c.objectAPI()
 	if err != nil {
 		return c.fail(err)
 	}
@@ -89,3 +94,18 @@
 	}
 	return exitOK
 }
+
+// runPlatformStatus shows a deployment on the users' platform.
+func runPlatformStatus(c *commandLine) int {
+	addr, err := netip.ParseAddrPort(c.store)
+	if err != nil {
+		_, _ = fmt.Fprintln(c.err, "borageusher: -store:", err)
+		return exitUsage
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	if err := c.others(ctx, addr, c.out); err != nil {
+		return c.fail(err)
+	}
+	return exitOK
+}
--- a/internal/operator/drain.go
+++ b/internal/operator/drain.go
@@ -35,7 +35,7 @@
 	if c.drain.direct != "" {
 		return runDrainDirect(c)
 	}
-	store, err := c.store()
+	store, err := c.objectAPI()
 	if err != nil {
 		return c.fail(err)
 	}
--- a/internal/operator/main.go
+++ b/internal/operator/main.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"io"
@@ -41,6 +42,8 @@
 	operator string
 	waiting  waitFlags
 	drain    drainFlags
+	store    string // address of the store of another platform
+	others   PlatformStatus
 	out      io.Writer
 	err      io.Writer
 }
@@ -56,8 +59,12 @@
 	{"trace", "REQUEST LOG...", "tell the story of one request from logs", runTrace},
 }
 
-// Main runs the program borageusher and returns its exit code.
-func Main(args []string, out, stderr io.Writer) int {
+// PlatformStatus prints the state of a deployment on a platform with a store of
+// its own form.
+type PlatformStatus func(ctx context.Context, store netip.AddrPort, out io.Writer) error
+
+// Main runs the program borageusher and returns its exit code. others may be nil.
+func Main(args []string, out, stderr io.Writer, others PlatformStatus) int {
 	if len(args) == 0 {
 		printUsage(stderr)
 		return exitUsage
@@ -68,7 +75,7 @@
 	}
 	for _, cmd := range commands {
 		if cmd.name == args[0] {
-			return runCommand(cmd, args[1:], out, stderr)
+			return runCommand(cmd, args[1:], out, stderr, others)
 		}
 	}
 	_, _ = fmt.Fprintf(stderr, "borageusher: unknown command %q\n\n", args[0])
@@ -76,8 +83,8 @@
 	return exitUsage
 }
 
-func runCommand(cmd command, args []string, out, stderr io.Writer) int {
-	c := &commandLine{out: out, err: stderr}
+func runCommand(cmd command, args []string, out, stderr io.Writer, others PlatformStatus) int {
+	c := &commandLine{out: out, err: stderr, others: others}
 	c.flags = flag.NewFlagSet("borageusher "+cmd.name, flag.ContinueOnError)
 	c.flags.SetOutput(stderr)
 	c.flags.Usage = func() {
@@ -90,6 +97,9 @@
 	if cmd.name == "drain" {
 		c.drain.add(c)
 	}
+	if cmd.name == "status" && others != nil {
+		c.flags.StringVar(&c.store, "store", "", "`address` of the store, for a deployment on the users' platform")
+	}
 	if cmd.name == "accept" {
 		c.waiting.add(c.flags)
 	}
@@ -109,8 +119,8 @@
 	_, _ = io.WriteString(w, "\nRun \"borageusher <command> -h\" for a command's flags.\n")
 }
 
-// store returns the client of the platform that the flags name.
-func (c *commandLine) store() (*objects.Client, error) {
+// objectAPI returns the client of the platform that the flags name.
+func (c *commandLine) objectAPI() (*objects.Client, error) {
 	addr, err := netip.ParseAddrPort(c.platform)
 	if err != nil {
 		return nil, &Error{Op: "read flags", Kind: BadFlag, Err: err}
--- a/internal/scale/fleet_test.go
+++ b/internal/scale/fleet_test.go
@@ -30,7 +30,7 @@
 	case "targetd":
 		os.Exit(agent.Main(os.Args[1:], os.Stderr))
 	case "borageusher":
-		os.Exit(operator.Main(os.Args[1:], os.Stdout, os.Stderr))
+		os.Exit(operator.Main(os.Args[1:], os.Stdout, os.Stderr, nil))
 	case "standin":
 		os.Exit(standin.Main(os.Args[1:], os.Stderr))
 	}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -20,7 +20,7 @@
 	testscript.Main(m, map[string]func(){
 		"entryd":      func() { os.Exit(entry.Main(os.Args[1:], os.Stderr)) },
 		"targetd":     func() { os.Exit(agent.Main(os.Args[1:], os.Stderr)) },
-		"borageusher": func() { os.Exit(operator.Main(os.Args[1:], os.Stdout, os.Stderr)) },
+		"borageusher": func() { os.Exit(operator.Main(os.Args[1:], os.Stdout, os.Stderr, nil)) },
 		"standin":     func() { os.Exit(standin.Main(os.Args[1:], os.Stderr)) },
 	})
 }
