Stay within the VM's limits, and wake only the requests that an adapter is for

Requests whose callers leave before their first event kept the engines busy.

Change: News is for one adapter; all are woken only when targets change.

--- a/internal/gateway/choice.go
+++ b/internal/gateway/choice.go
@@ -57,6 +57,23 @@
 	return p, true
 }
 
+// Bounds of the patience of callers with streams, from the platform's page.
+const (
+	leastPatience   = 2 * time.Second
+	patienceInTimes = 4 // objectives
+)
+
+// overloaded reports whether the caller of a stream would have left before its
+// first event at the best target.
+func (f *Fleet) overloaded(c *call, p proposal) bool {
+	if c.model == "" || c.started {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return p.wait+f.paceOf(c.service).queue.Base() > max(leastPatience, patienceInTimes*c.route.Objective)
+}
+
 // expects reports whether targets of the call's service may become usable
 // soon: they live, but their engines or targetds do not answer yet.
 func (f *Fleet) expects(now time.Time, c *call) bool {
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -27,13 +27,13 @@
 	nodes     map[string]*node // by the target's id
 	cfg       *routing.Configuration
 	versions  map[orders.Adapter]int64
-	paces     map[string]*pace // by service
-	news      chan struct{}    // closed at the next change of residency or state
-	known     bool             // the targets were listed
-	current   bool             // the announced versions were listed
-	epoch     time.Time        // start of the times of attempts
-	watchedAt time.Time        // last look at the attempts
-	joined    func(*node)      // a target with an engine appeared
+	paces     map[string]*pace                 // by service
+	news      map[orders.Adapter]chan struct{} // closed when an adapter arrives or targets change
+	known     bool                             // the targets were listed
+	current   bool                             // the announced versions were listed
+	epoch     time.Time                        // start of the times of attempts
+	watchedAt time.Time                        // last look at the attempts
+	joined    func(*node)                      // a target with an engine appeared
 }
 
 // NewFleet returns a fleet without targets, seen from an availability zone.
@@ -46,7 +46,7 @@
 		nodes:    map[string]*node{},
 		versions: map[orders.Adapter]int64{},
 		paces:    map[string]*pace{},
-		news:     make(chan struct{}),
+		news:     map[orders.Adapter]chan struct{}{},
 		epoch:    time.Now(),
 	}
 }
@@ -69,17 +69,31 @@
 }
 
 // News returns a channel that is closed at the next change that may let a
-// waiting request go on.
-func (f *Fleet) News() <-chan struct{} {
+// request that waits for an adapter go on.
+func (f *Fleet) News(a orders.Adapter) <-chan struct{} {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.news
+	ch := f.news[a]
+	if ch == nil {
+		ch = make(chan struct{})
+		f.news[a] = ch
+	}
+	return ch
 }
 
-// announce wakes the waiting requests. The caller holds mu.
-func (f *Fleet) announce() {
-	close(f.news)
-	f.news = make(chan struct{})
+// announce wakes the requests that wait for an adapter. The caller holds mu.
+func (f *Fleet) announce(a orders.Adapter) {
+	if ch := f.news[a]; ch != nil {
+		close(ch)
+		delete(f.news, a)
+	}
+}
+
+// announceAll wakes all waiting requests. The caller holds mu.
+func (f *Fleet) announceAll() {
+	for a := range f.news {
+		f.announce(a)
+	}
 }
 
 // put takes a target's entry. The caller holds mu.
@@ -100,7 +114,7 @@
 		if f.joined != nil {
 			f.joined(n)
 		}
-		f.announce()
+		f.announceAll()
 		return
 	}
 	if n.replica.State != r.State {
@@ -156,7 +170,7 @@
 	if n.stopLink != nil {
 		n.stopLink()
 	}
-	f.announce()
+	f.announceAll()
 }
 
 // Sweep drops the targets whose entries did not come back.
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -141,3 +141,62 @@
 		})
 	})
 }
+
+func TestNews(t *testing.T) {
+	convey.Convey("A request that waits is woken when its adapter arrives or targets change, not by other adapters", t, func() {
+		now := time.Now()
+		f := engineFleet(now, 2)
+		a1, a2 := callFor("a1").adapter, callFor("a2").adapter
+		holding := func(names ...string) peer.EngineState {
+			s := peer.EngineState{Reachable: true, Models: []string{"m"}}
+			for _, name := range names {
+				s.Resident = append(s.Resident, peer.AdapterVersion{Model: "m", Adapter: name, Version: 1})
+			}
+			return s
+		}
+		woken := func(ch <-chan struct{}) bool {
+			select {
+			case <-ch:
+				return true
+			default:
+				return false
+			}
+		}
+		n := f.nodes["i-0"]
+		first, second := f.News(a1), f.News(a2)
+		f.believe(now, n, holding("a2"))
+		convey.So(woken(first), convey.ShouldBeFalse)
+		convey.So(woken(second), convey.ShouldBeTrue)
+		f.believe(now, n, holding("a2"))
+		convey.So(woken(f.News(a2)), convey.ShouldBeFalse)
+		f.believe(now, n, peer.EngineState{})
+		convey.So(woken(first), convey.ShouldBeTrue)
+	})
+}
+
+func TestOverloaded(t *testing.T) {
+	convey.Convey("A stream whose caller would leave before its first event is refused at once", t, func() {
+		now := time.Now()
+		f := engineFleet(now, 1)
+		c := callFor("a1")
+		for range 100 {
+			for ahead := range 20 {
+				f.paceOf("llm").queue.Observe(ahead, 200*time.Millisecond+time.Duration(ahead)*40*time.Millisecond)
+			}
+		}
+		n := f.nodes["i-0"]
+		f.believe(now, n, peer.EngineState{Reachable: true, Models: []string{"m"}, Resident: []peer.AdapterVersion{{Model: "m", Adapter: "a1", Version: 1}}})
+		for _, test := range []struct {
+			ahead int
+			want  bool
+		}{{0, false}, {40, false}, {90, false}, {100, true}} {
+			n.observe(now, Load{Waiting: test.ahead})
+			p, ok := f.choose(now, c)
+			convey.So(ok, convey.ShouldBeTrue)
+			convey.So(f.overloaded(c, p), convey.ShouldEqual, test.want)
+		}
+		c.started = true
+		p, _ := f.choose(now, c)
+		convey.So(f.overloaded(c, p), convey.ShouldBeFalse) // one that goes on has no other way
+	})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/borageusher/borageusher/internal/event"
+	"github.com/borageusher/borageusher/internal/settings"
 	"github.com/borageusher/borageusher/internal/upstream"
 	"github.com/borageusher/borageusher/pkg/routing"
 )
@@ -38,6 +39,7 @@
 	Crashes   *crashes
 	Log       event.Log
 	Scope     tally.Scope
+	Limits    settings.Limits // of the VM
 }
 
 // Gateway serves callers' requests.
@@ -45,10 +47,13 @@
 	Options
 	stopping   atomic.Bool
 	inProgress atomic.Int64
+	room       *room
 }
 
 // New returns a gateway.
-func New(opts Options) *Gateway { return &Gateway{Options: opts} }
+func New(opts Options) *Gateway {
+	return &Gateway{Options: opts, room: newRoom(opts.Limits.Descriptors, opts.Limits.Memory)}
+}
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -69,7 +74,14 @@
 		g.reject(w, meta.ID, 404, "no_route", 0)
 		return
 	}
+	taken, ok := g.room.enter(r.ContentLength)
+	if !ok {
+		g.reject(w, meta.ID, 503, "no_room", soon)
+		return
+	}
+	defer func() { g.room.leave(taken) }()
 	body, status := readBody(w, r, cfg.Limits.BodyBytes)
+	taken = g.room.resize(taken, int64(len(body)))
 	if status != 0 {
 		g.reject(w, meta.ID, status, "body", 0)
 		return
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -92,7 +92,7 @@
 	})
 	f.mu.Lock()
 	n.link = nil
-	f.announce()
+	f.announceAll()
 	f.mu.Unlock()
 	return err
 }
@@ -119,8 +119,12 @@
 	defer f.mu.Unlock()
 	f.timeLoads(now, n, s)
 	crashed = n.crashed(s)
-	if n.believe(now, s) {
-		f.announce()
+	arrived, changed := n.believe(now, s)
+	for _, a := range arrived {
+		f.announce(a)
+	}
+	if changed {
+		f.announceAll()
 	}
 	return crashed
 }
--- a/internal/gateway/main.go
+++ b/internal/gateway/main.go
@@ -127,6 +127,7 @@
 		Allowance: newAllowance(b.RetryRatio, b.RetrySlack, b.RetryWindow, time.Now()),
 		Log:       log,
 		Scope:     scope,
+		Limits:    node.Limits,
 	})
 	store := p.Store(scope)
 	cfg := &configurationSink{p.Decoder, p.ConfigurationName, &s.current, s.fleet, log}
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -155,15 +155,16 @@
 	return !s.Reachable || s.Started != n.state.Started
 }
 
-// believe replaces what is known of the target's engine.
-func (n *node) believe(now time.Time, s peer.EngineState) (changed bool) {
-	changed = n.state.Reachable != s.Reachable || n.state.Started != s.Started
+// believe replaces what is known of the target's engine. It returns the adapters
+// that arrived, and whether more than residency changed.
+func (n *node) believe(now time.Time, s peer.EngineState) (arrived []orders.Adapter, changed bool) {
+	changed = n.stateAt.IsZero() || n.state.Reachable != s.Reachable || n.state.Started != s.Started || len(n.state.Models) != len(s.Models)
 	holds := make(map[orders.Adapter]int64, len(s.Resident))
 	for _, a := range s.Resident {
 		key := orders.Adapter{Model: a.Model, Name: a.Adapter}
 		holds[key] = a.Version
-		if n.holds[key] < a.Version {
-			changed = true
+		if v, ok := n.holds[key]; !ok || v < a.Version {
+			arrived = append(arrived, key)
 		}
 	}
 	coming := make(map[orders.Adapter]bool, len(s.Coming))
@@ -173,7 +174,7 @@
 	n.state, n.stateAt = s, now
 	n.holds, n.coming = holds, coming
 	n.warm.note(now, holds)
-	return changed
+	return arrived, changed
 }
 
 // has reports whether the engine holds the adapter in the wanted version, or
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -101,13 +101,15 @@
 	}()
 	for {
 		now := time.Now()
-		news := g.Fleet.News()
+		news := g.Fleet.News(c.adapter)
 		p, ok := g.Fleet.choose(now, c)
 		switch {
 		case ctx.Err() != nil:
 			return proposal{}, "timeout"
 		case !ok && (now.After(patience) || !g.Fleet.expects(now, c)):
 			return proposal{}, "no_target"
+		case ok && p.holds && g.Fleet.overloaded(c, p):
+			return proposal{}, "overloaded"
 		case ok && p.holds:
 			return p, ""
 		case ok && (now.After(patience) || (c.waitsAt == nil && now.Add(p.wait).After(patience))):
@@ -170,7 +172,7 @@
 			status = http.StatusGatewayTimeout
 		}
 	}
-	if reason == "no_target" || reason == "quarantined" {
+	if reason == "no_target" || reason == "quarantined" || reason == "overloaded" {
 		after = later
 	}
 	after = min(max(after, c.comeBack), c.left(time.Now())/comeBackPart)
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -26,6 +26,13 @@
 	Service string
 
 	Bounds Bounds
+	Limits Limits
+}
+
+// Limits are the resources of a process on its VM. A limit of zero is none.
+type Limits struct {
+	Memory      int64 // bytes
+	Descriptors int
 }
 
 // Bounds are the limits that the platform's operators set for a deployment.
--- a/pkg/assignment/trend.go
+++ b/pkg/assignment/trend.go
@@ -29,6 +29,16 @@
 	t.xy = t.xy*keep + x*y
 }
 
+// Base returns the time that is expected with no request ahead. It is never
+// negative.
+func (t *Trend) Base() time.Duration {
+	if t.n == 0 {
+		return 0
+	}
+	base := t.y/t.n - t.Each().Seconds()*t.x/t.n
+	return time.Duration(max(0, base) * float64(time.Second))
+}
+
 // Each returns the time that each request ahead adds, zero while that is
 // unknown. It is never negative.
 func (t *Trend) Each() time.Duration {
