Send requests to a busy holder once they wait no longer for a copy

Cause, seen in the read of the change: a request for an adapter that a busy engine holds waits for a copy elsewhere; when its patience ended it was refused as adapter_not_loaded, though the holder could have served it late. Channels for news were made for requests that wait for nothing, too.

Change: it goes to the holder then. What is waited on comes with the choice, under one lock.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -99,3 +99,10 @@
 
 // left returns the time until nobody waits for the answer.
 func (c *call) left(now time.Time) time.Duration { return c.deadline.Sub(now) }
+
+// patience returns until when a call waits for an adapter: one objective, or
+// half of the time that is left. A caller that would wait longer is told when to
+// come back instead.
+func (c *call) patience(now time.Time) time.Time {
+	return now.Add(min(c.route.Objective, c.left(now)/2))
+}
--- a/internal/gateway/choice.go
+++ b/internal/gateway/choice.go
@@ -25,7 +25,8 @@
 	wait    time.Duration
 	load    int
 	ahead   int
-	age     time.Duration // of what is known of the engine
+	age     time.Duration   // of what is known of the engine
+	news    <-chan struct{} // closed when a choice may differ, nil if the target holds the adapter
 }
 
 // choose returns the target for the next attempt of a call, and false when none
@@ -33,7 +34,20 @@
 func (f *Fleet) choose(now time.Time, c *call) (proposal, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	nodes, candidates := f.candidates(now, c, true)
+	return f.chooseAmong(now, c, false)
+}
+
+// chooseHolder returns the target for the next attempt of a call that waits no
+// longer, and false when none holds the adapter.
+func (f *Fleet) chooseHolder(now time.Time, c *call) (proposal, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.chooseAmong(now, c, true)
+}
+
+// chooseAmong chooses among all targets, or among those that hold the adapter.
+func (f *Fleet) chooseAmong(now time.Time, c *call, holders bool) (proposal, bool) {
+	nodes, candidates := f.candidates(now, c, true, holders)
 	req := assignment.Request{
 		Key:       c.placement,
 		Objective: c.route.Objective,
@@ -41,9 +55,9 @@
 	}
 	choice, ok := assignment.Choose(req, candidates)
 	if !ok {
-		nodes, candidates = f.candidates(now, c, false)
+		nodes, candidates = f.candidates(now, c, false, holders)
 		if choice, ok = assignment.Choose(req, candidates); !ok {
-			return proposal{}, false
+			return proposal{news: f.newsOf(c.adapter)}, false
 		}
 	}
 	n := nodes[choice.Index]
@@ -51,6 +65,9 @@
 		f.ask(now, nodes[choice.Copy], c.adapter, 1)
 	}
 	p := proposal{node: n, replica: n.replica, holds: choice.Holds, wait: choice.Wait, load: n.estimate(now), ahead: n.ahead(now)}
+	if !p.holds {
+		p.news = f.newsOf(c.adapter)
+	}
 	if !n.stateAt.IsZero() {
 		p.age = now.Sub(n.stateAt)
 	}
@@ -88,8 +105,8 @@
 }
 
 // candidates returns the targets of the call's service, in random order so that
-// equal ones share the load.
-func (f *Fleet) candidates(now time.Time, c *call, cautious bool) ([]*node, []assignment.Candidate) {
+// equal ones share the load. If holders is set, none can load the adapter.
+func (f *Fleet) candidates(now time.Time, c *call, cautious, holders bool) ([]*node, []assignment.Candidate) {
 	var nodes []*node
 	for _, n := range f.nodes {
 		if n.replica.Service == c.service {
@@ -119,7 +136,7 @@
 			a.Holds = n.has(c.adapter, f.version(c.adapter))
 			a.Warm = n.warm.has(c.adapter, f.version(c.adapter))
 			a.Loading = n.arrival(c.adapter, a.Warm, a.Stay)
-			a.CanLoad = c.adapter.Name != "" && n.canLoad(now, c.adapter)
+			a.CanLoad = !holders && c.adapter.Name != "" && n.canLoad(now, c.adapter)
 		}
 		out = append(out, a)
 	}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -68,11 +68,9 @@
 	return ""
 }
 
-// News returns a channel that is closed at the next change that may let a
-// request that waits for an adapter go on.
-func (f *Fleet) News(a orders.Adapter) <-chan struct{} {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+// newsOf returns a channel that is closed at the next change that may let a
+// request that waits for an adapter go on. The caller holds mu.
+func (f *Fleet) newsOf(a orders.Adapter) <-chan struct{} {
 	ch := f.news[a]
 	if ch == nil {
 		ch = make(chan struct{})
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -131,6 +131,20 @@
 			got, _ = f.choose(now, c)
 			convey.So(got.replica.ID, convey.ShouldEqual, home.replica.ID)
 		})
+		convey.Convey("a request that waits no longer for a copy goes to a busy holder", func() {
+			home.node.holds[c.adapter] = 1
+			home.node.observe(now, Load{Running: 12, Slots: 4})
+			f.paceOf("llm").stay.Observe(3 * time.Second)
+			got, _ := f.choose(now, c)
+			convey.So(got.holds, convey.ShouldBeFalse)
+			held, ok := f.chooseHolder(now, c)
+			convey.So(ok, convey.ShouldBeTrue)
+			convey.So(held.holds, convey.ShouldBeTrue)
+			convey.So(held.replica.ID, convey.ShouldEqual, home.replica.ID)
+			delete(home.node.holds, c.adapter)
+			_, ok = f.chooseHolder(now, c)
+			convey.So(ok, convey.ShouldBeFalse)
+		})
 		convey.Convey("an engine that holds an older version than announced does not hold it", func() {
 			home.node.holds[c.adapter] = 1
 			got, _ := f.choose(now, c)
@@ -163,12 +177,12 @@
 			}
 		}
 		n := f.nodes["i-0"]
-		first, second := f.News(a1), f.News(a2)
+		first, second := f.newsOf(a1), f.newsOf(a2)
 		f.believe(now, n, holding("a2"))
 		convey.So(woken(first), convey.ShouldBeFalse)
 		convey.So(woken(second), convey.ShouldBeTrue)
 		f.believe(now, n, holding("a2"))
-		convey.So(woken(f.News(a2)), convey.ShouldBeFalse)
+		convey.So(woken(f.newsOf(a2)), convey.ShouldBeFalse)
 		f.believe(now, n, peer.EngineState{})
 		convey.So(woken(first), convey.ShouldBeTrue)
 	})
--- a/internal/gateway/pace.go
+++ b/internal/gateway/pace.go
@@ -1,9 +1,9 @@
 package gateway
 
 import (
-	"github.com/borageusher/borageusher/pkg/assignment"
 	"time"
 
+	"github.com/borageusher/borageusher/pkg/assignment"
 	"github.com/borageusher/borageusher/pkg/retry"
 )
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -88,9 +88,9 @@
 // place returns the target of the next attempt, after waiting until it holds
 // the adapter. The reason is empty unless there is none.
 func (g *Gateway) place(ctx context.Context, c *call) (proposal, string) {
-	patience := g.patience(c)
-	done := func() {}
 	begun := time.Now()
+	patience := c.patience(begun)
+	done := func() {}
 	defer func() {
 		done()
 		if c.waitsAt != nil {
@@ -101,7 +101,6 @@
 	}()
 	for {
 		now := time.Now()
-		news := g.Fleet.News(c.adapter)
 		p, ok := g.Fleet.choose(now, c)
 		switch {
 		case ctx.Err() != nil:
@@ -113,8 +112,7 @@
 		case ok && p.holds:
 			return p, ""
 		case ok && (now.After(patience) || (c.waitsAt == nil && now.Add(p.wait).After(patience))):
-			c.comeBack = p.wait
-			return proposal{}, "adapter_not_loaded"
+			return g.placeImpatient(now, c, p.wait)
 		}
 		switch {
 		case !ok:
@@ -135,19 +133,22 @@
 			g.Fleet.remind(now, p.node, c.adapter)
 		}
 		select {
-		case <-news:
+		case <-p.news:
 		case <-time.After(waitPoll):
 		case <-ctx.Done():
 		}
 	}
 }
 
-// patience returns until when a call waits for an adapter: one objective, or
-// half of the time that is left. A caller that would wait longer is told when to
-// come back instead.
-func (g *Gateway) patience(c *call) time.Time {
-	now := time.Now()
-	return now.Add(min(c.route.Objective, c.left(now)/2))
+// placeImpatient returns the target of a call that waits no longer for a copy of
+// its adapter: a busy target that holds it. Without one, the caller is told to
+// come back when the adapter is expected.
+func (g *Gateway) placeImpatient(now time.Time, c *call, expected time.Duration) (proposal, string) {
+	if p, ok := g.Fleet.chooseHolder(now, c); ok && !g.Fleet.overloaded(c, p) {
+		return p, ""
+	}
+	c.comeBack = expected
+	return proposal{}, "adapter_not_loaded"
 }
 
 // giveUp gives the caller the final answer of a call that has none from a
