--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -118,6 +118,24 @@
 		<-r.calls
 		convey.So(<-r.calls, convey.ShouldResemble, told{replaced: true, names: []string{"b"}})
 	})
+	convey.Convey("A change whose event the store loses is seen when the watch ends: the history is gone then", t, func() {
+		cut := answer{after: 300 * time.Millisecond, err: &objects.Error{Op: "test", Kind: objects.Unavailable, Err: errors.New("cut")}}
+		s := &script{
+			lists:   []answer{{objects: object("old"), version: 5}, {objects: object("new"), version: 8}},
+			watches: []answer{cut, gone, {objects: object("newer"), version: 9}},
+		}
+		r := following(t, s)
+		convey.So((<-r.calls).names, convey.ShouldResemble, []string{"old"})
+		begun := time.Now()
+		second := <-r.calls
+		convey.So(second.replaced, convey.ShouldBeTrue)
+		convey.So(second.names, convey.ShouldResemble, []string{"new"})
+		convey.So(time.Since(begun), convey.ShouldBeLessThan, 300*time.Millisecond+2*retryPause)
+		convey.So((<-r.calls).names, convey.ShouldResemble, []string{"newer"})
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		convey.So(s.from[:3], convey.ShouldResemble, []objects.Version{5, 5, 8})
+	})
 	convey.Convey("After the store was away, entries may come back for a while", t, func() {
 		s := &script{
 			lists:   []answer{down, {objects: object("a"), version: 5}},
