End attempts at silent VMs before their callers leave

The requests had waited 0.9 s for an adapter and then for a long queue when the VM stood still at second 13; their callers left at 14.6, before the 2.5 s were over after which attempts at a silent VM are ended.

Ruled out: a shorter time for all. A lossy path delays heartbeats and events together, and a VM that goes on serves its requests late rather than never.

Change: when a caller is within 0.5 s of the end of its patience (the page: two seconds or four objectives since its request or the last event), its attempt is ended as soon as the VM gave no sign for 0.7 s.

Not covered: callers that leave within 0.7 s of the VM's stop; no sign can tell it from a slow answer.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -40,7 +40,7 @@
 	g.Scope.Counter("attempts").Inc(1)
 	within, cancel := g.limitAttempt(ctx, c)
 	defer cancel()
-	sent := g.Fleet.begin(now, p.node, c.adapter, cancel)
+	sent := g.Fleet.begin(now, p.node, c, cancel)
 	defer g.Fleet.end(p.node, c.adapter, sent)
 	answer, err := g.Client.Do(within, p.replica.Addr, &req)
 	if err != nil {
--- a/internal/gateway/choice.go
+++ b/internal/gateway/choice.go
@@ -74,12 +74,6 @@
 	return p, true
 }
 
-// Bounds of the patience of callers with streams, from the platform's page.
-const (
-	leastPatience   = 2 * time.Second
-	patienceInTimes = 4 // objectives
-)
-
 // overloaded reports whether the caller of a stream would have left before its
 // first event at the best target.
 func (f *Fleet) overloaded(c *call, p proposal) bool {
@@ -88,7 +82,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return p.wait+f.paceOf(c.service).queue.Base() > max(leastPatience, patienceInTimes*c.route.Objective)
+	return p.wait+f.paceOf(c.service).queue.Base() > callerPatience(c.route.Objective)
 }
 
 // expects reports whether targets of the call's service may become usable
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -48,10 +48,11 @@
 }
 
 // begin notes that an attempt is sent to a target. cancel ends it.
-func (f *Fleet) begin(now time.Time, n *node, a orders.Adapter, cancel context.CancelFunc) *flight {
+func (f *Fleet) begin(now time.Time, n *node, c *call, cancel context.CancelFunc) *flight {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	sent := &flight{cancel: cancel}
+	a := c.adapter
+	sent := &flight{begun: c.start, patience: callerPatience(c.route.Objective), cancel: cancel}
 	f.heardFrom(now, sent)
 	n.flights[sent] = struct{}{}
 	n.inFlight++
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -109,12 +109,6 @@
 	return !n.heardAt.IsZero() && now.Sub(n.heardAt) > silentAfter
 }
 
-// still reports whether the target's VM seems to stand still: there were signs
-// of it before, and are none any more.
-func (n *node) still(now time.Time) bool {
-	return !n.aliveAt.IsZero() && now.Sub(n.aliveAt) > stillAfter
-}
-
 // settleTime is how long after a target appeared its targetd may not be
 // connected yet: a few tries to connect.
 const settleTime = 2 * time.Second
