Refuse a position beyond the targets that share the weight store

It stops the start with one line now. TestPosition failed before the check. The programs on the platform do not read these settings.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -10,6 +10,7 @@
 
 import (
 	"net/netip"
+	"strconv"
 	"strings"
 	"time"
 
@@ -129,6 +130,9 @@
 		Sharers:  f.Int("loads", "targets", 1, 1, 10000),
 		Position: f.Int("loads", "position", -1, -1, 9999),
 	}
+	if s.Position >= s.Sharers {
+		f.Fail("loads", "position", strconv.Itoa(s.Position), "below loads.targets")
+	}
 	return s, f.Done()
 }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -57,3 +57,28 @@
 		convey.So(err.Error(), convey.ShouldNotContainSubstring, "short-secret")
 	})
 }
+
+func TestPosition(t *testing.T) {
+	example, err := os.ReadFile("../../examples/settings/targetd.ini")
+	if err != nil {
+		t.Fatal(err)
+	}
+	kept, _, _ := strings.Cut(string(example), "[loads]")
+	convey.Convey("A target's position lies below the number of targets", t, func() {
+		path := filepath.Join(t.TempDir(), "targetd.ini")
+		for _, test := range []struct{ loads, want string }{
+			{"rate = 3\ntargets = 12\nposition = 11\n", ""},
+			{"rate = 3\ntargets = 12\n", ""},
+			{"rate = 3\ntargets = 12\nposition = 12\n", "[loads] position: found \"12\""},
+		} {
+			convey.So(os.WriteFile(path, []byte(kept+"[loads]\n"+test.loads), 0o600), convey.ShouldBeNil)
+			_, err := ReadTarget(path)
+			if test.want == "" {
+				convey.So(err, convey.ShouldBeNil)
+				continue
+			}
+			convey.So(err, convey.ShouldNotBeNil)
+			convey.So(err.Error(), convey.ShouldContainSubstring, test.want)
+		}
+	})
+}
