--- a/internal/gateway/active_attempt.go
+++ b/internal/gateway/active_attempt.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/internal/peer"
 )
@@ -36,8 +38,15 @@
 	callerTimeout time.Duration // limit of the caller for the first event, and for each next one
 	cancel        context.CancelFunc
 	hasEvent      bool // an event was received; guarded by the fleet's mu
+
+	eventBegan atomic.Int64 // time of the first byte of an event that is not complete, like lastActivity; zero for none
+	unfinished atomic.Bool  // canceled because an event was not complete in time
 }
 
+// errEventTooSlow is the reason of an attempt that ended because an event was not
+// complete in time.
+var errEventTooSlow = errors.Newf("event unfinished %s after its first byte", maxEventTime)
+
 // Bounds of the time for which callers of streams wait, according to the
 // platform's documentation.
 const (
@@ -68,10 +77,24 @@
 	return vmSilent > heartbeatOverdue && now.Sub(lastActivity) > heartbeatOverdue && now.Add(callerTimeoutMargin).After(waitStart.Add(a.callerTimeout))
 }
 
+// eventOverdue reports whether the attempt received the beginning of an event, but
+// not its end within maxEventTime.
+func (a *activeAttempt) eventOverdue(now, epoch time.Time) bool {
+	began := a.eventBegan.Load()
+	return began != 0 && now.Sub(epoch.Add(time.Duration(began))) > maxEventTime
+}
+
+// recordEventBegin records the time at which an attempt received the first byte of
+// an event.
+func (f *Fleet) recordEventBegin(now time.Time, a *activeAttempt) {
+	a.eventBegan.Store(int64(now.Sub(f.epoch)))
+}
+
 // recordActivity records the time at which an attempt was sent or received an
 // event.
 func (f *Fleet) recordActivity(now time.Time, a *activeAttempt) {
 	a.lastActivity.Store(int64(now.Sub(f.epoch)))
+	a.eventBegan.Store(0)
 }
 
 // recordFirstEvent records the first event of an attempt's response. ahead is
@@ -88,12 +111,17 @@
 // cancelStalled cancels the attempts at targets whose VMs are paused: no liveness
 // signal and no data of the attempt arrived. Otherwise the callers would time out
 // without a response, and the abandoned requests would run when the VM resumes.
+// It also cancels the attempts that received an event's beginning, but not its end
+// in time.
 func (f *Fleet) cancelStalled(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	paused := now.Sub(f.lastScan) > maxScanGap
 	f.lastScan = now
 	for _, t := range f.targets {
+		if !paused {
+			t.cancelUnfinished(now, f.epoch)
+		}
 		if paused && !t.vmAliveAt.IsZero() {
 			t.vmAliveAt = now // no liveness signal could be received during the pause
 		}
@@ -113,6 +141,16 @@
 	}
 }
 
+// cancelUnfinished cancels the attempts that received an event's beginning, but not
+// its end in time.
+func (t *targetState) cancelUnfinished(now, epoch time.Time) {
+	for a := range t.attempts {
+		if a.eventOverdue(now, epoch) && !a.unfinished.Swap(true) {
+			a.cancel()
+		}
+	}
+}
+
 // recordVMAlive records a liveness signal of a target's VM.
 func (f *Fleet) recordVMAlive(now time.Time, t *targetState) {
 	f.mu.Lock()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -10,13 +9,18 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/internal/upstream"
 	"github.com/borageusher/borageusher/pkg/routing"
 )
 
-// maxResponseBytes limits a response body that is buffered.
-const maxResponseBytes = 32 << 20
+// maxBufferedBytes limits the part of a response body that is buffered, so that
+// the responses in progress fit into a VM's memory. Up to this size, a response
+// that ends early can be replaced by one of another target. Responses of the
+// platform's plain targets have about 1 KiB.
+const maxBufferedBytes = 256 << 10
 
 // attempt sends the call to a target and relays the response.
 func (g *Gateway) attempt(ctx context.Context, w http.ResponseWriter, c *call, sel selection) outcome {
@@ -56,16 +60,22 @@
 	c.possibleRuns++
 	c.tried[sel.replica.ID] = true
 	g.Fleet.observeLoad(time.Now(), sel.target, meta.Load)
-	if isEventStream(resp) && meta.Signed && !meta.Reencoded {
-		out := g.relayStream(w, c, resp, func(at time.Time, first bool) {
-			g.Fleet.recordActivity(at, active)
-			if first {
-				g.Fleet.recordFirstEvent(sel.target, active, sel.pending, at.Sub(now))
-			}
-		})
-		return g.recordResult(ctx, c, sel, out, now)
+	if !isEventStream(resp) || !meta.Signed || meta.Reencoded {
+		out, err := g.relayBuffered(w, c, resp, meta)
+		return g.recordResult(ctx, c, sel, out, err, now)
+	}
+	onBegin := func(at time.Time) { g.Fleet.recordEventBegin(at, active) }
+	onEvent := func(at time.Time, first bool) {
+		g.Fleet.recordActivity(at, active)
+		if first {
+			g.Fleet.recordFirstEvent(sel.target, active, sel.pending, at.Sub(now))
+		}
+	}
+	out, err := g.relayStream(w, c, resp, onBegin, onEvent)
+	if active.unfinished.Load() && out == broken {
+		err = errEventTooSlow
 	}
-	return g.recordResult(ctx, c, sel, g.relayBuffered(w, c, resp, meta), now)
+	return g.recordResult(ctx, c, sel, out, err, now)
 }
 
 // Timeout of an attempt that leaves time for another one.
@@ -100,8 +110,8 @@
 }
 
 // recordResult updates the target's statistics after an attempt that got a
-// response.
-func (g *Gateway) recordResult(ctx context.Context, c *call, sel selection, out outcome, start time.Time) outcome {
+// response. err is the reason if the response is not usable.
+func (g *Gateway) recordResult(ctx context.Context, c *call, sel selection, out outcome, err error, start time.Time) outcome {
 	now := time.Now()
 	switch out {
 	case delivered:
@@ -119,7 +129,7 @@
 			g.CrashTracker.recordBroken(now, sel.target.incarnation, c)
 		}
 		g.Fleet.recordFailure(now, sel.target)
-		g.logFailedAttempt(c, sel, out, nil)
+		g.logFailedAttempt(c, sel, out, err)
 	}
 	return out
 }
@@ -166,7 +176,7 @@
 
 // handleRefusal records an attempt that the target proved not to have run.
 func (g *Gateway) handleRefusal(c *call, sel selection, resp *upstream.Response, meta ResponseMeta) outcome {
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp, maxResponseBytes)) // only the status counts
+	resp.Discard() // only the status counts
 	c.refused[sel.replica.ID] = true
 	g.Fleet.observeLoad(time.Now(), sel.target, meta.Load)
 	if resp.Status == http.StatusMisdirectedRequest { // another incarnation, or the adapter is not resident
@@ -195,30 +205,76 @@
 		Send()
 }
 
-// relayBuffered reads a response of up to maxResponseBytes and writes it to the
-// caller. A longer body is truncated without an error. A 5xx response to an
-// idempotent call is kept as the call's fallback instead.
-func (g *Gateway) relayBuffered(w http.ResponseWriter, c *call, upstreamResp *upstream.Response, meta ResponseMeta) outcome {
-	body, err := io.ReadAll(io.LimitReader(upstreamResp, maxResponseBytes))
+// relayBuffered reads a response and writes it to the caller. A body of more than
+// maxBufferedBytes is passed on as it arrives. A 5xx response to an idempotent
+// call is kept as the call's fallback instead. If the outcome is not delivered, it
+// returns the reason.
+func (g *Gateway) relayBuffered(w http.ResponseWriter, c *call, upstreamResp *upstream.Response, meta ResponseMeta) (outcome, error) {
+	status := upstreamResp.Status
 	switch {
-	case err != nil:
-		return broken
-	case upstreamResp.Status < 300 && (!meta.Signed || meta.Reencoded):
-		return broken // not the response that the target sent
-	case impliesNotRun(upstreamResp.Status):
-		return broken // the target gave no proof that the request has not run
-	}
-	resp := &bufferedResponse{status: upstreamResp.Status, header: upstreamResp.Header, body: body}
-	if upstreamResp.Status >= 500 && c.idempotent() && !c.headerSent {
+	case status < 300 && !meta.Signed:
+		return broken, errors.New("the response is not signed")
+	case status < 300 && meta.Reencoded:
+		return broken, errors.New("the response has another encoding than the target's")
+	case impliesNotRun(status):
+		return broken, errors.Newf("status %d without proof that the request has not run", status)
+	case c.headerSent:
+		return broken, errors.New("a started stream can't continue with another response")
+	}
+	body, err := io.ReadAll(io.LimitReader(upstreamResp, maxBufferedBytes+1))
+	if err != nil {
+		return broken, err
+	}
+	long := len(body) > maxBufferedBytes
+	resp := &bufferedResponse{status: status, header: upstreamResp.Header, body: body}
+	if status >= 500 && c.idempotent() {
+		if long {
+			return failed, errors.Newf("the response of a failed request exceeds %d bytes", maxBufferedBytes)
+		}
 		c.fallback = resp
-		return failed
+		return failed, errors.Newf("status %d", status)
 	}
-	if c.headerSent {
-		return broken // a started stream can't continue with a buffered response
+	if long {
+		return g.relayLong(w, c, upstreamResp, body)
 	}
 	upstreamResp.Close() // frees the connection before the caller sends its next request
 	g.writeResponse(w, resp)
-	return delivered
+	return delivered, nil
+}
+
+// relayLong writes a response whose body begins with head to the caller, and
+// passes on the rest of the body as it arrives.
+func (g *Gateway) relayLong(w http.ResponseWriter, c *call, resp *upstream.Response, head []byte) (outcome, error) {
+	_ = http.NewResponseController(w).SetWriteDeadline(c.deadline.Add(writeMargin)) // not supported by httptest.ResponseRecorder
+	g.writeHeader(w, resp.Status, resp.Header, resp.Length)
+	c.headerSent, c.unrepeatable = true, true
+	if _, err := w.Write(head); err != nil {
+		return callerLeft, nil
+	}
+	body := &errorRecorder{r: resp}
+	if _, err := io.Copy(w, body); err != nil && body.err == nil {
+		return callerLeft, nil
+	}
+	if body.err != nil {
+		return broken, body.err
+	}
+	return delivered, nil
+}
+
+// errorRecorder records the error of a reader, which io.Copy does not distinguish
+// from that of the writer.
+type errorRecorder struct {
+	r   io.Reader
+	err error // nil at the end of the input
+}
+
+// Read implements io.Reader.
+func (e *errorRecorder) Read(p []byte) (int, error) {
+	n, err := e.r.Read(p)
+	if err != nil && err != io.EOF {
+		e.err = err
+	}
+	return n, err
 }
 
 // impliesNotRun reports whether callers take a status as proof that a request
--- a/internal/gateway/attempt_loop.go
+++ b/internal/gateway/attempt_loop.go
@@ -197,14 +197,22 @@
 
 // writeResponse writes a buffered response to the caller.
 func (g *Gateway) writeResponse(w http.ResponseWriter, resp *bufferedResponse) {
+	g.writeHeader(w, resp.status, resp.header, int64(len(resp.body)))
+	_, _ = w.Write(resp.body) // the caller may have disconnected
+}
+
+// writeHeader writes the header of a target's response to the caller. length is
+// that of the body, negative if it is unknown.
+func (g *Gateway) writeHeader(w http.ResponseWriter, status int, header http.Header, length int64) {
 	h := w.Header()
-	for name, values := range g.HeaderCodec.CallerHeader(resp.header) {
+	for name, values := range g.HeaderCodec.CallerHeader(header) {
 		h[name] = values
 	}
 	if _, ok := h["Content-Type"]; !ok {
 		h["Content-Type"] = nil
 	}
-	h["Content-Length"] = []string{strconv.Itoa(len(resp.body))}
-	w.WriteHeader(resp.status)
-	_, _ = w.Write(resp.body) // the caller may have disconnected
+	if length >= 0 {
+		h["Content-Length"] = []string{strconv.FormatInt(length, 10)}
+	}
+	w.WriteHeader(status)
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -36,11 +36,12 @@
 	adapterWait time.Duration // total time waited for a target, mostly for adapters to load
 	retryAfter  time.Duration // expected time until the adapter is loaded, zero if unknown
 
-	firstEvent  time.Time
-	history     []string          // routing decisions, logged if the call fails
-	headerSent  bool              // the response header was written to the caller
-	lastEventID string            // of the last event relayed to the caller
-	fallback    *bufferedResponse // a target's 5xx response, delivered if no attempt succeeds
+	firstEvent   time.Time
+	history      []string          // routing decisions, logged if the call fails
+	headerSent   bool              // the response header was written to the caller
+	unrepeatable bool              // part of a response that no other one can continue was written to the caller
+	lastEventID  string            // of the last event relayed to the caller
+	fallback     *bufferedResponse // a target's 5xx response, delivered if no attempt succeeds
 }
 
 // bufferedResponse is a response that was read completely.
@@ -95,7 +96,9 @@
 
 // mayRetry reports whether another attempt is allowed after one that may have
 // run.
-func (c *call) mayRetry() bool { return c.idempotent() && c.possibleRuns < c.route.MaxAttempts }
+func (c *call) mayRetry() bool {
+	return c.idempotent() && !c.unrepeatable && c.possibleRuns < c.route.MaxAttempts
+}
 
 // remaining returns the time until the call's deadline.
 func (c *call) remaining(now time.Time) time.Duration { return c.deadline.Sub(now) }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -3,29 +3,47 @@
 import (
 	"bufio"
 	"bytes"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/internal/upstream"
 )
 
-// maxEventBytes limits the size of one event of a stream. It is checked at the end
-// of each line.
-const maxEventBytes = 1 << 20
+// Limits of the bytes of a stream that are not relayed. A target in trouble may
+// send bytes without end that form no event, or events that came before.
+const (
+	// maxEventBytes limits one event, and the events without progress in a row.
+	// Events of the platform's targets have a few hundred bytes.
+	maxEventBytes = 1 << 20
+	// maxEventTime limits the time from the first byte of an event to its end. A
+	// target writes an event at once; retransmissions on a path with packet loss
+	// take less than a second.
+	maxEventTime = time.Second
+)
+
+// Errors of streams that exceed a limit.
+var (
+	errEventTooLong = errors.Newf("event exceeds %d bytes", maxEventBytes)
+	errNoProgress   = errors.Newf("no new event within %d bytes", maxEventBytes)
+)
 
 // writeMargin is the time after a call's deadline in which the rest of a
 // response may still be written to a slow reader.
 const writeMargin = 200 * time.Millisecond
 
 // relayStream relays the events of a stream as they arrive, each as a whole, and
-// calls onEvent for each. It returns delivered if the stream ends after a whole
-// event and the response has started, callerLeft if a write to the caller fails,
-// and broken otherwise.
-func (g *Gateway) relayStream(w http.ResponseWriter, c *call, resp *upstream.Response, onEvent func(at time.Time, first bool)) outcome {
+// calls onBegin when the first byte of an event has arrived and onEvent when it is
+// complete. It returns delivered if the stream ends after a whole event and the
+// response has started, callerLeft if a write to the caller fails, and otherwise
+// broken with the reason.
+func (g *Gateway) relayStream(
+	w http.ResponseWriter, c *call, resp *upstream.Response, onBegin func(at time.Time), onEvent func(at time.Time, first bool),
+) (outcome, error) {
 	if c.lastEventID != "" {
 		g.Scope.Counter("streams_resumed").Inc(1)
 		g.Log.Event(event.StreamResumed).Str("request", c.meta.ID).Str("last_event", c.lastEventID).Send()
@@ -33,32 +51,37 @@
 	reader := bufio.NewReader(resp)
 	control := http.NewResponseController(w)
 	_ = control.SetWriteDeadline(c.deadline.Add(writeMargin)) // not supported by httptest.ResponseRecorder
+	skipped := 0                                              // bytes of events that came before, since the last new one
 	for first := true; ; first = false {
-		e, err := readEvent(reader)
+		e, err := readEvent(reader, onBegin)
 		if err != nil {
 			if c.headerSent {
 				_ = control.Flush() // the caller may have disconnected
 			}
 			if errors.Is(err, io.EOF) && len(e) == 0 && c.headerSent {
-				return delivered
+				return delivered, nil
 			}
-			return broken // an incomplete event is dropped
+			return broken, err // an incomplete event is dropped
 		}
 		onEvent(time.Now(), first)
 		if !c.acceptEvent(e) {
+			if skipped += len(e); skipped > maxEventBytes {
+				return broken, errNoProgress
+			}
 			continue
 		}
+		skipped = 0
 		if !c.headerSent {
 			g.startStream(w, c, resp)
 		}
 		if _, err := w.Write(e); err != nil {
-			return callerLeft
+			return callerLeft, nil
 		}
 		if reader.Buffered() > 0 {
 			continue
 		}
 		if err := control.Flush(); err != nil {
-			return callerLeft
+			return callerLeft, nil
 		}
 	}
 }
@@ -73,21 +96,26 @@
 	c.firstEvent = time.Now()
 }
 
-// readEvent returns the next event including the blank line that ends it. At the
-// end of the stream it returns the remaining bytes and io.EOF, and for an event
-// larger than maxEventBytes io.ErrShortBuffer.
-func readEvent(r *bufio.Reader) ([]byte, error) {
+// readEvent returns the next event including the blank line that ends it, and calls
+// onBegin when its first byte has arrived. At the end of the stream it returns the
+// remaining bytes and io.EOF, and for an event larger than maxEventBytes
+// errEventTooLong.
+func readEvent(r *bufio.Reader, onBegin func(at time.Time)) ([]byte, error) {
+	if _, err := r.Peek(1); err != nil {
+		return nil, err
+	}
+	onBegin(time.Now())
 	var e []byte
 	for {
 		line, err := r.ReadSlice('\n')
 		e = append(e, line...)
 		switch {
+		case len(e) > maxEventBytes:
+			return nil, errEventTooLong
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case err != nil:
 			return e, err
-		case len(e) > maxEventBytes:
-			return e, io.ErrShortBuffer
 		case len(bytes.TrimRight(line, "\r\n")) == 0:
 			return e, nil
 		}
--- a/internal/objects/client.go
+++ b/internal/objects/client.go
@@ -58,6 +58,10 @@
 	responded *atomic.Bool // whether any call got a response; shared by the clients that WithPurpose returns
 }
 
+// maxResponseBytes limits a response: a list of 64 objects of the maximum size, or
+// of many more of the usual size of less than 1 KiB.
+const maxResponseBytes = 64 << 20
+
 // New returns a client of the API at addr without a budget or metrics. Calls are
 // made with httpClient.
 func New(addr netip.AddrPort, httpClient *http.Client) *Client {
@@ -201,7 +205,7 @@
 		return response{}, &Error{Op: op, Kind: noResponse, Err: err}
 	}
 	defer func() { _ = resp.Body.Close() }() // the body was read or is abandoned
-	data, err := io.ReadAll(resp.Body)
+	data, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, maxResponseBytes))
 	if err != nil {
 		return response{}, &Error{Op: op, Kind: noResponse, Err: err}
 	}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -88,9 +88,7 @@
 		return nil, err
 	}
 	for range maxSkippedResponses + 1 {
-		resp, err := http.ReadResponse( //nolint:bodyclose // closing the Response closes the connection
-			conn.reader, &http.Request{Method: req.Method},
-		)
+		resp, err := conn.readHead(req.Method) //nolint:bodyclose // closing the Response closes the connection
 		if err != nil {
 			return nil, &Error{Op: "read response", Kind: Broken, Err: err}
 		}
@@ -98,8 +96,8 @@
 			continue
 		}
 		if id := c.identify(resp.Header); id != "" && id != req.ID {
-			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-				return nil, &Error{Op: "skip response", Kind: Broken, Err: err}
+			if !conn.discard(resp.Body) {
+				return nil, &Error{Op: "skip response", Kind: Broken, Err: errSkipFailed}
 			}
 			continue
 		}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -42,6 +42,7 @@
 type conn struct {
 	net.Conn
 	addr        netip.AddrPort
+	limit       *headLimit // of the bytes that reader may read
 	reader      *bufio.Reader
 	expires     time.Time     // time from which the connection is not reused
 	bodyWritten chan struct{} // closed when the request's body has been written, nil if it was written inline
@@ -57,7 +58,9 @@
 	if err != nil {
 		return nil, &Error{Op: "dial", Kind: Unreachable, Err: err}
 	}
-	return &conn{Conn: c, addr: addr, reader: bufio.NewReaderSize(c, readBufferBytes)}, nil
+	limit := &headLimit{r: c}
+	limit.lift()
+	return &conn{Conn: c, addr: addr, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes)}, nil
 }
 
 // setUserTimeout limits the time for which written data stays unacknowledged to
@@ -110,7 +113,7 @@
 			return false // the target responded before the request was written completely
 		}
 	}
-	return resp.Length >= -1 && !c.hasCloseOption(resp.Header) && c.reader.Buffered() == 0
+	return !c.hasCloseOption(resp.Header) && c.reader.Buffered() == 0
 }
 
 // hasCloseOption reports whether the Connection header contains close.
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -68,6 +68,14 @@
 	return n, err
 }
 
+// Discard reads the rest of a short body, so that Close can release the connection
+// for reuse. It reads a limited number of bytes for a limited time.
+func (r *Response) Discard() {
+	if r.conn != nil {
+		r.conn.discard(r)
+	}
+}
+
 // Close releases the connection for reuse if the body was read completely.
 // Otherwise it resets the connection, which cancels the request at the target.
 func (r *Response) Close() {
