--- a/internal/entry/error.go
+++ b/internal/entry/error.go
@@ -7,17 +7,15 @@
 
 // The kinds of error.
 const (
-	BadBody   Kind = iota + 1 // the body is not a JSON object
-	NoModel                   // the body has no "model" string
-	NotSent                   // an attempt was never written to a connection
-	BadHeader                 // a header's value is invalid
+	BadBody Kind = iota + 1 // the body is not a JSON object
+	NoModel                 // the body has no "model" string
+	NotSent                 // an attempt was never written to a connection
 )
 
 var kindNames = map[Kind]string{
-	BadBody:   "the body is not a JSON object",
-	NoModel:   `the body has no "model" text`,
-	NotSent:   "the target cannot be reached",
-	BadHeader: "a header is not allowed",
+	BadBody: "the body is not a JSON object",
+	NoModel: `the body has no "model" text`,
+	NotSent: "the target cannot be reached",
 }
 
 // Error is the error type of this package.
--- a/internal/entry/main.go
+++ b/internal/entry/main.go
@@ -140,10 +140,11 @@
 	return nil
 }
 
-// ready reports whether entryd can serve callers' requests: it has a configuration
-// and the crash records, and is not stopping.
+// ready reports whether entryd can serve callers' requests: it has a configuration,
+// the registered targets and the crash records, and is not stopping.
 func (p *process) ready() bool {
-	return p.controllers.Configurations.Current() != nil && p.suspects.Ready() && !p.stopping.Load()
+	return p.controllers.Configurations.Current() != nil && p.controllers.Members.Listed() &&
+		p.suspects.Ready() && !p.stopping.Load()
 }
 
 // start starts the background tasks, which run until ctx is done.
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -40,7 +40,6 @@
 	AttemptEnded      Code = 351
 	StreamResumed     Code = 352
 	RequestWaiting    Code = 353
-	CrashSuspected    Code = 354
 	TargetAvoided     Code = 355
 	LinesDropped      Code = 356
 	RequestFailed     Code = 357
@@ -123,7 +122,6 @@
 	{AttemptEnded, "attempt_ended", zerolog.WarnLevel, "An attempt did not answer the request: `outcome` says whether it was refused, failed or broke off."},
 	{StreamResumed, "stream_resumed", zerolog.InfoLevel, "A broken stream continues at another target after event `last_event`."},
 	{RequestWaiting, "request_waiting", zerolog.InfoLevel, "The request waits until `target` has loaded its adapter."},
-	{CrashSuspected, "crash_suspected", zerolog.WarnLevel, "An engine crashed while it ran the request; `crashes` is the number of engines that did."},
 	{TargetAvoided, "target_avoided", zerolog.WarnLevel, "The target failed and gets no requests `for` a while, unless there is no other target."},
 	{LinesDropped, "lines_dropped", zerolog.WarnLevel, "The log could not be written fast enough and `lines` routine lines were dropped."},
 	{RequestFailed, "request_failed", zerolog.WarnLevel, "The caller got no response from a target: `status` and `reason` are what it received; `targets` lists the attempts with the values behind each decision."},
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -209,17 +209,16 @@
 	defer f.mu.Unlock()
 	f.cfg = cfg
 	for _, t := range f.targets {
-		f.sendEngineSpec(t, true)
+		f.sendEngineSpec(t)
 		if f.onTarget != nil {
 			f.onTarget(t)
 		}
 	}
 }
 
-// sendEngineSpec sends a targetd its engine's limits and the announced adapter
-// versions, and all as AllAnnounced. The versions are complete in either case. The
-// caller holds mu.
-func (f *Fleet) sendEngineSpec(t *targetState, all bool) {
+// sendEngineSpec sends a targetd its engine's limits and all announced adapter
+// versions. The caller holds mu.
+func (f *Fleet) sendEngineSpec(t *targetState) {
 	if t.conn == nil || f.cfg == nil {
 		return
 	}
@@ -233,7 +232,6 @@
 		AdapterSlots: e.AdapterSlots,
 		WeightsMB:    e.WeightsMB,
 		MaxLoads:     maxConcurrentLoads,
-		AllAnnounced: all,
 	}
 	if len(e.Models) > 0 {
 		first := e.Models[0]
--- a/internal/gateway/store_sinks.go
+++ b/internal/gateway/store_sinks.go
@@ -143,6 +143,6 @@
 	}
 	s.fleet.versionsListed = true
 	for _, t := range s.fleet.targets {
-		s.fleet.sendEngineSpec(t, false)
+		s.fleet.sendEngineSpec(t)
 	}
 }
--- a/internal/gateway/targetd_conns.go
+++ b/internal/gateway/targetd_conns.go
@@ -76,7 +76,7 @@
 	f := tc.fleet
 	f.mu.Lock()
 	t.conn = c
-	f.sendEngineSpec(t, true)
+	f.sendEngineSpec(t)
 	f.mu.Unlock()
 	err := c.Run(ctx, func() peer.Heartbeat { return peer.Heartbeat{Active: true} }, func(m peer.Message) {
 		now := time.Now()
--- a/internal/members/controller.go
+++ b/internal/members/controller.go
@@ -39,6 +39,7 @@
 	mu                 sync.RWMutex
 	records            map[string]record // by name, including deleted ones
 	version            objects.Version   // version up to which all changes are known
+	listed             bool              // the registrations were read at least once
 	targets            []target.Target   // result of Targets
 	listeners          []func()
 	markedIncarnations map[netip.Addr]string // incarnation of the target marked as leaving, by VM address
@@ -86,6 +87,14 @@
 	return c.version
 }
 
+// Listed reports whether the registrations have been read at least once, from the
+// object API or from a peer.
+func (c *Controller) Listed() bool {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.listed
+}
+
 // ChangesSince returns the registrations that changed after a version, including
 // deleted ones, sorted by version, and the version up to which the changes are
 // complete.
@@ -118,6 +127,7 @@
 		newest = max(newest, o.Version)
 	}
 	c.version = max(c.version, newest)
+	c.listed = c.listed || c.version > 0
 	if updated {
 		c.rebuildTargets()
 	}
@@ -194,5 +204,8 @@
 	}
 	newest := c.Version()
 	c.Merge(newest, changed, newest)
+	c.mu.Lock()
+	c.listed = true // also if there are no registrations
+	c.mu.Unlock()
 	return max(after, version), nil
 }
--- a/internal/members/controller_test.go
+++ b/internal/members/controller_test.go
@@ -59,6 +59,30 @@
 	})
 }
 
+// emptyStore is an object API without registrations.
+type emptyStore struct{ Store }
+
+// Watch implements Store.
+func (emptyStore) Watch(_ context.Context, _ objects.ObjectKind, after objects.Version, _ time.Duration) ([]objects.Object, objects.Version, error) {
+	return nil, after, nil
+}
+
+func TestListed(t *testing.T) {
+	convey.Convey("The registrations are listed after the first answer, also of a peer or without any target", t, func() {
+		c := New(emptyStore{}, event.Discard())
+		convey.So(c.Listed(), convey.ShouldBeFalse)
+		_, err := c.readChanges(context.Background(), 0, 0)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(c.Listed(), convey.ShouldBeTrue)
+
+		c = New(nil, event.Discard())
+		c.Merge(3, []objects.Object{newObject(5, "a", "i", target.Live)}, 5) // leaves a gap
+		convey.So(c.Listed(), convey.ShouldBeFalse)
+		c.Merge(0, []objects.Object{newObject(5, "a", "i", target.Live)}, 5)
+		convey.So(c.Listed(), convey.ShouldBeTrue)
+	})
+}
+
 func TestLeavingVM(t *testing.T) {
 	addr := netip.MustParseAddr("10.0.0.1")
 	leaving := map[netip.Addr]bool{addr: true}
--- a/internal/peer/engine.go
+++ b/internal/peer/engine.go
@@ -21,7 +21,6 @@
 	AdapterMB    float64          // size of one adapter
 	MaxLoads     int              // maximum number of concurrent adapter loads
 	Announced    []AdapterVersion // newest versions
-	AllAnnounced bool             // Announced is complete, not only the versions that are new
 }
 
 // AdapterDemand is the sender's demand for an adapter, or a report of its use.
@@ -99,7 +98,7 @@
 	AdapterMB    float64
 	MaxLoads     int
 	Announced    []adapterVersionWire
-	AllAnnounced bool
+	AllAnnounced bool // always true; the number of elements is the same in all releases
 }
 
 func engineSpecToWire(m EngineSpec) *engineSpecWire {
@@ -113,7 +112,7 @@
 		AdapterMB:    m.AdapterMB,
 		MaxLoads:     m.MaxLoads,
 		Announced:    adapterVersionsToWire(m.Announced),
-		AllAnnounced: m.AllAnnounced,
+		AllAnnounced: true,
 	}
 }
 
@@ -128,7 +127,6 @@
 		AdapterMB:    w.AdapterMB,
 		MaxLoads:     w.MaxLoads,
 		Announced:    adapterVersions(w.Announced),
-		AllAnnounced: w.AllAnnounced,
 	}
 }
 
--- a/internal/revision/sections.go
+++ b/internal/revision/sections.go
@@ -20,40 +20,48 @@
 }
 
 // collect returns the sections of root in the order of root. It reads sections
-// that the process does not have from sources.
+// that the process does not have from sources. The sections are collected in a set
+// of this call, because install empties the cache when another revision comes into
+// force.
 func (c *Controller) collect(ctx context.Context, root configuration.Root, sources []Source) ([]configuration.Section, error) {
+	found := sectionSet{}
+	for _, ref := range root.Sections {
+		if s, ok := c.lookup(ref.Digest); ok {
+			found[ref.Digest] = s
+		}
+	}
 	var err error
 	for _, src := range sources {
-		missing := c.missing(root)
+		missing := found.missing(root)
 		if len(missing) == 0 {
 			break
 		}
 		var got []configuration.Section
 		got, err = src.Sections(ctx, missing)
-		c.cacheVerified(src, got)
+		c.addVerified(found, src, got)
 	}
-	if missing := c.missing(root); len(missing) > 0 {
+	if missing := found.missing(root); len(missing) > 0 {
 		return nil, &Error{Op: "collect", Kind: Incomplete, Err: err}
 	}
-	return c.assemble(root), nil
+	return found.assemble(root), nil
 }
 
-// missing returns the sections of root that the process does not have.
-func (c *Controller) missing(root configuration.Root) []configuration.SectionRef {
+// missing returns the sections of root that are not in the set.
+func (set sectionSet) missing(root configuration.Root) []configuration.SectionRef {
 	var out []configuration.SectionRef
 	for _, ref := range root.Sections {
-		if _, ok := c.lookup(ref.Digest); !ok {
+		if _, ok := set[ref.Digest]; !ok {
 			out = append(out, ref)
 		}
 	}
 	return out
 }
 
-// assemble returns the sections of root, all of which the process has.
-func (c *Controller) assemble(root configuration.Root) []configuration.Section {
+// assemble returns the sections of root, all of which are in the set.
+func (set sectionSet) assemble(root configuration.Root) []configuration.Section {
 	out := make([]configuration.Section, 0, len(root.Sections))
 	for _, ref := range root.Sections {
-		s, _ := c.lookup(ref.Digest)
+		s := set[ref.Digest]
 		s.Name = ref.Name
 		s.Digest = ref.Digest
 		out = append(out, s)
@@ -71,14 +79,15 @@
 	return s, ok
 }
 
-// cacheVerified stores the sections whose data match their digests and logs and
-// drops the others.
-func (c *Controller) cacheVerified(src Source, sections []configuration.Section) {
+// addVerified adds the sections whose data match their digests to found and to the
+// cache, and logs and drops the others.
+func (c *Controller) addVerified(found sectionSet, src Source, sections []configuration.Section) {
 	for _, s := range sections {
 		if sha256.Sum256(s.Data) != s.Digest {
 			c.log.Event(event.SectionCorrupt).Str("from", src.Name()).Stringer("digest", s.Digest).Send()
 			continue
 		}
+		found[s.Digest] = s
 		c.mu.Lock()
 		c.fetched[s.Digest] = s
 		c.mu.Unlock()
--- a/internal/scenario/call_test.go
+++ b/internal/scenario/call_test.go
@@ -122,6 +122,24 @@
 	writeStdout(ts, c.output)
 }
 
+func cmdRanAsStated(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 3 {
+		ts.Fatalf("usage: ran_as_stated NAME ADDRESS/PATH PATTERN")
+	}
+	c := stateOf(ts).calls[args[0]]
+	if c == nil {
+		ts.Fatalf("call %s was not started", args[0])
+	}
+	<-c.done
+	runs := len(regexp.MustCompile(args[2]).FindAllString(doCall(callOptions{method: "GET", url: args[1]}), -1))
+	switch {
+	case strings.Contains(c.output, "x-outcome: answered") && runs == 1:
+	case strings.Contains(c.output, "x-outcome: not_run") && runs == 0:
+	default:
+		ts.Fatalf("%d runs of a call with the output:\n%s", runs, c.output)
+	}
+}
+
 func cmdCallBegan(ts *testscript.TestScript, neg bool, args []string) {
 	c := stateOf(ts).calls[singleArg(ts, neg, args, "call_began NAME")]
 	if c == nil || c.headerReceived == nil {
--- a/internal/scenario/doc.go
+++ b/internal/scenario/doc.go
@@ -31,6 +31,10 @@
 //	call_began NAME               wait for the response header of a background call
 //	wait_call NAME                wait for a background call or load and print its
 //	                              output
+//	ran_as_stated NAME ADDRESS/PATH PATTERN
+//	                              check that a journal has exactly one match of
+//	                              PATTERN if the background call NAME was answered,
+//	                              and none if it was stated as not run
 //	streams NAME CALLERS TOKENS KEY MODEL URL
 //	                              start concurrent streams, each with its own prompt
 //	wait_streams NAME             wait for them; print the number of complete
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -20,12 +20,10 @@
 
 	// Peers is the address of the listener for other processes of this system,
 	// which use the same port on all VMs.
-	Peers   netip.AddrPort
-	Metrics netip.AddrPort // address for metrics, on which no daemon listens
+	Peers netip.AddrPort
 
 	// Set only for processes that run next to a target.
-	Engine  netip.AddrPort // address of the engine on the same VM
-	Service string         // service that the target belongs to; the daemons do not read it
+	Engine netip.AddrPort // address of the engine on the same VM
 
 	Bounds Bounds
 	Limits Limits
--- a/pkg/residency/demand.go
+++ b/pkg/residency/demand.go
@@ -1,7 +1,9 @@
 package residency
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/borageusher/borageusher/pkg/adapter"
@@ -14,6 +16,10 @@
 // rescaled so that they don't overflow.
 const maxExponent = 64
 
+// keptShare is the share of the limit that remains after pruning. The sort of a
+// pruning is spread over the observations of new adapters until the next one.
+const keptShare = 0.75
+
 // Demand estimates the request rate of each adapter as an exponentially decayed
 // count. Counts are stored relative to a landmark time, so that they can be
 // compared without decaying each one (G. Cormode, V. Shkapenyuk, D. Srivastava
@@ -24,8 +30,8 @@
 	counts   map[adapter.ID]float64 // decayed counts, as of landmark
 }
 
-// NewDemand returns an estimate that tracks at most limit adapters, or more while
-// all have the same count. It panics unless limit is positive.
+// NewDemand returns an estimate that tracks at most limit adapters. It panics
+// unless limit is positive.
 func NewDemand(limit int) *Demand {
 	if limit <= 0 {
 		panic("residency: adapter limit is not positive")
@@ -70,17 +76,19 @@
 	d.landmark = now
 }
 
-// prune removes the adapters whose count is below the mean. If all counts are
-// equal, the rounding of the mean decides whether it removes none or all.
+// prune removes the adapters with the lowest counts until keptShare of the limit
+// is left. Of adapters with equal counts it removes the last ones in the order of
+// their ids.
 func (d *Demand) prune() {
-	sum := 0.0
-	for _, c := range d.counts {
-		sum += c
+	ids := make([]adapter.ID, 0, len(d.counts))
+	for id := range d.counts {
+		ids = append(ids, id)
 	}
-	mean := sum / float64(len(d.counts))
-	for id, c := range d.counts {
-		if c < mean {
-			delete(d.counts, id)
-		}
+	slices.SortFunc(ids, func(a, b adapter.ID) int {
+		return cmp.Or(cmp.Compare(d.counts[b], d.counts[a]), cmp.Compare(a.String(), b.String()))
+	})
+	kept := max(1, int(keptShare*float64(d.limit)))
+	for _, id := range ids[kept:] {
+		delete(d.counts, id)
 	}
 }
--- a/pkg/residency/demand_test.go
+++ b/pkg/residency/demand_test.go
@@ -65,3 +65,25 @@
 		runtime.KeepAlive(d)
 	}
 }
+
+func TestDemandLimit(t *testing.T) {
+	convey.Convey("At most the limit of adapters is tracked, also if all counts are equal", t, func() {
+		for limit := 2; limit <= 50; limit++ {
+			d := NewDemand(limit)
+			for i := range 3 * limit {
+				d.Observe(start, id(strconv.Itoa(i)))
+				convey.So(len(d.counts), convey.ShouldBeBetweenOrEqual, 1, limit)
+			}
+			convey.So(len(d.counts), convey.ShouldBeGreaterThanOrEqualTo, limit/2)
+		}
+	})
+	convey.Convey("The adapters with the highest counts stay", t, func() {
+		d := NewDemand(8)
+		for i := range 100 {
+			d.Observe(start, id("busy"))
+			d.Observe(start, id("busy"))
+			d.Observe(start, id(strconv.Itoa(i)))
+		}
+		convey.So(d.Count(start, id("busy")), convey.ShouldEqual, 200)
+	})
+}
--- a/pkg/routing/configuration.go
+++ b/pkg/routing/configuration.go
@@ -103,10 +103,8 @@
 // Limits are the limits on the size of callers' requests and on the time that callers
 // may take.
 type Limits struct {
-	HeaderBytes   int           // maximum size of the header; not read by the gateway
-	BodyBytes     int64         // maximum size of the body
-	HeaderTimeout time.Duration // until the header is received; not read by the gateway, which has a fixed one
-	IdleTimeout   time.Duration // between two requests on a connection
+	BodyBytes   int64         // maximum size of the body
+	IdleTimeout time.Duration // between two requests on a connection
 }
 
 // Configuration is one accepted version of the traffic rules. It is immutable.
