--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -83,5 +83,5 @@
 	timer := time.AfterFunc(discardTimeout, c.abort)
 	defer timer.Stop()
 	_, err := io.CopyN(io.Discard, body, maxDiscardedBytes+1)
-	return err == io.EOF
+	return errors.Is(err, io.EOF)
 }
