--- a/internal/enginecontroller/controller.go
+++ b/internal/enginecontroller/controller.go
@@ -26,9 +26,10 @@
 	disconnectedInterval = 500 * time.Millisecond
 	// minLoadUpdateInterval is the minimum interval between two EngineLoad messages,
 	// unless Full changes. minLoadChange is the minimum change in requests that
-	// causes one: an eighth of the smallest batch of the users' engines.
-	minLoadUpdateInterval = 200 * time.Millisecond
-	minLoadChange         = 4
+	// causes one: an eighth of the smallest batch of the users' engines, which has 12
+	// slots.
+	minLoadUpdateInterval = 90 * time.Millisecond
+	minLoadChange         = 1
 	// maxOrdersPerStep bounds the orders between two updates to entryds.
 	maxOrdersPerStep = 8
 )
--- a/internal/enginecontroller/pacer.go
+++ b/internal/enginecontroller/pacer.go
@@ -60,7 +60,7 @@
 		return // the connection has ended
 	}
 	key := prefill.Key{Sender: sender, ID: m.ID}
-	p.queue.Add(prefill.Prompt{Key: key, Tokens: m.Tokens, TokenTime: m.TokenTime, Gap: m.Gap, Urgency: m.Urgency})
+	p.queue.Add(now, prefill.Prompt{Key: key, Tokens: m.Tokens, TokenTime: m.TokenTime, Gap: m.Gap, Urgency: m.Urgency})
 	if !p.admit(now)[key] {
 		p.answer(key, false)
 	}
--- a/internal/gateway/pacing.go
+++ b/internal/gateway/pacing.go
@@ -66,8 +66,10 @@
 }
 
 // awaitAdmission handles the first answer to an offer. Unless the prompt was admitted
-// at an engine with free slots, it checks whether another target is better now, or
-// whether the call is to be rejected, and then waits for the admission.
+// at an engine with free slots, it checks whether another holder of the adapter is
+// better now, or whether the call is to be rejected, and then waits for the admission.
+// A target that would have to load the adapter first is no alternative: its load is
+// less well known, and the load delays those that others wait for.
 func (g *Gateway) awaitAdmission(
 	ctx context.Context, c *call, sel selection, o *offer, first peer.PromptAnswer,
 ) (answer peer.PromptAnswer, state answerState, again bool, reason string) {
@@ -75,7 +77,7 @@
 		return first, answered, false, ""
 	}
 	now := time.Now()
-	next, ok := g.Fleet.choose(now, c)
+	next, ok := g.Fleet.chooseResident(now, c)
 	switch {
 	case ok && next.target != sel.target && c.reselections < maxReselections:
 		c.reselections++
@@ -138,7 +140,7 @@
 		ID:        o.id,
 		Tokens:    c.promptTokens(),
 		TokenTime: f.tokenTime(c.service),
-		Gap:       c.route.MaxEventGap,
+		Gap:       f.pacedGap(now, c),
 		Urgency:   c.route.Urgency,
 	})
 	if err != nil {
@@ -210,6 +212,25 @@
 	return f.latencyOf(service).readTime.Slope()
 }
 
+// pacedGap returns the gap between events for which the prompts of the call's service
+// are paced, zero if they are not. The caller holds mu.
+func (f *Fleet) pacedGap(now time.Time, c *call) time.Duration {
+	if !f.latencyOf(c.service).gaps.Paces(now) {
+		return 0
+	}
+	return c.route.MaxEventGap
+}
+
+// recordGap records the longest gap between two events of an attempt's stream.
+func (f *Fleet) recordGap(now time.Time, c *call, longest time.Duration) {
+	if c.route.MaxEventGap <= 0 {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.latencyOf(c.service).gaps.Observe(now, longest > c.route.MaxEventGap)
+}
+
 // observeBacklog records the tokens of prompts that the engine has to read.
 func (t *targetState) observeBacklog(now time.Time, tokens int) {
 	t.backlog, t.backlogAt, t.unreadAtBacklog = tokens, now, t.unreadTokens
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -52,6 +52,8 @@
 	control := http.NewResponseController(w)
 	_ = control.SetWriteDeadline(c.deadline.Add(writeMargin)) // not supported by httptest.ResponseRecorder
 	skipped := 0                                              // bytes of events that came before, since the last new one
+	var longest time.Duration                                 // gap between two events of this attempt
+	defer func() { g.Fleet.recordGap(time.Now(), c, longest) }()
 	for first := true; ; first = false {
 		e, err := readEvent(reader, onBegin)
 		if err != nil {
@@ -65,10 +67,10 @@
 		}
 		now := time.Now()
 		onEvent(now, first)
-		if !c.lastEventAt.IsZero() {
-			c.longestGap = max(c.longestGap, now.Sub(c.lastEventAt))
+		if !first {
+			longest = max(longest, now.Sub(c.lastEventAt))
 		}
-		c.lastEventAt = now
+		c.recordEventAt(now)
 		if !c.acceptEvent(e) {
 			if skipped += len(e); skipped > maxEventBytes {
 				return broken, errNoProgress
@@ -91,6 +93,14 @@
 	}
 }
 
+// recordEventAt records the arrival of an event.
+func (c *call) recordEventAt(now time.Time) {
+	if !c.lastEventAt.IsZero() {
+		c.longestGap = max(c.longestGap, now.Sub(c.lastEventAt))
+	}
+	c.lastEventAt = now
+}
+
 // startStream writes the header of a streamed response.
 func (g *Gateway) startStream(w http.ResponseWriter, c *call, resp *upstream.Response) {
 	for name, values := range g.HeaderCodec.CallerHeader(resp.Header) {
--- a/internal/gateway/target_state.go
+++ b/internal/gateway/target_state.go
@@ -14,8 +14,9 @@
 
 // Validity of a target's state and default load times.
 const (
-	// loadTTL is how long the load that a target reported is used.
-	loadTTL = 400 * time.Millisecond
+	// loadTTL is how long the load that a target reported is used. A targetd reports
+	// only changes; it counts as lost after this time without any message.
+	loadTTL = peer.SilenceTimeout
 	// minAvoidTime and maxAvoidTime bound how long an unreachable target is
 	// avoided: from the shortest time of a restart to the interval of the
 	// platform's heartbeats, after which the target's entry is up to date.
--- a/pkg/prefill/doc.go
+++ b/pkg/prefill/doc.go
@@ -19,13 +19,17 @@
 // urgency, then of their arrival. The first one begins the next batch, and later ones
 // that fit may fill it, so that none waits for ever.
 //
+// Where prompts make no events late, pacing would only cost time. A Monitor at each
+// entryd finds out by the gaps of its own streams; its prompts state the allowed gap
+// only if it paces.
+//
 // The cost of a call is proportional to the number of prompts that wait for one
 // engine.
 //
 // # Usage
 //
 //	q := prefill.New()
-//	q.Add(prefill.Prompt{Key: key, Tokens: 1460, TokenTime: 52 * time.Microsecond, Gap: 300 * time.Millisecond})
+//	q.Add(now, prefill.Prompt{Key: key, Tokens: 1460, TokenTime: 52 * time.Microsecond, Gap: 300 * time.Millisecond})
 //	for _, key := range q.Admit(now) {
 //		// the prompt may be sent
 //	}
--- a/pkg/prefill/queue.go
+++ b/pkg/prefill/queue.go
@@ -16,6 +16,10 @@
 // slot, or its sender is cut off.
 const unreadTimeout = 600 * time.Millisecond
 
+// gapMemory is the time for which the allowed gap of a prompt applies to all prompts
+// of the engine: a few times the interval between the prompts of one entryd.
+const gapMemory = 10 * time.Second
+
 // Key identifies a prompt.
 type Key struct {
 	Sender uint64
@@ -27,7 +31,7 @@
 	Key       Key
 	Tokens    int           // number of tokens
 	TokenTime time.Duration // time in which the engine reads a token, zero if unknown
-	Gap       time.Duration // allowed gap between two events of a stream, zero if there is no limit
+	Gap       time.Duration // allowed gap between two events of a stream, zero if the sender sees no need to pace prompts
 	Urgency   int           // 0 is the most urgent
 }
 
@@ -40,6 +44,8 @@
 	admitted []admittedPrompt
 	batch    time.Duration // read time of the prompts of the current batch
 	full     bool          // a prompt did not fit: the batch admits no more
+	gap      time.Duration // least allowed gap of recent prompts, zero if none states one
+	gapAt    time.Time     // when gap was stated last
 }
 
 type admittedPrompt struct {
@@ -51,7 +57,13 @@
 func New() *Queue { return &Queue{} }
 
 // Add appends a prompt to the prompts of its urgency.
-func (q *Queue) Add(p Prompt) {
+func (q *Queue) Add(now time.Time, p Prompt) {
+	if now.Sub(q.gapAt) > gapMemory {
+		q.gap = 0
+	}
+	if p.Gap > 0 && (q.gap == 0 || p.Gap <= q.gap) {
+		q.gap, q.gapAt = p.Gap, now
+	}
 	i := len(q.waiting)
 	for i > 0 && q.waiting[i-1].Urgency > p.Urgency {
 		i--
@@ -100,7 +112,7 @@
 
 // fits reports whether the batch admits the prompt.
 func (q *Queue) fits(p *Prompt) bool {
-	return q.batch == 0 || p.Gap <= 0 || q.batch+p.readTime() <= time.Duration(budgetShare*float64(p.Gap))
+	return q.batch == 0 || q.gap == 0 || q.batch+p.readTime() <= time.Duration(budgetShare*float64(q.gap))
 }
 
 // reading reports whether the engine has not read all prompts of the batch.
--- a/pkg/prefill/queue_test.go
+++ b/pkg/prefill/queue_test.go
@@ -51,7 +51,7 @@
 	for next < len(arrivals) || len(engine) > 0 || q.Waiting() > 0 {
 		for next < len(arrivals) && arrivals[next].at <= now {
 			if paced {
-				q.Add(Prompt{Key: Key{Sender: uint64(next % 30), ID: uint64(next)}, Tokens: arrivals[next].tokens, TokenTime: tokenTime, Gap: allowedGap})
+				q.Add(start.Add(now), Prompt{Key: Key{Sender: uint64(next % 30), ID: uint64(next)}, Tokens: arrivals[next].tokens, TokenTime: tokenTime, Gap: allowedGap})
 			} else {
 				engine = append(engine, unread{next, arrivals[next].tokens})
 			}
@@ -142,15 +142,15 @@
 	key := func(id uint64) Key { return Key{Sender: id % 3, ID: id} }
 	convey.Convey("Given a full batch", t, func() {
 		q := New()
-		q.Add(newPrompt(1, 4000, 1))
+		q.Add(now, newPrompt(1, 4000, 1))
 		convey.So(q.Admit(now), convey.ShouldResemble, []Key{key(1)})
-		q.Add(newPrompt(2, 4000, 1))
-		q.Add(newPrompt(3, 3900, 1))
-		q.Add(newPrompt(4, 200, 0))
+		q.Add(now, newPrompt(2, 4000, 1))
+		q.Add(now, newPrompt(3, 3900, 1))
+		q.Add(now, newPrompt(4, 200, 0))
 		convey.So(q.Admit(now), convey.ShouldResemble, []Key{key(4)}) // fits, unlike those that came before
 		convey.So(q.Waiting(), convey.ShouldEqual, 2)
 		convey.So(q.Ahead(key(3)), convey.ShouldEqual, 8200)
-		q.Add(newPrompt(5, 10, 0))
+		q.Add(now, newPrompt(5, 10, 0))
 		convey.So(q.Admit(now), convey.ShouldBeEmpty)
 		q.Remove(key(5))
 		convey.Convey("the next one begins when all of its prompts were read", func() {
@@ -179,15 +179,28 @@
 			q := New()
 			for id := range uint64(10) {
 				p.Key.ID = id
-				q.Add(p)
+				q.Add(now, p)
 			}
 			convey.So(q.Admit(now), convey.ShouldHaveLength, 10)
 		}
 	})
+	convey.Convey("The gap that one sender states applies to the prompts of all, for a while", t, func() {
+		q := New()
+		q.Add(now, newPrompt(1, 4000, 0))
+		free := newPrompt(2, 4000, 0)
+		free.Gap = 0
+		q.Add(now, free)
+		convey.So(q.Admit(now), convey.ShouldResemble, []Key{key(1)})
+		q.Remove(key(1))
+		convey.So(q.Admit(now), convey.ShouldResemble, []Key{key(2)})
+		free.Key = key(4)
+		q.Add(now.Add(gapMemory+1), free)
+		convey.So(q.Admit(now.Add(100*time.Millisecond)), convey.ShouldResemble, []Key{key(4)})
+	})
 	convey.Convey("A prompt that is larger than a batch is admitted alone", t, func() {
 		q := New()
-		q.Add(newPrompt(1, 20000, 0))
-		q.Add(newPrompt(2, 20000, 0))
+		q.Add(now, newPrompt(1, 20000, 0))
+		q.Add(now, newPrompt(2, 20000, 0))
 		convey.So(q.Admit(now), convey.ShouldResemble, []Key{key(1)})
 		q.Remove(key(1))
 		convey.So(q.Admit(now), convey.ShouldResemble, []Key{key(2)})
