--- a/internal/gateway/pacing.go
+++ b/internal/gateway/pacing.go
@@ -6,6 +6,7 @@
 
 	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/internal/peer"
+	"github.com/borageusher/borageusher/pkg/assignment"
 )
 
 // Limits of pacing.
@@ -30,6 +31,7 @@
 	id      uint64
 	answers chan peer.PromptAnswer // closed when the connection ends
 	ahead   int                    // tokens of other prompts, according to the last answer
+	paced   bool                   // the prompt may have to wait for its admission
 	ended   bool
 }
 
@@ -43,6 +45,9 @@
 	if o == nil {
 		return nil, false, ""
 	}
+	if sel.isDistantAndFree() && !o.paced {
+		return o, false, "" // the offer only keeps the targetd's count
+	}
 	answer, state := awaitAnswer(ctx, o, paceTimeout)
 	if state == answered {
 		answer, state, again, reason = g.awaitAdmission(ctx, c, sel, o, answer)
@@ -65,6 +70,12 @@
 	return o, false, ""
 }
 
+// isDistantAndFree reports whether the target is in another region and not known to be
+// busy. A round trip there takes longer than its answer could save.
+func (s selection) isDistantAndFree() bool {
+	return s.target.distance == assignment.OtherRegion && s.backlog == 0 && s.load < s.replica.Slots
+}
+
 // awaitAdmission handles the first answer to an offer. Unless the prompt was admitted
 // at an engine with free slots, it checks whether another holder of the adapter is
 // better now, or whether the call is to be rejected, and then waits for the admission.
@@ -135,12 +146,20 @@
 		return nil
 	}
 	t.lastOffer++
-	o := &offer{target: t, conn: t.conn, id: t.lastOffer, answers: make(chan peer.PromptAnswer, 2), ahead: t.estimatedBacklog(now, f.tokenTime(c.service))}
+	gap := f.pacedGap(now, c)
+	o := &offer{
+		target:  t,
+		conn:    t.conn,
+		id:      t.lastOffer,
+		answers: make(chan peer.PromptAnswer, 2),
+		ahead:   t.estimatedBacklog(now, f.tokenTime(c.service)),
+		paced:   gap > 0,
+	}
 	_, err := t.conn.Send(peer.PromptOffer{
 		ID:        o.id,
 		Tokens:    c.promptTokens(),
 		TokenTime: f.tokenTime(c.service),
-		Gap:       f.pacedGap(now, c),
+		Gap:       gap,
 		Urgency:   c.route.Urgency,
 	})
 	if err != nil {
--- a/internal/gateway/pacing_test.go
+++ b/internal/gateway/pacing_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/internal/peer"
+	"github.com/borageusher/borageusher/pkg/assignment"
 )
 
 // fakePacer is a targetd that paces prompts by a script.
@@ -172,6 +173,16 @@
 			convey.So(len(ft.requests()), convey.ShouldEqual, 0)
 			convey.So(p.allDone(1), convey.ShouldBeTrue)
 		})
+		convey.Convey("a prompt for an engine in another region that is not known to be busy does not wait for the answer", func() {
+			p := newFakePacer(t, tg, "t1", func(*peer.Conn, peer.PromptOffer) {})
+			tg.fleet.mu.Lock()
+			tg.fleet.targets["t1"].distance = assignment.OtherRegion
+			tg.fleet.mu.Unlock()
+			got, took := call()
+			convey.So(got.status, convey.ShouldEqual, 200)
+			convey.So(took, convey.ShouldBeLessThan, paceTimeout)
+			convey.So(p.allDone(1), convey.ShouldBeTrue)
+		})
 		convey.Convey("a caller that leaves while its prompt waits ends the offer", func() {
 			p := newFakePacer(t, tg, "t1", answerAfter(5*time.Second, 1000))
 			tg.learnReadTime(100 * time.Millisecond)
