--- a/internal/gateway/pacing.go
+++ b/internal/gateway/pacing.go
@@ -63,6 +63,9 @@
 	case state == connectionLost && c.reselections < maxReselections:
 		c.reselections++
 		return nil, true, ""
+	case !g.Fleet.remainsChosen(time.Now(), sel, c):
+		g.Fleet.endOffer(o)
+		return nil, true, ""
 	case !answer.Admitted:
 		g.Log.Event(event.PacingSkipped).Str("request", c.meta.ID).Str("target", sel.replica.ID).
 			Dur("waited", time.Since(start)).Int("ahead", answer.Ahead).Send()
@@ -100,13 +103,22 @@
 	case first.Admitted:
 		return first, answered, false, ""
 	}
-	answer, state = awaitAnswer(ctx, o, waitForecastFactor*next.wait+paceTimeout)
+	limit := min(waitForecastFactor*next.wait+paceTimeout, callerTimeout(c.route.Objective)-now.Sub(c.start))
+	answer, state = awaitAnswer(ctx, o, limit)
 	if state != answered {
 		answer = first
 	}
 	return answer, state, false, ""
 }
 
+// remainsChosen reports whether the selected target may still be sent the call after
+// a wait: it is not leaving and holds the announced version of the adapter.
+func (f *Fleet) remainsChosen(now time.Time, sel selection, c *call) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return sel.target.usable(now) && sel.target.hasVersion(c.adapter, f.version(c.adapter))
+}
+
 // answerState is the result of waiting for an answer.
 type answerState uint8
 
--- a/internal/gateway/pacing_test.go
+++ b/internal/gateway/pacing_test.go
@@ -15,6 +15,8 @@
 	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/internal/peer"
 	"github.com/borageusher/borageusher/pkg/assignment"
+	"github.com/borageusher/borageusher/pkg/orders"
+	"github.com/borageusher/borageusher/pkg/target"
 )
 
 // fakePacer is a targetd that paces prompts by a script.
@@ -52,18 +54,18 @@
 		t.Fatal(err)
 	}
 	tc := &targetdConns{ctx: ctx, fleet: tg.fleet, log: event.Discard()}
-	target := tg.fleet.targets[id]
-	go func() { _ = tc.serve(ctx, target, id, c) }() // ends with the test
+	ts := tg.fleet.targets[id]
+	go func() { _ = tc.serve(ctx, ts, id, c) }() // ends with the test
 	paced := func() bool {
 		tg.fleet.mu.Lock()
 		defer tg.fleet.mu.Unlock()
-		return target.paces
+		return ts.paces
 	}
 	if !eventually(paced) {
 		t.Fatal("the gateway does not pace prompts")
 	}
 	tg.fleet.mu.Lock()
-	target.applyState(time.Now(), peer.EngineState{Reachable: true, Models: []string{"m"}})
+	ts.applyState(time.Now(), peer.EngineState{Reachable: true, Models: []string{"m"}})
 	tg.fleet.mu.Unlock()
 	return p
 }
@@ -183,6 +185,31 @@
 			convey.So(took, convey.ShouldBeLessThan, paceTimeout)
 			convey.So(p.allDone(1), convey.ShouldBeTrue)
 		})
+		convey.Convey("a target that leaves while a prompt waits for its admission is not sent the request", func() {
+			newFakePacer(t, tg, "t1", answerAfter(100*time.Millisecond, 1000))
+			time.AfterFunc(50*time.Millisecond, func() {
+				tg.fleet.mu.Lock()
+				defer tg.fleet.mu.Unlock()
+				tg.fleet.targets["t1"].replica.State = target.Leaving
+			})
+			got, _ := call()
+			convey.So(got.status, convey.ShouldEqual, 503)
+			convey.So(len(ft.requests()), convey.ShouldEqual, 0)
+		})
+		convey.Convey("nor is one that no longer holds the announced version of the adapter", func() {
+			newFakePacer(t, tg, "t1", answerAfter(100*time.Millisecond, 1000))
+			a := orders.Adapter{Model: "m", Name: "a1"}
+			tg.fleet.mu.Lock()
+			tg.fleet.targets["t1"].resident[a] = 1
+			tg.fleet.mu.Unlock()
+			time.AfterFunc(50*time.Millisecond, func() {
+				tg.fleet.mu.Lock()
+				defer tg.fleet.mu.Unlock()
+				tg.fleet.versions[a] = 2
+			})
+			convey.So(tg.call(t, "/once/x", "Model", "m", "Adapter", "a1").status, convey.ShouldEqual, 503)
+			convey.So(len(ft.requests()), convey.ShouldEqual, 0)
+		})
 		convey.Convey("a caller that leaves while its prompt waits ends the offer", func() {
 			p := newFakePacer(t, tg, "t1", answerAfter(5*time.Second, 1000))
 			tg.learnReadTime(100 * time.Millisecond)
