--- a/internal/enginecontroller/controller.go
+++ b/internal/enginecontroller/controller.go
@@ -25,7 +25,8 @@
 	// connected.
 	disconnectedInterval = 500 * time.Millisecond
 	// minLoadUpdateInterval is the minimum interval between two EngineLoad messages,
-	// unless Full changes. minLoadChange is the minimum change in requests that
+	// unless Full changes: a little less than idleInterval, so that each report may lead
+	// to one. minLoadChange is the minimum change in requests that
 	// causes one: an eighth of the smallest batch of the users' engines, which has 12
 	// slots.
 	minLoadUpdateInterval = 90 * time.Millisecond
