--- a/internal/gateway/pacing_test.go
+++ b/internal/gateway/pacing_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -240,3 +242,40 @@
 		convey.So(strings.Count(tg.logText(), `"name":"request_ended"`), convey.ShouldEqual, 6)
 	})
 }
+
+func TestSlowEnginePacesNoOther(t *testing.T) {
+	convey.Convey("Late events of slow engines don't make the prompts for other engines wait", t, func() {
+		const engines, slow = 9, 2
+		var targets []*fakeTarget
+		for i := range engines {
+			ft := newFakeTarget(t, fmt.Sprintf("t%d", i), sendEvents(1, 3, true))
+			if i < slow {
+				ft.steps = []step{func(c net.Conn, r *http.Request) bool { return sendSlowEvents(c, r, 3, 40*time.Millisecond) }}
+			}
+			targets = append(targets, ft)
+		}
+		tg := newTestGateway(t, targets...)
+		route, ok := tg.gateway.Configuration.Load().Match("h", "/once/x")
+		convey.So(ok, convey.ShouldBeTrue)
+		route.MaxEventGap = 20 * time.Millisecond
+		admit := func(c *peer.Conn, m peer.PromptOffer) { _, _ = c.Send(peer.PromptAnswer{ID: m.ID, Admitted: true}) }
+		var pacers []*fakePacer
+		for _, ft := range targets {
+			pacers = append(pacers, newFakePacer(t, tg, ft.id, admit))
+		}
+		for range 150 {
+			convey.So(tg.call(t, "/once/x", "Model", "m").status, convey.ShouldEqual, 200)
+		}
+		for _, p := range pacers[slow:] {
+			p.mu.Lock()
+			paced := 0
+			for _, o := range p.offers {
+				if o.Gap > 0 {
+					paced++
+				}
+			}
+			p.mu.Unlock()
+			convey.So(paced, convey.ShouldEqual, 0)
+		}
+	})
+}
