--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -45,6 +45,7 @@
 	RequestFailed     Code = 357
 	TargetStill       Code = 358
 	PacingSkipped     Code = 359
+	CallersClosed     Code = 360
 	RequestQueued     Code = 400
 	RequestNotRun     Code = 401
 	RequestStarted    Code = 402
@@ -128,6 +129,7 @@
 	{RequestFailed, "request_failed", zerolog.WarnLevel, "The caller got no response from a target: `status` and `reason` are what it received; `targets` lists the attempts with the values behind each decision."},
 	{TargetStill, "target_still", zerolog.WarnLevel, "Nothing was received from the target's VM for a while (`silent`): `attempts` that had received nothing from it were ended."},
 	{PacingSkipped, "pacing_skipped", zerolog.WarnLevel, "The targetd of `target` did not admit the prompt in the time that was forecast; the request is sent without its admission."},
+	{CallersClosed, "callers_closed", zerolog.InfoLevel, "Idle `connections` of callers were closed; `reason` says why."},
 	{RequestQueued, "request_queued", zerolog.DebugLevel, "The target queued an attempt."},
 	{RequestNotRun, "request_not_run", zerolog.InfoLevel, "The target refused an attempt that it had not started."},
 	{RequestStarted, "request_started", zerolog.DebugLevel, "The request was sent to the engine or service."},
--- a/internal/gateway/attempt_loop.go
+++ b/internal/gateway/attempt_loop.go
@@ -82,7 +82,7 @@
 			g.recordOutcome(c, http.StatusOK, reasonDelivered)
 			return
 		case out == callerLeft || callerCtx.Err() != nil:
-			g.abort(c)
+			g.abort(callerCtx, c)
 		case ctx.Err() != nil:
 			g.respondFailure(callerCtx, w, c, "timeout")
 			return
@@ -171,6 +171,9 @@
 	if callerCtx.Err() == nil && c.headerSent {
 		g.Scope.Counter("streams_broken").Inc(1)
 	}
+	if closedByServer(callerCtx) {
+		reason = "connection_closed"
+	}
 	if callerCtx.Err() != nil || c.headerSent {
 		g.recordOutcome(c, 0, reason)
 		panic(http.ErrAbortHandler) // closes the connection so that the caller sees an incomplete response
@@ -197,9 +200,13 @@
 	g.recordOutcome(c, status, reason)
 }
 
-// abort ends a call whose caller disconnected.
-func (g *Gateway) abort(c *call) {
-	g.recordOutcome(c, 0, "caller_left")
+// abort ends a call whose connection ended.
+func (g *Gateway) abort(callerCtx context.Context, c *call) {
+	reason := "caller_left"
+	if closedByServer(callerCtx) {
+		reason = "connection_closed"
+	}
+	g.recordOutcome(c, 0, reason)
 	panic(http.ErrAbortHandler) // the response has no reader
 }
 
--- a/internal/gateway/main.go
+++ b/internal/gateway/main.go
@@ -97,7 +97,7 @@
 		node:  node,
 		log:   log,
 		fleet: NewFleet(node.Zone, node.Region, node.Regions, log),
-		idle:  newIdleConns(),
+		idle:  newIdleConns(log, scope),
 
 		readiness: &readiness{log: log, scope: scope},
 	}
@@ -230,11 +230,21 @@
 	})
 	probe.Handle("/metrics", metricsHandler)
 	go func() { _ = (&http.Server{Handler: probe, ReadHeaderTimeout: headerTimeout}).Serve(readiness) }() // ends with the process
-	srv := &http.Server{Handler: p.gateway, ReadHeaderTimeout: headerTimeout, ConnState: p.idle.onStateChange}
+	srv := p.newCallerServer()
 	go func() { _ = srv.Serve(callers) }() // ends with the process
 	return srv, nil
 }
 
+// newCallerServer returns the server for callers, which is not started.
+func (p *process) newCallerServer() *http.Server {
+	return &http.Server{
+		Handler:           p.gateway,
+		ReadHeaderTimeout: headerTimeout,
+		ConnState:         p.idle.onStateChange,
+		ConnContext:       p.idle.connContext,
+	}
+}
+
 // Times of a graceful shutdown.
 const (
 	// drainDelay is how long all requests are still served after readiness is
