Don't close a caller's connection on which a request has arrived

What callers saw: a request on a kept connection reached a target, and in the same millisecond both connections ended, without an answer or a refusal.

Cause: a connection counted as idle from http.StateIdle to http.StateActive, but net/http reports the latter only after it has read and parsed the whole head of the next request. The handler started nevertheless and sent the request to a target; then the background read failed and the request's context was cancelled.

Fix: the callers' connections have a type of our own. It records the first byte of a request under the lock of the read itself, so that a byte is either still in the socket's receive buffer, which is checked before the close, or recorded. A close and a request can no longer overlap.

Ruled out: the caller's close, by the reason connection_closed.

--- /dev/null
+++ b/internal/gateway/caller_conn.go
@@ -0,0 +1,127 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/borageusher/borageusher/internal/socket"
+)
+
+// callerConn is a caller's connection. A request is in progress on it from its first
+// byte until the server waits for the next one. The states of http.Server don't show
+// this, because they change only after the whole head of a request has been read.
+//
+// Reading and the decision to close the connection exclude each other, so that a
+// connection is never closed between the read of a byte and its record.
+type callerConn struct {
+	*net.TCPConn
+	raw   syscall.RawConn
+	conns *callerConns
+
+	mu        sync.Mutex
+	busy      bool // a request is in progress
+	responded bool // the response has been written; the next Read ends the request
+	closed    bool // closed as idle
+	idleSince time.Time
+}
+
+// recordResponse records that the response to a request was written at now.
+func (c *callerConn) recordResponse(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.responded, c.idleSince = true, now
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(p []byte) (int, error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	c.mu.Lock()
+	if c.responded {
+		c.responded, c.busy = false, false
+	}
+	c.mu.Unlock()
+	n := 0
+	var readErr error
+	err := c.raw.Read(func(fd uintptr) bool {
+		n, readErr = c.tryRead(int(fd), p)
+		return !errors.Is(readErr, unix.EAGAIN)
+	})
+	var op *net.OpError
+	switch {
+	case errors.As(err, &op):
+		return 0, c.readError(op.Err)
+	case err != nil:
+		return 0, c.readError(err)
+	case readErr != nil:
+		return 0, c.readError(readErr)
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// tryRead reads without waiting and records a request that begins to arrive.
+func (c *callerConn) tryRead(fd int, p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return 0, net.ErrClosed
+	}
+	for {
+		n, err := unix.Read(fd, p)
+		switch {
+		case errors.Is(err, unix.EINTR):
+			continue
+		case errors.Is(err, unix.EAGAIN):
+			return 0, err
+		case err != nil:
+			return 0, os.NewSyscallError("read", err)
+		}
+		c.busy = c.busy || n > 0
+		return n, nil
+	}
+}
+
+// readError returns the error of a Read in the form that package net uses.
+func (c *callerConn) readError(err error) error {
+	return &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: err}
+}
+
+// expired reports whether the idle timeout has passed at now. The caller holds c.mu.
+func (c *callerConn) expired(now time.Time, timeout time.Duration) bool {
+	return timeout > 0 && !c.idleSince.IsZero() && now.Sub(c.idleSince) > timeout
+}
+
+// closeIfIdle closes the connection if match returns true, no request is in progress
+// and none is in the receive buffer. It reports whether it did.
+func (c *callerConn) closeIfIdle(match func(*callerConn) bool) bool {
+	c.mu.Lock()
+	idle := !c.closed && !c.busy && match(c) && socket.Quiescent(c.raw)
+	c.closed = c.closed || idle
+	c.mu.Unlock()
+	if idle {
+		_ = c.Close() // waits for Read, which needs c.mu
+	}
+	return idle
+}
+
+func (c *callerConn) closedAsIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
+}
+
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	c.conns.remove(c)
+	return c.TCPConn.Close()
+}
--- a/internal/gateway/main.go
+++ b/internal/gateway/main.go
@@ -67,7 +67,7 @@
 	crashes *crashTracker
 	gateway *Gateway
 	current atomic.Pointer[routing.Configuration]
-	idle    *idleConns
+	callers *callerConns
 
 	readiness *readiness
 	followers map[string]*follow.Follower // by object kind, as in the metrics
@@ -97,10 +97,10 @@
 		node:  node,
 		log:   log,
 		fleet: NewFleet(node.Zone, node.Region, node.Regions, log),
-		idle:  newIdleConns(log, scope),
 
 		readiness: &readiness{log: log, scope: scope},
 	}
+	p.callers = newCallerConns(p.idleTimeout, log, scope)
 	p.stopWithin.Store(int64(node.Bounds.StopTimeout))
 	self := peer.Identity{
 		Name:        node.Name,
@@ -178,7 +178,7 @@
 			client.CloseExpired(now)
 			p.crashes.expire(now)
 			p.updateGauges(now)
-			p.idle.closeExpired(now, p.idleTimeout())
+			p.callers.closeExpired(now)
 		}
 	}
 }
@@ -231,7 +231,7 @@
 	probe.Handle("/metrics", metricsHandler)
 	go func() { _ = (&http.Server{Handler: probe, ReadHeaderTimeout: headerTimeout}).Serve(readiness) }() // ends with the process
 	srv := p.newCallerServer()
-	go func() { _ = srv.Serve(callers) }() // ends with the process
+	go func() { _ = srv.Serve(p.callers.wrap(callers.(*net.TCPListener))) }() // ends with the process
 	return srv, nil
 }
 
@@ -240,8 +240,8 @@
 	return &http.Server{
 		Handler:           p.gateway,
 		ReadHeaderTimeout: headerTimeout,
-		ConnState:         p.idle.onStateChange,
-		ConnContext:       p.idle.connContext,
+		ConnState:         p.callers.onStateChange,
+		ConnContext:       p.callers.connContext,
 	}
 }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/borageusher/borageusher/internal/socket"
 )
 
 // Timeouts of connections.
@@ -87,13 +89,7 @@
 	if err != nil {
 		return false
 	}
-	noData := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, peekErr := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		noData = peekErr == unix.EAGAIN
-	})
-	return err == nil && noData
+	return socket.Quiescent(raw)
 }
 
 // abort resets the connection. Written data that the target has not received yet
