Keep the idle timeout that was in force when a connection became idle

Fix: a connection remembers the timeout at the beginning of its idle period. The longer of the two applies, so a longer timeout still takes effect at once.

--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -30,13 +30,15 @@
 	responded bool // the response has been written; the next Read ends the request
 	closed    bool // closed as idle
 	idleSince time.Time
+	timeout   time.Duration // idle timeout in force at idleSince, on which the caller relies
 }
 
-// recordResponse records that the response to a request was written at now.
-func (c *callerConn) recordResponse(now time.Time) {
+// recordResponse records that the response to a request was written at now, and the
+// idle timeout in force.
+func (c *callerConn) recordResponse(now time.Time, timeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.responded, c.idleSince = true, now
+	c.responded, c.idleSince, c.timeout = true, now, timeout
 }
 
 // Read implements net.Conn.
@@ -96,9 +98,11 @@
 	return &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: err}
 }
 
-// expired reports whether the idle timeout has passed at now. The caller holds c.mu.
+// expired reports whether the idle timeout has passed at now. The longer one of that
+// at the beginning of the idle period and the present one applies. The caller holds
+// c.mu.
 func (c *callerConn) expired(now time.Time, timeout time.Duration) bool {
-	return timeout > 0 && !c.idleSince.IsZero() && now.Sub(c.idleSince) > timeout
+	return timeout > 0 && !c.idleSince.IsZero() && now.Sub(c.idleSince) > max(timeout, c.timeout)
 }
 
 // closeIfIdle closes the connection if match returns true, no request is in progress
--- a/internal/gateway/caller_conns.go
+++ b/internal/gateway/caller_conns.go
@@ -58,7 +58,7 @@
 // onStateChange implements the ConnState hook of http.Server.
 func (cc *callerConns) onStateChange(conn net.Conn, state http.ConnState) {
 	if c, ok := conn.(*callerConn); ok && state == http.StateIdle {
-		c.recordResponse(time.Now())
+		c.recordResponse(time.Now(), cc.idleTimeout())
 	}
 }
 
--- a/internal/gateway/caller_conns_test.go
+++ b/internal/gateway/caller_conns_test.go
@@ -200,7 +200,7 @@
 		convey.So(err, convey.ShouldBeNil)
 		c := conn.(*callerConn)
 		later := time.Now().Add(time.Hour)
-		c.recordResponse(time.Now())
+		c.recordResponse(time.Now(), callerIdleTimeout)
 		b := make([]byte, 8)
 
 		convey.Convey("data in the receive buffer keeps it open and can be read", func() {
@@ -258,3 +258,48 @@
 		convey.So(len(ft.requests()), convey.ShouldEqual, answered)
 	})
 }
+
+// A shorter idle timeout closed the connections of callers that relied on the longer
+// one.
+func TestIdleTimeoutShortened(t *testing.T) {
+	convey.Convey("Given an idle connection", t, func() {
+		ft := newFakeTarget(t, "t1", respond(200, "good", signed))
+		ts := newTestCallerServer(t, ft)
+		c := ts.dial(t)
+		isOpenAfter := func(idle time.Duration) bool {
+			ts.process.callers.closeExpired(time.Now().Add(idle))
+			return len(ts.process.callers.list()) == 1
+		}
+		awaitIdle := func() {
+			c.send(requestText("/unsafe/x"))
+			convey.So(c.receive().status, convey.ShouldEqual, 200)
+			convey.So(eventually(func() bool { return ts.process.callers.list()[0].isIdle() }), convey.ShouldBeTrue)
+		}
+		convey.Convey("a shorter timeout applies from the next request on", func() {
+			awaitIdle()
+			ts.idleTimeout.Store(int64(callerIdleTimeout / 4))
+			convey.So(isOpenAfter(callerIdleTimeout*4/5), convey.ShouldBeTrue)
+			awaitIdle()
+			convey.So(isOpenAfter(callerIdleTimeout*4/5), convey.ShouldBeFalse)
+			convey.So(c.receive().truncated, convey.ShouldBeTrue)
+		})
+		convey.Convey("a longer timeout applies at once", func() {
+			awaitIdle()
+			ts.idleTimeout.Store(int64(callerIdleTimeout * 4))
+			convey.So(isOpenAfter(callerIdleTimeout*3), convey.ShouldBeTrue)
+			convey.So(isOpenAfter(callerIdleTimeout*5), convey.ShouldBeFalse)
+		})
+		convey.Convey("without a timeout it stays open", func() {
+			awaitIdle()
+			ts.idleTimeout.Store(0)
+			convey.So(isOpenAfter(time.Hour), convey.ShouldBeTrue)
+		})
+	})
+}
+
+// isIdle reports whether the server waits for the next request.
+func (c *callerConn) isIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.busy
+}
