Answer requests that arrive while entryd shuts down

What callers saw: at the end of a planned stop, a request on an open connection got neither an answer nor a refusal.

Besides, net/http drops a request whose head was complete only after the shutdown began.

One line of the log states how many were closed; stop_timed_out is logged if connections remain at the deadline.

--- a/internal/gateway/caller_conns.go
+++ b/internal/gateway/caller_conns.go
@@ -80,24 +80,54 @@
 // closeExpired closes the connections whose idle timeout has passed at now.
 func (cc *callerConns) closeExpired(now time.Time) {
 	timeout := cc.idleTimeout()
-	cc.closeIdle("idle", func(c *callerConn) bool { return c.expired(now, timeout) })
+	closed, _ := cc.closeIdle(func(c *callerConn) bool { return c.expired(now, timeout) })
+	cc.recordClosed(closed, "idle")
 }
 
-// closeIdle closes the idle connections that match, and returns the number of
-// connections that are still open.
-func (cc *callerConns) closeIdle(reason string, match func(*callerConn) bool) int {
-	closed := 0
-	list := cc.list()
-	for _, c := range list {
+// drainInterval is the interval at which drain looks for idle connections.
+const drainInterval = 10 * time.Millisecond
+
+// drain closes each connection as soon as it is idle, until none is open or ctx is
+// done. It reports whether none is open.
+func (cc *callerConns) drain(ctx context.Context) bool {
+	ticker := time.NewTicker(drainInterval)
+	defer ticker.Stop()
+	total := 0
+	defer func() { cc.recordClosed(total, "stopping") }()
+	for {
+		closed, open := cc.closeIdle(func(*callerConn) bool { return true })
+		total += closed
+		if open == 0 {
+			return true
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// closeIdle closes the idle connections that match. It returns their number and that
+// of the connections that stay open.
+func (cc *callerConns) closeIdle(match func(*callerConn) bool) (closed, open int) {
+	for _, c := range cc.list() {
 		if c.closeIfIdle(match) {
 			closed++
+		} else {
+			open++
 		}
 	}
-	if closed > 0 {
-		cc.log.Event(event.CallersClosed).Int("connections", closed).Str("reason", reason).Send()
-		cc.scope.Tagged(map[string]string{"reason": reason}).Counter("caller_connections_closed").Inc(int64(closed))
+	return closed, open
+}
+
+// recordClosed logs and counts n connections that were closed.
+func (cc *callerConns) recordClosed(n int, reason string) {
+	if n == 0 {
+		return
 	}
-	return len(list) - closed
+	cc.log.Event(event.CallersClosed).Int("connections", n).Str("reason", reason).Send()
+	cc.scope.Tagged(map[string]string{"reason": reason}).Counter("caller_connections_closed").Inc(int64(n))
 }
 
 func (cc *callerConns) list() []*callerConn {
--- a/internal/gateway/caller_conns_test.go
+++ b/internal/gateway/caller_conns_test.go
@@ -42,6 +42,7 @@
 	*testGateway
 	process *process
 	server  *http.Server
+	ln      net.Listener // of the server
 	addr    string
 	hooks   chan *connHook
 
@@ -82,7 +83,8 @@
 		t.Fatal(err)
 	}
 	ts.addr = ln.Addr().String()
-	go func() { _ = ts.server.Serve(ts.process.callers.wrap(ln.(*net.TCPListener))) }()
+	ts.ln = ts.process.callers.wrap(ln.(*net.TCPListener))
+	go func() { _ = ts.server.Serve(ts.ln) }()
 	t.Cleanup(func() { _ = ts.server.Close() })
 	return ts
 }
--- a/internal/gateway/main.go
+++ b/internal/gateway/main.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"os"
 	"sync/atomic"
 	"time"
 
@@ -83,12 +82,12 @@
 	scope, metricsHandler, stopMetrics := metrics.New("entryd")
 	defer stopMetrics()
 	p := newProcess(ctx, node, platform, log, scope)
-	srv, err := p.listen(platform, metricsHandler)
+	ln, err := p.listen(platform, metricsHandler)
 	if err != nil {
 		return err
 	}
 	log.Event(event.Started).Stringer("address", node.Callers).Str("zone", node.Zone).Send()
-	return p.stop(srv, signals)
+	return p.stop(ln, signals)
 }
 
 // newProcess creates the components and starts their background work.
@@ -212,9 +211,9 @@
 	return 0
 }
 
-// listen starts the listeners and returns the callers' server.
-func (p *process) listen(platform Platform, metricsHandler http.Handler) (*http.Server, error) {
-	callers, err := net.Listen("tcp4", p.node.Callers.String())
+// listen starts the listeners and returns the one of the callers.
+func (p *process) listen(platform Platform, metricsHandler http.Handler) (net.Listener, error) {
+	ln, err := net.Listen("tcp4", p.node.Callers.String())
 	if err != nil {
 		return nil, err
 	}
@@ -230,9 +229,9 @@
 	})
 	probe.Handle("/metrics", metricsHandler)
 	go func() { _ = (&http.Server{Handler: probe, ReadHeaderTimeout: headerTimeout}).Serve(readiness) }() // ends with the process
-	srv := p.newCallerServer()
-	go func() { _ = srv.Serve(p.callers.wrap(callers.(*net.TCPListener))) }() // ends with the process
-	return srv, nil
+	callers := p.callers.wrap(ln.(*net.TCPListener))
+	go func() { _ = p.newCallerServer().Serve(callers) }() // ends with the process
+	return callers, nil
 }
 
 // newCallerServer returns the server for callers, which is not started.
@@ -244,29 +243,3 @@
 		ConnContext:       p.callers.connContext,
 	}
 }
-
-// Times of a graceful shutdown.
-const (
-	// drainDelay is how long all requests are still served after readiness is
-	// withdrawn: two failed probes of the load balancer, one a second, plus one
-	// second.
-	drainDelay = 3 * time.Second
-	// stopMargin is the part of the platform's stop timeout that is reserved for
-	// the exit of the process.
-	stopMargin = 500 * time.Millisecond
-)
-
-// stop waits for a signal, lets the requests in progress finish within the stop
-// timeout, and shuts the server down.
-func (p *process) stop(srv *http.Server, signals <-chan os.Signal) error {
-	sig := <-signals
-	start := time.Now()
-	p.gateway.stopping.Store(true)
-	p.log.Event(event.Stopping).Stringer("signal", sig).Int64("requests", p.gateway.inProgress.Load()).Send()
-	time.Sleep(drainDelay)
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(time.Duration(p.stopWithin.Load())-stopMargin))
-	defer cancel()
-	err := srv.Shutdown(ctx)
-	p.log.Event(event.Stopped).Err(err).Int64("requests", p.gateway.inProgress.Load()).Send()
-	return nil
-}
--- /dev/null
+++ b/internal/gateway/stop.go
@@ -0,0 +1,46 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"os"
+	"time"
+
+	"github.com/borageusher/borageusher/internal/event"
+)
+
+// Times of a graceful shutdown.
+const (
+	// drainDelay is how long all requests are still served after readiness is
+	// withdrawn: two failed probes of the load balancer, one a second, plus one
+	// second.
+	drainDelay = 3 * time.Second
+	// stopMargin is the part of the platform's stop timeout that is reserved for
+	// the exit of the process.
+	stopMargin = 500 * time.Millisecond
+)
+
+// stop waits for a signal, lets the requests in progress finish within the stop
+// timeout, and closes the callers' connections.
+func (p *process) stop(ln net.Listener, signals <-chan os.Signal) error {
+	sig := <-signals
+	start := time.Now()
+	p.gateway.stopping.Store(true)
+	p.log.Event(event.Stopping).Stringer("signal", sig).Int64("requests", p.gateway.inProgress.Load()).Send()
+	time.Sleep(drainDelay)
+	p.shutDown(ln, start.Add(time.Duration(p.stopWithin.Load())-stopMargin))
+	return nil
+}
+
+// shutDown closes the listener, and until deadline each connection on which no request
+// is in progress. http.Server.Shutdown closes connections on which a request has begun
+// to arrive, and drops requests that are read later.
+func (p *process) shutDown(ln net.Listener, deadline time.Time) {
+	_ = ln.Close() // new connections go to other processes
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	if !p.callers.drain(ctx) {
+		p.log.Event(event.StopTimedOut).Int64("requests", p.gateway.inProgress.Load()).Send()
+	}
+	p.log.Event(event.Stopped).Send()
+}
--- /dev/null
+++ b/internal/gateway/stop_test.go
@@ -0,0 +1,50 @@
+package gateway
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+)
+
+// shutDown begins the shutdown of the server with the given time left, and returns
+// after the listener and the idle connections have been closed. The channel is closed
+// when the shutdown has ended.
+func (ts *testCallerServer) shutDown(left time.Duration) <-chan struct{} {
+	ended := make(chan struct{})
+	idle := ts.dialIdle()
+	go func() {
+		defer close(ended)
+		ts.process.shutDown(ts.ln, time.Now().Add(left))
+	}()
+	_, _ = idle.Read(make([]byte, 1))
+	return ended
+}
+
+// dialIdle opens a connection on which no request is sent.
+func (ts *testCallerServer) dialIdle() net.Conn {
+	before := len(ts.process.callers.list())
+	conn, err := net.Dial("tcp4", ts.addr)
+	convey.So(err, convey.ShouldBeNil)
+	convey.So(eventually(func() bool { return len(ts.process.callers.list()) > before }), convey.ShouldBeTrue)
+	return conn
+}
+
+// A shutdown closed connections on which a request had begun to arrive.
+func TestRequestLostAtShutdown(t *testing.T) {
+	convey.Convey("A request on an open connection is answered during a shutdown", t, func() {
+		for _, m := range arrivalMoments {
+			convey.Convey(m.name, func() {
+				ft := newFakeTarget(t, "t1", respond(200, "good", signed))
+				ts := newTestCallerServer(t, ft)
+				c := ts.dial(t)
+				finish := m.begin(ts, c)
+				ended := ts.shutDown(5 * time.Second)
+				finish()
+				convey.So(c.receive().status, convey.ShouldEqual, 200)
+				<-ended
+			})
+		}
+	})
+}
