Take no response without a request id as that of a request

What callers saw: 'not run, try again' (503 with Retry-After), or a run at a second target, for a non-idempotent request that a target was running, after the target had written an earlier refusal once more on a kept connection.

Cause: roundTrip skipped only responses that name another request. One without an id was taken as the response to the current request, and a refusal among them as proof that it had not run.

Ruled out: a refusal that names another request is skipped, also before the request's own response, after an informational one, and with a body that ends with the connection; bytes that arrive before the request is written are found by isQuiescent.

Change: targets repeat the id, so a response without one to a request with one ends the attempt as one that may have run, and its connection is reset. A response to a request without an id names no request either, so that such a request gets a new connection, on which nothing earlier can arrive.

--- /dev/null
+++ b/internal/gateway/repeated_test.go
@@ -0,0 +1,57 @@
+package gateway
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+)
+
+// thenRespond returns a step that writes text before a complete response.
+func thenRespond(text string) step {
+	return func(c net.Conn, r *http.Request) bool {
+		_, _ = io.WriteString(c, text)
+		return respond(200, "own", signed)(c, r)
+	}
+}
+
+// TestRepeatedRefusal guards against the refusal of an earlier request that is
+// written once more and taken as proof that the current request has not run.
+func TestRepeatedRefusal(t *testing.T) {
+	tests := []struct {
+		name, text string
+		status     int
+	}{
+		{"refusal without an id", "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", 502},
+		{"421 without an id", "HTTP/1.1 421 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", 502},
+		{"429 without an id", "HTTP/1.1 429 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", 502},
+		{"400 without an id", "HTTP/1.1 400 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", 502},
+		{"refusal of another request", "HTTP/1.1 503 X\r\nId: r0\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", 200},
+	}
+	convey.Convey("A request that a target runs is not reported as refused, and runs once", t, func() {
+		for _, test := range tests {
+			for _, path := range []string{"/unsafe/x", "/once/x"} {
+				convey.Convey(test.name+" on "+path, func() {
+					var runs atomic.Int32
+					first, repeat := respond(200, "own", signed), thenRespond(test.text)
+					kept := func(c net.Conn, r *http.Request) bool {
+						if r.Header.Get("Id") == "r0" {
+							return first(c, r)
+						}
+						runs.Add(1)
+						return repeat(c, r)
+					}
+					tg := newTestGateway(t, newFakeTarget(t, "t1", kept), newFakeTarget(t, "t2", kept))
+					for range 8 { // keeps connections to both targets
+						convey.So(tg.call(t, path, "Id", "r0").status, convey.ShouldEqual, 200)
+					}
+					convey.So(tg.call(t, path).status, convey.ShouldEqual, test.status)
+					convey.So(runs.Load(), convey.ShouldEqual, 1)
+				})
+			}
+		}
+	})
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -43,7 +43,7 @@
 // is reset, also while the body is read. WasSent distinguishes the errors of
 // requests that may have run.
 func (c *Client) Do(ctx context.Context, addr netip.AddrPort, req *Request) (*Response, error) {
-	conn, err := c.acquire(ctx, addr)
+	conn, err := c.acquire(ctx, addr, req)
 	if err != nil {
 		return nil, err
 	}
@@ -82,7 +82,8 @@
 }
 
 // roundTrip writes req to conn and returns the response to it. It skips responses
-// to other requests and informational ones.
+// to other requests and informational ones. A response without an id to a request
+// with one may belong to any request, so that it is an error.
 func (c *Client) roundTrip(conn *conn, req *Request) (*Response, error) {
 	if err := conn.send(req); err != nil {
 		return nil, err
@@ -95,7 +96,11 @@
 		if resp.StatusCode < 200 {
 			continue
 		}
-		if id := c.identify(resp.Header); id != "" && id != req.ID {
+		id := c.identify(resp.Header)
+		if id == "" && req.ID != "" {
+			return nil, &Error{Op: "read response", Kind: Mismatched, Err: errNoID}
+		}
+		if id != req.ID {
 			if !conn.discard(resp.Body) {
 				return nil, &Error{Op: "skip response", Kind: Broken, Err: errSkipFailed}
 			}
@@ -145,8 +150,13 @@
 // queueing delay.
 const earlyResponseTimeout = 300 * time.Millisecond
 
-// acquire returns an idle connection that is still usable, or a new one.
-func (c *Client) acquire(ctx context.Context, addr netip.AddrPort) (*conn, error) {
+// acquire returns an idle connection that is still usable, or a new one. A request
+// without an id gets a new one, because its response can't be distinguished from
+// those to earlier requests.
+func (c *Client) acquire(ctx context.Context, addr netip.AddrPort, req *Request) (*conn, error) {
+	if req.ID == "" {
+		return dial(ctx, addr)
+	}
 	now := time.Now()
 	for {
 		conn := c.popIdle(addr)
--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -28,10 +28,11 @@
 	discardTimeout = 100 * time.Millisecond
 )
 
-// Errors of responses that exceed a limit.
+// Errors of responses that exceed a limit or can't be attributed to a request.
 var (
 	errHeadTooLong = errors.Newf("response header exceeds %d bytes", maxHeadBytes)
 	errHeadTooSlow = errors.Newf("response header incomplete %s after its first byte", headTimeout)
+	errNoID        = errors.New("response without a request id")
 	errSkipFailed  = errors.Newf("the body of a response to another request did not end within %d bytes and %s", maxDiscardedBytes, discardTimeout)
 )
 
