Send a request again to the target that refused it over a new connection

What callers saw: a non-idempotent request ran twice, or was answered as not run while a target ran it.

Cause: when no other target is left, a call goes back to one that refused it. All attempts of a call carry the caller's id, and the attempt took the kept connection of the first one. A refusal that the target wrote once more on it names the current request, so that its id proves nothing.

Ruled out: targets that may have run the call are never chosen again (call.tried).

Change: an attempt at a target that refused the call uses a new connection, on which no earlier response can be repeated.

Before: TestRefusalRepeatedToItsRequest failed on both routes ("Expected: 1 Actual: 2" runs). After: it passes with -race, and so does the new part of TestUnidentifiedResponses.

--- a/internal/gateway/repeated_test.go
+++ b/internal/gateway/repeated_test.go
@@ -55,3 +55,30 @@
 		}
 	})
 }
+
+// TestRefusalRepeatedToItsRequest guards against a refusal that a target repeats when
+// the same request comes back to it over the same connection and runs.
+func TestRefusalRepeatedToItsRequest(t *testing.T) {
+	refusal := "HTTP/1.1 503 X\r\nId: r1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	for _, path := range []string{"/unsafe/x", "/once/x"} {
+		convey.Convey("A request that comes back to the target that refused it uses a new connection on "+path, t, func() {
+			var first atomic.Value // address of the gateway's end of the first connection
+			var runs atomic.Int32
+			tg := newTestGateway(t, newFakeTarget(t, "t1", func(c net.Conn, r *http.Request) bool {
+				peer := c.RemoteAddr().String()
+				if first.CompareAndSwap(nil, peer) {
+					_, _ = io.WriteString(c, refusal)
+					return true
+				}
+				runs.Add(1)
+				if first.Load() == peer {
+					return thenRespond(refusal)(c, r)
+				}
+				return respond(200, "own", signed)(c, r)
+			}))
+			got := tg.call(t, path)
+			convey.So(got.status, convey.ShouldEqual, 200)
+			convey.So(runs.Load(), convey.ShouldEqual, 1)
+		})
+	}
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -151,10 +151,10 @@
 const earlyResponseTimeout = 300 * time.Millisecond
 
 // acquire returns an idle connection that is still usable, or a new one. A request
-// without an id gets a new one, because its response can't be distinguished from
-// those to earlier requests.
+// without an id and one that was sent to the target before get a new one, because
+// their responses can't be distinguished from earlier ones.
 func (c *Client) acquire(ctx context.Context, addr netip.AddrPort, req *Request) (*conn, error) {
-	if req.ID == "" {
+	if req.ID == "" || req.Resent {
 		return dial(ctx, addr)
 	}
 	now := time.Now()
--- a/internal/upstream/repeated_test.go
+++ b/internal/upstream/repeated_test.go
@@ -50,8 +50,9 @@
 			})
 		}
 	})
+	echo := func(_ int, r *http.Request) (string, bool) { return responseText(r.Header.Get(idHeader), "own"), true }
 	convey.Convey("A request without an id is not sent over a connection that served another one", t, func() {
-		s := newFakeTarget(t, func(_ int, r *http.Request) (string, bool) { return responseText(r.Header.Get(idHeader), "own"), true })
+		s := newFakeTarget(t, echo)
 		c := New(identify)
 		for _, id := range []string{"1", "", ""} {
 			_, err := fetch(c, s.addr, newGetRequest(id))
@@ -59,4 +60,15 @@
 		}
 		convey.So(s.conns.Load(), convey.ShouldEqual, 3)
 	})
+	convey.Convey("A request that is sent again is not sent over a connection that served it before", t, func() {
+		s := newFakeTarget(t, echo)
+		c := New(identify)
+		for i := range 3 {
+			r := newGetRequest("1")
+			r.Resent = i > 0
+			_, err := fetch(c, s.addr, r)
+			convey.So(err, convey.ShouldBeNil)
+		}
+		convey.So(s.conns.Load(), convey.ShouldEqual, 3)
+	})
 }
