Take a refusal that other bytes follow as no proof

What callers saw: 'not run, try again' for a request whose response stood behind a refusal on the same connection.

Cause: handleRefusal trusted the head of the refusal alone. The bytes after its body kept only the connection from being reused.

Ruled out: a body without end after a refusal (TestEndlessBodies): nothing that could be a response follows it, and the refusal holds.

Change: an attempt whose refusal is followed by other bytes has a doubtful outcome: it may have run, and the request is sent again only if it is idempotent. Bytes that arrive after the body was read are not waited for.

Before: TestRefusalBeforeResponse failed on both routes ("Expected: 502 Actual: 503").

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -59,12 +59,19 @@
 	c.attemptsSent++
 	meta := g.HeaderCodec.ParseResponse(resp.Status, resp.Header)
 	// A 400 is relayed as the final response even if the request did not run.
-	if meta.NotRun && resp.Status != http.StatusBadRequest {
+	refusal := meta.NotRun && resp.Status != http.StatusBadRequest
+	if refusal {
+		resp.Discard() // only the status counts
+	}
+	if refusal && !resp.Followed() {
 		return g.handleRefusal(c, sel, resp, meta)
 	}
 	c.possibleRuns++
 	c.tried[sel.replica.ID] = true
 	g.Fleet.observeLoad(time.Now(), sel.target, meta.Load)
+	if refusal { // what follows may be the response of a run
+		return g.recordResult(ctx, c, sel, broken, errors.New("a refusal was followed by other bytes"), now)
+	}
 	if !isEventStream(resp) || !meta.Signed || meta.Reencoded {
 		out, err := g.relayBuffered(w, c, resp, meta)
 		return g.recordResult(ctx, c, sel, out, err, now)
@@ -181,7 +188,6 @@
 
 // handleRefusal records an attempt that the target proved not to have run.
 func (g *Gateway) handleRefusal(c *call, sel selection, resp *upstream.Response, meta ResponseMeta) outcome {
-	resp.Discard() // only the status counts
 	c.refused[sel.replica.ID] = true
 	g.Fleet.observeLoad(time.Now(), sel.target, meta.Load)
 	if resp.Status == http.StatusMisdirectedRequest { // another incarnation, or the adapter is not resident
--- a/internal/gateway/repeated_test.go
+++ b/internal/gateway/repeated_test.go
@@ -82,3 +82,22 @@
 		})
 	}
 }
+
+// TestRefusalBeforeResponse guards against a refusal that is followed by the response
+// to the same request.
+func TestRefusalBeforeResponse(t *testing.T) {
+	for _, path := range []string{"/unsafe/x", "/once/x"} {
+		convey.Convey("A refusal with bytes after it proves nothing on "+path, t, func() {
+			var runs atomic.Int32
+			contradict := func(c net.Conn, r *http.Request) bool {
+				runs.Add(1)
+				_, _ = io.WriteString(c, "HTTP/1.1 503 X\r\nId: r1\r\nNot-Run: 1\r\nContent-Length: 2\r\n\r\nno"+
+					"HTTP/1.1 200 OK\r\nId: r1\r\nSigned: yes\r\nContent-Length: 3\r\n\r\nown")
+				return true
+			}
+			tg := newTestGateway(t, newFakeTarget(t, "t1", contradict), newFakeTarget(t, "t2", contradict))
+			convey.So(tg.call(t, path).status, convey.ShouldEqual, 502)
+			convey.So(runs.Load(), convey.ShouldEqual, 1)
+		})
+	}
+}
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -77,6 +77,12 @@
 	}
 }
 
+// Followed reports whether bytes of no response to the request have arrived after the
+// body, which was read completely.
+func (r *Response) Followed() bool {
+	return r.conn != nil && r.bodyRead && r.conn.reader.Buffered() > 0
+}
+
 // Close releases the connection for reuse if the body was read completely.
 // Otherwise it resets the connection, which cancels the request at the target.
 func (r *Response) Close() {
