Take no response as a refusal whose head runs into another one

What callers saw: 'not run, try again' for a request that had run, when a target cut the head of its response within a header line and went on with an earlier refusal. The two heads parse as one: the status of the first, and the headers and ids of both.

Ruled out: a head that is cut elsewhere leaves a line without a colon, which http.ReadResponse rejects.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -58,8 +58,9 @@
 	defer resp.Close()
 	c.attemptsSent++
 	meta := g.HeaderCodec.ParseResponse(resp.Status, resp.Header)
-	// A 400 is relayed as the final response even if the request did not run.
-	refusal := meta.NotRun && resp.Status != http.StatusBadRequest
+	// A 400 is relayed as the final response even if the request did not run, and a
+	// success contradicts a refusal.
+	refusal := meta.NotRun && resp.Status >= 300 && resp.Status != http.StatusBadRequest
 	if refusal {
 		resp.Discard() // only the status counts
 	}
@@ -72,7 +73,7 @@
 	if refusal { // what follows may be the response of a run
 		return g.recordResult(ctx, c, sel, broken, errors.New("a refusal was followed by other bytes"), now)
 	}
-	if !isEventStream(resp) || !meta.Signed || meta.Reencoded {
+	if !isEventStream(resp) || !meta.Signed || meta.Reencoded || meta.NotRun {
 		out, err := g.relayBuffered(w, c, resp, meta)
 		return g.recordResult(ctx, c, sel, out, err, now)
 	}
@@ -225,6 +226,8 @@
 	switch {
 	case status < 300 && !meta.Signed:
 		return broken, errors.New("the response is not signed")
+	case status < 300 && meta.NotRun:
+		return broken, errors.New("the response is a success that is marked as not run")
 	case status < 300 && meta.Reencoded:
 		return broken, errors.New("the response has another encoding than the target's")
 	case impliesNotRun(status):
--- a/internal/gateway/repeated_test.go
+++ b/internal/gateway/repeated_test.go
@@ -101,3 +101,20 @@
 		})
 	}
 }
+
+// TestContradictoryRefusal guards against a success that is taken as a refusal because
+// the head of one runs into its own.
+func TestContradictoryRefusal(t *testing.T) {
+	for _, path := range []string{"/unsafe/x", "/once/x"} {
+		convey.Convey("A success that is marked as not run is no proof on "+path, t, func() {
+			var runs atomic.Int32
+			contradict := func(c net.Conn, r *http.Request) bool {
+				runs.Add(1)
+				return respond(200, "", "Signed: yHTTP/1.1 503 X", "Not-Run: 1")(c, r)
+			}
+			tg := newTestGateway(t, newFakeTarget(t, "t1", contradict), newFakeTarget(t, "t2", contradict))
+			convey.So(tg.call(t, path).status, convey.ShouldEqual, 502)
+			convey.So(runs.Load(), convey.ShouldEqual, 1)
+		})
+	}
+}
