Relay no event without an id into a resumed stream, and resume none after one

What callers saw: the head or the text of an error in the middle of their stream, after it had broken off and another target had answered with an event stream that held it. A stream of events without ids that broke off came twice.

A stream without a last id was sent again from its start.

Ruled out, in the forms of TestResumedStream that passed before: responses other than an event stream (200, 400, 421, 429, 500, 503, with and without proof), unsigned and re-encoded streams, text without a blank line, an event that is cut, a head that is cut; a stream in chunks or with a length that ends at once is a complete one.

Change: the events of a stream have increasing ids. One without an id can't be placed after the last one, so that it breaks the attempt that resumes the stream. Where the first target's stream has none, it is relayed, and the stream can't be resumed after it.

After: both pass.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -26,9 +26,10 @@
 	maxEventTime = time.Second
 )
 
-// Errors of streams that exceed a limit.
+// Errors of streams that exceed a limit or contain other bytes than events.
 var (
 	errEventTooLong = errors.Newf("event exceeds %d bytes", maxEventBytes)
+	errNoEventID    = errors.New("an event of a resumed stream has no id")
 	errNoProgress   = errors.Newf("no new event within %d bytes", maxEventBytes)
 )
 
@@ -40,7 +41,8 @@
 // calls onBegin when the first byte of an event has arrived and onEvent when it is
 // complete. It returns delivered if the stream ends after a whole event and the
 // response has started, callerLeft if a write to the caller fails, and otherwise
-// broken with the reason.
+// broken with the reason. A response that resumes a stream is broken at an event
+// without an id, which may belong to no stream.
 func (g *Gateway) relayStream(
 	w http.ResponseWriter, c *call, resp *upstream.Response, onBegin func(at time.Time), onEvent func(at time.Time, first bool),
 ) (outcome, error) {
@@ -51,8 +53,9 @@
 	reader := bufio.NewReader(resp)
 	control := http.NewResponseController(w)
 	_ = control.SetWriteDeadline(c.deadline.Add(writeMargin)) // not supported by httptest.ResponseRecorder
-	skipped := 0                                              // bytes of events that came before, since the last new one
-	var longest time.Duration                                 // gap between two events of this attempt
+	resumes := c.headerSent
+	skipped := 0              // bytes of events that came before, since the last new one
+	var longest time.Duration // gap between two events of this attempt
 	defer func() { g.Fleet.recordGap(time.Now(), c, longest) }()
 	for first := true; ; first = false {
 		e, err := readEvent(reader, onBegin)
@@ -65,13 +68,17 @@
 			}
 			return broken, err // an incomplete event is dropped
 		}
+		id := eventID(e)
+		if resumes && id == "" {
+			return broken, errNoEventID
+		}
 		now := time.Now()
 		onEvent(now, first)
 		if !first {
 			longest = max(longest, now.Sub(c.lastEventAt))
 		}
 		c.recordEventAt(now)
-		if !c.acceptEvent(e) {
+		if !c.acceptEvent(id) {
 			if skipped += len(e); skipped > maxEventBytes {
 				return broken, errNoProgress
 			}
@@ -138,10 +145,11 @@
 }
 
 // acceptEvent records an event that is about to be relayed, and reports whether
-// it comes after the last one. Events without an id are always relayed.
-func (c *call) acceptEvent(e []byte) bool {
-	id := eventID(e)
+// it comes after the last one. An event without an id is always relayed, but the
+// stream can't be resumed after it.
+func (c *call) acceptEvent(id string) bool {
 	if id == "" {
+		c.unrepeatable = true
 		return true
 	}
 	if c.lastEventID != "" {
@@ -151,7 +159,7 @@
 			return false
 		}
 	}
-	c.lastEventID = id
+	c.lastEventID, c.unrepeatable = id, false
 	return true
 }
 
