Run each request at an engine over a connection of its own

What callers would see: a request that an engine runs is queued again as not started or not resident, and runs twice.

Cause: net/http takes whatever arrives on a kept connection after a request was written as its response, and the interface of engines has no request id in responses. A refusal of an earlier request that the engine writes once more counts as proof that the current one has not run.

Ruled out: bytes that arrive while a connection is idle; net/http closes it.

Change: Run opens a connection for each request, on which no earlier response can arrive. Engine and targetd share a VM, so that this costs no round trip between VMs. Orders and reports keep their connections: a wrong result of an order is corrected by the next report.

Before: TestRepeatedRefusal failed ("Expected: nil Actual: 'engine: run: adapter not resident (status 409)'"). After: it passes, and so do the packages engine and agent with -race.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -43,14 +43,19 @@
 	baseURL string
 	epoch   uint64
 	http    *http.Client
+	runs    *http.Client // uses a new connection for each request
 }
 
 // New returns a client of the engine or plain service at addr. Load and unload
 // orders carry epoch, the number of the targetd's registration, as their fencing
 // token.
 func New(addr netip.AddrPort, epoch uint64) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}
-	return &Client{baseURL: "http://" + addr.String(), epoch: epoch, http: &http.Client{Transport: transport}}
+	return &Client{
+		baseURL: "http://" + addr.String(),
+		epoch:   epoch,
+		http:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}},
+		runs:    &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}},
+	}
 }
 
 // Load orders the engine to load an adapter and waits for completion. The error is
@@ -145,7 +150,9 @@
 // Run sends a request and returns when the headers of the response have arrived. The
 // error is of kind NotStarted if the request certainly did not run, NotResident if
 // it did not run because its adapter is not resident, and Uncertain if it may have
-// run. Ending ctx aborts the request and the reading of the body.
+// run. Ending ctx aborts the request and the reading of the body. Responses don't name
+// their request, so that each request has its own connection, on which no earlier
+// response can arrive.
 func (c *Client) Run(ctx context.Context, r Request) (*Response, error) {
 	connected := false
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
@@ -158,7 +165,7 @@
 	if r.ContentType != "" {
 		req.Header.Set("Content-Type", r.ContentType)
 	}
-	resp, err := c.http.Do(req)
+	resp, err := c.runs.Do(req)
 	if err != nil {
 		kind := Uncertain
 		if !connected {
