--- a/internal/engine/faulty_test.go
+++ b/internal/engine/faulty_test.go
@@ -77,3 +77,20 @@
 		}
 	})
 }
+
+// TestTruncatedHeads guards against a head that is cut and taken as a complete one.
+func TestTruncatedHeads(t *testing.T) {
+	convey.Convey("A head that is cut at any byte yields no response", t, func() {
+		for _, header := range []string{"Content-Length: 2\r\n", "Transfer-Encoding: chunked\r\n", ""} {
+			head := "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n" + header + "\r\n"
+			for n := range head {
+				c := newRawClient(t, func(int, *http.Request) (string, bool) { return head[:n], false })
+				_, err := c.Run(context.Background(), rawRequest)
+				convey.So(IsKind(err, Uncertain), convey.ShouldBeTrue)
+				_, err = c.State(context.Background())
+				convey.So(IsKind(err, Uncertain), convey.ShouldBeTrue)
+				convey.So(IsKind(c.Load(context.Background(), testAdapter), Uncertain), convey.ShouldBeTrue)
+			}
+		}
+	})
+}
