--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -30,6 +30,7 @@
 		sel.backlog = o.ahead
 	}
 	req := c.request
+	req.Resent = c.refused[sel.replica.ID]
 	req.Header = g.HeaderCodec.TargetHeader(c.header, AttemptMeta{
 		Instance:    sel.replica.ID,
 		Remaining:   c.remaining(now),
@@ -57,14 +58,22 @@
 	defer resp.Close()
 	c.attemptsSent++
 	meta := g.HeaderCodec.ParseResponse(resp.Status, resp.Header)
-	// A 400 is relayed as the final response even if the request did not run.
-	if meta.NotRun && resp.Status != http.StatusBadRequest {
+	// A 400 is relayed as the final response even if the request did not run, and a
+	// success contradicts a refusal.
+	refusal := meta.NotRun && resp.Status >= 300 && resp.Status != http.StatusBadRequest
+	if refusal {
+		resp.Discard() // only the status counts
+	}
+	if refusal && !resp.Followed() {
 		return g.handleRefusal(c, sel, resp, meta)
 	}
 	c.possibleRuns++
 	c.tried[sel.replica.ID] = true
 	g.Fleet.observeLoad(time.Now(), sel.target, meta.Load)
-	if !isEventStream(resp) || !meta.Signed || meta.Reencoded {
+	if refusal { // what follows may be the response of a run
+		return g.recordResult(ctx, c, sel, broken, errors.New("a refusal was followed by other bytes"), now)
+	}
+	if !isEventStream(resp) || !meta.Signed || meta.Reencoded || meta.NotRun {
 		out, err := g.relayBuffered(w, c, resp, meta)
 		return g.recordResult(ctx, c, sel, out, err, now)
 	}
@@ -180,7 +189,6 @@
 
 // handleRefusal records an attempt that the target proved not to have run.
 func (g *Gateway) handleRefusal(c *call, sel selection, resp *upstream.Response, meta ResponseMeta) outcome {
-	resp.Discard() // only the status counts
 	c.refused[sel.replica.ID] = true
 	g.Fleet.observeLoad(time.Now(), sel.target, meta.Load)
 	if resp.Status == http.StatusMisdirectedRequest { // another incarnation, or the adapter is not resident
@@ -218,6 +226,8 @@
 	switch {
 	case status < 300 && !meta.Signed:
 		return broken, errors.New("the response is not signed")
+	case status < 300 && meta.NotRun:
+		return broken, errors.New("the response is a success that is marked as not run")
 	case status < 300 && meta.Reencoded:
 		return broken, errors.New("the response has another encoding than the target's")
 	case impliesNotRun(status):
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -17,6 +17,7 @@
 	Header  http.Header // without hop-by-hop headers
 	Body    []byte
 	HasBody bool // the caller sent a body, which may be empty
+	Resent  bool // the target may have responded to a request with this id before
 }
 
 // head returns the encoded request line and headers.
@@ -54,6 +55,8 @@
 	Body   io.Reader // returns io.EOF only after the complete body
 	Length int64     // of the body in bytes, -1 if unknown
 
+	UntilClose bool // the body has neither a length nor chunks, and ends with its connection
+
 	conn     *conn
 	client   *Client
 	bodyRead bool
@@ -76,6 +79,12 @@
 	}
 }
 
+// Followed reports whether bytes of no response to the request have arrived after the
+// body, which was read completely.
+func (r *Response) Followed() bool {
+	return r.conn != nil && r.bodyRead && r.conn.reader.Buffered() > 0
+}
+
 // Close releases the connection for reuse if the body was read completely.
 // Otherwise it resets the connection, which cancels the request at the target.
 func (r *Response) Close() {
