Send nothing to a target that says in an answer that it leaves

Need: targets that leave say so in all their answers (Server-Leaving: 1). A caller's request that comes later than drain-ms after such an answer was passed on must not reach the target. The header was not read: a target was known to leave only from its entry in the store, which lags behind, or from its targetd while that is connected.

Ruled out: the state of the entry as the place for it, because the next write of the entry as ready, its lapse or a new address would undo it. Responses to other requests that internal/upstream skips are not read for it: they are not passed on, and repeat an answer that was.

Change: ResponseMeta.Leaving is read from the header of every response. The fleet keeps a notice for each incarnation of a target, for an hour after it is no longer listed. A target with such a notice is not usable, and calls that wait there, for an adapter or their admission, choose again at once. awaitsTargets leaves it out, so that requests are rejected at once if all targets leave. The targetd reads the header in answers to reports and orders, refusals too, orders nothing more and tells the entryds as Departing, which now wakes waiting calls and stays in force when the targetd is lost. The header is not forwarded in either direction.

--- a/internal/enginecontroller/controller.go
+++ b/internal/enginecontroller/controller.go
@@ -37,11 +37,12 @@
 
 // Engine is the engine on the same VM.
 type Engine interface {
-	// Report returns the engine's current state.
-	Report(ctx context.Context) (orders.Report, error)
+	// Report returns the engine's current state. The notice of this and of Order is
+	// valid also with an error.
+	Report(ctx context.Context) (orders.Report, orders.Notice, error)
 	// Order has the engine execute o on condition that it is the given instance
 	// and has accepted exactly sequence orders.
-	Order(ctx context.Context, instance string, sequence int64, o orders.Order) error
+	Order(ctx context.Context, instance string, sequence int64, o orders.Order) (orders.Notice, error)
 	// IsRejected reports whether an order failed because the engine rejected it, so
 	// that it never takes effect.
 	IsRejected(err error) bool
@@ -189,8 +190,9 @@
 
 // readReport reads the engine's report and logs changes of its availability.
 func (ec *Controller) readReport(ctx context.Context) {
-	r, err := ec.Engine.Report(ctx)
+	r, notice, err := ec.Engine.Report(ctx)
 	if err != nil {
+		ec.applyNotice(notice)
 		if ec.reachable {
 			ec.Log.Event(event.EngineUnreachable).Err(err).Send()
 		}
@@ -204,10 +206,23 @@
 		ec.Log.Event(event.EngineRestarted).Int64("started", r.Started).Int64("before", ec.report.Started).Send()
 	}
 	ec.reachable = true
+	departs := ec.report.Departing && ec.report.Started == r.Started
 	ec.report = r
+	ec.report.Departing = r.Departing || departs
+	ec.applyNotice(notice)
 	ec.pacer.observe(time.Now(), r.Running+r.Queued)
 }
 
+// applyNotice records what the engine said about further requests. An engine that
+// departs does so until it restarts.
+func (ec *Controller) applyNotice(n orders.Notice) {
+	if !n.Departing || ec.report.Departing {
+		return
+	}
+	ec.report.Departing = true
+	ec.Log.Event(event.EngineDeparting).Int64("started", ec.report.Started).Send()
+}
+
 // executeNextOrder sends the planner's next order to the engine. It reports
 // whether another order may succeed now: after an accepted order, or after a
 // rejected one if the planner permits it.
@@ -221,7 +236,8 @@
 	if !ok {
 		return false
 	}
-	err := ec.Engine.Order(ctx, instance, ec.report.Sequence, o)
+	notice, err := ec.Engine.Order(ctx, instance, ec.report.Sequence, o)
+	ec.applyNotice(notice)
 	e := ec.Log.Event(event.EngineOrdered).
 		Bool("unload", o.Unload).
 		Str("model", o.Adapter.Model).
--- a/internal/enginecontroller/controller_test.go
+++ b/internal/enginecontroller/controller_test.go
@@ -25,26 +25,32 @@
 
 // fakeEngine is an engine that loads models and adapters immediately.
 type fakeEngine struct {
-	mu        sync.Mutex
-	report    orders.Report
-	down      bool // the engine does not respond
-	received  []orders.Order
-	instances []string // instances to which the received orders were addressed
-	results   []error  // results of the next orders, nil for the default
+	mu             sync.Mutex
+	report         orders.Report
+	down           bool // the engine does not respond
+	received       []orders.Order
+	instances      []string      // instances to which the received orders were addressed
+	results        []error       // results of the next orders, nil for the default
+	notice         orders.Notice // of reports
+	orderNotice    orders.Notice // of responses to orders
+	refusesReports bool
 }
 
-func (e *fakeEngine) Report(context.Context) (orders.Report, error) {
+func (e *fakeEngine) Report(context.Context) (orders.Report, orders.Notice, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.down {
-		return orders.Report{}, errUnanswered
+		return orders.Report{}, orders.Notice{}, errUnanswered
+	}
+	if e.refusesReports {
+		return orders.Report{}, e.notice, errRejected
 	}
 	r := e.report
 	r.Adapters = append([]orders.Resident(nil), r.Adapters...)
-	return r, nil
+	return r, e.notice, nil
 }
 
-func (e *fakeEngine) Order(_ context.Context, instance string, sequence int64, o orders.Order) error {
+func (e *fakeEngine) Order(_ context.Context, instance string, sequence int64, o orders.Order) (orders.Notice, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.received = append(e.received, o)
@@ -53,19 +59,19 @@
 		err := e.results[0]
 		e.results = e.results[1:]
 		if err != nil {
-			return err
+			return e.orderNotice, err
 		}
 	}
 	if sequence != e.report.Sequence {
-		return errRejected
+		return e.orderNotice, errRejected
 	}
 	e.report.Sequence++
 	if o.Adapter.Name == "" {
 		e.report.Models = []orders.Model{{Name: o.Adapter.Model, Version: 1}}
-		return nil
+		return e.orderNotice, nil
 	}
 	e.report.Adapters = append(e.report.Adapters, orders.Resident{Adapter: o.Adapter, Version: max(1, o.Version)})
-	return nil
+	return e.orderNotice, nil
 }
 
 func (e *fakeEngine) IsRejected(err error) bool { return errors.Is(err, errRejected) }
@@ -319,3 +325,39 @@
 		convey.So(a.isPaced(), convey.ShouldBeFalse)
 	})
 }
+
+// TestDepartingEngine guards against an engine that gets requests and orders after it
+// said in an answer that it leaves.
+func TestDepartingEngine(t *testing.T) {
+	convey.Convey("Given an engine with a model", t, func() {
+		e := &fakeEngine{report: orders.Report{Started: 7}}
+		a := connect(t, startController(t, e), "e1")
+		a.send(t, engineSpec("i-1", 7))
+		convey.So(eventually(func() bool { return len(a.state().Models) == 1 }), convey.ShouldBeTrue)
+		convey.So(a.state().Departing, convey.ShouldBeFalse)
+		departs := func() bool { return a.state().Departing && a.state().Started == 7 }
+		convey.Convey("its answer to an order tells entryds that it departs, and it gets no other order", func() {
+			e.set(func(e *fakeEngine) { e.orderNotice = orders.Notice{Departing: true} })
+			ordered := len(e.orders())
+			a.send(t, wantAdapter("a1"))
+			convey.So(eventually(departs), convey.ShouldBeTrue)
+			a.send(t, wantAdapter("a2"))
+			time.Sleep(3 * idleInterval)
+			convey.So(len(e.orders()), convey.ShouldEqual, ordered+1)
+			convey.So(departs(), convey.ShouldBeTrue) // its report does not say so
+			convey.Convey("until it restarts", func() {
+				e.set(func(e *fakeEngine) { e.orderNotice, e.report = orders.Notice{}, orders.Report{Started: 9} })
+				a.send(t, engineSpec("i-2", 9))
+				convey.So(eventually(func() bool { s := a.state(); return s.Started == 9 && !s.Departing && len(s.Models) == 1 }), convey.ShouldBeTrue)
+			})
+		})
+		convey.Convey("its report tells so", func() {
+			e.set(func(e *fakeEngine) { e.notice = orders.Notice{Departing: true} })
+			convey.So(eventually(departs), convey.ShouldBeTrue)
+		})
+		convey.Convey("a refusal of the report tells so", func() {
+			e.set(func(e *fakeEngine) { e.notice, e.refusesReports = orders.Notice{Departing: true}, true })
+			convey.So(eventually(departs), convey.ShouldBeTrue)
+		})
+	})
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -45,6 +45,7 @@
 	RequestFailed     Code = 357
 	TargetStill       Code = 358
 	PacingSkipped     Code = 359
+	TargetDeparting   Code = 360
 	RequestQueued     Code = 400
 	RequestNotRun     Code = 401
 	RequestStarted    Code = 402
@@ -57,6 +58,7 @@
 	EngineRestarted   Code = 420
 	EngineUnreachable Code = 421
 	EngineReachable   Code = 422
+	EngineDeparting   Code = 423
 	TargetRegistered  Code = 430
 	TargetReplaced    Code = 431
 	ClaimTaken        Code = 440
@@ -128,6 +130,7 @@
 	{RequestFailed, "request_failed", zerolog.WarnLevel, "The caller got no response from a target: `status` and `reason` are what it received; `targets` lists the attempts with the values behind each decision."},
 	{TargetStill, "target_still", zerolog.WarnLevel, "Nothing was received from the target's VM for a while (`silent`): `attempts` that had received nothing from it were ended."},
 	{PacingSkipped, "pacing_skipped", zerolog.WarnLevel, "The targetd of `target` did not admit the prompt in the time that was forecast; the request is sent without its admission."},
+	{TargetDeparting, "target_departing", zerolog.InfoLevel, "The target or its targetd (`source`) says that the target leaves: it gets no more requests until it starts again, whatever its entry says; `in_flight` requests continue there."},
 	{RequestQueued, "request_queued", zerolog.DebugLevel, "The target queued an attempt."},
 	{RequestNotRun, "request_not_run", zerolog.InfoLevel, "The target refused an attempt that it had not started."},
 	{RequestStarted, "request_started", zerolog.DebugLevel, "The request was sent to the engine or service."},
@@ -140,6 +143,7 @@
 	{EngineRestarted, "engine_restarted", zerolog.WarnLevel, "The engine restarted and lost its adapters."},
 	{EngineUnreachable, "engine_unreachable", zerolog.WarnLevel, "The engine does not respond."},
 	{EngineReachable, "engine_reachable", zerolog.InfoLevel, "The engine responds."},
+	{EngineDeparting, "engine_departing", zerolog.InfoLevel, "The engine says in a response that it leaves: it gets no more orders until it starts again."},
 	{TargetRegistered, "target_registered", zerolog.InfoLevel, "The target is registered with `epoch` as its fencing token."},
 	{TargetReplaced, "target_replaced", zerolog.ErrorLevel, "Another process registered this target; this process takes no more work."},
 	{ClaimTaken, "claim_taken", zerolog.DebugLevel, "The target holds the claim on a request's idempotency key, before it runs the request."},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -57,6 +57,7 @@
 	defer resp.Close()
 	c.attemptsSent++
 	meta := g.HeaderCodec.ParseResponse(resp.Status, resp.Header)
+	g.Fleet.observeNotice(time.Now(), sel.target, meta)
 	// A 400 is relayed as the final response even if the request did not run.
 	if meta.NotRun && resp.Status != http.StatusBadRequest {
 		return g.handleRefusal(c, sel, resp, meta)
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -34,7 +34,8 @@
 	versionsListed bool                             // the announced versions were listed at least once
 	epoch          time.Time                        // time base of the attempts' lastActivity
 	lastScan       time.Time                        // last run of cancelStalled
-	onTarget       func(*targetState)               // called with mu held for added targets, and for all on a new configuration
+	notices        map[target.Incarnation]*targetNotice
+	onTarget       func(*targetState) // called with mu held for added targets, and for all on a new configuration
 }
 
 // NewFleet returns a fleet without targets. Distances are computed from the
@@ -49,6 +50,7 @@
 		versions:  map[orders.Adapter]int64{},
 		latencies: map[string]*latencyStats{},
 		changes:   map[orders.Adapter]chan struct{}{},
+		notices:   map[target.Incarnation]*targetNotice{},
 		epoch:     time.Now(),
 	}
 }
@@ -109,7 +111,7 @@
 		t = nil
 	}
 	if t == nil {
-		t = newTargetState(now, r)
+		t = newTargetState(now, r, f.noticeOf(r.Incarnation()))
 		t.distance = f.distance(r.Zone)
 		f.targets[r.ID] = t
 		f.logState(r, "added")
@@ -180,7 +182,7 @@
 }
 
 // Sweep drops the targets whose entries lapsed and were not written again in
-// time.
+// time, and the notices of former targets.
 func (f *Fleet) Sweep(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -190,6 +192,7 @@
 			f.drop(t)
 		}
 	}
+	f.expireNotices(now)
 }
 
 // distance returns the network distance to an availability zone.
--- a/internal/gateway/header_codec.go
+++ b/internal/gateway/header_codec.go
@@ -31,6 +31,7 @@
 	Signed    bool // the response is proven to come from the target
 	NotRun    bool // the target did not run the request and never will
 	Reencoded bool // the body was re-encoded on the way from the target
+	Leaving   bool // the target leaves and accepts no more requests
 	Load      Load
 }
 
--- a/internal/gateway/pacing.go
+++ b/internal/gateway/pacing.go
@@ -30,6 +30,7 @@
 	conn    *peer.Conn
 	id      uint64
 	answers chan peer.PromptAnswer // closed when the connection ends
+	stop    <-chan struct{}        // closed when the call has to choose another target
 	ahead   int                    // tokens of other prompts, according to the last answer
 	paced   bool                   // the prompt may have to wait for its admission
 	ended   bool
@@ -129,7 +130,8 @@
 	callEnded
 )
 
-// awaitAnswer waits for the next answer to an offer.
+// awaitAnswer waits for the next answer to an offer, until the limit or until its
+// target turns the call away.
 func awaitAnswer(ctx context.Context, o *offer, limit time.Duration) (peer.PromptAnswer, answerState) {
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
@@ -141,6 +143,8 @@
 		return m, answered
 	case <-timer.C:
 		return peer.PromptAnswer{}, unanswered
+	case <-o.stop:
+		return peer.PromptAnswer{}, unanswered
 	case <-ctx.Done():
 		return peer.PromptAnswer{}, callEnded
 	}
@@ -164,6 +168,7 @@
 		conn:    t.conn,
 		id:      t.lastOffer,
 		answers: make(chan peer.PromptAnswer, 2),
+		stop:    t.turnedAway,
 		ahead:   t.estimatedBacklog(now, f.tokenTime(c.service)),
 		paced:   gap > 0,
 	}
--- a/internal/gateway/target_state.go
+++ b/internal/gateway/target_state.go
@@ -49,6 +49,8 @@
 	distance    assignment.Distance
 	added       time.Time
 	goneAt      time.Time // end of the grace period of a lapsed entry, zero if it did not lapse
+	notice      *targetNotice
+	turnedAway  chan struct{} // closed and replaced when the calls that wait for the target have to choose again
 
 	conn            *peer.Conn // to the targetd, nil while disconnected
 	state           peer.EngineState
@@ -89,12 +91,14 @@
 	loadRequestedAt map[orders.Adapter]time.Time // last load request sent to the targetd
 }
 
-func newTargetState(now time.Time, r target.Replica) *targetState {
+func newTargetState(now time.Time, r target.Replica, n *targetNotice) *targetState {
 	return &targetState{
 		added:           now,
 		replica:         r,
 		incarnation:     r.Incarnation().String(),
 		hash:            placement.Hash(r.Addr.String()),
+		notice:          n,
+		turnedAway:      make(chan struct{}),
 		resident:        map[orders.Adapter]int64{},
 		loading:         map[orders.Adapter]bool{},
 		offers:          map[uint64]*offer{},
@@ -109,7 +113,7 @@
 // usable reports whether new requests may be sent to the target. The state of its
 // engine is ignored while the targetd is disconnected, as it may be outdated.
 func (t *targetState) usable(now time.Time) bool {
-	if t.replica.State != target.Live || (!t.goneAt.IsZero() && !now.Before(t.goneAt)) {
+	if t.replica.State != target.Live || t.notice.leaving || (!t.goneAt.IsZero() && !now.Before(t.goneAt)) {
 		return false
 	}
 	return t.stateAt.IsZero() || (t.state.Reachable && !t.state.Departing) || t.conn == nil
@@ -159,7 +163,7 @@
 // resident or were updated, and whether anything else that affects selection
 // changed.
 func (t *targetState) applyState(now time.Time, s peer.EngineState) (arrived []orders.Adapter, changed bool) {
-	changed = t.stateAt.IsZero() || t.state.Reachable != s.Reachable || t.state.Started != s.Started || len(t.state.Models) != len(s.Models)
+	changed = t.stateAt.IsZero() || t.state.Reachable != s.Reachable || t.state.Departing != s.Departing || t.state.Started != s.Started || len(t.state.Models) != len(s.Models)
 	resident := make(map[orders.Adapter]int64, len(s.Resident))
 	for _, a := range s.Resident {
 		key := orders.Adapter{Model: a.Model, Name: a.Adapter}
--- a/internal/gateway/targetd_conns.go
+++ b/internal/gateway/targetd_conns.go
@@ -128,6 +128,9 @@
 	f.observeLoadTimes(now, t, s)
 	crashed = t.engineCrashed(s)
 	arrived, changed := t.applyState(now, s)
+	if s.Departing && s.Started == t.replica.Incarnation().Started {
+		f.recordLeaving(now, t, "targetd")
+	}
 	for _, a := range arrived {
 		f.notify(a)
 	}
--- a/internal/gateway/test_gateway_test.go
+++ b/internal/gateway/test_gateway_test.go
@@ -47,7 +47,7 @@
 }
 
 func (testHeaderCodec) ParseResponse(_ int, h http.Header) ResponseMeta {
-	return ResponseMeta{ID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "", Reencoded: h.Get("Content-Encoding") != ""}
+	return ResponseMeta{ID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "", Reencoded: h.Get("Content-Encoding") != "", Leaving: h.Get("Leaving") != ""}
 }
 
 func (testHeaderCodec) CallerHeader(h http.Header) http.Header {
--- a/pkg/orders/report.go
+++ b/pkg/orders/report.go
@@ -34,6 +34,11 @@
 	Departing       bool       // the engine accepts no further requests or orders
 }
 
+// Notice is what an engine said about further requests in the header of a response.
+type Notice struct {
+	Departing bool // as in Report
+}
+
 // HoldsModel reports whether the engine holds the weights of model.
 func (r *Report) HoldsModel(model string) bool {
 	for _, m := range r.Models {
