Send a target nothing for the time that it asks for with a 503

Need: a target that turns a request away with 503 may add Retry-After; it wants nothing from that machine for so long. Nothing read the header: a call whose only target was full was sent to it again at once, until the retry budget was used up.

Ruled out: the existing avoidance (avoidUntil), which yields if there is no other target; a limit of some minutes, because the rule counts to the end of the time given; the end of a backoff as one signal to all waiting calls, because they would return together.

The notice of the incarnation holds the end, which a later answer may only extend. Until then the target is not usable, and calls that wait there choose again. If only targets in backoff are left, a call waits for the earliest end if that is within its wait, else it is rejected at once (reason backoff) with the time to it as Retry-After, both with a random delay. awaitsTargets leaves such targets out: a target that was just discovered would have been waited for. The targetd sends neither orders nor requests for reports during a backoff; its engine counts as reachable, as one that is down would be taken for crashed. The next start of a target has no backoff. A 503 of a target is never passed on, and so neither is its Retry-After. A 503 without it changes nothing.

--- a/internal/enginecontroller/controller.go
+++ b/internal/enginecontroller/controller.go
@@ -77,7 +77,8 @@
 	state            peer.EngineState
 	report           orders.Report
 	reachable        bool
-	unansweredOrders int // consecutive orders without a response
+	unansweredOrders int       // consecutive orders without a response
+	backoffUntil     time.Time // the engine wants neither reports nor orders before
 }
 
 // inboxSize is the number of messages buffered for the loop. Connections block
@@ -110,6 +111,9 @@
 	}
 	ec.instances[m.Started] = m.Instance
 	ec.spec = m
+	if restarted := ec.report.Started != 0 && m.Started > ec.report.Started; restarted {
+		ec.backoffUntil = time.Time{}
+	}
 	for _, a := range m.Announced {
 		ec.planner.RecordVersion(now, orders.Adapter{Model: a.Model, Name: a.Adapter}, a.Version)
 	}
@@ -173,8 +177,11 @@
 		return disconnectedInterval
 	}
 	for range maxOrdersPerStep {
+		if time.Now().Before(ec.backoffUntil) {
+			break
+		}
 		ec.readReport(ctx)
-		if !ec.reachable || !ec.executeNextOrder(ctx) {
+		if !ec.reachable || time.Now().Before(ec.backoffUntil) || !ec.executeNextOrder(ctx) {
 			break
 		}
 	}
@@ -192,7 +199,10 @@
 func (ec *Controller) readReport(ctx context.Context) {
 	r, notice, err := ec.Engine.Report(ctx)
 	if err != nil {
-		ec.applyNotice(notice)
+		ec.applyNotice(time.Now(), notice)
+		if notice.Backoff > 0 {
+			return // an engine that turns calls away responds
+		}
 		if ec.reachable {
 			ec.Log.Event(event.EngineUnreachable).Err(err).Send()
 		}
@@ -209,18 +219,21 @@
 	departs := ec.report.Departing && ec.report.Started == r.Started
 	ec.report = r
 	ec.report.Departing = r.Departing || departs
-	ec.applyNotice(notice)
+	ec.applyNotice(time.Now(), notice)
 	ec.pacer.observe(time.Now(), r.Running+r.Queued)
 }
 
 // applyNotice records what the engine said about further requests. An engine that
 // departs does so until it restarts.
-func (ec *Controller) applyNotice(n orders.Notice) {
-	if !n.Departing || ec.report.Departing {
-		return
+func (ec *Controller) applyNotice(now time.Time, n orders.Notice) {
+	if n.Departing && !ec.report.Departing {
+		ec.report.Departing = true
+		ec.Log.Event(event.EngineDeparting).Int64("started", ec.report.Started).Send()
+	}
+	if n.Backoff > 0 {
+		ec.backoffUntil = now.Add(n.Backoff)
+		ec.Log.Event(event.EngineBackoff).Int64("started", ec.report.Started).Dur("for", n.Backoff).Send()
 	}
-	ec.report.Departing = true
-	ec.Log.Event(event.EngineDeparting).Int64("started", ec.report.Started).Send()
 }
 
 // executeNextOrder sends the planner's next order to the engine. It reports
@@ -237,7 +250,7 @@
 		return false
 	}
 	notice, err := ec.Engine.Order(ctx, instance, ec.report.Sequence, o)
-	ec.applyNotice(notice)
+	ec.applyNotice(time.Now(), notice)
 	e := ec.Log.Event(event.EngineOrdered).
 		Bool("unload", o.Unload).
 		Str("model", o.Adapter.Model).
--- a/internal/enginecontroller/controller_test.go
+++ b/internal/enginecontroller/controller_test.go
@@ -34,11 +34,13 @@
 	notice         orders.Notice // of reports
 	orderNotice    orders.Notice // of responses to orders
 	refusesReports bool
+	reports        int // received
 }
 
 func (e *fakeEngine) Report(context.Context) (orders.Report, orders.Notice, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.reports++
 	if e.down {
 		return orders.Report{}, orders.Notice{}, errUnanswered
 	}
@@ -361,3 +363,63 @@
 		})
 	})
 }
+
+// reportCount returns the number of reports that were requested.
+func (e *fakeEngine) reportCount() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.reports
+}
+
+// TestEngineBackoff guards against calls of an engine that turned one away for some
+// time, and against taking such an engine for one that is down.
+func TestEngineBackoff(t *testing.T) {
+	convey.Convey("Given an engine with a model", t, func() {
+		e := &fakeEngine{report: orders.Report{Started: 7}}
+		a := connect(t, startController(t, e), "e1")
+		a.send(t, engineSpec("i-1", 7))
+		convey.So(eventually(func() bool { return len(a.state().Models) == 1 }), convey.ShouldBeTrue)
+		backoff := orders.Notice{Backoff: time.Second}
+		// turnAwayReport and turnAwayOrder have the engine turn the next such call away, and
+		// return the earliest end of the backoff.
+		turnAwayReport := func() time.Time {
+			began, before := time.Now(), 0
+			e.set(func(e *fakeEngine) { e.refusesReports, e.notice, before = true, backoff, e.reports })
+			convey.So(eventually(func() bool { return e.reportCount() > before }), convey.ShouldBeTrue)
+			e.set(func(e *fakeEngine) { e.refusesReports, e.notice = false, orders.Notice{} })
+			return began.Add(backoff.Backoff)
+		}
+		turnAwayOrder := func() time.Time {
+			began, before := time.Now(), len(e.orders())
+			e.set(func(e *fakeEngine) { e.results, e.orderNotice = []error{errRejected}, backoff })
+			a.send(t, wantAdapter("a1"))
+			convey.So(eventually(func() bool { return len(e.orders()) > before }), convey.ShouldBeTrue)
+			e.set(func(e *fakeEngine) { e.orderNotice = orders.Notice{} })
+			return began.Add(backoff.Backoff)
+		}
+		silent := func(until time.Time) bool {
+			reports, ordered := e.reportCount(), len(e.orders())
+			for time.Now().Before(until) {
+				a.send(t, wantAdapter("a2"))
+				time.Sleep(20 * time.Millisecond)
+			}
+			return e.reportCount() == reports && len(e.orders()) == ordered && a.state().Reachable
+		}
+		convey.Convey("it gets neither reports nor orders after it turned an order away, until the time has passed", func() {
+			convey.So(silent(turnAwayOrder()), convey.ShouldBeTrue)
+			convey.So(eventually(func() bool { return holds(a.state(), "a2") }), convey.ShouldBeTrue)
+		})
+		convey.Convey("nor after it turned a report away, and it counts as reachable", func() {
+			convey.So(silent(turnAwayReport()), convey.ShouldBeTrue)
+			a.send(t, wantAdapter("a2"))
+			convey.So(eventually(func() bool { return holds(a.state(), "a2") }), convey.ShouldBeTrue)
+		})
+		convey.Convey("its next instance is called at once", func() {
+			backoff.Backoff = time.Hour
+			turnAwayOrder()
+			e.set(func(e *fakeEngine) { e.report = orders.Report{Started: 9} })
+			a.send(t, engineSpec("i-2", 9))
+			convey.So(eventually(func() bool { return a.state().Started == 9 }), convey.ShouldBeTrue)
+		})
+	})
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -46,6 +46,7 @@
 	TargetStill       Code = 358
 	PacingSkipped     Code = 359
 	TargetDeparting   Code = 360
+	TargetBackoff     Code = 361
 	RequestQueued     Code = 400
 	RequestNotRun     Code = 401
 	RequestStarted    Code = 402
@@ -59,6 +60,7 @@
 	EngineUnreachable Code = 421
 	EngineReachable   Code = 422
 	EngineDeparting   Code = 423
+	EngineBackoff     Code = 424
 	TargetRegistered  Code = 430
 	TargetReplaced    Code = 431
 	ClaimTaken        Code = 440
@@ -131,6 +133,7 @@
 	{TargetStill, "target_still", zerolog.WarnLevel, "Nothing was received from the target's VM for a while (`silent`): `attempts` that had received nothing from it were ended."},
 	{PacingSkipped, "pacing_skipped", zerolog.WarnLevel, "The targetd of `target` did not admit the prompt in the time that was forecast; the request is sent without its admission."},
 	{TargetDeparting, "target_departing", zerolog.InfoLevel, "The target or its targetd (`source`) says that the target leaves: it gets no more requests until it starts again, whatever its entry says; `in_flight` requests continue there."},
+	{TargetBackoff, "target_backoff", zerolog.InfoLevel, "The target turned a request away and gets none `for` a while, also if there is no other target; later answers may extend it."},
 	{RequestQueued, "request_queued", zerolog.DebugLevel, "The target queued an attempt."},
 	{RequestNotRun, "request_not_run", zerolog.InfoLevel, "The target refused an attempt that it had not started."},
 	{RequestStarted, "request_started", zerolog.DebugLevel, "The request was sent to the engine or service."},
@@ -144,6 +147,7 @@
 	{EngineUnreachable, "engine_unreachable", zerolog.WarnLevel, "The engine does not respond."},
 	{EngineReachable, "engine_reachable", zerolog.InfoLevel, "The engine responds."},
 	{EngineDeparting, "engine_departing", zerolog.InfoLevel, "The engine says in a response that it leaves: it gets no more orders until it starts again."},
+	{EngineBackoff, "engine_backoff", zerolog.InfoLevel, "The engine turned a call of its targetd away: it gets no orders `for` a while, and its state is not read."},
 	{TargetRegistered, "target_registered", zerolog.InfoLevel, "The target is registered with `epoch` as its fencing token."},
 	{TargetReplaced, "target_replaced", zerolog.ErrorLevel, "Another process registered this target; this process takes no more work."},
 	{ClaimTaken, "claim_taken", zerolog.DebugLevel, "The target holds the claim on a request's idempotency key, before it runs the request."},
--- a/internal/gateway/attempt_loop.go
+++ b/internal/gateway/attempt_loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -23,6 +24,12 @@
 	// retryAfterDivisor limits Retry-After to this fraction of the remaining
 	// time.
 	retryAfterDivisor = 3
+	// backoffSpreadDivisor and maxBackoffSpread limit the random delay with which
+	// calls return after the end of a target's backoff, so that they don't return
+	// together: to a fraction of the time until the end, and to the most by which a
+	// caller is delayed for it.
+	backoffSpreadDivisor = 4
+	maxBackoffSpread     = 250 * time.Millisecond
 )
 
 // reasonDelivered is the reason of a call whose caller received a target's response.
@@ -114,11 +121,15 @@
 	for {
 		now := time.Now()
 		sel, ok := g.Fleet.choose(now, c)
+		pause := waitPollInterval
 		switch {
 		case ctx.Err() != nil:
 			return selection{}, "timeout"
-		case !ok && (now.After(waitUntil) || !g.Fleet.awaitsTargets(now, c)):
-			return selection{}, "no_target"
+		case !ok:
+			var reason string
+			if pause, reason = g.awaitUsable(now, c, waitUntil); reason != "" {
+				return selection{}, reason
+			}
 		case ok && sel.resident && g.Fleet.overloaded(c, sel):
 			return selection{}, "overloaded"
 		case ok && sel.resident:
@@ -128,7 +139,7 @@
 		}
 		switch {
 		case !ok:
-			// A new target may become usable soon.
+			// A target may become usable soon.
 		case sel.target != c.waitTarget:
 			removeWaiter()
 			g.Scope.Counter("waits_for_adapters").Inc(1)
@@ -146,12 +157,33 @@
 		}
 		select {
 		case <-sel.changed:
-		case <-time.After(waitPollInterval):
+		case <-time.After(pause):
 		case <-ctx.Done():
 		}
 	}
 }
 
+// awaitUsable returns the time after which a call for which no target is usable
+// chooses again, or the reason to reject it: a backoff that ends after waitUntil, or
+// no target that may become usable by then.
+func (g *Gateway) awaitUsable(now time.Time, c *call, waitUntil time.Time) (pause time.Duration, reason string) {
+	end, backoff := g.Fleet.backoffEnd(now, c)
+	left := end.Sub(now)
+	if backoff {
+		left += rand.N(min(maxBackoffSpread, left/backoffSpreadDivisor) + 1)
+	}
+	switch {
+	case backoff && end.Before(waitUntil):
+		return left, ""
+	case !now.After(waitUntil) && g.Fleet.awaitsTargets(now, c):
+		return waitPollInterval, ""
+	case backoff:
+		c.retryAfter = left
+		return 0, "backoff"
+	}
+	return 0, "no_target"
+}
+
 // chooseWithoutWaiting returns the target of a call that no longer waits for its
 // adapter to load: a busy target that holds it. If there is none, the caller
 // gets a Retry-After of the expected load time.
--- a/internal/gateway/header_codec.go
+++ b/internal/gateway/header_codec.go
@@ -28,10 +28,11 @@
 // ResponseMeta is the metadata in the headers of a response.
 type ResponseMeta struct {
 	ID        string
-	Signed    bool // the response is proven to come from the target
-	NotRun    bool // the target did not run the request and never will
-	Reencoded bool // the body was re-encoded on the way from the target
-	Leaving   bool // the target leaves and accepts no more requests
+	Signed    bool          // the response is proven to come from the target
+	NotRun    bool          // the target did not run the request and never will
+	Reencoded bool          // the body was re-encoded on the way from the target
+	Leaving   bool          // the target leaves and accepts no more requests
+	Backoff   time.Duration // for which the target wants no requests, zero for none
 	Load      Load
 }
 
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -111,7 +111,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, t := range f.targets {
-		if t.replica.Service == c.service && t.replica.State == target.Live && !t.notice.leaving && !c.tried[t.replica.ID] && t.connecting(now) {
+		if t.replica.Service == c.service && !c.tried[t.replica.ID] && t.usable(now) && t.connecting(now) {
 			return true
 		}
 	}
--- a/internal/gateway/target_notice.go
+++ b/internal/gateway/target_notice.go
@@ -16,8 +16,9 @@
 // outlives the target's entry in the store, which lags behind and may lapse and
 // return.
 type targetNotice struct {
-	leaving bool      // the target accepts no more requests
-	at      time.Time // when that was learned
+	leaving      bool      // the target accepts no more requests
+	at           time.Time // when that was learned
+	backoffUntil time.Time // the target wants no requests of this gateway before
 }
 
 // noticeOf returns the notice of an incarnation. The caller holds mu.
@@ -33,12 +34,17 @@
 // observeNotice records what a target said about further requests in the header of a
 // response.
 func (f *Fleet) observeNotice(now time.Time, t *targetState, m ResponseMeta) {
-	if !m.Leaving {
+	if !m.Leaving && m.Backoff <= 0 {
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.recordLeaving(now, t, "response")
+	if m.Leaving {
+		f.recordLeaving(now, t, "response")
+	}
+	if m.Backoff > 0 {
+		f.recordBackoff(now, t, m.Backoff)
+	}
 }
 
 // recordLeaving records that a target leaves, according to source. The caller holds
@@ -58,6 +64,46 @@
 	f.turnAway(t)
 }
 
+// recordBackoff records that a target wants no requests for d. A shorter time than
+// that of an earlier response does not end that one sooner. The caller holds mu.
+func (f *Fleet) recordBackoff(now time.Time, t *targetState, d time.Duration) {
+	n := f.noticeOf(t.replica.Incarnation())
+	begins := !now.Before(n.backoffUntil)
+	if until := now.Add(d); until.After(n.backoffUntil) {
+		n.backoffUntil = until
+	}
+	if !begins {
+		return
+	}
+	f.log.Event(event.TargetBackoff).
+		Str("target", t.replica.ID).
+		Str("service", t.replica.Service).
+		Dur("for", d).
+		Int("in_flight", t.inFlight).
+		Send()
+	f.turnAway(t)
+}
+
+// backoffEnd returns the earliest end of the backoffs of the targets that could be
+// sent the call otherwise, and false if there is none.
+func (f *Fleet) backoffEnd(now time.Time, c *call) (end time.Time, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, t := range f.targets {
+		until := t.notice.backoffUntil
+		if t.replica.Service != c.service || c.tried[t.replica.ID] || !now.Before(until) || !t.accepts(now) {
+			continue
+		}
+		if c.model != "" && !t.hasVersion(c.adapter, f.version(c.adapter)) && (c.adapter.Name == "" || !t.canLoad(now, c.adapter)) {
+			continue
+		}
+		if !ok || until.Before(end) {
+			end, ok = until, true
+		}
+	}
+	return end, ok
+}
+
 // turnAway has the calls that wait for a target choose again. The caller holds mu.
 func (f *Fleet) turnAway(t *targetState) {
 	close(t.turnedAway)
@@ -70,7 +116,8 @@
 	for i, n := range f.notices {
 		t := f.targets[i.ID]
 		listed := t != nil && t.replica.Incarnation() == i
-		if !listed && (!n.leaving || now.Sub(n.at) > noticeRetention) {
+		leaving := n.leaving && now.Sub(n.at) <= noticeRetention
+		if !listed && !leaving && !now.Before(n.backoffUntil) {
 			delete(f.notices, i)
 		}
 	}
--- a/internal/gateway/target_notice_test.go
+++ b/internal/gateway/target_notice_test.go
@@ -5,6 +5,9 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -260,3 +263,242 @@
 		convey.So(engine.usable(now), convey.ShouldBeFalse)
 	})
 }
+
+// TestBackoffIsRespected guards against requests to a target that has turned one away
+// and said for how long it wants no others.
+func TestBackoffIsRespected(t *testing.T) {
+	backoff := func(seconds string, headers ...string) step {
+		return respond(503, "", append(headers, "Retry-After: "+seconds)...)
+	}
+	good := respond(200, "good", signed)
+	convey.Convey("Given two targets of which the first is preferred", t, func() {
+		a, b := newFakeTarget(t, "t1", good), newFakeTarget(t, "t2", good)
+		tg := newTestGateway(t, a, b)
+		tg.prefer("t1")
+		convey.Convey("a proven refusal with a time keeps requests away for so long", func() {
+			a.steps = []step{backoff("0.5", "Not-Run: 1"), good}
+			began := time.Now()
+			for time.Since(began) < 400*time.Millisecond {
+				convey.So(tg.call(t, "/unsafe/x").status, convey.ShouldEqual, 200)
+			}
+			convey.So(len(a.requests()), convey.ShouldEqual, 1)
+			convey.So(strings.Count(tg.logText(), `"name":"target_backoff"`), convey.ShouldEqual, 1)
+			time.Sleep(time.Until(began.Add(700 * time.Millisecond)))
+			convey.So(tg.call(t, "/unsafe/x").status, convey.ShouldEqual, 200)
+			convey.So(len(a.requests()), convey.ShouldEqual, 2)
+		})
+		convey.Convey("one without proof does so, too, and is still reported as one that may have run", func() {
+			a.steps = []step{backoff("10"), good}
+			convey.So(tg.call(t, "/unsafe/x").status, convey.ShouldEqual, 502)
+			for range 5 {
+				convey.So(tg.call(t, "/unsafe/x").status, convey.ShouldEqual, 200)
+			}
+			convey.So(len(a.requests()), convey.ShouldEqual, 1)
+		})
+		convey.Convey("a refusal without a time, and other answers with one, change nothing", func() {
+			a.steps = []step{
+				respond(503, "", "Not-Run: 1"), respond(429, "", "Not-Run: 1", "Retry-After: 10"), respond(200, "good", signed, "Retry-After: 10"), good,
+			}
+			for range 4 {
+				convey.So(tg.call(t, "/unsafe/x").status, convey.ShouldEqual, 200)
+			}
+			convey.So(len(a.requests()), convey.ShouldEqual, 4)
+		})
+	})
+	convey.Convey("Given a single target", t, func() {
+		a := newFakeTarget(t, "t1", good)
+		tg := newTestGateway(t, a)
+		convey.Convey("a call waits for the end of a backoff that is within its wait", func() {
+			a.steps = []step{backoff("0.2", "Not-Run: 1"), good}
+			began := time.Now()
+			convey.So(tg.call(t, "/unsafe/x").status, convey.ShouldEqual, 200)
+			convey.So(time.Since(began), convey.ShouldBeBetween, 200*time.Millisecond, 2*time.Second)
+			convey.So(len(a.requests()), convey.ShouldEqual, 2)
+		})
+		convey.Convey("a call is rejected at once if the backoff is longer, with its end as the time to come back after", func() {
+			a.steps = []step{backoff("1.2", "Not-Run: 1"), good}
+			for range 3 {
+				began := time.Now()
+				got := tg.call(t, "/patient/x")
+				convey.So(time.Since(began), convey.ShouldBeLessThan, 150*time.Millisecond)
+				convey.So(got.status, convey.ShouldEqual, 503)
+				after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+				convey.So(err, convey.ShouldBeNil)
+				convey.So(after, convey.ShouldBeBetween, 1.0, 1.34)
+			}
+			convey.So(len(a.requests()), convey.ShouldEqual, 1)
+			convey.So(tg.logText(), convey.ShouldContainSubstring, `"reason":"backoff"`)
+		})
+		convey.Convey("a call that waits for a backoff goes to a target that is added", func() {
+			a.steps = []step{backoff("0.8", "Not-Run: 1"), good}
+			b := newFakeTarget(t, "t2", good)
+			time.AfterFunc(50*time.Millisecond, func() {
+				tg.fleet.mu.Lock()
+				defer tg.fleet.mu.Unlock()
+				tg.fleet.upsert(time.Now(), target.Replica{ID: "t2", Service: "s", Addr: b.addr, Zone: "a", Slots: 4, State: target.Live})
+			})
+			began := time.Now()
+			convey.So(tg.call(t, "/patient/x").status, convey.ShouldEqual, 200)
+			convey.So(time.Since(began), convey.ShouldBeLessThan, 500*time.Millisecond)
+			convey.So(len(b.requests()), convey.ShouldEqual, 1)
+		})
+	})
+	convey.Convey("A call that waits for its admission at a target in backoff goes to the other one at once", t, func() {
+		a, b := newFakeTarget(t, "t1", sendEvents(1, 2, true)), newFakeTarget(t, "t2", sendEvents(1, 2, true))
+		tg := newTestGateway(t, a, b)
+		tg.learnReadTime(50 * time.Millisecond)
+		first, second := tg.fleet.targets["t1"], tg.fleet.targets["t2"]
+		pacer := newFakePacer(t, tg, "t1", answerAfter(5*time.Second, 10000))
+		newFakePacer(t, tg, "t2", func(c *peer.Conn, m peer.PromptOffer) { _, _ = c.Send(peer.PromptAnswer{ID: m.ID, Admitted: true}) })
+		tg.fleet.applyEngineState(time.Now(), second, peer.EngineState{})
+		waiting := make(chan reply, 1)
+		go func() { waiting <- tg.call(t, "/patient/x", "Model", "m") }()
+		convey.So(eventually(func() bool { offers, _ := pacer.counts(); return offers == 1 }), convey.ShouldBeTrue)
+		time.Sleep(20 * time.Millisecond)
+		tg.fleet.mu.Lock()
+		second.applyState(time.Now(), adapterState())
+		tg.fleet.mu.Unlock()
+		began := time.Now()
+		tg.fleet.observeNotice(began, first, ResponseMeta{Backoff: time.Minute})
+		convey.So((<-waiting).body, convey.ShouldEqual, events(1, 2))
+		convey.So(time.Since(began), convey.ShouldBeLessThan, 200*time.Millisecond)
+		convey.So(len(a.requests()), convey.ShouldEqual, 0)
+	})
+}
+
+// TestBackoffUnderLoad guards against calls that were about to be sent when the target
+// turned another one away.
+func TestBackoffUnderLoad(t *testing.T) {
+	convey.Convey("Under load a target gets no requests half a second after it turned one away, until the time has passed", t, func() {
+		const (
+			callers = 30
+			backoff = 1500 * time.Millisecond
+			inTime  = 500 * time.Millisecond // for requests that are under way
+		)
+		var mu sync.Mutex
+		var refusedAt time.Time
+		late, after := 0, 0
+		scripted := func(c net.Conn, r *http.Request) bool {
+			mu.Lock()
+			now := time.Now()
+			switch {
+			case refusedAt.IsZero():
+				refusedAt = now
+			case now.After(refusedAt.Add(backoff)):
+				after++
+			case now.After(refusedAt.Add(inTime)):
+				late++
+			}
+			refuse := now.Before(refusedAt.Add(inTime))
+			left := refusedAt.Add(backoff).Sub(now)
+			mu.Unlock()
+			if refuse {
+				return respond(503, "", "Not-Run: 1", fmt.Sprintf("Retry-After: %.6f", left.Seconds()))(c, r)
+			}
+			return respond(200, "good", signed)(c, r)
+		}
+		a, b := newFakeTarget(t, "t1", scripted), newFakeTarget(t, "t2", respond(200, "good", signed))
+		tg := newTestGateway(t, a, b)
+		tg.prefer("t1")
+		tg.gateway.RetryBudget.setLimits(1, 100*callers) // all of the first calls may be refused together
+		end := time.Now().Add(backoff + time.Second)
+		var wg sync.WaitGroup
+		for range callers {
+			wg.Go(func() {
+				for time.Now().Before(end) {
+					if got := tg.call(t, "/unsafe/x"); got.status != 200 {
+						t.Errorf("status %d", got.status)
+						return
+					}
+				}
+			})
+		}
+		wg.Wait()
+		mu.Lock()
+		defer mu.Unlock()
+		convey.So(late, convey.ShouldEqual, 0)
+		convey.So(after, convey.ShouldBeGreaterThan, 0)
+	})
+}
+
+func TestBackoffEnd(t *testing.T) {
+	convey.Convey("Given engines", t, func() {
+		now := time.Now()
+		f := engineFleet(now, 2)
+		g := New(Options{Fleet: f})
+		c := plainCall()
+		notice := func(now time.Time, id string, d time.Duration) {
+			f.observeNotice(now, f.targets[id], ResponseMeta{Backoff: d})
+		}
+		usable := func(now time.Time) bool {
+			_, ok := f.choose(now, c)
+			return ok
+		}
+		notice(now, "i-0", 10*time.Second)
+		convey.So(usable(now), convey.ShouldBeTrue) // the other one
+		notice(now, "i-1", 5*time.Second)
+		convey.So(usable(now), convey.ShouldBeFalse)
+		convey.Convey("calls wait for the earliest end", func() {
+			end, ok := f.backoffEnd(now, c)
+			convey.So(ok, convey.ShouldBeTrue)
+			convey.So(end, convey.ShouldEqual, now.Add(5*time.Second))
+			convey.So(usable(now.Add(5*time.Second-1)), convey.ShouldBeFalse)
+			convey.So(usable(now.Add(5*time.Second)), convey.ShouldBeTrue)
+		})
+		convey.Convey("a later answer extends a backoff, and does not shorten it", func() {
+			notice(now.Add(time.Second), "i-1", time.Second)
+			convey.So(usable(now.Add(4*time.Second)), convey.ShouldBeFalse)
+			notice(now.Add(time.Second), "i-1", 8*time.Second)
+			convey.So(usable(now.Add(8*time.Second)), convey.ShouldBeFalse)
+			convey.So(usable(now.Add(9*time.Second)), convey.ShouldBeTrue)
+		})
+		convey.Convey("targets that the call can't use are not waited for", func() {
+			c.tried["i-1"] = true
+			end, _ := f.backoffEnd(now, c)
+			convey.So(end, convey.ShouldEqual, now.Add(10*time.Second))
+			f.targets["i-0"].replica.State = target.Leaving
+			_, ok := f.backoffEnd(now, c)
+			convey.So(ok, convey.ShouldBeFalse)
+		})
+		convey.Convey("nor are engines that neither hold nor can load the adapter", func() {
+			_, ok := f.backoffEnd(now, callFor("a1"))
+			convey.So(ok, convey.ShouldBeTrue)
+			f.targets["i-0"].conn, f.targets["i-1"].conn = nil, nil
+			_, ok = f.backoffEnd(now, callFor("a1"))
+			convey.So(ok, convey.ShouldBeFalse)
+		})
+		convey.Convey("waiting calls don't return together", func() {
+			early, late := 0, 0
+			for range 1000 {
+				pause, reason := g.awaitUsable(now, c, now.Add(6*time.Second))
+				convey.So(reason, convey.ShouldBeEmpty)
+				convey.So(pause, convey.ShouldBeBetweenOrEqual, 5*time.Second, 5*time.Second+maxBackoffSpread)
+				if pause < 5*time.Second+maxBackoffSpread/2 {
+					early++
+				} else {
+					late++
+				}
+			}
+			convey.So(early, convey.ShouldBeGreaterThan, 300)
+			convey.So(late, convey.ShouldBeGreaterThan, 300)
+		})
+		convey.Convey("an entry that lapses and returns keeps its backoff, and another incarnation has none", func() {
+			entry := f.targets["i-1"].replica
+			f.mu.Lock()
+			f.remove(now, f.targets["i-1"], now)
+			f.mu.Unlock()
+			f.Sweep(now.Add(time.Second))
+			f.mu.Lock()
+			f.upsert(now.Add(2*time.Second), entry)
+			f.mu.Unlock()
+			convey.So(usable(now.Add(3*time.Second)), convey.ShouldBeFalse)
+			entry.Started = entry.Started.Add(time.Second)
+			f.mu.Lock()
+			f.upsert(now.Add(3*time.Second), entry)
+			f.mu.Unlock()
+			convey.So(usable(now.Add(3*time.Second)), convey.ShouldBeTrue)
+			f.Sweep(now.Add(time.Hour))
+			convey.So(len(f.notices), convey.ShouldEqual, 2) // of the listed incarnations
+		})
+	})
+}
--- a/internal/gateway/target_state.go
+++ b/internal/gateway/target_state.go
@@ -110,9 +110,14 @@
 	}
 }
 
-// usable reports whether new requests may be sent to the target. The state of its
-// engine is ignored while the targetd is disconnected, as it may be outdated.
+// usable reports whether new requests may be sent to the target.
 func (t *targetState) usable(now time.Time) bool {
+	return t.accepts(now) && !now.Before(t.notice.backoffUntil)
+}
+
+// accepts reports whether the target accepts requests, apart from a backoff. The state
+// of its engine is ignored while the targetd is disconnected, as it may be outdated.
+func (t *targetState) accepts(now time.Time) bool {
 	if t.replica.State != target.Live || t.notice.leaving || (!t.goneAt.IsZero() && !now.Before(t.goneAt)) {
 		return false
 	}
--- a/internal/gateway/test_gateway_test.go
+++ b/internal/gateway/test_gateway_test.go
@@ -46,8 +46,12 @@
 	return out
 }
 
-func (testHeaderCodec) ParseResponse(_ int, h http.Header) ResponseMeta {
-	return ResponseMeta{ID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "", Reencoded: h.Get("Content-Encoding") != "", Leaving: h.Get("Leaving") != ""}
+func (testHeaderCodec) ParseResponse(status int, h http.Header) ResponseMeta {
+	m := ResponseMeta{ID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "", Reencoded: h.Get("Content-Encoding") != "", Leaving: h.Get("Leaving") != ""}
+	if seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64); err == nil && status == http.StatusServiceUnavailable {
+		m.Backoff = time.Duration(seconds * float64(time.Second))
+	}
+	return m
 }
 
 func (testHeaderCodec) CallerHeader(h http.Header) http.Header {
--- a/pkg/orders/report.go
+++ b/pkg/orders/report.go
@@ -1,5 +1,7 @@
 package orders
 
+import "time"
+
 // Adapter identifies an adapter of a model.
 type Adapter struct {
 	Model string
@@ -36,7 +38,8 @@
 
 // Notice is what an engine said about further requests in the header of a response.
 type Notice struct {
-	Departing bool // as in Report
+	Departing bool          // as in Report
+	Backoff   time.Duration // for which it wants neither reports nor orders, zero for none
 }
 
 // HoldsModel reports whether the engine holds the weights of model.
