--- a/internal/enginecontroller/controller.go
+++ b/internal/enginecontroller/controller.go
@@ -37,11 +37,12 @@
 
 // Engine is the engine on the same VM.
 type Engine interface {
-	// Report returns the engine's current state.
-	Report(ctx context.Context) (orders.Report, error)
+	// Report returns the engine's current state. The notice of this and of Order is
+	// valid also with an error.
+	Report(ctx context.Context) (orders.Report, orders.Notice, error)
 	// Order has the engine execute o on condition that it is the given instance
 	// and has accepted exactly sequence orders.
-	Order(ctx context.Context, instance string, sequence int64, o orders.Order) error
+	Order(ctx context.Context, instance string, sequence int64, o orders.Order) (orders.Notice, error)
 	// IsRejected reports whether an order failed because the engine rejected it, so
 	// that it never takes effect.
 	IsRejected(err error) bool
@@ -76,7 +77,8 @@
 	state            peer.EngineState
 	report           orders.Report
 	reachable        bool
-	unansweredOrders int // consecutive orders without a response
+	unansweredOrders int       // consecutive orders without a response
+	backoffUntil     time.Time // the engine wants neither reports nor orders before
 }
 
 // inboxSize is the number of messages buffered for the loop. Connections block
@@ -109,6 +111,9 @@
 	}
 	ec.instances[m.Started] = m.Instance
 	ec.spec = m
+	if restarted := ec.report.Started != 0 && m.Started > ec.report.Started; restarted {
+		ec.backoffUntil = time.Time{}
+	}
 	for _, a := range m.Announced {
 		ec.planner.RecordVersion(now, orders.Adapter{Model: a.Model, Name: a.Adapter}, a.Version)
 	}
@@ -172,8 +177,11 @@
 		return disconnectedInterval
 	}
 	for range maxOrdersPerStep {
+		if time.Now().Before(ec.backoffUntil) {
+			break
+		}
 		ec.readReport(ctx)
-		if !ec.reachable || !ec.executeNextOrder(ctx) {
+		if !ec.reachable || time.Now().Before(ec.backoffUntil) || !ec.executeNextOrder(ctx) {
 			break
 		}
 	}
@@ -189,8 +197,12 @@
 
 // readReport reads the engine's report and logs changes of its availability.
 func (ec *Controller) readReport(ctx context.Context) {
-	r, err := ec.Engine.Report(ctx)
+	r, notice, err := ec.Engine.Report(ctx)
 	if err != nil {
+		ec.applyNotice(time.Now(), notice)
+		if notice.Backoff > 0 {
+			return // an engine that turns calls away responds
+		}
 		if ec.reachable {
 			ec.Log.Event(event.EngineUnreachable).Err(err).Send()
 		}
@@ -204,10 +216,26 @@
 		ec.Log.Event(event.EngineRestarted).Int64("started", r.Started).Int64("before", ec.report.Started).Send()
 	}
 	ec.reachable = true
+	departs := ec.report.Departing && ec.report.Started == r.Started
 	ec.report = r
+	ec.report.Departing = r.Departing || departs
+	ec.applyNotice(time.Now(), notice)
 	ec.pacer.observe(time.Now(), r.Running+r.Queued)
 }
 
+// applyNotice records what the engine said about further requests. An engine that
+// departs does so until it restarts.
+func (ec *Controller) applyNotice(now time.Time, n orders.Notice) {
+	if n.Departing && !ec.report.Departing {
+		ec.report.Departing = true
+		ec.Log.Event(event.EngineDeparting).Int64("started", ec.report.Started).Send()
+	}
+	if n.Backoff > 0 {
+		ec.backoffUntil = now.Add(n.Backoff)
+		ec.Log.Event(event.EngineBackoff).Int64("started", ec.report.Started).Dur("for", n.Backoff).Send()
+	}
+}
+
 // executeNextOrder sends the planner's next order to the engine. It reports
 // whether another order may succeed now: after an accepted order, or after a
 // rejected one if the planner permits it.
@@ -221,7 +249,8 @@
 	if !ok {
 		return false
 	}
-	err := ec.Engine.Order(ctx, instance, ec.report.Sequence, o)
+	notice, err := ec.Engine.Order(ctx, instance, ec.report.Sequence, o)
+	ec.applyNotice(time.Now(), notice)
 	e := ec.Log.Event(event.EngineOrdered).
 		Bool("unload", o.Unload).
 		Str("model", o.Adapter.Model).
--- a/pkg/orders/report.go
+++ b/pkg/orders/report.go
@@ -1,5 +1,7 @@
 package orders
 
+import "time"
+
 // Adapter identifies an adapter of a model.
 type Adapter struct {
 	Model string
@@ -34,6 +36,12 @@
 	Departing       bool       // the engine accepts no further requests or orders
 }
 
+// Notice is what an engine said about further requests in the header of a response.
+type Notice struct {
+	Departing bool          // as in Report
+	Backoff   time.Duration // for which it wants neither reports nor orders, zero for none
+}
+
 // HoldsModel reports whether the engine holds the weights of model.
 func (r *Report) HoldsModel(model string) bool {
 	for _, m := range r.Models {
