Log which prompt segments are in flight when targets crash

The log told how many requests were in flight at a crash, but not what they had in common, so that it could not tell a segment that crashes targets from requests that happen to be in flight.

An entryd now reports the shared prompt segments of the requests that were in flight and had no answer when a target crashed, with the time at which each was sent, and that a suspect segment has been answered since. The targetds relay these reports and keep them for entryds that connect later, with their ages, as the clocks of the VMs may differ. quarantine.SegmentList weighs them. Events 335 to 337 state which segments are suspects, convicted and cleared. No request is refused because of them yet.

--- a/internal/enginecontroller/conns.go
+++ b/internal/enginecontroller/conns.go
@@ -35,6 +35,9 @@
 	for engine, fingerprints := range ec.crashes {
 		_, _ = c.Send(peer.CrashReport{Engine: engine, Fingerprints: fingerprints}) // after an error the entryd reconnects
 	}
+	for _, m := range ec.segments.messages(time.Now()) {
+		_, _ = c.Send(m)
+	}
 	ec.mu.Unlock()
 	ec.inbox <- func(time.Time) {
 		ec.state.ConnectedEntries = ec.entrydCount()
@@ -74,6 +77,9 @@
 	case peer.CrashReport:
 		ec.relayCrash(c, m)
 		return
+	case peer.SegmentCrash, peer.SegmentAnswers:
+		ec.relaySegments(time.Now(), c, m)
+		return
 	case peer.PromptOffer:
 		ec.pacer.offer(time.Now(), c, m)
 		return
--- a/internal/enginecontroller/controller.go
+++ b/internal/enginecontroller/controller.go
@@ -62,10 +62,12 @@
 	inbox chan func(now time.Time)
 	pacer *pacer
 
-	mu      sync.Mutex // guards conns and crashes
+	mu      sync.Mutex // guards conns, crashes and segments
 	conns   map[*peer.Conn]struct{}
 	crashes map[string][][]byte // fingerprints of the requests in flight at known crashes, by engine instance
 
+	segments segmentReports
+
 	// Owned by the loop.
 	stepRequested    bool // a message arrived that may lead to an order
 	planner          *orders.Planner
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -35,6 +35,9 @@
 	CrashUnreadable   Code = 332
 	SuspectCleared    Code = 333
 	RetryRefused      Code = 334
+	SegmentsSuspected Code = 335
+	SegmentConvicted  Code = 336
+	SegmentCleared    Code = 337
 	LoadGranted       Code = 340
 	AttemptSent       Code = 350
 	AttemptEnded      Code = 351
@@ -118,6 +121,9 @@
 	{CrashUnreadable, "crash_unreadable", zerolog.ErrorLevel, "The record of a crash could not be read."},
 	{SuspectCleared, "suspect_cleared", zerolog.InfoLevel, "A suspect was answered and is no longer a suspect."},
 	{RetryRefused, "retry_refused", zerolog.WarnLevel, "The retry budget of the service is exhausted: the caller gets the last attempt's outcome."},
+	{SegmentsSuspected, "segments_suspected", zerolog.WarnLevel, "The target crashed; `segments` are the prompt segments in flight that had no answer then and have had none since, at most 16."},
+	{SegmentConvicted, "segment_convicted", zerolog.ErrorLevel, "The prompt segment crashes targets: it was in flight at `crashes` crashes. Requests with it are refused."},
+	{SegmentCleared, "segment_cleared", zerolog.InfoLevel, "A target began to answer a request with the prompt segment, which is no longer a suspect of the crashes before."},
 	{LoadGranted, "load_granted", zerolog.InfoLevel, "Placement decision: `target` may load one adapter for `team` with a load permit that another target transferred."},
 	{AttemptSent, "attempt_sent", zerolog.InfoLevel, "Routing decision: an attempt is sent directly to `target`; `load`, `ahead` (tokens of prompts that it reads before), `wait` and `state_age` are the values behind the decision."},
 	{AttemptEnded, "attempt_ended", zerolog.WarnLevel, "An attempt did not answer the request: `outcome` says whether it was refused, failed or broke off."},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -23,9 +23,10 @@
 const maxBufferedBytes = 256 << 10
 
 // attempt sends the call, whose prompt was offered with o, to a target and relays the
-// response.
-func (g *Gateway) attempt(ctx context.Context, w http.ResponseWriter, c *call, sel selection, o *offer) outcome {
+// response. It ends run.
+func (g *Gateway) attempt(ctx context.Context, w http.ResponseWriter, c *call, sel selection, o *offer, run *segmentRun) outcome {
 	now := time.Now()
+	defer g.CrashTracker.segments.end(run)
 	if o != nil {
 		sel.backlog = o.ahead
 	}
@@ -52,7 +53,7 @@
 	defer g.Fleet.endAttempt(sel.target, c.adapter, active)
 	resp, err := g.Client.Do(attemptCtx, sel.replica.Addr, &req)
 	if err != nil {
-		return g.handleNoResponse(ctx, c, sel, err, now)
+		return g.handleNoResponse(ctx, c, sel, run, err, now)
 	}
 	defer resp.Close()
 	c.attemptsSent++
@@ -66,20 +67,23 @@
 	g.Fleet.observeLoad(time.Now(), sel.target, meta.Load)
 	if !isEventStream(resp) || !meta.Signed || meta.Reencoded {
 		out, err := g.relayBuffered(w, c, resp, meta)
-		return g.recordResult(ctx, c, sel, out, err, now)
+		return g.recordResult(ctx, c, sel, run, out, err, now)
 	}
 	onBegin := func(at time.Time) { g.Fleet.recordEventBegin(at, active) }
 	onEvent := func(at time.Time, first bool) {
 		g.Fleet.recordActivity(at, active)
 		if first {
 			g.Fleet.recordFirstEvent(sel.target, active, sel.backlog, at.Sub(now))
+			return
 		}
+		// A target that crashes while it writes may have sent one event.
+		g.CrashTracker.segments.recordAnswer(at, run)
 	}
 	out, err := g.relayStream(w, c, resp, onBegin, onEvent)
 	if active.unfinished.Load() && out == broken {
 		err = errEventTooSlow
 	}
-	return g.recordResult(ctx, c, sel, out, err, now)
+	return g.recordResult(ctx, c, sel, run, out, err, now)
 }
 
 // Timeout of an attempt that leaves time for another one.
@@ -115,10 +119,11 @@
 
 // recordResult updates the target's statistics after an attempt that got a
 // response. err is the reason if the response is not usable.
-func (g *Gateway) recordResult(ctx context.Context, c *call, sel selection, out outcome, err error, start time.Time) outcome {
+func (g *Gateway) recordResult(ctx context.Context, c *call, sel selection, run *segmentRun, out outcome, err error, start time.Time) outcome {
 	now := time.Now()
 	switch out {
 	case delivered:
+		g.CrashTracker.segments.recordAnswer(now, run)
 		first := now
 		if c.firstEvent.After(start) {
 			first = c.firstEvent
@@ -130,7 +135,7 @@
 			break
 		}
 		if out == broken {
-			g.CrashTracker.recordBroken(now, sel.target.incarnation, c)
+			g.CrashTracker.recordBroken(now, sel.target.incarnation, c, run)
 		}
 		g.Fleet.recordFailure(now, sel.target)
 		g.logFailedAttempt(c, sel, out, err)
@@ -141,7 +146,7 @@
 // handleNoResponse records an attempt that failed before a response, and returns
 // its outcome: notSent if the target can't have received the request, otherwise
 // broken.
-func (g *Gateway) handleNoResponse(ctx context.Context, c *call, sel selection, err error, start time.Time) outcome {
+func (g *Gateway) handleNoResponse(ctx context.Context, c *call, sel selection, run *segmentRun, err error, start time.Time) outcome {
 	now := time.Now()
 	if !upstream.WasSent(err) {
 		c.connectFailures++
@@ -160,7 +165,7 @@
 	c.tried[sel.replica.ID] = true
 	if ctx.Err() == nil {
 		g.Fleet.recordFailure(now, sel.target)
-		g.CrashTracker.recordBroken(now, sel.target.incarnation, c)
+		g.CrashTracker.recordBroken(now, sel.target.incarnation, c, run)
 		g.Client.CloseIdleTo(sel.replica.Addr)
 	} else {
 		g.recordSilence(now, c, sel, start)
--- a/internal/gateway/attempt_loop.go
+++ b/internal/gateway/attempt_loop.go
@@ -75,7 +75,7 @@
 			g.respondFailure(callerCtx, w, c, reason)
 			return
 		}
-		out := g.attempt(ctx, w, c, sel, o)
+		out := g.attempt(ctx, w, c, sel, o, g.CrashTracker.segments.begin(now, c))
 		switch {
 		case out == delivered:
 			g.CrashTracker.clearSuspect(c)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -7,6 +7,7 @@
 	"github.com/borageusher/borageusher/internal/upstream"
 	"github.com/borageusher/borageusher/pkg/orders"
 	"github.com/borageusher/borageusher/pkg/placement"
+	"github.com/borageusher/borageusher/pkg/quarantine"
 	"github.com/borageusher/borageusher/pkg/routing"
 )
 
@@ -22,7 +23,8 @@
 	request  upstream.Request
 	body     []byte
 
-	placementKey uint64 // key of rendezvous hashing: the adapter or, without one, the last shared segment of the prompt
+	segments     []quarantine.Fingerprint // shared segments of the prompt
+	placementKey uint64                   // key of rendezvous hashing: the adapter or, without one, the last shared segment of the prompt
 	start        time.Time
 	deadline     time.Time
 
@@ -83,6 +85,7 @@
 		Body:    body,
 		HasBody: r.ContentLength != 0 || r.Method == http.MethodPost || r.Method == http.MethodPut,
 	}
+	c.segments = segmentFingerprints(service, m.PromptSegments)
 	c.placementKey = placement.Hash(m.Model + "/" + m.Adapter)
 	if m.Adapter == "" && len(m.PromptSegments) > 0 {
 		c.placementKey = placement.Hash(m.Model + "//" + m.PromptSegments[len(m.PromptSegments)-1])
--- a/internal/gateway/crash_tracker.go
+++ b/internal/gateway/crash_tracker.go
@@ -19,7 +19,8 @@
 // concurrent use.
 type crashTracker struct {
 	log       event.Log
-	broadcast func(peer.CrashReport) // to the targetds, which forward it to the other entryds
+	broadcast func(peer.Message) // to the targetds, which forward it to the other entryds
+	segments  *segmentTracker
 
 	mu     sync.Mutex
 	list   quarantine.List
@@ -27,10 +28,11 @@
 	downAt map[string]time.Time                            // last indication of a crash, by incarnation of the target
 }
 
-func newCrashTracker(broadcast func(peer.CrashReport), log event.Log) *crashTracker {
+func newCrashTracker(broadcast func(peer.Message), log event.Log) *crashTracker {
 	return &crashTracker{
 		log:       log,
 		broadcast: broadcast,
+		segments:  newSegmentTracker(broadcast, log),
 		broken:    map[string]map[quarantine.Fingerprint]time.Time{},
 		downAt:    map[string]time.Time{},
 	}
@@ -59,7 +61,8 @@
 
 // recordBroken records that the connection to an incarnation of a target broke
 // during a call.
-func (t *crashTracker) recordBroken(now time.Time, incarnation string, c *call) {
+func (t *crashTracker) recordBroken(now time.Time, incarnation string, c *call, run *segmentRun) {
+	t.segments.recordBroken(now, incarnation, run)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.broken[incarnation] == nil {
@@ -82,6 +85,7 @@
 // reportCrash records the calls in flight at the crash of an incarnation and
 // broadcasts them to the other entryds. The caller holds mu.
 func (t *crashTracker) reportCrash(now time.Time, incarnation string) {
+	t.segments.reportCrash(now, incarnation)
 	var m peer.CrashReport
 	for f, at := range t.broken[incarnation] {
 		if now.Sub(at) < crashWindow {
@@ -128,6 +132,7 @@
 
 // expire removes records that are too old to affect a decision.
 func (t *crashTracker) expire(now time.Time) {
+	t.segments.expire(now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.list.Expire(now)
--- /dev/null
+++ b/internal/gateway/segment_tracker.go
@@ -0,0 +1,248 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/borageusher/borageusher/internal/event"
+	"github.com/borageusher/borageusher/internal/peer"
+	"github.com/borageusher/borageusher/pkg/quarantine"
+)
+
+// maxExposedSegments bounds the segments in one crash report.
+const maxExposedSegments = 512
+
+// segmentRun is one attempt of a call as to the segments of its prompt.
+type segmentRun struct {
+	service  string
+	segments []quarantine.Fingerprint
+	sentAt   time.Time
+	answered bool // the target has begun to answer and did not crash with that
+	ended    bool
+}
+
+// segmentTracker identifies the prompt segments that crash targets. It is safe for
+// concurrent use.
+type segmentTracker struct {
+	log       event.Log
+	broadcast func(peer.Message) // to the targetds, which forward it to the other entryds
+
+	mu         sync.Mutex
+	list       quarantine.SegmentList
+	unanswered map[quarantine.Fingerprint]int // attempts in flight without an answer
+	served     map[string][]time.Time         // last quarantine.MinServiceAnswers answers begun, by service
+	broken     map[string]*brokenRuns         // by incarnation of the target
+}
+
+// brokenRuns are the attempts without an answer whose connections to a target broke.
+type brokenRuns struct {
+	service string
+	first   time.Time
+	last    time.Time
+	sentAt  map[quarantine.Fingerprint]time.Time // last attempt with each segment that was not reported yet
+}
+
+func newSegmentTracker(broadcast func(peer.Message), log event.Log) *segmentTracker {
+	return &segmentTracker{
+		log:        log,
+		broadcast:  broadcast,
+		unanswered: map[quarantine.Fingerprint]int{},
+		served:     map[string][]time.Time{},
+		broken:     map[string]*brokenRuns{},
+	}
+}
+
+// segmentFingerprints returns the fingerprints of the shared segments of a prompt.
+func segmentFingerprints(service string, ids []string) []quarantine.Fingerprint {
+	var out []quarantine.Fingerprint
+	for _, id := range ids {
+		out = append(out, quarantine.SegmentFingerprint(service, id))
+	}
+	return out
+}
+
+// begin registers an attempt that is about to be sent.
+func (t *segmentTracker) begin(now time.Time, c *call) *segmentRun {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range c.segments {
+		t.unanswered[s]++
+	}
+	return &segmentRun{service: c.service, segments: c.segments, sentAt: now}
+}
+
+// end ends an attempt.
+func (t *segmentTracker) end(run *segmentRun) {
+	if run == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !run.ended && !run.answered {
+		t.forget(run)
+	}
+	run.ended = true
+}
+
+// forget removes an attempt from those without an answer. The caller holds mu.
+func (t *segmentTracker) forget(run *segmentRun) {
+	for _, s := range run.segments {
+		if t.unanswered[s]--; t.unanswered[s] <= 0 {
+			delete(t.unanswered, s)
+		}
+	}
+}
+
+// recordAnswer records that the target of an attempt has begun to answer and did not
+// crash with that, which clears the attempt's segments.
+func (t *segmentTracker) recordAnswer(now time.Time, run *segmentRun) {
+	if run.answered {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	run.answered = true
+	if !run.ended {
+		t.forget(run)
+	}
+	served := t.served[run.service]
+	served = append(served, now)
+	t.served[run.service] = served[max(0, len(served)-quarantine.MinServiceAnswers):]
+	var cleared [][]byte
+	for _, s := range run.segments {
+		if t.list.Answer(now, s) {
+			t.log.Event(event.SegmentCleared).Stringer("segment", s).Str("service", run.service).Send()
+			cleared = append(cleared, s[:])
+		}
+	}
+	if len(cleared) > 0 {
+		t.broadcast(peer.SegmentAnswers{Segments: cleared})
+	}
+}
+
+// recordBroken records that the connection to an incarnation of a target broke during
+// an attempt.
+func (t *segmentTracker) recordBroken(now time.Time, incarnation string, run *segmentRun) {
+	if run == nil || run.answered || len(run.segments) == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b := t.broken[incarnation]
+	if b == nil || now.Sub(b.last) > crashWindow {
+		b = &brokenRuns{service: run.service, first: now, sentAt: map[quarantine.Fingerprint]time.Time{}}
+		t.broken[incarnation] = b
+	}
+	b.last = now
+	for _, s := range run.segments {
+		if _, ok := b.sentAt[s]; (ok || len(b.sentAt) < maxExposedSegments) && run.sentAt.After(b.sentAt[s]) {
+			b.sentAt[s] = run.sentAt
+		}
+	}
+}
+
+// reportCrash records the segments in flight at the crash of an incarnation and
+// broadcasts them to the other entryds.
+func (t *segmentTracker) reportCrash(now time.Time, incarnation string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b := t.broken[incarnation]
+	if b == nil || len(b.sentAt) == 0 || now.Sub(b.last) > crashWindow {
+		return
+	}
+	m := peer.SegmentCrash{Engine: incarnation, Service: b.service, Age: now.Sub(b.first), Served: peer.Unknown}
+	if served := t.served[b.service]; len(served) == quarantine.MinServiceAnswers {
+		m.Served = now.Sub(served[0])
+	}
+	for s, at := range b.sentAt {
+		e := peer.ExposedSegment{Segment: s[:], Sent: now.Sub(at), Answered: peer.Unknown}
+		if at := t.list.AnsweredAt(s); !at.IsZero() {
+			e.Answered = now.Sub(at)
+		}
+		m.Segments = append(m.Segments, e)
+	}
+	clear(b.sentAt)
+	t.add(now, m)
+	t.broadcast(m)
+}
+
+// applyCrash applies a report of another entryd.
+func (t *segmentTracker) applyCrash(now time.Time, m peer.SegmentCrash) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.add(now, m)
+}
+
+// applyAnswers applies a report of another entryd.
+func (t *segmentTracker) applyAnswers(now time.Time, m peer.SegmentAnswers) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, b := range m.Segments {
+		if s, ok := fingerprintOf(b); ok {
+			t.list.Answer(now.Add(-m.Age), s)
+		}
+	}
+}
+
+// fingerprintOf returns the fingerprint in a message, and false if it is malformed.
+func fingerprintOf(b []byte) (f quarantine.Fingerprint, ok bool) {
+	return f, copy(f[:], b) == len(f) && len(b) == len(f)
+}
+
+// add records a crash and logs which segments it makes suspects or convicts. The
+// caller holds mu.
+func (t *segmentTracker) add(now time.Time, m peer.SegmentCrash) {
+	c := quarantine.SegmentCrash{Name: m.Engine, Service: m.Service, At: now.Add(-m.Age)}
+	if m.Served >= 0 {
+		c.ServedAt = now.Add(-m.Served)
+	}
+	for _, e := range m.Segments {
+		s, ok := fingerprintOf(e.Segment)
+		if !ok {
+			continue
+		}
+		c.Exposed = append(c.Exposed, quarantine.Exposure{Segment: s, SentAt: now.Add(-e.Sent)})
+		if e.Answered >= 0 {
+			t.list.Answer(now.Add(-e.Answered), s)
+		}
+	}
+	suspected, convicted := t.list.Add(c)
+	if names := t.suspects(now, suspected); len(names) > 0 {
+		t.log.Event(event.SegmentsSuspected).Str("target", m.Engine).Str("service", m.Service).Strs("segments", names).Send()
+	}
+	for _, s := range convicted {
+		t.log.Event(event.SegmentConvicted).Stringer("segment", s).Str("service", m.Service).Int("crashes", t.list.Crashes(s)).Send()
+	}
+}
+
+// maxLoggedSegments bounds the segments in one line of the log.
+const maxLoggedSegments = 16
+
+// suspects returns the names of those of the segments that have not been answered
+// since. The caller holds mu.
+func (t *segmentTracker) suspects(now time.Time, segments []quarantine.Fingerprint) []string {
+	var names []string
+	for _, s := range segments {
+		if len(names) < maxLoggedSegments && t.list.Classify(now, s) != quarantine.Innocent {
+			names = append(names, s.String())
+		}
+	}
+	return names
+}
+
+// expire removes records that are too old to affect a decision.
+func (t *segmentTracker) expire(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.list.Expire(now)
+	for incarnation, b := range t.broken {
+		if now.Sub(b.last) > crashWindow {
+			delete(t.broken, incarnation)
+		}
+	}
+	for service, served := range t.served {
+		if now.Sub(served[len(served)-1]) > quarantine.SuspectFor {
+			delete(t.served, service)
+		}
+	}
+}
--- a/internal/gateway/targetd_conns.go
+++ b/internal/gateway/targetd_conns.go
@@ -23,13 +23,15 @@
 
 // targetdConns maintains a connection to the targetd beside each engine.
 type targetdConns struct {
-	ctx           context.Context
-	fleet         *Fleet
-	dialer        *peer.Dialer
-	port          uint16 // of all targetds
-	log           event.Log
-	onEngineDown  func(now time.Time, incarnation string) // called when that incarnation of a target crashed
-	onCrashReport func(time.Time, peer.CrashReport)
+	ctx              context.Context
+	fleet            *Fleet
+	dialer           *peer.Dialer
+	port             uint16 // of all targetds
+	log              event.Log
+	onEngineDown     func(now time.Time, incarnation string) // called when that incarnation of a target crashed
+	onCrashReport    func(time.Time, peer.CrashReport)
+	onSegmentCrash   func(time.Time, peer.SegmentCrash)
+	onSegmentAnswers func(time.Time, peer.SegmentAnswers)
 }
 
 // connect starts to maintain the connection to the targetd of t, unless it is
@@ -94,6 +96,10 @@
 			f.applyPromptAnswer(now, t, m)
 		case peer.CrashReport:
 			tc.onCrashReport(now, m)
+		case peer.SegmentCrash:
+			tc.onSegmentCrash(now, m)
+		case peer.SegmentAnswers:
+			tc.onSegmentAnswers(now, m)
 		}
 	})
 	f.mu.Lock()
@@ -154,7 +160,7 @@
 
 // broadcast sends m to up to crashReportFanout targetds, which forward it to all
 // entryds.
-func (f *Fleet) broadcast(m peer.CrashReport) {
+func (f *Fleet) broadcast(m peer.Message) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	sent := 0
--- a/internal/gateway/test_gateway_test.go
+++ b/internal/gateway/test_gateway_test.go
@@ -35,6 +35,9 @@
 	if ms, err := strconv.Atoi(h.Get("Deadline")); err == nil {
 		m.Deadline = time.Duration(ms) * time.Millisecond
 	}
+	if s := h.Get("Segments"); s != "" {
+		m.PromptSegments = strings.Split(s, ",")
+	}
 	return m
 }
 
@@ -228,9 +231,11 @@
 	fleet   *Fleet
 	crashes *crashTracker
 	reports []peer.CrashReport
-	log     *bytes.Buffer
-	logMu   sync.Mutex
-	server  *httptest.Server
+
+	onReport func(peer.Message) // called with each report to other entryds if it is set
+	log      *bytes.Buffer
+	logMu    sync.Mutex
+	server   *httptest.Server
 }
 
 // lockedWriter makes the log readable while the gateway runs.
@@ -249,7 +254,7 @@
 	tg := &testGateway{log: &bytes.Buffer{}}
 	log := event.New(lockedWriter{tg}, "entryd", "e1", zerolog.InfoLevel)
 	tg.fleet = NewFleet("a", "north", map[string]string{"a": "north"}, log)
-	tg.crashes = newCrashTracker(func(m peer.CrashReport) { tg.reports = append(tg.reports, m) }, log)
+	tg.crashes = newCrashTracker(tg.report, log)
 	cfg := routing.New(3, testRoutes(), []routing.Service{{Name: "s"}}, routing.Limits{BodyBytes: 1000})
 	var current atomic.Pointer[routing.Configuration]
 	current.Store(cfg)
@@ -273,6 +278,28 @@
 	return tg
 }
 
+// report records a report to the other entryds.
+func (tg *testGateway) report(m peer.Message) {
+	if m, ok := m.(peer.CrashReport); ok {
+		tg.reports = append(tg.reports, m)
+	}
+	if tg.onReport != nil {
+		tg.onReport(m)
+	}
+}
+
+// apply applies a report of another entryd.
+func (tg *testGateway) apply(m peer.Message) {
+	switch m := m.(type) {
+	case peer.CrashReport:
+		tg.crashes.applyReport(time.Now(), m)
+	case peer.SegmentCrash:
+		tg.crashes.segments.applyCrash(time.Now(), m)
+	case peer.SegmentAnswers:
+		tg.crashes.segments.applyAnswers(time.Now(), m)
+	}
+}
+
 // reply is a response as seen by the caller.
 type reply struct {
 	status    int
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -40,6 +40,8 @@
 	typePromptAnswer   messageType = 56
 	typePromptDone     messageType = 57
 	typePacing         messageType = 58
+	typeSegmentCrash   messageType = 59
+	typeSegmentAnswers messageType = 60
 
 	typeStateRequest  messageType = 40
 	typeStateAnswer   messageType = 41
@@ -74,6 +76,8 @@
 func (PromptAnswer) messageType() messageType   { return typePromptAnswer }
 func (PromptDone) messageType() messageType     { return typePromptDone }
 func (Pacing) messageType() messageType         { return typePacing }
+func (SegmentCrash) messageType() messageType   { return typeSegmentCrash }
+func (SegmentAnswers) messageType() messageType { return typeSegmentAnswers }
 
 // Encode returns the wire format of m: one byte for its type, followed by its
 // fields as a CBOR array.
@@ -159,6 +163,10 @@
 		return &engineStateWire{}
 	case typeCrashReport:
 		return &crashReportWire{}
+	case typeSegmentCrash:
+		return &segmentCrashWire{}
+	case typeSegmentAnswers:
+		return &segmentAnswersWire{}
 	case typeEngineLoad:
 		return &engineLoadWire{}
 	case typePromptOffer:
@@ -235,6 +243,10 @@
 		return &pacingWire{}
 	case CrashReport:
 		return &crashReportWire{Engine: m.Engine, Fingerprints: m.Fingerprints}
+	case SegmentCrash:
+		return segmentCrashToWire(m)
+	case SegmentAnswers:
+		return &segmentAnswersWire{AgeMS: ageToWire(m.Age), Segments: m.Segments}
 	}
 	panic("peer: unknown message type")
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -60,6 +60,8 @@
 		PromptDone{ID: 7},
 		EngineLoad{Running: 2, Queued: 1, MissingAdapters: 3, Full: true},
 		CrashReport{Engine: "i/5", Fingerprints: [][]byte{{1, 2}, {3}}},
+		SegmentCrash{Engine: "i/5", Service: "s", Age: time.Second, Served: Unknown, Segments: []ExposedSegment{{Segment: []byte{1}, Sent: 2 * time.Second, Answered: Unknown}}},
+		SegmentAnswers{Age: time.Second, Segments: [][]byte{{1}}},
 	}
 }
 
--- a/pkg/quarantine/doc.go
+++ b/pkg/quarantine/doc.go
@@ -9,6 +9,18 @@
 // is a function of the known crashes alone, so processes that have the same crashes
 // compute the same verdict.
 //
+// The requests of a kind may crash their targets because of one shared segment of
+// their prompts, with no two of them alike. A SegmentList identifies such segments. A
+// segment is a suspect of a crash if a request with it was in flight and had no answer
+// yet. It stays one until a target begins an answer to a request with it: a sound
+// segment gets an answer as soon as a target lives, one that crashes targets never.
+// A segment is convicted if it is a suspect of several crashes, of which a later one
+// occurred under a request that was sent after the first, while the service answered
+// other requests; if it is a suspect of most crashes of its service meanwhile; and if no
+// other segment explains the same crashes better. Targets that fail together, again and
+// again, thus convict no segment: as long as none of them answers, nothing is decided,
+// and the first answers clear the segments in use.
+//
 // The method is group testing of the requests in flight; see R. Dorfman,
 // "The Detection of Defective Members of Large Populations", 1943.
 //
@@ -22,4 +34,10 @@
 //	case quarantine.Suspect:
 //		// run it when the target runs no other suspect
 //	}
+//
+//	var segments quarantine.SegmentList
+//	segments.Add(segmentCrash)
+//	if segments.Classify(now, quarantine.SegmentFingerprint(service, id)) == quarantine.Convicted {
+//		// refuse: not run
+//	}
 package quarantine
--- a/pkg/quarantine/fingerprint.go
+++ b/pkg/quarantine/fingerprint.go
@@ -30,3 +30,13 @@
 	h.Write(r.Body)
 	return Fingerprint(h.Sum(nil))
 }
+
+// SegmentFingerprint returns the fingerprint of a shared segment of the prompts of a
+// service's requests.
+func SegmentFingerprint(service, id string) Fingerprint {
+	h := sha256.New()
+	h.Write(binary.AppendUvarint(nil, uint64(len(service))))
+	h.Write([]byte(service))
+	h.Write([]byte(id))
+	return Fingerprint(h.Sum(nil))
+}
