Refuse requests with a prompt segment that crashes targets

Callers of one route saw it fail: engines crashed one after the other under requests that share a segment of their prompts and are otherwise different. The quarantine identified requests by all of their content, so that none of them was ever in flight at two crashes, and each new one crashed the next engine. Late or missing crash reports were ruled out by the log: each entryd knew each crash within 100 ms. So were repeats: the requests were new ones.

A request with a convicted segment is refused before it is sent, also when it waited meanwhile.

--- a/internal/gateway/attempt_loop.go
+++ b/internal/gateway/attempt_loop.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/borageusher/borageusher/internal/event"
+	"github.com/borageusher/borageusher/pkg/quarantine"
 )
 
 // Limits of a call.
@@ -17,6 +18,11 @@
 	// waitPollInterval is how often a waiting call repeats the selection without
 	// a change signal. Load requests are repeated at this interval.
 	waitPollInterval = 200 * time.Millisecond
+	// holdPollInterval is how often a held call checks whether it may be sent.
+	holdPollInterval = 20 * time.Millisecond
+	// maxHeldTime is how long a call with a suspect segment waits for another one to
+	// be answered: the time for which callers wait at least.
+	maxHeldTime = minCallerTimeout
 	// minAttemptTime is the least remaining time in which an attempt is worth
 	// sending.
 	minAttemptTime = 10 * time.Millisecond
@@ -28,6 +34,9 @@
 // reasonDelivered is the reason of a call whose caller received a target's response.
 const reasonDelivered = "delivered"
 
+// reasonQuarantined is the reason of a call that crashes targets.
+const reasonQuarantined = "quarantined"
+
 // outcome is the result of an attempt.
 type outcome uint8
 
@@ -53,7 +62,11 @@
 // done when the caller disconnects, ctx also at the call's deadline.
 func (g *Gateway) runAttempts(ctx, callerCtx context.Context, w http.ResponseWriter, c *call) {
 	for {
-		sel, reason := g.awaitTarget(ctx, c)
+		reason := g.awaitSuspects(ctx, c)
+		var sel selection
+		if reason == "" {
+			sel, reason = g.awaitTarget(ctx, c)
+		}
 		if reason != "" {
 			g.respondFailure(callerCtx, w, c, reason)
 			return
@@ -63,19 +76,30 @@
 			continue
 		}
 		now := time.Now()
+		var run *segmentRun
+		verdict := quarantine.Innocent
+		if reason == "" {
+			run, verdict = g.CrashTracker.segments.begin(now, c, c.heldFor >= maxHeldTime)
+		}
 		switch {
 		case reason != "":
+		case verdict == quarantine.Suspect:
+			g.Fleet.endOffer(o)
+			continue
+		case verdict == quarantine.Convicted || g.CrashTracker.quarantined(now, c):
+			reason = reasonQuarantined
 		case c.remaining(now) < minAttemptTime:
 			reason = "deadline"
 		case c.attemptsSent > 0 && !g.RetryBudget.tryAcquire(now, c.service, g.Fleet.entrydCount()):
 			reason = "retry_allowance"
 		}
 		if reason != "" {
+			g.CrashTracker.segments.end(run)
 			g.Fleet.endOffer(o)
 			g.respondFailure(callerCtx, w, c, reason)
 			return
 		}
-		out := g.attempt(ctx, w, c, sel, o, g.CrashTracker.segments.begin(now, c))
+		out := g.attempt(ctx, w, c, sel, o, run)
 		switch {
 		case out == delivered:
 			g.CrashTracker.clearSuspect(c)
@@ -96,6 +120,28 @@
 	}
 }
 
+// awaitSuspects waits while another request with a suspect segment of the call's prompt
+// is in flight without an answer, so that a segment that crashes targets crashes few of
+// them before it is convicted. It returns the reason if the call has failed.
+func (g *Gateway) awaitSuspects(ctx context.Context, c *call) string {
+	for c.heldFor < maxHeldTime {
+		start := time.Now()
+		switch g.CrashTracker.segments.classify(start, c) {
+		case quarantine.Convicted:
+			return reasonQuarantined
+		case quarantine.Innocent:
+			return ""
+		}
+		select {
+		case <-time.After(holdPollInterval):
+		case <-ctx.Done():
+			return "timeout"
+		}
+		c.heldFor += time.Since(start)
+	}
+	return ""
+}
+
 // awaitTarget returns the target of the next attempt, after waiting until it
 // holds the adapter. If none is available, it returns the reason; otherwise the
 // reason is empty.
@@ -187,7 +233,7 @@
 			status = http.StatusGatewayTimeout
 		}
 	}
-	if reason == "no_target" || reason == "quarantined" || reason == "overloaded" {
+	if reason == "no_target" || reason == reasonQuarantined || reason == "overloaded" {
 		after = longRetryAfter
 	}
 	after = min(max(after, c.retryAfter), c.remaining(time.Now())/retryAfterDivisor)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -36,6 +36,7 @@
 	reselections    int             // choices of another target because of a targetd's answer
 	waitTarget      *targetState    // target that is to load the adapter, nil if not waiting
 
+	heldFor     time.Duration // total time waited because another request with a suspect segment ran
 	adapterWait time.Duration // total time waited for a target, mostly for adapters to load
 	retryAfter  time.Duration // expected time until the adapter is loaded, zero if unknown
 
--- a/internal/gateway/crash_tracker.go
+++ b/internal/gateway/crash_tracker.go
@@ -49,8 +49,12 @@
 	})
 }
 
-// quarantined reports whether a call is rejected because it crashes targets.
+// quarantined reports whether a call is rejected because it, or a segment of its
+// prompt, crashes targets.
 func (t *crashTracker) quarantined(now time.Time, c *call) bool {
+	if t.segments.classify(now, c) == quarantine.Convicted {
+		return true
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.list.Empty() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -93,7 +93,7 @@
 	c.revision = cfg.Version
 	g.RetryBudget.recordRequest(now, service)
 	if g.CrashTracker.quarantined(now, c) {
-		g.respondFailure(r.Context(), w, c, "quarantined")
+		g.respondFailure(r.Context(), w, c, reasonQuarantined)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
--- a/internal/gateway/segment_tracker.go
+++ b/internal/gateway/segment_tracker.go
@@ -61,14 +61,51 @@
 	return out
 }
 
-// begin registers an attempt that is about to be sent.
-func (t *segmentTracker) begin(now time.Time, c *call) *segmentRun {
+// verdict returns the most severe verdict on a call's segments. Those that are to run
+// alone are suspects, the others that may run are innocent. The caller holds mu.
+func (t *segmentTracker) verdict(now time.Time, c *call) quarantine.Verdict {
+	verdict := quarantine.Innocent
+	for _, s := range c.segments {
+		switch {
+		case t.list.Classify(now, s) == quarantine.Convicted:
+			return quarantine.Convicted
+		case t.unanswered[s] > 0 && t.list.Unproven(now, s):
+			verdict = quarantine.Suspect
+		}
+	}
+	return verdict
+}
+
+// classify returns the verdict on a call: convicted if a segment of its prompt crashes
+// targets, and suspect if one may do so and another request with it has no answer yet.
+func (t *segmentTracker) classify(now time.Time, c *call) quarantine.Verdict {
+	if len(c.segments) == 0 {
+		return quarantine.Innocent
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.list.Empty() {
+		return quarantine.Innocent
+	}
+	return t.verdict(now, c)
+}
+
+// begin registers an attempt that is about to be sent, unless the verdict on the call
+// forbids it. A suspect is sent nevertheless if it has waited.
+func (t *segmentTracker) begin(now time.Time, c *call, waited bool) (*segmentRun, quarantine.Verdict) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	verdict := quarantine.Innocent
+	if !t.list.Empty() {
+		verdict = t.verdict(now, c)
+	}
+	if verdict == quarantine.Convicted || (verdict == quarantine.Suspect && !waited) {
+		return nil, verdict
+	}
 	for _, s := range c.segments {
 		t.unanswered[s]++
 	}
-	return &segmentRun{service: c.service, segments: c.segments, sentAt: now}
+	return &segmentRun{service: c.service, segments: c.segments, sentAt: now}, quarantine.Innocent
 }
 
 // end ends an attempt.
