--- a/internal/enginecontroller/controller_test.go
+++ b/internal/enginecontroller/controller_test.go
@@ -89,6 +89,7 @@
 	mu           sync.Mutex
 	last         peer.EngineState
 	crashReports []peer.CrashReport
+	segments     []peer.Message // reports on segments
 	paced        bool
 	answers      map[uint64][]peer.PromptAnswer // by offer
 }
@@ -99,6 +100,13 @@
 	return e.last
 }
 
+// segmentReports returns the reports on segments that were received.
+func (e *fakeEntryd) segmentReports() []peer.Message {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]peer.Message(nil), e.segments...)
+}
+
 func (e *fakeEntryd) crashes() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -147,6 +155,8 @@
 				e.answers[m.ID] = append(e.answers[m.ID], m)
 			case peer.CrashReport:
 				e.crashReports = append(e.crashReports, m)
+			case peer.SegmentCrash, peer.SegmentAnswers:
+				e.segments = append(e.segments, m)
 			}
 		})
 	}()
