Decide for each engine whether its prompts are paced

Cause: each entryd counted the late streams of a service.

Change: an entryd reports a stream with a late event at once to the targetd that was offered its prompt (LateStream, encoded as a PromptDone that earlier releases ignore). The targetd decides for its engine and tells the entryds by repeating Pacing; only then do offers state the allowed gap. Late events beside a prompt that takes longer to read than the allowed gap don't count.

--- a/internal/enginecontroller/conns.go
+++ b/internal/enginecontroller/conns.go
@@ -63,7 +63,7 @@
 	switch m := m.(type) {
 	case peer.EngineSpec:
 		if m.Paces {
-			ec.pacer.connect(c)
+			ec.pacer.connect(time.Now(), c)
 		}
 		handle = func(now time.Time) {
 			ec.applySpec(now, m)
@@ -80,6 +80,9 @@
 	case peer.PromptDone:
 		ec.pacer.done(time.Now(), c, m.ID)
 		return
+	case peer.LateStream:
+		ec.pacer.recordLate(time.Now(), m.Allowed)
+		return
 	default:
 		return // other messages, such as heartbeats, need no action
 	}
--- a/internal/enginecontroller/controller.go
+++ b/internal/enginecontroller/controller.go
@@ -91,7 +91,7 @@
 		conns:   map[*peer.Conn]struct{}{},
 		crashes: map[string][][]byte{},
 		planner: orders.NewPlanner(),
-		pacer:   newPacer(),
+		pacer:   newPacer(opts.Log),
 
 		instances: map[int64]string{},
 	}
--- a/internal/enginecontroller/controller_test.go
+++ b/internal/enginecontroller/controller_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -90,6 +91,7 @@
 	last         peer.EngineState
 	crashReports []peer.CrashReport
 	paced        bool
+	pacings      int                            // Pacing messages
 	answers      map[uint64][]peer.PromptAnswer // by offer
 }
 
@@ -143,6 +145,7 @@
 				e.last = m
 			case peer.Pacing:
 				e.paced = true
+				e.pacings++
 			case peer.PromptAnswer:
 				e.answers[m.ID] = append(e.answers[m.ID], m)
 			case peer.CrashReport:
@@ -270,6 +273,54 @@
 	return e.paced
 }
 
+func (e *fakeEntryd) pacingCount() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.pacings
+}
+
+func TestPacingStarts(t *testing.T) {
+	convey.Convey("Given the targetds of two engines and two entryds that are connected to both", t, func() {
+		spec := engineSpec("i-1", 7)
+		spec.Paces = true
+		var engines [2][2]*fakeEntryd
+		var addrs [2]netip.AddrPort
+		for i := range engines {
+			addrs[i] = startController(t, &fakeEngine{report: orders.Report{Started: 7}})
+			for j := range engines[i] {
+				c := connect(t, addrs[i], fmt.Sprintf("e%d", j))
+				c.send(t, spec)
+				convey.So(eventually(c.isPaced), convey.ShouldBeTrue)
+				engines[i][j] = c
+			}
+		}
+		// report sends late streams, too few to pace prompts.
+		report := func(c *fakeEntryd) {
+			for id := range uint64(4) {
+				c.send(t, peer.PromptOffer{ID: id + 1, Tokens: 100, TokenTime: 50 * time.Microsecond})
+				c.send(t, peer.PromptDone{ID: id + 1})
+				c.send(t, peer.LateStream{Allowed: 300 * time.Millisecond})
+			}
+			convey.So(eventually(func() bool { return c.isAdmitted(4) }), convey.ShouldBeTrue)
+		}
+		report(engines[0][0])
+		convey.So(engines[0][0].pacingCount(), convey.ShouldEqual, 1)
+		convey.Convey("late streams of both entryds at one engine pace the prompts of both for it, and none for the other", func() {
+			report(engines[0][1])
+			for i, want := range []int{2, 1} {
+				for _, c := range engines[i] {
+					convey.So(eventually(func() bool { return c.pacingCount() == want }), convey.ShouldBeTrue)
+				}
+			}
+			convey.Convey("also those of one that connects later", func() {
+				c := connect(t, addrs[0], "e3")
+				c.send(t, spec)
+				convey.So(eventually(func() bool { return c.pacingCount() == 2 }), convey.ShouldBeTrue)
+			})
+		})
+	})
+}
+
 func TestPacing(t *testing.T) {
 	convey.Convey("Given a controller with two entryds that pace their prompts", t, func() {
 		e := &fakeEngine{report: orders.Report{Started: 7, Running: 2, Queued: 1}}
--- a/internal/enginecontroller/pacer.go
+++ b/internal/enginecontroller/pacer.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/internal/peer"
 	"github.com/borageusher/borageusher/pkg/prefill"
 )
@@ -12,8 +13,11 @@
 // does not use the controller's loop, which waits for the engine's responses. It is
 // safe for concurrent use.
 type pacer struct {
+	log      event.Log
 	mu       sync.Mutex
 	queue    *prefill.Queue
+	monitor  prefill.Monitor
+	toldAt   time.Time             // when the entryds were last told to pace the prompts
 	senders  map[*peer.Conn]uint64 // numbers of the connected entryds that pace their prompts
 	conns    map[uint64]*peer.Conn // the inverse of senders
 	last     uint64                // number of the last sender
@@ -21,12 +25,13 @@
 	sent     int                   // prompts admitted since
 }
 
-func newPacer() *pacer {
-	return &pacer{queue: prefill.New(), senders: map[*peer.Conn]uint64{}, conns: map[uint64]*peer.Conn{}}
+func newPacer(log event.Log) *pacer {
+	return &pacer{log: log, queue: prefill.New(), senders: map[*peer.Conn]uint64{}, conns: map[uint64]*peer.Conn{}}
 }
 
-// connect registers an entryd that paces its prompts and tells it to offer them.
-func (p *pacer) connect(c *peer.Conn) {
+// connect registers an entryd that paces its prompts and tells it to offer them, and
+// whether they have to be paced now.
+func (p *pacer) connect(now time.Time, c *peer.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if _, ok := p.senders[c]; ok {
@@ -35,6 +40,9 @@
 	p.last++
 	p.senders[c], p.conns[p.last] = p.last, c
 	_, _ = c.Send(peer.Pacing{}) // after an error the entryd reconnects
+	if p.monitor.Paces(now) {
+		_, _ = c.Send(peer.Pacing{})
+	}
 }
 
 // disconnect gives up the prompts of an entryd.
@@ -60,7 +68,9 @@
 		return // the connection has ended
 	}
 	key := prefill.Key{Sender: sender, ID: m.ID}
-	p.queue.Add(now, prefill.Prompt{Key: key, Tokens: m.Tokens, TokenTime: m.TokenTime, Gap: m.Gap, Urgency: m.Urgency})
+	prompt := prefill.Prompt{Key: key, Tokens: m.Tokens, TokenTime: m.TokenTime, Gap: m.Gap, Urgency: m.Urgency}
+	p.monitor.ObservePrompt(now, prompt)
+	p.queue.Add(now, prompt)
 	if !p.admit(now)[key] {
 		p.answer(key, false)
 	}
@@ -70,16 +80,43 @@
 func (p *pacer) done(now time.Time, c *peer.Conn, id uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.queue.Remove(prefill.Key{Sender: p.senders[c], ID: id})
+	key := prefill.Key{Sender: p.senders[c], ID: id}
+	p.monitor.ObserveRead(now, key)
+	p.queue.Remove(key)
 	p.admit(now)
 }
 
+// recordLate records a stream with an event after a longer gap than allowed.
+func (p *pacer) recordLate(now time.Time, allowed time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	paced := p.monitor.Paces(now)
+	p.monitor.ObserveLate(now, allowed)
+	if !paced && p.monitor.Paces(now) {
+		p.log.Event(event.PacingStarted).Int("entries", len(p.senders)).Send()
+	}
+	p.tell(now)
+}
+
+// tell tells the entryds from time to time that prompts have to be paced, if they have
+// to be. The caller holds mu.
+func (p *pacer) tell(now time.Time) {
+	if !p.monitor.Paces(now) || now.Sub(p.toldAt) < peer.PacingInterval {
+		return
+	}
+	p.toldAt = now
+	for c := range p.senders {
+		_, _ = c.Send(peer.Pacing{}) // after an error the entryd reconnects
+	}
+}
+
 // observe records the number of requests that the engine reports, and admits the
 // prompts that no longer have to wait.
 func (p *pacer) observe(now time.Time, requests int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.reported, p.sent = requests, 0
+	p.tell(now)
 	p.admit(now)
 }
 
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -57,6 +57,7 @@
 	EngineRestarted   Code = 420
 	EngineUnreachable Code = 421
 	EngineReachable   Code = 422
+	PacingStarted     Code = 423
 	TargetRegistered  Code = 430
 	TargetReplaced    Code = 431
 	ClaimTaken        Code = 440
@@ -140,6 +141,7 @@
 	{EngineRestarted, "engine_restarted", zerolog.WarnLevel, "The engine restarted and lost its adapters."},
 	{EngineUnreachable, "engine_unreachable", zerolog.WarnLevel, "The engine does not respond."},
 	{EngineReachable, "engine_reachable", zerolog.InfoLevel, "The engine responds."},
+	{PacingStarted, "pacing_started", zerolog.InfoLevel, "Too many of the engine's streams have late events: its prompts are paced."},
 	{TargetRegistered, "target_registered", zerolog.InfoLevel, "The target is registered with `epoch` as its fencing token."},
 	{TargetReplaced, "target_replaced", zerolog.ErrorLevel, "Another process registered this target; this process takes no more work."},
 	{ClaimTaken, "claim_taken", zerolog.DebugLevel, "The target holds the claim on a request's idempotency key, before it runs the request."},
--- a/internal/gateway/active_attempt.go
+++ b/internal/gateway/active_attempt.go
@@ -38,6 +38,7 @@
 	callerTimeout time.Duration // limit of the caller for the first event, and for each next one
 	cancel        context.CancelFunc
 	hasEvent      bool // an event was received; guarded by the fleet's mu
+	late          bool // its stream was reported as late; used by the goroutine that relays it
 	offer         *offer
 	promptTokens  int
 
@@ -99,6 +100,18 @@
 	a.eventBegan.Store(0)
 }
 
+// recordGap records an event that is not the first one of an attempt's response. The
+// first one after a gap longer than allowed is reported to the targetd that was offered
+// the prompt. There is no limit if allowed is zero.
+func (f *Fleet) recordGap(now time.Time, a *activeAttempt, allowed time.Duration) {
+	gap := now.Sub(f.epoch.Add(time.Duration(a.lastActivity.Load())))
+	if a.offer == nil || a.late || allowed <= 0 || gap <= allowed {
+		return
+	}
+	a.late = true
+	_, _ = a.offer.conn.Send(peer.LateStream{Allowed: allowed}) // an ended connection needs no report
+}
+
 // recordFirstEvent records the first event of an attempt's response, by which the
 // target has read the prompt. ahead is the estimated number of tokens of other prompts
 // that the target had to read when the attempt was sent, delay the time from then to
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -70,10 +70,12 @@
 	}
 	onBegin := func(at time.Time) { g.Fleet.recordEventBegin(at, active) }
 	onEvent := func(at time.Time, first bool) {
-		g.Fleet.recordActivity(at, active)
 		if first {
 			g.Fleet.recordFirstEvent(sel.target, active, sel.backlog, at.Sub(now))
+		} else {
+			g.Fleet.recordGap(at, active, c.route.MaxEventGap)
 		}
+		g.Fleet.recordActivity(at, active)
 	}
 	out, err := g.relayStream(w, c, resp, onBegin, onEvent)
 	if active.unfinished.Load() && out == broken {
--- a/internal/gateway/latency_stats.go
+++ b/internal/gateway/latency_stats.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/borageusher/borageusher/pkg/assignment"
-	"github.com/borageusher/borageusher/pkg/prefill"
 	"github.com/borageusher/borageusher/pkg/retry"
 )
 
@@ -13,7 +12,6 @@
 type latencyStats struct {
 	firstEvent retry.Mean       // time to the first event
 	duration   retry.Mean       // time to the end of the response
-	gaps       prefill.Monitor  // of the streams
 	readTime   assignment.Trend // time to the first event, by the tokens of the prompts that the target reads until then
 }
 
--- a/internal/gateway/pacing.go
+++ b/internal/gateway/pacing.go
@@ -158,7 +158,10 @@
 		return nil
 	}
 	t.lastOffer++
-	gap := f.pacedGap(now, c)
+	var gap time.Duration
+	if now.Before(t.pacedUntil) {
+		gap = c.route.MaxEventGap
+	}
 	o := &offer{
 		target:  t,
 		conn:    t.conn,
@@ -220,16 +223,20 @@
 	}
 }
 
-// startPacing records that the targetd of t paces prompts.
-func (f *Fleet) startPacing(t *targetState) {
+// applyPacing records that the targetd of t is offered prompts, and if it was already
+// that they have to be paced.
+func (f *Fleet) applyPacing(now time.Time, t *targetState) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if t.paces {
+		t.pacedUntil = now.Add(peer.PacingValidity)
+	}
 	t.paces = t.conn != nil
 }
 
 // endPacing ends the offers on a connection that has ended. The caller holds mu.
 func (t *targetState) endPacing() {
-	t.paces = false
+	t.paces, t.pacedUntil = false, time.Time{}
 	for id, o := range t.offers {
 		o.ended = true
 		close(o.answers)
@@ -243,25 +250,6 @@
 	return f.latencyOf(service).readTime.Slope()
 }
 
-// pacedGap returns the gap between events for which the prompts of the call's service
-// are paced, zero if they are not. The caller holds mu.
-func (f *Fleet) pacedGap(now time.Time, c *call) time.Duration {
-	if !f.latencyOf(c.service).gaps.Paces(now) {
-		return 0
-	}
-	return c.route.MaxEventGap
-}
-
-// recordGap records the longest gap between two events of an attempt's stream.
-func (f *Fleet) recordGap(now time.Time, c *call, longest time.Duration) {
-	if c.route.MaxEventGap <= 0 {
-		return
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.latencyOf(c.service).gaps.Observe(now, longest > c.route.MaxEventGap)
-}
-
 // observeBacklog records the tokens of prompts that the engine has to read.
 func (t *targetState) observeBacklog(now time.Time, tokens int) {
 	t.backlog, t.backlogAt, t.unreadAtBacklog = tokens, now, t.unreadTokens
--- a/internal/gateway/pacing_test.go
+++ b/internal/gateway/pacing_test.go
@@ -28,6 +28,7 @@
 	answer func(c *peer.Conn, m peer.PromptOffer) // called in a goroutine of its own for each offer
 	offers []peer.PromptOffer
 	done   []uint64
+	late   []peer.LateStream
 }
 
 // newFakePacer starts a targetd that answers offers with answer, and connects it to
@@ -81,6 +82,8 @@
 		go p.answer(p.conn, m)
 	case peer.PromptDone:
 		p.done = append(p.done, m.ID)
+	case peer.LateStream:
+		p.late = append(p.late, m)
 	}
 }
 
@@ -243,6 +246,56 @@
 	})
 }
 
+func TestLateStreams(t *testing.T) {
+	convey.Convey("Given a target whose events have gaps longer than allowed", t, func() {
+		ft := newFakeTarget(t, "t1")
+		ft.steps = []step{func(c net.Conn, r *http.Request) bool { return sendSlowEvents(c, r, 4, 40*time.Millisecond) }}
+		tg := newTestGateway(t, ft)
+		route, ok := tg.gateway.Configuration.Load().Match("h", "/once/x")
+		convey.So(ok, convey.ShouldBeTrue)
+		p := newFakePacer(t, tg, "t1", func(c *peer.Conn, m peer.PromptOffer) { _, _ = c.Send(peer.PromptAnswer{ID: m.ID, Admitted: true}) })
+		call := func() { convey.So(tg.call(t, "/once/x", "Model", "m").status, convey.ShouldEqual, 200) }
+		late := func() []peer.LateStream {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			return append([]peer.LateStream(nil), p.late...)
+		}
+		lastGap := func() time.Duration {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			return p.offers[len(p.offers)-1].Gap
+		}
+		convey.Convey("each of its streams is reported once to its targetd", func() {
+			route.MaxEventGap = 20 * time.Millisecond
+			call()
+			call()
+			convey.So(p.allDone(2), convey.ShouldBeTrue)
+			convey.So(eventually(func() bool { return len(late()) == 2 }), convey.ShouldBeTrue)
+			convey.So(late()[0].Allowed, convey.ShouldEqual, route.MaxEventGap)
+		})
+		convey.Convey("a stream of a route without a limit is not reported", func() {
+			route.MaxEventGap = 0
+			call()
+			convey.So(p.allDone(1), convey.ShouldBeTrue)
+			convey.So(late(), convey.ShouldBeEmpty)
+		})
+		convey.Convey("prompts state the allowed gap once the targetd asks for it", func() {
+			route.MaxEventGap = 20 * time.Millisecond
+			call()
+			convey.So(lastGap(), convey.ShouldEqual, 0)
+			_, _ = p.conn.Send(peer.Pacing{})
+			convey.So(eventually(func() bool { call(); return lastGap() == route.MaxEventGap }), convey.ShouldBeTrue)
+			convey.Convey("until it no longer repeats that", func() {
+				tg.fleet.mu.Lock()
+				tg.fleet.targets["t1"].pacedUntil = time.Now()
+				tg.fleet.mu.Unlock()
+				call()
+				convey.So(lastGap(), convey.ShouldEqual, 0)
+			})
+		})
+	})
+}
+
 func TestSlowEnginePacesNoOther(t *testing.T) {
 	convey.Convey("Late events of slow engines don't make the prompts for other engines wait", t, func() {
 		const engines, slow = 9, 2
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -52,8 +52,6 @@
 	control := http.NewResponseController(w)
 	_ = control.SetWriteDeadline(c.deadline.Add(writeMargin)) // not supported by httptest.ResponseRecorder
 	skipped := 0                                              // bytes of events that came before, since the last new one
-	var longest time.Duration                                 // gap between two events of this attempt
-	defer func() { g.Fleet.recordGap(time.Now(), c, longest) }()
 	for first := true; ; first = false {
 		e, err := readEvent(reader, onBegin)
 		if err != nil {
@@ -67,9 +65,6 @@
 		}
 		now := time.Now()
 		onEvent(now, first)
-		if !first {
-			longest = max(longest, now.Sub(c.lastEventAt))
-		}
 		c.recordEventAt(now)
 		if !c.acceptEvent(e) {
 			if skipped += len(e); skipped > maxEventBytes {
--- a/internal/gateway/target_state.go
+++ b/internal/gateway/target_state.go
@@ -62,9 +62,10 @@
 	vmAliveAt       time.Time                // last liveness signal of the target's VM, zero until the first one; also set after a pause of this process
 	closeConn       func()                   // stops maintaining conn
 
-	paces     bool              // the targetd paces prompts
-	offers    map[uint64]*offer // prompts offered to the targetd that have not ended
-	lastOffer uint64            // id of the last offer
+	paces      bool              // the targetd is offered prompts
+	pacedUntil time.Time         // until when prompts have to be paced, according to the targetd
+	offers     map[uint64]*offer // prompts offered to the targetd that have not ended
+	lastOffer  uint64            // id of the last offer
 
 	attempts        map[*activeAttempt]struct{}
 	inFlight        int // requests at the target
--- a/internal/gateway/targetd_conns.go
+++ b/internal/gateway/targetd_conns.go
@@ -89,7 +89,7 @@
 		case peer.EngineLoad:
 			f.applyEngineLoad(now, t, m)
 		case peer.Pacing:
-			f.startPacing(t)
+			f.applyPacing(now, t)
 		case peer.PromptAnswer:
 			f.applyPromptAnswer(now, t, m)
 		case peer.CrashReport:
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -73,6 +73,7 @@
 func (PromptOffer) messageType() messageType    { return typePromptOffer }
 func (PromptAnswer) messageType() messageType   { return typePromptAnswer }
 func (PromptDone) messageType() messageType     { return typePromptDone }
+func (LateStream) messageType() messageType     { return typePromptDone }
 func (Pacing) messageType() messageType         { return typePacing }
 
 // Encode returns the wire format of m: one byte for its type, followed by its
@@ -231,6 +232,8 @@
 		return &promptAnswerWire{ID: m.ID, Admitted: m.Admitted, Ahead: m.Ahead, Requests: m.Requests}
 	case PromptDone:
 		return &promptDoneWire{ID: m.ID}
+	case LateStream:
+		return &promptDoneWire{ID: lateStreamID | uint64(uint32(m.Allowed.Milliseconds()))}
 	case Pacing:
 		return &pacingWire{}
 	case CrashReport:
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -58,6 +58,7 @@
 		PromptOffer{ID: 7, Tokens: 1460, TokenTime: 52 * time.Microsecond, Gap: 300 * time.Millisecond, Urgency: 1},
 		PromptAnswer{ID: 7, Admitted: true, Ahead: 2000, Requests: 9},
 		PromptDone{ID: 7},
+		LateStream{Allowed: 300 * time.Millisecond},
 		EngineLoad{Running: 2, Queued: 1, MissingAdapters: 3, Full: true},
 		CrashReport{Engine: "i/5", Fingerprints: [][]byte{{1, 2}, {3}}},
 	}
--- a/pkg/prefill/doc.go
+++ b/pkg/prefill/doc.go
@@ -19,9 +19,12 @@
 // urgency, then of their arrival. The first one begins the next batch, and later ones
 // that fit may fill it, so that none waits for ever.
 //
-// Where prompts make no events late, pacing would only cost time. A Monitor at each
-// entryd finds out by the gaps of its own streams; its prompts state the allowed gap
-// only if it paces.
+// Where prompts make no events late, pacing would only cost time. A Monitor beside each
+// engine finds out by the late streams that all entryds report to it; prompts state the
+// allowed gap only while it paces. An entryd on its own sees too few streams of each of
+// many engines to decide. A prompt that takes longer to read than the allowed gap makes
+// events late whether or not prompts are paced, so those that it may have caused don't
+// count.
 //
 // The cost of a call is proportional to the number of prompts that wait for one
 // engine.
