--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -65,6 +65,7 @@
 	EngineReachable   Code = 422
 	EngineDeparting   Code = 423
 	EngineBackoff     Code = 424
+	PacingStarted     Code = 425
 	TargetRegistered  Code = 430
 	TargetReplaced    Code = 431
 	ClaimTaken        Code = 440
@@ -156,6 +157,7 @@
 	{EngineReachable, "engine_reachable", zerolog.InfoLevel, "The engine responds."},
 	{EngineDeparting, "engine_departing", zerolog.InfoLevel, "The engine says in a response that it leaves: it gets no more orders until it starts again."},
 	{EngineBackoff, "engine_backoff", zerolog.InfoLevel, "The engine turned a call of its targetd away: it gets no orders `for` a while, and its state is not read."},
+	{PacingStarted, "pacing_started", zerolog.InfoLevel, "Too many of the engine's streams have late events: its prompts are paced."},
 	{TargetRegistered, "target_registered", zerolog.InfoLevel, "The target is registered with `epoch` as its fencing token."},
 	{TargetReplaced, "target_replaced", zerolog.ErrorLevel, "Another process registered this target; this process takes no more work."},
 	{ClaimTaken, "claim_taken", zerolog.DebugLevel, "The target holds the claim on a request's idempotency key, before it runs the request."},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -81,13 +81,14 @@
 	}
 	onBegin := func(at time.Time) { g.Fleet.recordEventBegin(at, active) }
 	onEvent := func(at time.Time, first bool) {
-		g.Fleet.recordActivity(at, active)
 		if first {
 			g.Fleet.recordFirstEvent(sel.target, active, sel.backlog, at.Sub(now))
-			return
+		} else {
+			g.Fleet.recordGap(at, active, c.route.MaxEventGap)
+			// A target that crashes while it writes may have sent one event.
+			g.CrashTracker.segments.recordAnswer(at, run)
 		}
-		// A target that crashes while it writes may have sent one event.
-		g.CrashTracker.segments.recordAnswer(at, run)
+		g.Fleet.recordActivity(at, active)
 	}
 	out, err := g.relayStream(w, c, resp, onBegin, onEvent)
 	if active.unfinished.Load() && out == broken {
