Reject requests that arrive after the drain delay of a stop

What callers could see: a request that arrived late in a stop was started, and ended without an answer when the process exited. Only a request that was sent within the drain delay can expect the rest of the stop timeout.

Cause: entryd served requests on open connections until its exit.

Fix: from the end of the drain delay a request gets 503 with Retry-After and Connection: close, and reaches no target, so that its caller goes to another entryd. The check comes after the body has been read: closing a connection with unread data would reset it and lose the response.

The cut itself was not reproduced; it follows from the order of the steps.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -48,6 +48,7 @@
 type Gateway struct {
 	Options
 	stopping   atomic.Bool  // responses ask callers to close their connections
+	closing    atomic.Bool  // requests are rejected
 	inProgress atomic.Int64 // requests
 	admission  *admissionControl
 }
@@ -88,6 +89,10 @@
 		g.reject(w, meta.ID, status, "body", 0)
 		return
 	}
+	if g.closing.Load() { // after the body was read, so that the connection isn't reset
+		g.reject(w, meta.ID, 503, "stopping", shortRetryAfter)
+		return
+	}
 	service := route.Pick(rand.Float64())
 	c := newCall(now, meta, route, service, r, body)
 	c.revision = cfg.Version
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -32,10 +32,12 @@
 	return nil
 }
 
-// shutDown closes the listener, and until deadline each connection on which no request
-// is in progress. http.Server.Shutdown closes connections on which a request has begun
-// to arrive, and drops requests that are read later.
+// shutDown rejects further requests, closes the listener, and until deadline each
+// connection on which no request is in progress. http.Server.Shutdown closes
+// connections on which a request has begun to arrive, and drops requests that are read
+// later.
 func (p *process) shutDown(ln net.Listener, deadline time.Time) {
+	p.gateway.closing.Store(true)
 	_ = ln.Close() // new connections go to other processes
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
