Answer the requests in progress at the end of the stop timeout

What callers saw: a request that was still waiting for a target, or running, when entryd reached its stop timeout ended without an answer.

Cause: the shutdown gave up at its deadline, and the exit of the process cut what was left.

Fix: shortly before the deadline the contexts of all calls are cancelled. A call that has not run gets 503, one that may have run 502; a started stream breaks off, as before. The reason in the log is stopping.

--- a/internal/gateway/attempt_loop.go
+++ b/internal/gateway/attempt_loop.go
@@ -171,8 +171,11 @@
 	if callerCtx.Err() == nil && c.headerSent {
 		g.Scope.Counter("streams_broken").Inc(1)
 	}
-	if closedByServer(callerCtx) {
+	switch {
+	case closedByServer(callerCtx):
 		reason = "connection_closed"
+	case reason == "timeout" && g.ending.Err() != nil:
+		reason = "stopping"
 	}
 	if callerCtx.Err() != nil || c.headerSent {
 		g.recordOutcome(c, 0, reason)
@@ -194,6 +197,9 @@
 		after = longRetryAfter
 	}
 	after = min(max(after, c.retryAfter), c.remaining(time.Now())/retryAfterDivisor)
+	if g.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	g.HeaderCodec.SetRejection(w.Header(), c.meta.ID, after)
 	w.Header()["Content-Type"] = nil
 	w.WriteHeader(status)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -51,11 +51,16 @@
 	closing    atomic.Bool  // requests are rejected
 	inProgress atomic.Int64 // requests
 	admission  *admissionControl
+
+	ending   context.Context // done when the calls in progress are to end
+	endCalls context.CancelFunc
 }
 
 // New returns a gateway.
 func New(opts Options) *Gateway {
-	return &Gateway{Options: opts, admission: newAdmissionControl(opts.Limits.Descriptors, opts.Limits.Memory)}
+	g := &Gateway{Options: opts, admission: newAdmissionControl(opts.Limits.Descriptors, opts.Limits.Memory)}
+	g.ending, g.endCalls = context.WithCancel(context.Background())
+	return g
 }
 
 // ServeHTTP implements http.Handler.
@@ -103,6 +108,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	defer context.AfterFunc(g.ending, cancel)()
 	g.runAttempts(ctx, r.Context(), w, c)
 }
 
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -18,6 +18,9 @@
 	// stopMargin is the part of the platform's stop timeout that is reserved for
 	// the exit of the process.
 	stopMargin = 500 * time.Millisecond
+	// answerMargin is the part of the stop timeout before stopMargin in which the
+	// requests that are still in progress are answered.
+	answerMargin = 100 * time.Millisecond
 )
 
 // stop waits for a signal, lets the requests in progress finish within the stop
@@ -41,6 +44,8 @@
 	_ = ln.Close() // new connections go to other processes
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
+	timer := time.AfterFunc(time.Until(deadline)-answerMargin, p.gateway.endCalls)
+	defer timer.Stop()
 	if !p.callers.drain(ctx) {
 		p.log.Event(event.StopTimedOut).Int64("requests", p.gateway.inProgress.Load()).Send()
 	}
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -54,3 +54,22 @@
 		}
 	})
 }
+
+// Requests that were in progress at the end of the stop timeout got no answer.
+func TestRequestCutAtStopTimeout(t *testing.T) {
+	convey.Convey("A request in progress at the end of the stop timeout is answered", t, func() {
+		ft := newFakeTarget(t, "t1")
+		ft.steps = []step{ft.hang()}
+		ts := newTestCallerServer(t, ft)
+		c := ts.dial(t)
+		c.send(requestText("/unsafe/x"))
+		convey.So(eventually(func() bool { return len(ft.requests()) == 1 }), convey.ShouldBeTrue)
+		ended := ts.shutDown(200 * time.Millisecond)
+		<-ended
+		convey.So(len(ts.process.callers.list()), convey.ShouldEqual, 0)
+		got := c.receive()
+		convey.So(got.status, convey.ShouldEqual, 502)
+		convey.So(got.header.Get("Connection"), convey.ShouldEqual, "close")
+		convey.So(ts.logText(), convey.ShouldContainSubstring, `"reason":"stopping"`)
+	})
+}
