Close connections with the responses to requests that began before a stop

What callers saw: they sent one more request on a connection that entryd was about to close at the end of the drain delay.

Cause: the header Connection: close was set when a request arrived, so the responses to requests that had begun before the signal lacked it.

Fix: it is set when the response is written.

TestResponseDuringStopKeepsConnection failed before, for a whole response and a stream: Line 98: Expected: "close" Actual: "" It passes now, 3 runs with the race detector.

--- a/internal/gateway/attempt_loop.go
+++ b/internal/gateway/attempt_loop.go
@@ -197,9 +197,7 @@
 		after = longRetryAfter
 	}
 	after = min(max(after, c.retryAfter), c.remaining(time.Now())/retryAfterDivisor)
-	if g.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	g.setConnection(w.Header())
 	g.HeaderCodec.SetRejection(w.Header(), c.meta.ID, after)
 	w.Header()["Content-Type"] = nil
 	w.WriteHeader(status)
@@ -235,5 +233,6 @@
 	if length >= 0 {
 		h["Content-Length"] = []string{strconv.FormatInt(length, 10)}
 	}
+	g.setConnection(h)
 	w.WriteHeader(status)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,9 +68,6 @@
 	now := time.Now()
 	g.inProgress.Add(1)
 	defer g.inProgress.Add(-1)
-	if g.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	meta := g.HeaderCodec.ParseRequest(r.Header)
 	cfg := g.Configuration.Load()
 	if cfg == nil || !g.Fleet.Listed() {
@@ -138,11 +135,19 @@
 func (g *Gateway) reject(w http.ResponseWriter, id string, status int, reason string, after time.Duration) {
 	g.Log.Event(event.RequestRejected).Str("request", id).Int("status", status).Str("reason", reason).Send()
 	g.countRequest("rejected", reason)
+	g.setConnection(w.Header())
 	g.HeaderCodec.SetRejection(w.Header(), id, after)
 	w.Header()["Content-Type"] = nil
 	w.WriteHeader(status)
 }
 
+// setConnection asks the caller to close the connection if the process is stopping.
+func (g *Gateway) setConnection(h http.Header) {
+	if g.stopping.Load() {
+		h.Set("Connection", "close")
+	}
+}
+
 // countRequest counts a request by the kind of its route, or as "rejected" if it
 // had no call.
 func (g *Gateway) countRequest(kind, reason string) {
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -73,3 +74,29 @@
 		convey.So(ts.logText(), convey.ShouldContainSubstring, `"reason":"stopping"`)
 	})
 }
+
+// Responses to requests that had begun before a stop left their connections open.
+func TestResponseDuringStopKeepsConnection(t *testing.T) {
+	convey.Convey("The response to a request that began before the stop closes its connection", t, func() {
+		for _, test := range []struct{ name, path string }{{"whole", "/unsafe/x"}, {"stream", "/stream/x"}} {
+			convey.Convey(test.name, func() {
+				var ts *testCallerServer
+				good := respond(200, "good", signed)
+				if test.name == "stream" {
+					good = sendEvents(1, 2, true)
+				}
+				ft := newFakeTarget(t, "t1", func(c net.Conn, r *http.Request) bool {
+					ts.gateway.stopping.Store(true)
+					return good(c, r)
+				})
+				ts = newTestCallerServer(t, ft)
+				c := ts.dial(t)
+				c.send(requestText(test.path))
+				got := c.receive()
+				convey.So(got.status, convey.ShouldEqual, 200)
+				convey.So(got.truncated, convey.ShouldBeFalse)
+				convey.So(got.header.Get("Connection"), convey.ShouldEqual, "close")
+			})
+		}
+	})
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -106,6 +106,7 @@
 	for name, values := range g.HeaderCodec.CallerHeader(resp.Header) {
 		w.Header()[name] = values
 	}
+	g.setConnection(w.Header())
 	w.WriteHeader(resp.Status)
 	c.headerSent = true
 	c.firstEvent = time.Now()
