--- a/internal/gateway/attempt_loop.go
+++ b/internal/gateway/attempt_loop.go
@@ -249,8 +249,11 @@
 	if callerCtx.Err() == nil && c.headerSent {
 		g.Scope.Counter("streams_broken").Inc(1)
 	}
-	if closedByServer(callerCtx) {
+	switch {
+	case closedByServer(callerCtx):
 		reason = "connection_closed"
+	case reason == "timeout" && g.ending.Err() != nil:
+		reason = "stopping"
 	}
 	if callerCtx.Err() != nil || c.headerSent {
 		g.recordOutcome(c, 0, reason)
@@ -272,6 +275,7 @@
 		after = longRetryAfter
 	}
 	after = min(max(after, c.retryAfter), c.remaining(time.Now())/retryAfterDivisor)
+	g.setConnection(w.Header())
 	g.HeaderCodec.SetRejection(w.Header(), c.meta.ID, after)
 	w.Header()["Content-Type"] = nil
 	w.WriteHeader(status)
@@ -307,5 +311,6 @@
 	if length >= 0 {
 		h["Content-Length"] = []string{strconv.FormatInt(length, 10)}
 	}
+	g.setConnection(h)
 	w.WriteHeader(status)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -48,13 +48,19 @@
 type Gateway struct {
 	Options
 	stopping   atomic.Bool  // responses ask callers to close their connections
+	closing    atomic.Bool  // requests are rejected
 	inProgress atomic.Int64 // requests
 	admission  *admissionControl
+
+	ending   context.Context // done when the calls in progress are to end
+	endCalls context.CancelFunc
 }
 
 // New returns a gateway.
 func New(opts Options) *Gateway {
-	return &Gateway{Options: opts, admission: newAdmissionControl(opts.Limits.Descriptors, opts.Limits.Memory)}
+	g := &Gateway{Options: opts, admission: newAdmissionControl(opts.Limits.Descriptors, opts.Limits.Memory)}
+	g.ending, g.endCalls = context.WithCancel(context.Background())
+	return g
 }
 
 // ServeHTTP implements http.Handler.
@@ -62,9 +68,6 @@
 	now := time.Now()
 	g.inProgress.Add(1)
 	defer g.inProgress.Add(-1)
-	if g.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	meta := g.HeaderCodec.ParseRequest(r.Header)
 	cfg := g.Configuration.Load()
 	if cfg == nil || !g.Fleet.Listed() {
@@ -88,6 +91,10 @@
 		g.reject(w, meta.ID, status, "body", 0)
 		return
 	}
+	if g.closing.Load() { // after the body was read, so that the connection isn't reset
+		g.reject(w, meta.ID, 503, "stopping", shortRetryAfter)
+		return
+	}
 	service := route.Pick(rand.Float64())
 	c := newCall(now, meta, route, service, r, body)
 	c.revision = cfg.Version
@@ -98,6 +105,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	defer context.AfterFunc(g.ending, cancel)()
 	g.runAttempts(ctx, r.Context(), w, c)
 }
 
@@ -127,11 +135,19 @@
 func (g *Gateway) reject(w http.ResponseWriter, id string, status int, reason string, after time.Duration) {
 	g.Log.Event(event.RequestRejected).Str("request", id).Int("status", status).Str("reason", reason).Send()
 	g.countRequest("rejected", reason)
+	g.setConnection(w.Header())
 	g.HeaderCodec.SetRejection(w.Header(), id, after)
 	w.Header()["Content-Type"] = nil
 	w.WriteHeader(status)
 }
 
+// setConnection asks the caller to close the connection if the process is stopping.
+func (g *Gateway) setConnection(h http.Header) {
+	if g.stopping.Load() {
+		h.Set("Connection", "close")
+	}
+}
+
 // countRequest counts a request by the kind of its route, or as "rejected" if it
 // had no call.
 func (g *Gateway) countRequest(kind, reason string) {
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -18,6 +18,9 @@
 	// stopMargin is the part of the platform's stop timeout that is reserved for
 	// the exit of the process.
 	stopMargin = 500 * time.Millisecond
+	// answerMargin is the part of the stop timeout before stopMargin in which the
+	// requests that are still in progress are answered.
+	answerMargin = 100 * time.Millisecond
 )
 
 // stop waits for a signal, lets the requests in progress finish within the stop
@@ -32,13 +35,17 @@
 	return nil
 }
 
-// shutDown closes the listener, and until deadline each connection on which no request
-// is in progress. http.Server.Shutdown closes connections on which a request has begun
-// to arrive, and drops requests that are read later.
+// shutDown rejects further requests, closes the listener, and until deadline each
+// connection on which no request is in progress. http.Server.Shutdown closes
+// connections on which a request has begun to arrive, and drops requests that are read
+// later.
 func (p *process) shutDown(ln net.Listener, deadline time.Time) {
+	p.gateway.closing.Store(true)
 	_ = ln.Close() // new connections go to other processes
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
+	timer := time.AfterFunc(time.Until(deadline)-answerMargin, p.gateway.endCalls)
+	defer timer.Stop()
 	if !p.callers.drain(ctx) {
 		p.log.Event(event.StopTimedOut).Int64("requests", p.gateway.inProgress.Load()).Send()
 	}
