Log convictions of prompt segments that follow from an answer

A segment is also convicted when the only other explanation of the crashes is ruled out by an answer.

--- a/internal/gateway/segment_tracker.go
+++ b/internal/gateway/segment_tracker.go
@@ -147,7 +147,7 @@
 	t.served[run.service] = served[max(0, len(served)-quarantine.MinServiceAnswers):]
 	var cleared [][]byte
 	for _, s := range run.segments {
-		if t.list.Answer(now, s) {
+		if t.recordCleared(now, s) {
 			t.log.Event(event.SegmentCleared).Stringer("segment", s).Str("service", run.service).Send()
 			cleared = append(cleared, s[:])
 		}
@@ -216,7 +216,7 @@
 	defer t.mu.Unlock()
 	for _, b := range m.Segments {
 		if s, ok := fingerprintOf(b); ok {
-			t.list.Answer(now.Add(-m.Age), s)
+			t.recordCleared(now.Add(-m.Age), s)
 		}
 	}
 }
@@ -240,15 +240,28 @@
 		}
 		c.Exposed = append(c.Exposed, quarantine.Exposure{Segment: s, SentAt: now.Add(-e.Sent)})
 		if e.Answered >= 0 {
-			t.list.Answer(now.Add(-e.Answered), s)
+			t.recordCleared(now.Add(-e.Answered), s)
 		}
 	}
 	suspected, convicted := t.list.Add(c)
 	if names := t.suspects(now, suspected); len(names) > 0 {
 		t.log.Event(event.SegmentsSuspected).Str("target", m.Engine).Str("service", m.Service).Strs("segments", names).Send()
 	}
-	for _, s := range convicted {
-		t.log.Event(event.SegmentConvicted).Stringer("segment", s).Str("service", m.Service).Int("crashes", t.list.Crashes(s)).Send()
+	t.logConvicted(convicted)
+}
+
+// recordCleared records an answer with a segment and reports whether it clears the
+// segment of a crash. The caller holds mu.
+func (t *segmentTracker) recordCleared(at time.Time, s quarantine.Fingerprint) bool {
+	cleared, convicted := t.list.Answer(at, s)
+	t.logConvicted(convicted)
+	return cleared
+}
+
+// logConvicted logs the convictions of segments. The caller holds mu.
+func (t *segmentTracker) logConvicted(segments []quarantine.Fingerprint) {
+	for _, s := range segments {
+		t.log.Event(event.SegmentConvicted).Stringer("segment", s).Int("crashes", t.list.Crashes(s)).Send()
 	}
 }
 
--- a/pkg/quarantine/segments.go
+++ b/pkg/quarantine/segments.go
@@ -114,25 +114,26 @@
 }
 
 // Answer records that a target began an answer to a request with the segment and
-// did not crash. It reports whether this clears the segment of a crash.
-func (l *SegmentList) Answer(at time.Time, s Fingerprint) bool {
+// did not crash. It reports whether this clears the segment of a crash, and returns the
+// segments that are convicted now because this one is no explanation any more.
+func (l *SegmentList) Answer(at time.Time, s Fingerprint) (cleared bool, convicted []Fingerprint) {
 	if l.answered == nil {
 		l.answered = map[Fingerprint]time.Time{}
 	}
 	_, known := l.answered[s]
 	if !known && len(l.answered) >= maxProven && len(l.uncleared[s]) == 0 {
-		return false
+		return false, nil
 	}
 	if !at.After(l.answered[s]) {
-		return false
+		return false, nil
 	}
 	l.answered[s] = at
 	before := len(l.uncleared[s])
 	if before == 0 {
-		return false
+		return false, nil
 	}
-	l.rebuild()
-	return len(l.uncleared[s]) < before
+	convicted = l.rebuild()
+	return len(l.uncleared[s]) < before, convicted
 }
 
 // AnsweredAt returns the time of the last answer with the segment, zero if none is
--- a/pkg/quarantine/segments_property_test.go
+++ b/pkg/quarantine/segments_property_test.go
@@ -102,7 +102,8 @@
 		}
 		s.served = append(s.served, s.now)
 		for _, name := range r.segments {
-			s.list.Answer(s.now, testSegment(name))
+			_, convicted := s.list.Answer(s.now, testSegment(name))
+			s.recordConvicted(convicted)
 		}
 	}
 	s.running[i] = rest
@@ -127,7 +128,11 @@
 	s.running[i] = nil
 	s.backAt[i] = s.now.Add(simulatedDown)
 	_, convicted := s.list.Add(c)
-	for _, f := range convicted {
+	s.recordConvicted(convicted)
+}
+
+func (s *simulatedService) recordConvicted(segments []Fingerprint) {
+	for _, f := range segments {
 		s.convict[f] = true
 	}
 }
--- a/pkg/quarantine/segments_test.go
+++ b/pkg/quarantine/segments_test.go
@@ -84,6 +84,20 @@
 	})
 }
 
+func TestRivalAnswered(t *testing.T) {
+	convey.Convey("A segment is convicted when the only other one in flight at the same crashes is answered", t, func() {
+		var l SegmentList
+		for i := range minSegmentCrashes {
+			at := time.Duration(i) * time.Second
+			_, convicted := l.Add(segmentCrash(fmt.Sprint(i), at, exposure("x", at-1), exposure("y", at-1)))
+			convey.So(convicted, convey.ShouldBeEmpty)
+		}
+		cleared, convicted := l.Answer(start.Add(time.Minute), testSegment("y"))
+		convey.So(cleared, convey.ShouldBeTrue)
+		convey.So(convicted, convey.ShouldResemble, []Fingerprint{testSegment("x")})
+	})
+}
+
 func TestUnproven(t *testing.T) {
 	convey.Convey("A suspect is unproven unless it had been answered lately", t, func() {
 		for _, answered := range []time.Duration{0, -time.Second, -2 * provenFor} {
@@ -94,7 +108,8 @@
 			l.Add(segmentCrash("1", 0, exposure("x", -1)))
 			convey.So(l.Unproven(start.Add(1), testSegment("x")), convey.ShouldEqual, answered != -time.Second)
 			convey.So(l.Unproven(start.Add(1), testSegment("y")), convey.ShouldBeFalse)
-			convey.So(l.Answer(start.Add(2), testSegment("x")), convey.ShouldBeTrue)
+			cleared, _ := l.Answer(start.Add(2), testSegment("x"))
+			convey.So(cleared, convey.ShouldBeTrue)
 			convey.So(l.Unproven(start.Add(3), testSegment("x")), convey.ShouldBeFalse)
 		}
 	})
