--- a/internal/gateway/attempt_loop.go
+++ b/internal/gateway/attempt_loop.go
@@ -34,8 +34,11 @@
 // reasonDelivered is the reason of a call whose caller received a target's response.
 const reasonDelivered = "delivered"
 
-// reasonQuarantined is the reason of a call that crashes targets.
-const reasonQuarantined = "quarantined"
+// Reasons for which a call that may crash targets is not sent.
+const (
+	reasonQuarantined = "quarantined"
+	reasonHeld        = "held" // for now: another request with a suspect segment has no answer yet
+)
 
 // outcome is the result of an attempt.
 type outcome uint8
@@ -77,24 +80,14 @@
 		}
 		now := time.Now()
 		var run *segmentRun
-		verdict := quarantine.Innocent
 		if reason == "" {
-			run, verdict = g.CrashTracker.segments.begin(now, c, c.heldFor >= maxHeldTime)
+			run, reason = g.admit(now, c)
 		}
 		switch {
-		case reason != "":
-		case verdict == quarantine.Suspect:
+		case reason == reasonHeld:
 			g.Fleet.endOffer(o)
 			continue
-		case verdict == quarantine.Convicted || g.CrashTracker.quarantined(now, c):
-			reason = reasonQuarantined
-		case c.remaining(now) < minAttemptTime:
-			reason = "deadline"
-		case c.attemptsSent > 0 && !g.RetryBudget.tryAcquire(now, c.service, g.Fleet.entrydCount()):
-			reason = "retry_allowance"
-		}
-		if reason != "" {
-			g.CrashTracker.segments.end(run)
+		case reason != "":
 			g.Fleet.endOffer(o)
 			g.respondFailure(callerCtx, w, c, reason)
 			return
@@ -120,6 +113,28 @@
 	}
 }
 
+// admit registers an attempt that is about to be sent. It returns the reason if the
+// call may not be sent now.
+func (g *Gateway) admit(now time.Time, c *call) (*segmentRun, string) {
+	run, verdict := g.CrashTracker.segments.begin(now, c, c.heldFor >= maxHeldTime)
+	reason := ""
+	switch {
+	case verdict == quarantine.Suspect:
+		reason = reasonHeld
+	case verdict == quarantine.Convicted || g.CrashTracker.quarantined(now, c):
+		reason = reasonQuarantined
+	case c.remaining(now) < minAttemptTime:
+		reason = "deadline"
+	case c.attemptsSent > 0 && !g.RetryBudget.tryAcquire(now, c.service, g.Fleet.entrydCount()):
+		reason = "retry_allowance"
+	}
+	if reason != "" {
+		g.CrashTracker.segments.end(run)
+		return nil, reason
+	}
+	return run, ""
+}
+
 // awaitSuspects waits while another request with a suspect segment of the call's prompt
 // is in flight without an answer, so that a segment that crashes targets crashes few of
 // them before it is convicted. It returns the reason if the call has failed.
