Let streams that have begun continue when their request is convicted

Started streams are now sent on.

The log states how long a request was held for another one with a suspect segment.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -111,7 +111,7 @@
 	{RelayLost, "relay_lost", zerolog.InfoLevel, "A connection of the overlay network could not be opened or ended; the next peer in rank replaces it."},
 	{RouteChosen, "route_chosen", zerolog.InfoLevel, "Routing decision: the request's next attempt goes to `target`; `reason` says why this target was chosen."},
 	{RouteRefused, "route_refused", zerolog.InfoLevel, "The target refused an attempt before running it; `reason` is the target's."},
-	{RequestEnded, "request_ended", zerolog.InfoLevel, "The outcome was sent to the caller; `waited` is the time spent waiting for an adapter, `first_event` the time until the first event of a stream, `gap` the longest time between two events."},
+	{RequestEnded, "request_ended", zerolog.InfoLevel, "The outcome was sent to the caller; `waited` is the time spent waiting for an adapter, `held` that waiting for another request with a suspect prompt segment, `first_event` the time until the first event of a stream, `gap` the longest time between two events."},
 	{RequestRejected, "request_rejected", zerolog.InfoLevel, "The request was rejected by entryd, before any target."},
 	{AnswerResumed, "answer_resumed", zerolog.InfoLevel, "A response continues over a new connection from part `next`."},
 	{AttemptVoided, "attempt_voided", zerolog.InfoLevel, "An attempt whose target stopped responding was voided in the record of its idempotency key: it did not run and never will."},
--- a/internal/gateway/attempt_loop.go
+++ b/internal/gateway/attempt_loop.go
@@ -121,7 +121,7 @@
 	switch {
 	case verdict == quarantine.Suspect:
 		reason = reasonHeld
-	case verdict == quarantine.Convicted || g.CrashTracker.quarantined(now, c):
+	case verdict == quarantine.Convicted || (!c.headerSent && g.CrashTracker.quarantined(now, c)): // a started stream did not crash its target when it began
 		reason = reasonQuarantined
 	case c.remaining(now) < minAttemptTime:
 		reason = "deadline"
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -155,6 +155,7 @@
 		Int("sent", c.attemptsSent).
 		Int("ran", c.possibleRuns).
 		Dur("waited", c.adapterWait).
+		Dur("held", c.heldFor).
 		Dur("took", time.Since(c.start))
 	if !c.firstEvent.IsZero() {
 		e = e.Dur("first_event", c.firstEvent.Sub(c.start)).Dur("gap", c.longestGap)
