Tell prompt segments in use from one that accompanies them to crashes

A segment that was answered in the last ten minutes is no rival of one that never was, and an entryd that learns of a crash tells the others of its own last answer with each suspect of which the reporter knows none. Two segments without any answer are convicted together only after six crashes.

--- a/internal/gateway/segment_tracker.go
+++ b/internal/gateway/segment_tracker.go
@@ -29,9 +29,10 @@
 
 	mu         sync.Mutex
 	list       quarantine.SegmentList
-	unanswered map[quarantine.Fingerprint]int // attempts in flight without an answer
-	served     map[string][]time.Time         // last quarantine.MinServiceAnswers answers begun, by service
-	broken     map[string]*brokenRuns         // by incarnation of the target
+	unanswered map[quarantine.Fingerprint]int       // attempts in flight without an answer
+	served     map[string][]time.Time               // last quarantine.MinServiceAnswers answers begun, by service
+	broken     map[string]*brokenRuns               // by incarnation of the target
+	shared     map[quarantine.Fingerprint]time.Time // answers that the other entryds were told of
 }
 
 // brokenRuns are the attempts without an answer whose connections to a target broke.
@@ -49,6 +50,7 @@
 		unanswered: map[quarantine.Fingerprint]int{},
 		served:     map[string][]time.Time{},
 		broken:     map[string]*brokenRuns{},
+		shared:     map[quarantine.Fingerprint]time.Time{},
 	}
 }
 
@@ -203,11 +205,20 @@
 	t.broadcast(m)
 }
 
-// applyCrash applies a report of another entryd.
+// applyCrash applies a report of another entryd. If that entryd knows of no answer with
+// a segment, it learns of those here, which tell a segment in use from one that never
+// got an answer.
 func (t *segmentTracker) applyCrash(now time.Time, m peer.SegmentCrash) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.add(now, m)
+	for _, e := range m.Segments {
+		s, ok := fingerprintOf(e.Segment)
+		if at := t.list.AnsweredAt(s); ok && e.Answered < 0 && !at.IsZero() && !t.shared[s].Equal(at) {
+			t.shared[s] = at
+			t.broadcast(peer.SegmentAnswers{Age: now.Sub(at), Segments: [][]byte{s[:]}})
+		}
+	}
 }
 
 // applyAnswers applies a report of another entryd.
@@ -216,7 +227,11 @@
 	defer t.mu.Unlock()
 	for _, b := range m.Segments {
 		if s, ok := fingerprintOf(b); ok {
-			t.recordCleared(now.Add(-m.Age), s)
+			at := now.Add(-m.Age)
+			t.recordCleared(at, s)
+			if t.list.AnsweredAt(s).Equal(at) {
+				t.shared[s] = at
+			}
 		}
 	}
 }
@@ -290,6 +305,11 @@
 			delete(t.broken, incarnation)
 		}
 	}
+	for s, at := range t.shared {
+		if now.Sub(at) > quarantine.SuspectFor {
+			delete(t.shared, s)
+		}
+	}
 	for service, served := range t.served {
 		if now.Sub(served[len(served)-1]) > quarantine.SuspectFor {
 			delete(t.served, service)
--- a/pkg/quarantine/segments.go
+++ b/pkg/quarantine/segments.go
@@ -12,7 +12,7 @@
 	// small when many engines fail at once.
 	minSegmentCrashes = 3
 	// minTiedCrashes is the number if another segment was in flight at the same ones.
-	minTiedCrashes = 4
+	minTiedCrashes = 6
 	// MinServiceAnswers is the number of answers that a service must begin between
 	// two crashes: a segment in half of the requests is in none of so many answers by
 	// a chance of 1 in 256.
@@ -275,13 +275,16 @@
 
 // hasRival reports whether another segment may as well have caused the crashes: it is
 // a suspect of all of them, and either of more crashes than s or of as many, while
-// there are few.
+// there are few. A proven segment is no rival of one that never got an answer.
 func (l *SegmentList) hasRival(s Fingerprint, run []*SegmentCrash) bool {
 	for _, e := range run[0].Exposed {
 		known := l.uncleared[e.Segment]
 		if e.Segment == s || len(known) < len(l.uncleared[s]) || !containsAll(known, run) {
 			continue
 		}
+		if l.provenAt(run[0].At, e.Segment) && !l.provenAt(run[0].At, s) {
+			continue
+		}
 		if len(known) > len(l.uncleared[s]) || len(run) < minTiedCrashes {
 			return true
 		}
