Keep connections open on which a request was read before a response

A connection was taken as idle once the server read on it after a response, though the next request may have been read by then: together with the one before, or one byte of it in the background. A request in progress was then closed at the idle timeout or in a stop, after it had been sent to a target. The server sets a read deadline after a response only once a request has begun to arrive, which now shows it.

The server sets that deadline from the fourth byte on. With fewer, the connection had neither a deadline nor an idle timeout.

--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -28,6 +28,7 @@
 	mu        sync.Mutex
 	busy      bool // a request is in progress
 	responded bool // the response has been written; the next Read ends the request
+	ahead     bool // the last Read returned one byte, which the server keeps for the next request
 	closed    bool // closed as idle
 	idleSince time.Time
 	timeout   time.Duration // idle timeout in force at idleSince, on which the caller relies
@@ -47,10 +48,15 @@
 		return 0, nil
 	}
 	c.mu.Lock()
-	if c.responded {
-		c.responded, c.busy = false, false
+	waits := c.responded // for the next request
+	if waits {
+		c.responded, c.busy = false, c.ahead
 	}
+	partial := waits && c.ahead
 	c.mu.Unlock()
+	if partial {
+		c.limitHead()
+	}
 	n := 0
 	var readErr error
 	err := c.raw.Read(func(fd uintptr) bool {
@@ -68,9 +74,28 @@
 	case n == 0:
 		return 0, io.EOF
 	}
+	if waits && !partial {
+		c.limitHead()
+	}
 	return n, nil
 }
 
+// limitHead limits the time in which the head of a request arrives that has begun to.
+// The server limits it only from the fourth byte on.
+func (c *callerConn) limitHead() { _ = c.TCPConn.SetReadDeadline(time.Now().Add(headerTimeout)) }
+
+// SetReadDeadline implements net.Conn. After a response, the server sets a deadline
+// only once the next request has begun to arrive, also if that was read before the
+// response.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	if !t.IsZero() {
+		c.mu.Lock()
+		c.responded = false
+		c.mu.Unlock()
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
 // tryRead reads without waiting and records a request that begins to arrive.
 func (c *callerConn) tryRead(fd int, p []byte) (int, error) {
 	c.mu.Lock()
@@ -89,6 +114,7 @@
 			return 0, os.NewSyscallError("read", err)
 		}
 		c.busy = c.busy || n > 0
+		c.ahead = len(p) == 1 && n == 1
 		return n, nil
 	}
 }
