Tell a restart of an engine by the newest start in a spec

A targetd took an engine for restarted if a spec named a later start than the engine's last report. An engine that turned away the first report for some time had none, so that its next start wasn't called either until that time had passed. One that had restarted and turned a report away was called again with each spec.

TestBackoffBeforeFirstReport failed in both cases before.

--- a/internal/enginecontroller/controller.go
+++ b/internal/enginecontroller/controller.go
@@ -81,6 +81,7 @@
 	reachable        bool
 	unansweredOrders int       // consecutive orders without a response
 	backoffUntil     time.Time // the engine wants neither reports nor orders before
+	newestStart      int64     // newest start of the engine in a spec; it may have reported nothing yet
 }
 
 // inboxSize is the number of messages buffered for the loop. Connections block
@@ -113,9 +114,11 @@
 	}
 	ec.instances[m.Started] = m.Instance
 	ec.spec = m
-	if restarted := ec.report.Started != 0 && m.Started > ec.report.Started; restarted {
+	known := max(ec.newestStart, ec.report.Started)
+	if restarted := known != 0 && m.Started > known; restarted {
 		ec.backoffUntil = time.Time{}
 	}
+	ec.newestStart = max(ec.newestStart, m.Started)
 	for _, a := range m.Announced {
 		ec.planner.RecordVersion(now, orders.Adapter{Model: a.Model, Name: a.Adapter}, a.Version)
 	}
--- a/internal/enginecontroller/restart_test.go
+++ b/internal/enginecontroller/restart_test.go
@@ -7,7 +7,9 @@
 
 	"github.com/smartystreets/goconvey/convey"
 
+	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/internal/peer"
+	"github.com/borageusher/borageusher/pkg/orders"
 )
 
 // Answers to requests with many segments displaced the crashes that convict one, so that
@@ -31,3 +33,31 @@
 		convey.So(crashes, convey.ShouldEqual, 5)
 	})
 }
+
+// The backoff of an engine that turned away the first call of a targetd applied to the
+// next start of the engine, too. One of a restarted engine that had not reported yet
+// ended with the next spec.
+func TestBackoffBeforeFirstReport(t *testing.T) {
+	convey.Convey("Given a targetd", t, func() {
+		ec := New(Options{Log: event.Discard()})
+		now := time.Now()
+		end := now.Add(time.Hour)
+		turnAway := func() { ec.applyNotice(now, orders.Notice{Backoff: time.Hour}) }
+		start := func(n int64) { ec.applySpec(now, peer.EngineSpec{Instance: fmt.Sprint("i", n), Started: n}) }
+		start(1)
+		convey.Convey("a restart of an engine that has reported nothing ends its backoff", func() {
+			turnAway()
+			start(1)
+			convey.So(ec.backoffUntil, convey.ShouldEqual, end)
+			start(2)
+			convey.So(ec.backoffUntil.IsZero(), convey.ShouldBeTrue)
+		})
+		convey.Convey("another spec of the same start does not end it", func() {
+			ec.report.Started = 1
+			start(2)
+			turnAway()
+			start(2)
+			convey.So(ec.backoffUntil, convey.ShouldEqual, end)
+		})
+	})
+}
--- a/internal/gateway/tracked_service_test.go
+++ b/internal/gateway/tracked_service_test.go
@@ -38,9 +38,9 @@
 	running [][]*trackedRun
 	held    []*trackedRun
 	backAt  []time.Time
-	starts  int         // crashes of all kinds
-	crashes []time.Time // under deadly requests
-	arrived []time.Time // deadly requests at targets
+	starts  int            // crashes of all kinds
+	crashes []time.Time    // under deadly requests
+	arrived []time.Time    // deadly requests at targets
 	refused map[string]int // sound requests by convicted segment
 }
 
