Keep one answer by segment among the reports of a targetd

What callers saw: an entryd that was restarted ran requests with a convicted prompt segment again.

Cause: a targetd keeps its 512 newest reports on segments, of crashes and of answers together. One crash causes many answers to requests with popular segments, which displaced the crashes that convict a segment.

Ruled out: two lists. A crash that is kept without the answers after it convicts sound segments at an entryd that has just started.

Change: an answer replaces the earlier ones with its segments.

TestLateAnswerKeepsLaterOne is new.

--- a/internal/enginecontroller/restart_test.go
+++ b/internal/enginecontroller/restart_test.go
@@ -34,6 +34,26 @@
 	})
 }
 
+// An answer that was reported late displaced a later one with the same segment.
+func TestLateAnswerKeepsLaterOne(t *testing.T) {
+	convey.Convey("Of the answers with a segment the last one is kept", t, func() {
+		var reports segmentReports
+		start := time.Unix(1e9, 0)
+		reports.add(start, peer.SegmentAnswers{Age: time.Second, Segments: [][]byte{[]byte("a"), []byte("b")}})
+		reports.add(start, peer.SegmentAnswers{Age: 2 * time.Second, Segments: [][]byte{[]byte("a")}})
+		reports.add(start, peer.SegmentAnswers{Segments: [][]byte{[]byte("b")}})
+		last := map[string]time.Duration{}
+		for _, m := range reports.messages(start) {
+			for _, s := range m.(peer.SegmentAnswers).Segments {
+				if age, ok := last[string(s)]; !ok || m.(peer.SegmentAnswers).Age < age {
+					last[string(s)] = m.(peer.SegmentAnswers).Age
+				}
+			}
+		}
+		convey.So(last, convey.ShouldResemble, map[string]time.Duration{"a": time.Second, "b": 0})
+	})
+}
+
 // The backoff of an engine that turned away the first call of a targetd applied to the
 // next start of the engine, too. One of a restarted engine that had not reported yet
 // ended with the next spec.
--- a/internal/enginecontroller/segments.go
+++ b/internal/enginecontroller/segments.go
@@ -1,6 +1,7 @@
 package enginecontroller
 
 import (
+	"bytes"
 	"slices"
 	"time"
 
@@ -25,8 +26,12 @@
 // segmentReports are the newest reports, in the order of their receipt.
 type segmentReports []segmentReport
 
-// add keeps a report and drops old ones.
+// add keeps a report and drops old ones. An answer replaces earlier ones with the same
+// segment, so that frequent answers don't displace crashes.
 func (r *segmentReports) add(now time.Time, m peer.Message) {
+	if answers, ok := m.(peer.SegmentAnswers); ok {
+		r.replaceAnswers(now, answers)
+	}
 	*r = append(*r, segmentReport{at: now, message: m})
 	drop := max(0, len(*r)-maxSegmentReports)
 	for drop < len(*r) && now.Sub((*r)[drop].at) > segmentReportTTL {
@@ -35,6 +40,36 @@
 	*r = slices.Delete(*r, 0, drop)
 }
 
+// replaceAnswers removes the segments of m, which was received at now, from reports of
+// earlier answers.
+func (r *segmentReports) replaceAnswers(now time.Time, m peer.SegmentAnswers) {
+	answeredAt := now.Add(-m.Age)
+	kept := (*r)[:0]
+	for _, report := range *r {
+		old, ok := report.message.(peer.SegmentAnswers)
+		if !ok || report.at.Add(-old.Age).After(answeredAt) {
+			kept = append(kept, report)
+			continue
+		}
+		if old.Segments = without(old.Segments, m.Segments); len(old.Segments) > 0 {
+			kept = append(kept, segmentReport{at: report.at, message: old})
+		}
+	}
+	clear((*r)[len(kept):])
+	*r = kept
+}
+
+// without returns the segments of all that are not in removed.
+func without(all, removed [][]byte) [][]byte {
+	var out [][]byte
+	for _, s := range all {
+		if !slices.ContainsFunc(removed, func(o []byte) bool { return bytes.Equal(o, s) }) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 // messages returns the kept reports with their present ages.
 func (r *segmentReports) messages(now time.Time) []peer.Message {
 	var out []peer.Message
