Deliver the messages of the simulated entryds after they are sent

TestDeadlySegmentAtManyEntryds never ended: the simulation passed a message on within the call that sent it, and a tracker that answers a crash report at once then waited for the lock that its sender held. Processes exchange messages over connections, so that only the test was wrong.

--- a/internal/gateway/tracked_service_test.go
+++ b/internal/gateway/tracked_service_test.go
@@ -42,6 +42,7 @@
 	crashes []time.Time    // under deadly requests
 	arrived []time.Time    // deadly requests at targets
 	refused map[string]int // sound requests by convicted segment
+	sent    []trackedMessage
 }
 
 func newTrackedService(seed uint64, entryds, targets int, rate float64, shares ...float64) *trackedService {
@@ -52,24 +53,40 @@
 	}
 	for i := range entryds {
 		s.entryds = append(s.entryds, newSegmentTracker(func(m peer.Message) {
-			for j, other := range s.entryds {
-				if j == i {
-					continue
-				}
-				switch m := m.(type) {
-				case peer.SegmentCrash:
-					other.applyCrash(s.now, m)
-				case peer.SegmentAnswers:
-					other.applyAnswers(s.now, m)
-				}
-			}
+			s.sent = append(s.sent, trackedMessage{i, m})
 		}, event.Discard()))
 	}
 	return s
 }
 
+// trackedMessage is a message of an entryd to all others.
+type trackedMessage struct {
+	from    int
+	message peer.Message
+}
+
+// deliver passes the messages on. A tracker that sends one holds its lock.
+func (s *trackedService) deliver() {
+	for len(s.sent) > 0 {
+		m := s.sent[0]
+		s.sent = s.sent[1:]
+		for i, t := range s.entryds {
+			if i == m.from {
+				continue
+			}
+			switch m := m.message.(type) {
+			case peer.SegmentCrash:
+				t.applyCrash(s.now, m)
+			case peer.SegmentAnswers:
+				t.applyAnswers(s.now, m)
+			}
+		}
+	}
+}
+
 // step simulates one millisecond.
 func (s *trackedService) step() {
+	s.deliver()
 	s.now = s.now.Add(time.Millisecond)
 	if s.rng.Float64() < s.rate/1000 {
 		s.arrive()
