Log the request rates that targets limit

The logs could not distinguish the hypotheses of the incident: no line says that a target limits its request rate, from when to when, and to what. The platform's header is decoded into gateway.RateLimit; a 421 may come from another target at a reused address and says nothing, a malformed value neither. A limit ends with a success without the header whose request was sent after the limit was last stated. New events target_limited and target_unlimited; no decision depends on them yet. The header is not passed on to callers.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -51,6 +51,8 @@
 	CallersClosed     Code = 360
 	TargetDeparting   Code = 361
 	TargetBackoff     Code = 362
+	TargetLimited     Code = 363
+	TargetUnlimited   Code = 364
 	RequestQueued     Code = 400
 	RequestNotRun     Code = 401
 	RequestStarted    Code = 402
@@ -143,6 +145,8 @@
 	{CallersClosed, "callers_closed", zerolog.InfoLevel, "Idle `connections` of callers were closed; `reason` says why."},
 	{TargetDeparting, "target_departing", zerolog.InfoLevel, "The target or its targetd (`source`) says that the target leaves: it gets no more requests until it starts again, whatever its entry says; `in_flight` requests continue there."},
 	{TargetBackoff, "target_backoff", zerolog.InfoLevel, "The target turned a request away and gets none `for` a while, also if there is no other target; later answers may extend it."},
+	{TargetLimited, "target_limited", zerolog.WarnLevel, "The target takes only `rate` requests a second from all entryds together, according to `source`: a response, or the targetd that heard of it."},
+	{TargetUnlimited, "target_unlimited", zerolog.InfoLevel, "The target no longer limits the rate of requests, according to `source`; the limit stood `for` that time."},
 	{RequestQueued, "request_queued", zerolog.DebugLevel, "The target queued an attempt."},
 	{RequestNotRun, "request_not_run", zerolog.InfoLevel, "The target refused an attempt that it had not started."},
 	{RequestStarted, "request_started", zerolog.DebugLevel, "The request was sent to the engine or service."},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -60,6 +60,7 @@
 	c.attemptsSent++
 	meta := g.HeaderCodec.ParseResponse(resp.Status, resp.Header)
 	g.Fleet.observeNotice(time.Now(), sel.target, meta)
+	g.Fleet.observeRateLimit(time.Now(), sel.target, now, meta.RateLimit)
 	// A 400 is relayed as the final response even if the request did not run, and a
 	// success contradicts a refusal.
 	refusal := meta.NotRun && resp.Status >= 300 && resp.Status != http.StatusBadRequest
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -35,6 +35,7 @@
 	epoch          time.Time                        // time base of the attempts' lastActivity
 	lastScan       time.Time                        // last run of cancelStalled
 	notices        map[target.Incarnation]*targetNotice
+	limits         map[string]*rateLimit // by incarnation of the target
 	onTarget       func(*targetState) // called with mu held for added targets, and for all on a new configuration
 }
 
@@ -51,6 +52,7 @@
 		latencies: map[string]*latencyStats{},
 		changes:   map[orders.Adapter]chan struct{}{},
 		notices:   map[target.Incarnation]*targetNotice{},
+		limits:    map[string]*rateLimit{},
 		epoch:     time.Now(),
 	}
 }
@@ -111,7 +113,7 @@
 		t = nil
 	}
 	if t == nil {
-		t = newTargetState(now, r, f.noticeOf(r.Incarnation()))
+		t = newTargetState(now, r, f.noticeOf(r.Incarnation()), f.limitOf(now, r.Incarnation().String()))
 		t.distance = f.distance(r.Zone)
 		f.targets[r.ID] = t
 		f.logState(r, "added")
@@ -193,6 +195,7 @@
 		}
 	}
 	f.expireNotices(now)
+	f.expireLimits(now)
 }
 
 // distance returns the network distance to an availability zone.
--- a/internal/gateway/header_codec.go
+++ b/internal/gateway/header_codec.go
@@ -33,9 +33,18 @@
 	Reencoded bool          // the body was re-encoded on the way from the target
 	Leaving   bool          // the target leaves and accepts no more requests
 	Backoff   time.Duration // for which the target wants no requests, zero for none
+	RateLimit RateLimit
 	Load      Load
 }
 
+// RateLimit is what a response says of the rate of requests that its target takes from
+// all entryds together. If neither Limited nor None is set, it says nothing.
+type RateLimit struct {
+	Limited   bool
+	None      bool    // the target takes requests at any rate
+	PerSecond float64 // if Limited is set; finite and not negative
+}
+
 // Load is a target's load in requests. Slots is zero if the target does not
 // report its load.
 type Load struct {
--- a/internal/gateway/target_notice_test.go
+++ b/internal/gateway/target_notice_test.go
@@ -224,7 +224,7 @@
 			convey.So(usable(now), convey.ShouldBeTrue)
 			convey.Convey("also when a late answer of the previous one arrives", func() {
 				f.mu.Lock()
-				previous := newTargetState(now, target.Replica{ID: "i-0", Started: time.UnixMilli(7)}, &targetNotice{})
+				previous := newTargetState(now, target.Replica{ID: "i-0", Started: time.UnixMilli(7)}, &targetNotice{}, &rateLimit{})
 				f.mu.Unlock()
 				f.observeNotice(now, previous, ResponseMeta{Leaving: true})
 				convey.So(usable(now), convey.ShouldBeTrue)
--- a/internal/gateway/target_state.go
+++ b/internal/gateway/target_state.go
@@ -50,6 +50,7 @@
 	added       time.Time
 	goneAt      time.Time // end of the grace period of a lapsed entry, zero if it did not lapse
 	notice      *targetNotice
+	limit       *rateLimit
 	turnedAway  chan struct{} // closed and replaced when the calls that wait for the target have to choose again
 
 	conn            *peer.Conn // to the targetd, nil while disconnected
@@ -92,13 +93,14 @@
 	loadRequestedAt map[orders.Adapter]time.Time // last load request sent to the targetd
 }
 
-func newTargetState(now time.Time, r target.Replica, n *targetNotice) *targetState {
+func newTargetState(now time.Time, r target.Replica, n *targetNotice, l *rateLimit) *targetState {
 	return &targetState{
 		added:           now,
 		replica:         r,
 		incarnation:     r.Incarnation().String(),
 		hash:            placement.Hash(r.Addr.String()),
 		notice:          n,
+		limit:           l,
 		turnedAway:      make(chan struct{}),
 		resident:        map[orders.Adapter]int64{},
 		loading:         map[orders.Adapter]bool{},
