--- a/internal/gateway/test_gateway_test.go
+++ b/internal/gateway/test_gateway_test.go
@@ -54,6 +54,11 @@
 	if seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64); err == nil && status == http.StatusServiceUnavailable {
 		m.Backoff = time.Duration(seconds * float64(time.Second))
 	}
+	if rate, err := strconv.ParseFloat(h.Get("Rate-Limit"), 64); err == nil {
+		m.RateLimit = RateLimit{Limited: true, PerSecond: rate}
+	} else {
+		m.RateLimit.None = status == http.StatusOK
+	}
 	return m
 }
 
