Issue permits for the requests to targets that limit their rate

Cause: nothing read the limit. The class of fault: a bound on the sum over processes of which none knows the others' parts. The log of target_limited shows the limit at each entryd within 60 ms, and that no rate falls after it.

Ruled out: an equal part of the limit for each entryd, which holds the bound but leaves most of it unused, because the load balancer's hash gives one entryd up to six times the requests of another, and parts below one request a second can't be spent.

Change: a request to a limited target needs a permit. One targetd issues them for all entryds (pkg/ratelimit, internal/permits): the target's own, or for a plain target one near it on which the entryds agree. It orders requests by urgency and deadline, answers at once those that can't get one in time, and tells the other entryds of the limit. A call takes its permit before an adapter is loaded for it. Among holders of an adapter those without a limit are preferred, so that limited ones serve the rare adapters.

TestEntrydsExceedRateLimitTogether and TestAllTargetsLimited failed before (52 to 63 requests in a window that allows 35) and pass now (at most 21); with all targets limited each gets at least 32 of the 40 requests that it takes.

--- a/internal/enginecontroller/conns.go
+++ b/internal/enginecontroller/conns.go
@@ -24,11 +24,12 @@
 	})
 	ec.removeConn(c)
 	ec.pacer.disconnect(time.Now(), c)
+	ec.permits.RemoveSender(time.Now(), c)
 	ec.Log.Event(event.PeerLost).Str("peer", c.Remote().Name).Err(err).Send()
 }
 
-// addConn registers c and sends it the known crashes and the engine's current
-// state and load.
+// addConn registers c and sends it the known crashes and limits, and the engine's
+// current state and load.
 func (ec *Controller) addConn(c *peer.Conn) {
 	ec.mu.Lock()
 	ec.conns[c] = struct{}{}
@@ -38,6 +39,9 @@
 	for _, m := range ec.segments.messages(time.Now()) {
 		_, _ = c.Send(m)
 	}
+	for _, m := range ec.permits.Limits(time.Now()) {
+		_, _ = c.Send(m)
+	}
 	ec.mu.Unlock()
 	ec.inbox <- func(time.Time) {
 		ec.state.ConnectedEntries = ec.entrydCount()
@@ -59,8 +63,8 @@
 	return len(ec.conns)
 }
 
-// receive posts a message of an entryd to the loop. Crash reports are
-// relayed without the loop.
+// receive posts a message of an entryd to the loop. Messages that do not concern the
+// engine's orders are handled without the loop.
 func (ec *Controller) receive(ctx context.Context, c *peer.Conn, m peer.Message) {
 	var handle func(now time.Time)
 	switch m := m.(type) {
@@ -80,6 +84,20 @@
 	case peer.SegmentCrash, peer.SegmentAnswers:
 		ec.relaySegments(time.Now(), c, m)
 		return
+	case peer.RateLimit:
+		if ec.permits.Observe(time.Now(), m) {
+			ec.relayLimit(c, m)
+		}
+		return
+	case peer.PermitRequest:
+		answer := func(a peer.PermitAnswer) { _, _ = c.Send(a) } // after an error the entryd reconnects
+		if ec.permits.Request(time.Now(), c, m, answer) {
+			ec.relayLimit(c, m.Limit)
+		}
+		return
+	case peer.PermitCancel:
+		ec.permits.Cancel(time.Now(), c, m.ID)
+		return
 	case peer.PromptOffer:
 		ec.pacer.offer(time.Now(), c, m)
 		return
@@ -98,6 +116,18 @@
 	}
 }
 
+// relayLimit forwards a changed limit of a target to the other entryds.
+func (ec *Controller) relayLimit(from *peer.Conn, m peer.RateLimit) {
+	ec.Log.Event(event.LimitRelayed).Str("target", m.Target).Bool("limited", m.Limited).Float64("rate", m.PerSecond).Str("from", from.Remote().Name).Send()
+	ec.mu.Lock()
+	defer ec.mu.Unlock()
+	for c := range ec.conns {
+		if c != from {
+			_, _ = c.Send(m) // after an error the entryd reconnects and gets all limits in force
+		}
+	}
+}
+
 // maxCrashes bounds the number of crashed engine instances that are kept for
 // entryds that connect later.
 const maxCrashes = 200
--- a/internal/enginecontroller/controller.go
+++ b/internal/enginecontroller/controller.go
@@ -9,6 +9,7 @@
 
 	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/internal/peer"
+	"github.com/borageusher/borageusher/internal/permits"
 	"github.com/borageusher/borageusher/pkg/orders"
 )
 
@@ -68,6 +69,7 @@
 	crashes map[string][][]byte // fingerprints of the requests in flight at known crashes, by engine instance
 
 	segments segmentReports
+	permits  *permits.Issuer
 
 	// Owned by the loop.
 	stepRequested    bool // a message arrived that may lead to an order
@@ -97,6 +99,7 @@
 		crashes: map[string][][]byte{},
 		planner: orders.NewPlanner(),
 		pacer:   newPacer(opts.Log),
+		permits: permits.New(),
 
 		instances: map[int64]string{},
 	}
--- a/internal/enginecontroller/controller_test.go
+++ b/internal/enginecontroller/controller_test.go
@@ -99,6 +99,8 @@
 	last         peer.EngineState
 	crashReports []peer.CrashReport
 	segments     []peer.Message // reports on segments
+	limits       []peer.RateLimit
+	permits      []peer.PermitAnswer
 	paced        bool
 	pacings      int                            // Pacing messages
 	answers      map[uint64][]peer.PromptAnswer // by offer
@@ -168,6 +170,10 @@
 				e.crashReports = append(e.crashReports, m)
 			case peer.SegmentCrash, peer.SegmentAnswers:
 				e.segments = append(e.segments, m)
+			case peer.RateLimit:
+				e.limits = append(e.limits, m)
+			case peer.PermitAnswer:
+				e.permits = append(e.permits, m)
 			}
 		})
 	}()
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -68,6 +68,7 @@
 	EngineDeparting   Code = 423
 	EngineBackoff     Code = 424
 	PacingStarted     Code = 425
+	LimitRelayed      Code = 426
 	TargetRegistered  Code = 430
 	TargetReplaced    Code = 431
 	ClaimTaken        Code = 440
@@ -133,7 +134,7 @@
 	{SegmentConvicted, "segment_convicted", zerolog.ErrorLevel, "The prompt segment crashes targets: it was in flight at `crashes` crashes. Requests with it are refused."},
 	{SegmentCleared, "segment_cleared", zerolog.InfoLevel, "A target began to answer a request with the prompt segment, which is no longer a suspect of the crashes before."},
 	{LoadGranted, "load_granted", zerolog.InfoLevel, "Placement decision: `target` may load one adapter for `team` with a load permit that another target transferred."},
-	{AttemptSent, "attempt_sent", zerolog.InfoLevel, "Routing decision: an attempt is sent directly to `target`; `load`, `ahead` (tokens of prompts that it reads before), `wait` and `state_age` are the values behind the decision."},
+	{AttemptSent, "attempt_sent", zerolog.InfoLevel, "Routing decision: an attempt is sent directly to `target`; `load`, `ahead` (tokens of prompts that it reads before), `wait` and `state_age` are the values behind the decision, `permit` is the time waited for permits so far."},
 	{AttemptEnded, "attempt_ended", zerolog.WarnLevel, "An attempt did not answer the request: `outcome` says whether it was refused, failed or broke off."},
 	{StreamResumed, "stream_resumed", zerolog.InfoLevel, "A broken stream continues at another target after event `last_event`."},
 	{RequestWaiting, "request_waiting", zerolog.InfoLevel, "The request waits until `target` has loaded its adapter."},
@@ -162,6 +163,7 @@
 	{EngineDeparting, "engine_departing", zerolog.InfoLevel, "The engine says in a response that it leaves: it gets no more orders until it starts again."},
 	{EngineBackoff, "engine_backoff", zerolog.InfoLevel, "The engine turned a call of its targetd away: it gets no orders `for` a while, and its state is not read."},
 	{PacingStarted, "pacing_started", zerolog.InfoLevel, "Too many of the engine's streams have late events: its prompts are paced."},
+	{LimitRelayed, "limit_relayed", zerolog.InfoLevel, "An entryd (`from`) stated the limit of `target`, or its end, for which this targetd issues permits; the other entryds are told."},
 	{TargetRegistered, "target_registered", zerolog.InfoLevel, "The target is registered with `epoch` as its fencing token."},
 	{TargetReplaced, "target_replaced", zerolog.ErrorLevel, "Another process registered this target; this process takes no more work."},
 	{ClaimTaken, "claim_taken", zerolog.DebugLevel, "The target holds the claim on a request's idempotency key, before it runs the request."},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -45,8 +45,10 @@
 		Int("ahead", sel.backlog).
 		Dur("wait", sel.wait).
 		Dur("state_age", sel.stateAge).
+		Dur("permit", c.permitWait).
 		Send()
 	c.recordDecision("sent", sel)
+	c.permitTarget, c.permitRefusals, c.permitUntil = nil, 0, time.Time{}
 	g.Scope.Counter("attempts").Inc(1)
 	attemptCtx, cancel := g.withAttemptTimeout(ctx, c)
 	defer cancel()
--- a/internal/gateway/attempt_loop.go
+++ b/internal/gateway/attempt_loop.go
@@ -85,6 +85,13 @@
 		if again {
 			continue
 		}
+		if reason == "" {
+			again, reason = g.awaitPermit(ctx, c, sel)
+		}
+		if again {
+			g.Fleet.endOffer(o)
+			continue
+		}
 		now := time.Now()
 		var run *segmentRun
 		if reason == "" {
@@ -198,6 +205,12 @@
 		case ok && (now.After(waitUntil) || (c.waitTarget == nil && now.Add(sel.wait).After(waitUntil))):
 			return g.chooseWithoutWaiting(now, c, sel.wait)
 		}
+		if ok && g.Fleet.needsPermit(now, c, sel.target) { // before the adapter takes a slot
+			if _, reason := g.awaitPermit(ctx, c, sel); reason != "" {
+				return selection{}, reason
+			}
+			continue
+		}
 		switch {
 		case !ok:
 			// A target may become usable soon.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -34,9 +34,14 @@
 	possibleRuns    int             // attempts that may have run
 	connectFailures int             // attempts that never reached a target
 	reselections    int             // choices of another target because of a targetd's answer
+	permitTarget    *targetState    // target to which a permit allows to send the call, nil for none
+	permitAt        time.Time       // when that permit was issued
+	permitRefusals  int             // refused permits since the last attempt
+	permitUntil     time.Time       // end of the wait for permits, zero before the first request for one
 	waitTarget      *targetState    // target that is to load the adapter, nil if not waiting
 
 	heldFor     time.Duration // total time waited because another request with a suspect segment ran
+	permitWait  time.Duration // total time waited for permits
 	adapterWait time.Duration // total time waited for a target, mostly for adapters to load
 	retryAfter  time.Duration // expected time until the adapter is loaded, zero if unknown
 
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -6,6 +6,7 @@
 
 	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/internal/peer"
+	"github.com/borageusher/borageusher/internal/permits"
 	"github.com/borageusher/borageusher/pkg/assignment"
 	"github.com/borageusher/borageusher/pkg/orders"
 	"github.com/borageusher/borageusher/pkg/routing"
@@ -36,7 +37,9 @@
 	lastScan       time.Time                        // last run of cancelStalled
 	notices        map[target.Incarnation]*targetNotice
 	limits         map[string]*rateLimit // by incarnation of the target
-	onTarget       func(*targetState) // called with mu held for added targets, and for all on a new configuration
+	permits        *permits.Issuer       // used while no targetd is connected
+	lastPermit     uint64                // id of the last permit request
+	onTarget       func(*targetState)    // called with mu held for added targets, and for all on a new configuration
 }
 
 // NewFleet returns a fleet without targets. Distances are computed from the
@@ -53,6 +56,7 @@
 		changes:   map[orders.Adapter]chan struct{}{},
 		notices:   map[target.Incarnation]*targetNotice{},
 		limits:    map[string]*rateLimit{},
+		permits:   permits.New(),
 		epoch:     time.Now(),
 	}
 }
@@ -113,7 +117,7 @@
 		t = nil
 	}
 	if t == nil {
-		t = newTargetState(now, r, f.noticeOf(r.Incarnation()), f.limitOf(now, r.Incarnation().String()))
+		t = newTargetState(now, r, f.noticeOf(r.Incarnation()), f.limitOf(r.Incarnation().String()))
 		t.distance = f.distance(r.Zone)
 		f.targets[r.ID] = t
 		f.logState(r, "added")
@@ -209,6 +213,17 @@
 	return assignment.OtherRegion
 }
 
+// zoneDistance returns the network distance between two targets.
+func (f *Fleet) zoneDistance(a, b *targetState) assignment.Distance {
+	switch {
+	case a.replica.Zone == b.replica.Zone:
+		return assignment.SameZone
+	case f.regions[a.replica.Zone] == f.regions[b.replica.Zone]:
+		return assignment.SameRegion
+	}
+	return assignment.OtherRegion
+}
+
 // setConfiguration applies a newer configuration.
 func (f *Fleet) setConfiguration(cfg *routing.Configuration) {
 	f.mu.Lock()
@@ -305,6 +320,11 @@
 func (f *Fleet) entrydCount() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.highestEntrydCount()
+}
+
+// highestEntrydCount does what entrydCount does. The caller holds mu.
+func (f *Fleet) highestEntrydCount() int {
 	highest := 0
 	for _, t := range f.targets {
 		highest = max(highest, t.state.ConnectedEntries)
--- a/internal/gateway/pacing.go
+++ b/internal/gateway/pacing.go
@@ -113,11 +113,11 @@
 }
 
 // remainsChosen reports whether the selected target may still be sent the call after
-// a wait: it is not leaving and holds the announced version of the adapter.
+// a wait: it is not leaving and holds the announced version of the adapter, if any.
 func (f *Fleet) remainsChosen(now time.Time, sel selection, c *call) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return sel.target.usable(now) && sel.target.hasVersion(c.adapter, f.version(c.adapter))
+	return sel.target.usable(now) && (c.model == "" || sel.target.hasVersion(c.adapter, f.version(c.adapter)))
 }
 
 // answerState is the result of waiting for an answer.
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -144,6 +144,9 @@
 			Usable:           t.usable(now) && !c.tried[t.replica.ID],
 			Penalty:          time.Duration(t.decayedFailures(now) * failurePenalty * float64(c.route.Objective)),
 		}
+		if !c.hasPermit(now, t) {
+			a.RateLimited, a.PermitDelay = t.limit.enforced(), t.limit.permitDelay(now)
+		}
 		if cautious && (now.Before(t.avoidUntil) || t.targetdSilent(now) || c.refused[t.replica.ID]) {
 			a.Usable = false
 		}
--- a/internal/gateway/target_state.go
+++ b/internal/gateway/target_state.go
@@ -70,6 +70,8 @@
 	offers     map[uint64]*offer // prompts offered to the targetd that have not ended
 	lastOffer  uint64            // id of the last offer
 
+	permitRequests map[uint64]chan peer.PermitAnswer // requests to the targetd that have no answer yet
+
 	attempts        map[*activeAttempt]struct{}
 	inFlight        int // requests at the target
 	load            Load
@@ -105,6 +107,7 @@
 		resident:        map[orders.Adapter]int64{},
 		loading:         map[orders.Adapter]bool{},
 		offers:          map[uint64]*offer{},
+		permitRequests:  map[uint64]chan peer.PermitAnswer{},
 		attempts:        map[*activeAttempt]struct{}{},
 		running:         map[orders.Adapter]int{},
 		useCounts:       map[orders.Adapter]int{},
--- a/internal/gateway/targetd_conns.go
+++ b/internal/gateway/targetd_conns.go
@@ -94,6 +94,10 @@
 			f.applyPacing(now, t)
 		case peer.PromptAnswer:
 			f.applyPromptAnswer(now, t, m)
+		case peer.RateLimit:
+			f.applyRateLimit(now, m)
+		case peer.PermitAnswer:
+			f.applyPermitAnswer(t, m)
 		case peer.CrashReport:
 			tc.onCrashReport(now, m)
 		case peer.SegmentCrash:
@@ -105,6 +109,7 @@
 	f.mu.Lock()
 	t.conn = nil
 	t.endPacing()
+	t.endPermitRequests()
 	f.notifyAll()
 	f.mu.Unlock()
 	return err
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -42,6 +42,10 @@
 	typePacing         messageType = 58
 	typeSegmentCrash   messageType = 59
 	typeSegmentAnswers messageType = 60
+	typeRateLimit      messageType = 61
+	typePermitRequest  messageType = 62
+	typePermitAnswer   messageType = 63
+	typePermitCancel   messageType = 64
 
 	typeStateRequest  messageType = 40
 	typeStateAnswer   messageType = 41
@@ -79,6 +83,10 @@
 func (Pacing) messageType() messageType         { return typePacing }
 func (SegmentCrash) messageType() messageType   { return typeSegmentCrash }
 func (SegmentAnswers) messageType() messageType { return typeSegmentAnswers }
+func (RateLimit) messageType() messageType      { return typeRateLimit }
+func (PermitRequest) messageType() messageType  { return typePermitRequest }
+func (PermitAnswer) messageType() messageType   { return typePermitAnswer }
+func (PermitCancel) messageType() messageType   { return typePermitCancel }
 
 // Encode returns the wire format of m: one byte for its type, followed by its
 // fields as a CBOR array.
@@ -178,6 +186,14 @@
 		return &promptDoneWire{}
 	case typePacing:
 		return &pacingWire{}
+	case typeRateLimit:
+		return &rateLimitWire{}
+	case typePermitRequest:
+		return &permitRequestWire{}
+	case typePermitAnswer:
+		return &permitAnswerWire{}
+	case typePermitCancel:
+		return &permitCancelWire{}
 	}
 	return nil
 }
@@ -244,6 +260,15 @@
 		return &promptDoneWire{ID: lateStreamID | uint64(uint32(m.Allowed.Milliseconds()))}
 	case Pacing:
 		return &pacingWire{}
+	case RateLimit:
+		w := rateLimitToWire(m)
+		return &w
+	case PermitRequest:
+		return &permitRequestWire{ID: m.ID, Limit: rateLimitToWire(m.Limit), Urgency: m.Urgency, WithinMS: m.Within.Milliseconds()}
+	case PermitAnswer:
+		return &permitAnswerWire{ID: m.ID, Granted: m.Granted, WaitMS: m.Wait.Milliseconds()}
+	case PermitCancel:
+		return &permitCancelWire{ID: m.ID}
 	case CrashReport:
 		return &crashReportWire{Engine: m.Engine, Fingerprints: m.Fingerprints}
 	case SegmentCrash:
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -63,6 +63,11 @@
 		CrashReport{Engine: "i/5", Fingerprints: [][]byte{{1, 2}, {3}}},
 		SegmentCrash{Engine: "i/5", Service: "s", Age: time.Second, Served: Unknown, Segments: []ExposedSegment{{Segment: []byte{1}, Sent: 2 * time.Second, Answered: Unknown}}},
 		SegmentAnswers{Age: time.Second, Segments: [][]byte{{1}}},
+		RateLimit{Target: "t1/7", Limited: true, PerSecond: 0.3, Age: time.Second},
+		RateLimit{Target: "t1/7"},
+		PermitRequest{ID: 7, Limit: RateLimit{Target: "t1/7", Limited: true, PerSecond: 6.8, Age: time.Second}, Urgency: 1, Within: 300 * time.Millisecond},
+		PermitAnswer{ID: 7, Granted: true, Wait: 20 * time.Millisecond},
+		PermitCancel{ID: 7},
 	}
 }
 
--- a/pkg/assignment/choose.go
+++ b/pkg/assignment/choose.go
@@ -39,6 +39,11 @@
 	// loaded. A copy takes an adapter slot and a load, while requests that start
 	// well within the objective gain nothing from it.
 	copyThreshold = 0.3
+	// permitFraction is the extra wait for which another holder is used than one that
+	// limits its request rate. Requests for the adapters in most demand then share the
+	// slots of the others, and those for rare ones, which need a slot each, get the few
+	// that a limited target takes.
+	permitFraction = 0.2
 )
 
 // Request holds the properties of a request on which the choice depends.
@@ -61,6 +66,8 @@
 	LoadDelay        time.Duration // time until a missing adapter is loaded
 	CanLoad          bool          // the target can load adapters now
 	InHostMemory     bool          // a missing adapter is loaded from the VM's memory, not from the weight store
+	RateLimited      bool          // the target limits its request rate
+	PermitDelay      time.Duration // time until such a target takes a further request
 	Penalty          time.Duration // added to the cost of targets that failed recently
 	Usable           bool          // the target may be sent requests
 }
@@ -153,23 +160,32 @@
 // further copy.
 func needsCopy(req Request, candidates []Candidate, holder, home int) bool {
 	wait := candidates[holder].expectedWait()
-	return wait >= req.objectiveFraction(copyThreshold) && candidates[home].queueDelay() < wait/2
+	return wait >= req.objectiveFraction(copyThreshold) && candidates[home].startDelay() < wait/2
 }
 
-// cost returns the sum of the expected wait, the network cost and Penalty.
+// cost returns the sum of the expected wait, the network cost, Penalty, and the value of
+// one of the requests that a limited target takes.
 func (c *Candidate) cost(req Request) time.Duration {
-	return c.expectedWait() + c.networkCost(req) + c.Penalty
+	cost := c.expectedWait() + c.networkCost(req) + c.Penalty
+	if c.RateLimited {
+		cost += req.objectiveFraction(permitFraction)
+	}
+	return cost
 }
 
 // expectedWait returns the expected time until a request's first event at the target.
 // A missing adapter is loaded while the requests ahead are served.
 func (c *Candidate) expectedWait() time.Duration {
 	if c.Resident {
-		return c.queueDelay()
+		return c.startDelay()
 	}
-	return max(c.queueDelay(), c.LoadDelay)
+	return max(c.startDelay(), c.PermitDelay+c.LoadDelay)
 }
 
+// startDelay returns the expected time until a request's first event at a target that
+// holds the adapter.
+func (c *Candidate) startDelay() time.Duration { return c.PermitDelay + c.queueDelay() }
+
 // queueDelay returns the expected time until a first event due to the target's load.
 // Engines process prompts sequentially, a fuller batch delays the first event, and
 // beyond a full batch requests wait until others end.
--- a/pkg/assignment/choose_test.go
+++ b/pkg/assignment/choose_test.go
@@ -130,6 +130,32 @@
 			got, _ := Choose(request, c)
 			convey.So(got.Index, convey.ShouldEqual, 1)
 		})
+		convey.Convey("a holder that limits its rate is left to rare adapters", func() {
+			c[0].Resident, c[0].RateLimited = true, true
+			c[1].Resident = true
+			got, _ := Choose(request, c)
+			convey.So(got.Index, convey.ShouldEqual, 1)
+			convey.Convey("unless the others are much slower", func() {
+				c[1].Requests = 13
+				got, _ := Choose(request, c)
+				convey.So(got.Index, convey.ShouldEqual, 0)
+				convey.Convey("and the wait for its permits is shorter", func() {
+					c[0].PermitDelay = time.Second
+					got, _ := Choose(request, c)
+					convey.So(got.Index, convey.ShouldEqual, 1)
+				})
+			})
+		})
+		convey.Convey("a missing adapter is not loaded where no permit is due", func() {
+			c[home.Index].RateLimited, c[home.Index].PermitDelay = true, time.Second
+			got, _ := Choose(request, c)
+			convey.So(got.Index, convey.ShouldNotEqual, home.Index)
+			for i := range c {
+				c[i].PermitDelay = time.Second
+			}
+			got, _ = Choose(request, c)
+			convey.So(got.Wait, convey.ShouldEqual, 1250*time.Millisecond)
+		})
 		convey.Convey("the loss of a target moves only the adapters that it was the home of", func() {
 			moved, kept := 0, 0
 			for key := range uint64(500) {
