Log when the platform's store returns to an earlier state

The log could not tell a store that came back from a copy from a compaction of its history. Responses state the history to which their revision belongs; a follow.Position holds both. A follower logs store_restored when the history of a response is another one than before. No decision depends on it yet.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -29,10 +29,10 @@
 
 // Source is the store from which a Follower reads.
 type Source interface {
-	List(ctx context.Context, kind objects.ObjectKind) ([]objects.Object, objects.Version, error)
+	List(ctx context.Context, kind objects.ObjectKind) ([]objects.Object, Position, error)
 	Watch(
-		ctx context.Context, kind objects.ObjectKind, after objects.Version, wait time.Duration,
-	) ([]objects.Object, objects.Version, error)
+		ctx context.Context, kind objects.ObjectKind, after Position, wait time.Duration,
+	) ([]objects.Object, Position, error)
 }
 
 // Sink receives the objects that a Follower reads. Its methods are called from
@@ -55,7 +55,7 @@
 	watchPause   time.Duration
 	log          event.Log
 
-	version      objects.Version
+	position     Position
 	listed       bool
 	lastResponse time.Time                 // time of the store's last response
 	ageStart     atomic.Pointer[time.Time] // lastResponse, or the start if that is zero; read by other goroutines
@@ -108,13 +108,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, f.watchTimeout+responseTimeout)
 	defer cancel()
-	changed, version, err := f.source.Watch(ctx, f.kind, f.version, f.watchTimeout)
+	changed, position, err := f.source.Watch(ctx, f.kind, f.position, f.watchTimeout)
 	if err != nil {
 		return err
 	}
 	now := time.Now()
 	settled := f.recordResponse(now)
-	f.version = version
+	f.recordPosition(position)
 	if len(changed) > 0 {
 		f.sink.Apply(now, changed, settled)
 	}
@@ -124,17 +124,27 @@
 func (f *Follower) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, f.watchTimeout+responseTimeout)
 	defer cancel()
-	all, version, err := f.source.List(ctx, f.kind)
+	all, position, err := f.source.List(ctx, f.kind)
 	if err != nil {
 		return err
 	}
 	now := time.Now()
 	settled := f.recordResponse(now)
-	f.version, f.listed = version, true
+	f.recordPosition(position)
+	f.listed = true
 	f.sink.Replace(now, all, settled)
 	return nil
 }
 
+// recordPosition records the position of a response.
+func (f *Follower) recordPosition(p Position) {
+	if !p.Follows(f.position) {
+		f.log.Event(event.StoreRestored).Str("kind", string(f.kind)).Uint64("history", p.History).
+			Uint64("version", uint64(p.Version)).Uint64("version_before", uint64(f.position.Version)).Send()
+	}
+	f.position = p
+}
+
 // recordResponse records a response of the store. It returns the time until
 // which missing objects may be written again, zero if there was no outage.
 func (f *Follower) recordResponse(now time.Time) time.Time {
@@ -157,7 +167,7 @@
 // one. After the loss of the history, the next call lists all objects.
 func (f *Follower) recordFailure(err error) time.Duration {
 	if objects.IsKind(err, objects.HistoryGone) {
-		f.log.Event(event.HistoryGone).Str("kind", string(f.kind)).Uint64("version", uint64(f.version)).Send()
+		f.log.Event(event.HistoryGone).Str("kind", string(f.kind)).Uint64("version", uint64(f.position.Version)).Send()
 		f.listed = false
 		return 0
 	}
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -17,6 +17,7 @@
 type response struct {
 	objects []objects.Object
 	version objects.Version
+	history uint64
 	delay   time.Duration
 	err     error
 }
@@ -30,29 +31,29 @@
 	watchedFrom []objects.Version // version argument of each watch
 }
 
-func (s *scriptedStore) next(ctx context.Context, queue *[]response) ([]objects.Object, objects.Version, error) {
+func (s *scriptedStore) next(ctx context.Context, queue *[]response) ([]objects.Object, Position, error) {
 	s.mu.Lock()
 	if len(*queue) == 0 {
 		s.mu.Unlock()
 		<-ctx.Done()
-		return nil, 0, ctx.Err()
+		return nil, Position{}, ctx.Err()
 	}
 	r := (*queue)[0]
 	*queue = (*queue)[1:]
 	s.mu.Unlock()
 	time.Sleep(r.delay)
-	return r.objects, r.version, r.err
+	return r.objects, Position{r.history, r.version}, r.err
 }
 
-func (s *scriptedStore) List(ctx context.Context, _ objects.ObjectKind) ([]objects.Object, objects.Version, error) {
+func (s *scriptedStore) List(ctx context.Context, _ objects.ObjectKind) ([]objects.Object, Position, error) {
 	return s.next(ctx, &s.lists)
 }
 
 func (s *scriptedStore) Watch(
-	ctx context.Context, _ objects.ObjectKind, after objects.Version, _ time.Duration,
-) ([]objects.Object, objects.Version, error) {
+	ctx context.Context, _ objects.ObjectKind, after Position, _ time.Duration,
+) ([]objects.Object, Position, error) {
 	s.mu.Lock()
-	s.watchedFrom = append(s.watchedFrom, after)
+	s.watchedFrom = append(s.watchedFrom, after.Version)
 	s.mu.Unlock()
 	return s.next(ctx, &s.watches)
 }
