List again when a watch is answered in another history

Callers would see 404 for a route that was added, or no target, for as long as no further change is written.

Cause: a follower continues its watch from the version it knows. A store that returns to an earlier state gives versions out again; once it has given out as many as it lost, the watch gets no 410, and what was written below its version is never seen. The class of fault: a cursor that is compared outside the sequence it belongs to.

A follower compares the history of each response with that of its list and lists again if they differ; what such a watch returned is dropped. A response that states no history counts as one of the same.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -27,7 +27,9 @@
 	maxResponseGap = 1500 * time.Millisecond
 )
 
-// Source is the store from which a Follower reads.
+// Source is the store from which a Follower reads. A list is of a single history. The
+// changes of a watch are those after a version in the history of the returned position,
+// which need not be that of after.
 type Source interface {
 	List(ctx context.Context, kind objects.ObjectKind) ([]objects.Object, Position, error)
 	Watch(
@@ -112,9 +114,15 @@
 	if err != nil {
 		return err
 	}
+	if !position.Follows(f.position) {
+		return f.list(ctx) // changes may have been written at versions below that of the watch
+	}
+	if position.History == 0 {
+		position.History = f.position.History // it may be stated again later
+	}
 	now := time.Now()
 	settled := f.recordResponse(now)
-	f.recordPosition(position)
+	f.position = position
 	if len(changed) > 0 {
 		f.sink.Apply(now, changed, settled)
 	}
@@ -130,19 +138,18 @@
 	}
 	now := time.Now()
 	settled := f.recordResponse(now)
-	f.recordPosition(position)
-	f.listed = true
+	f.recordListed(position)
 	f.sink.Replace(now, all, settled)
 	return nil
 }
 
-// recordPosition records the position of a response.
-func (f *Follower) recordPosition(p Position) {
+// recordListed records the position of a list.
+func (f *Follower) recordListed(p Position) {
 	if !p.Follows(f.position) {
 		f.log.Event(event.StoreRestored).Str("kind", string(f.kind)).Uint64("history", p.History).
 			Uint64("version", uint64(p.Version)).Uint64("version_before", uint64(f.position.Version)).Send()
 	}
-	f.position = p
+	f.position, f.listed = p, true
 }
 
 // recordResponse records a response of the store. It returns the time until
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -120,6 +120,29 @@
 		<-sink.calls
 		convey.So(<-sink.calls, convey.ShouldResemble, sinkCall{replaced: true, names: []string{"b"}})
 	})
+	convey.Convey("A Follower lists again when a watch is answered in another history, and drops what the watch returned", t, func() {
+		s := &scriptedStore{
+			lists:   []response{{objects: objectNamed("a"), version: 5, history: 1}, {objects: objectNamed("b"), version: 9, history: 2}},
+			watches: []response{{objects: objectNamed("x"), version: 8, history: 2}, {objects: objectNamed("c"), version: 10, history: 2}},
+		}
+		sink := startFollower(t, s)
+		<-sink.calls
+		second := <-sink.calls
+		convey.So(second.replaced, convey.ShouldBeTrue)
+		convey.So(second.names, convey.ShouldResemble, []string{"b"})
+		convey.So((<-sink.calls).names, convey.ShouldResemble, []string{"c"})
+	})
+	convey.Convey("A history that is not stated counts as the same", t, func() {
+		s := &scriptedStore{
+			lists:   []response{{objects: objectNamed("a"), version: 5, history: 1}, {objects: objectNamed("d"), version: 9, history: 2}},
+			watches: []response{{objects: objectNamed("b"), version: 7}, {objects: objectNamed("c"), version: 8, history: 1}, {version: 8}, {version: 9, history: 2}},
+		}
+		sink := startFollower(t, s)
+		<-sink.calls
+		convey.So((<-sink.calls).names, convey.ShouldResemble, []string{"b"})
+		convey.So((<-sink.calls).names, convey.ShouldResemble, []string{"c"})
+		convey.So((<-sink.calls).names, convey.ShouldResemble, []string{"d"})
+	})
 	convey.Convey("A change whose event was lost is read by a new list when the watch has failed and the history is gone", t, func() {
 		connectionLost := response{delay: 300 * time.Millisecond, err: &objects.Error{Op: "test", Kind: objects.Unavailable, Err: errors.New("cut")}}
 		s := &scriptedStore{
