Keep targets that were seen to leave or go unused after a restore

Callers' requests would go to targets that had said that they leave, or that were gone, because the copy from which the store comes back names them as live; their addresses may belong to other targets by then (DRAIN, ROUTE).

Cause: an entry in the store replaced what the entryd knew of the incarnation, also where that was learned later. The class of fault: older state that arrives later wins.

An entry that drains makes its incarnation leave for good, as the target's own answers do already. An entry of an incarnation that was gone, listed by a store that has returned to an earlier state, is not used until the target writes it again, or until it has stayed for twice the time after which the platform removes that of a silent target: a target that only lost its connection to the store keeps its entry alive without a change that could be seen.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -95,6 +95,7 @@
 	TargetChanged     Code = 522
 	TargetUnreadable  Code = 523
 	VersionAnnounced  Code = 524
+	EntryUnconfirmed  Code = 525
 )
 
 // definition is the entry of an event in the catalogue.
@@ -145,7 +146,7 @@
 	{TargetStill, "target_still", zerolog.WarnLevel, "Nothing was received from the target's VM for a while (`silent`): `attempts` that had received nothing from it were ended."},
 	{PacingSkipped, "pacing_skipped", zerolog.WarnLevel, "The targetd of `target` did not admit the prompt in the time that was forecast; the request is sent without its admission."},
 	{CallersClosed, "callers_closed", zerolog.InfoLevel, "Idle `connections` of callers were closed; `reason` says why."},
-	{TargetDeparting, "target_departing", zerolog.InfoLevel, "The target or its targetd (`source`) says that the target leaves: it gets no more requests until it starts again, whatever its entry says; `in_flight` requests continue there."},
+	{TargetDeparting, "target_departing", zerolog.InfoLevel, "The target, its targetd or its entry (`source`) says that the target leaves: it gets no more requests until it starts again, whatever its entry says; `in_flight` requests continue there."},
 	{TargetBackoff, "target_backoff", zerolog.InfoLevel, "The target turned a request away and gets none `for` a while, also if there is no other target; later answers may extend it."},
 	{TargetLimited, "target_limited", zerolog.WarnLevel, "The target takes only `rate` requests a second from all entryds together, according to `source`: a response, or the targetd that heard of it."},
 	{TargetUnlimited, "target_unlimited", zerolog.InfoLevel, "The target no longer limits the rate of requests, according to `source`; the limit stood `for` that time."},
@@ -191,6 +192,7 @@
 	{TargetChanged, "target_changed", zerolog.InfoLevel, "The platform's entry of `target` changed; `state` is the new state."},
 	{TargetUnreadable, "target_unreadable", zerolog.WarnLevel, "The platform's entry of `target` can't be used; the other entries stay valid."},
 	{VersionAnnounced, "version_announced", zerolog.InfoLevel, "A version of an adapter was announced."},
+	{EntryUnconfirmed, "entry_unconfirmed", zerolog.WarnLevel, "The restored store lists the entry of a `target` that was gone since `gone`; the target gets no requests until it writes the entry again or the entry has stayed for a while."},
 }
 
 var definitions = func() map[Code]definition {
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -42,8 +42,10 @@
 // unavailable, and objects that are missing or removed may be written again
 // until then.
 type Sink interface {
-	// Replace receives all objects of the kind.
-	Replace(now time.Time, all []objects.Object, settled time.Time)
+	// Replace receives all objects of the kind. If restored is set, the store has returned
+	// to an earlier state since the last list, so that they may be older than those
+	// received before.
+	Replace(now time.Time, all []objects.Object, settled time.Time, restored bool)
 	// Apply receives changed objects in the order of their changes.
 	Apply(now time.Time, changed []objects.Object, settled time.Time)
 }
@@ -138,18 +140,21 @@
 	}
 	now := time.Now()
 	settled := f.recordResponse(now)
-	f.recordListed(position)
-	f.sink.Replace(now, all, settled)
+	restored := f.recordListed(position)
+	f.sink.Replace(now, all, settled, restored)
 	return nil
 }
 
-// recordListed records the position of a list.
-func (f *Follower) recordListed(p Position) {
-	if !p.Follows(f.position) {
+// recordListed records the position of a list, and reports whether the store has returned
+// to an earlier state.
+func (f *Follower) recordListed(p Position) (restored bool) {
+	restored = !p.Follows(f.position)
+	if restored {
 		f.log.Event(event.StoreRestored).Str("kind", string(f.kind)).Uint64("history", p.History).
 			Uint64("version", uint64(p.Version)).Uint64("version_before", uint64(f.position.Version)).Send()
 	}
 	f.position, f.listed = p, true
+	return restored
 }
 
 // recordResponse records a response of the store. It returns the time until
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -63,24 +63,25 @@
 	replaced bool
 	names    []string
 	settling bool
+	restored bool
 }
 
 type recordingSink struct{ calls chan sinkCall }
 
-func (r *recordingSink) record(replaced bool, now time.Time, changed []objects.Object, settled time.Time) {
-	call := sinkCall{replaced: replaced, settling: now.Before(settled)}
+func (r *recordingSink) record(call sinkCall, now time.Time, changed []objects.Object, settled time.Time) {
+	call.settling = now.Before(settled)
 	for _, o := range changed {
 		call.names = append(call.names, o.Name)
 	}
 	r.calls <- call
 }
 
-func (r *recordingSink) Replace(now time.Time, all []objects.Object, settled time.Time) {
-	r.record(true, now, all, settled)
+func (r *recordingSink) Replace(now time.Time, all []objects.Object, settled time.Time, restored bool) {
+	r.record(sinkCall{replaced: true, restored: restored}, now, all, settled)
 }
 
 func (r *recordingSink) Apply(now time.Time, changed []objects.Object, settled time.Time) {
-	r.record(false, now, changed, settled)
+	r.record(sinkCall{}, now, changed, settled)
 }
 
 func objectNamed(name string) []objects.Object { return []objects.Object{{Name: name}} }
@@ -129,6 +130,7 @@
 		<-sink.calls
 		second := <-sink.calls
 		convey.So(second.replaced, convey.ShouldBeTrue)
+		convey.So(second.restored, convey.ShouldBeTrue)
 		convey.So(second.names, convey.ShouldResemble, []string{"b"})
 		convey.So((<-sink.calls).names, convey.ShouldResemble, []string{"c"})
 	})
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -36,28 +36,30 @@
 	epoch          time.Time                        // time base of the attempts' lastActivity
 	lastScan       time.Time                        // last run of cancelStalled
 	notices        map[target.Incarnation]*targetNotice
-	limits         map[string]*rateLimit // by incarnation of the target
-	permits        *permits.Issuer       // used while no targetd is connected
-	lastPermit     uint64                // id of the last permit request
-	onTarget       func(*targetState)    // called with mu held for added targets, and for all on a new configuration
+	unconfirmed    map[string]unconfirmedEntry // by id
+	limits         map[string]*rateLimit       // by incarnation of the target
+	permits        *permits.Issuer             // used while no targetd is connected
+	lastPermit     uint64                      // id of the last permit request
+	onTarget       func(*targetState)          // called with mu held for added targets, and for all on a new configuration
 }
 
 // NewFleet returns a fleet without targets. Distances are computed from the
 // given availability zone and region; regions maps zones to regions.
 func NewFleet(zone, region string, regions map[string]string, log event.Log) *Fleet {
 	return &Fleet{
-		zone:      zone,
-		region:    region,
-		regions:   regions,
-		log:       log,
-		targets:   map[string]*targetState{},
-		versions:  map[orders.Adapter]int64{},
-		latencies: map[string]*latencyStats{},
-		changes:   map[orders.Adapter]chan struct{}{},
-		notices:   map[target.Incarnation]*targetNotice{},
-		limits:    map[string]*rateLimit{},
-		permits:   permits.New(),
-		epoch:     time.Now(),
+		zone:        zone,
+		region:      region,
+		regions:     regions,
+		log:         log,
+		targets:     map[string]*targetState{},
+		versions:    map[orders.Adapter]int64{},
+		latencies:   map[string]*latencyStats{},
+		changes:     map[orders.Adapter]chan struct{}{},
+		notices:     map[target.Incarnation]*targetNotice{},
+		unconfirmed: map[string]unconfirmedEntry{},
+		limits:      map[string]*rateLimit{},
+		permits:     permits.New(),
+		epoch:       time.Now(),
 	}
 }
 
@@ -108,36 +110,39 @@
 // upsert adds or updates a target from its entry in the store. The caller holds
 // mu.
 func (f *Fleet) upsert(now time.Time, r target.Replica) {
-	if f.dropSuperseded(r) {
+	if f.dropSuperseded(now, r) {
 		return
 	}
 	t := f.targets[r.ID]
 	if t != nil && (t.replica.Addr != r.Addr || t.replica.Service != r.Service || t.replica.Incarnation() != r.Incarnation()) {
-		f.drop(t) // a new incarnation shares no state with the previous one
+		f.drop(now, t) // a new incarnation shares no state with the previous one
 		t = nil
 	}
 	if t == nil {
 		t = newTargetState(now, r, f.noticeOf(r.Incarnation()), f.limitOf(r.Incarnation().String()))
 		t.distance = f.distance(r.Zone)
 		f.targets[r.ID] = t
+		t.notice.goneAt = time.Time{}
 		f.logState(r, "added")
 		if f.onTarget != nil {
 			f.onTarget(t)
 		}
 		f.notifyAll()
-		return
 	}
 	if t.replica.State != r.State {
 		f.logState(r, r.State.String())
 	}
 	t.replica = r
 	t.goneAt = time.Time{}
+	if r.State == target.Leaving {
+		f.recordLeaving(now, t, "entry")
+	}
 }
 
 // dropSuperseded drops the earlier incarnations that had the target's address,
 // and reports whether a later one has it: an entry outlives its target for a
 // while. The caller holds mu.
-func (f *Fleet) dropSuperseded(r target.Replica) bool {
+func (f *Fleet) dropSuperseded(now time.Time, r target.Replica) bool {
 	for _, t := range f.targets {
 		if t.replica.Addr != r.Addr || t.replica.ID == r.ID {
 			continue
@@ -146,7 +151,7 @@
 			return true
 		}
 		f.logState(t.replica, "superseded")
-		f.drop(t)
+		f.drop(now, t)
 	}
 	return false
 }
@@ -173,13 +178,14 @@
 		return
 	}
 	f.logState(t.replica, "gone")
-	f.drop(t)
+	f.drop(now, t)
 }
 
 // drop removes a target and closes the connection to its targetd. The caller
 // holds mu.
-func (f *Fleet) drop(t *targetState) {
+func (f *Fleet) drop(now time.Time, t *targetState) {
 	delete(f.targets, t.replica.ID)
+	f.noticeOf(t.replica.Incarnation()).goneAt = now
 	t.replica.State = target.Gone
 	if t.closeConn != nil {
 		t.closeConn()
@@ -188,14 +194,15 @@
 }
 
 // Sweep drops the targets whose entries lapsed and were not written again in
-// time, and the notices of former targets.
+// time, adds those whose entries were confirmed, and drops the notices of former targets.
 func (f *Fleet) Sweep(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.addConfirmed(now)
 	for _, t := range f.targets {
 		if !t.goneAt.IsZero() && !now.Before(t.goneAt) {
 			f.logState(t.replica, "gone")
-			f.drop(t)
+			f.drop(now, t)
 		}
 	}
 	f.expireNotices(now)
--- a/internal/gateway/store_sinks.go
+++ b/internal/gateway/store_sinks.go
@@ -31,7 +31,7 @@
 }
 
 // Replace implements follow.Sink.
-func (s *configurationSink) Replace(now time.Time, all []objects.Object, settled time.Time) {
+func (s *configurationSink) Replace(now time.Time, all []objects.Object, settled time.Time, _ bool) {
 	s.Apply(now, all, settled)
 }
 
@@ -64,14 +64,18 @@
 }
 
 // Replace implements follow.Sink.
-func (s *replicaSink) Replace(now time.Time, all []objects.Object, settled time.Time) {
+func (s *replicaSink) Replace(now time.Time, all []objects.Object, settled time.Time, restored bool) {
 	s.fleet.mu.Lock()
 	defer s.fleet.mu.Unlock()
 	listed := make(map[string]bool, len(all))
 	for _, o := range all {
+		if r, err := s.decoder.Replica(o.Name, o.Value); err == nil && s.fleet.holdUnconfirmed(now, r, restored) {
+			continue
+		}
 		listed[o.Name] = true
 		s.apply(now, o, settled)
 	}
+	s.fleet.keepUnconfirmed(all)
 	for id, t := range s.fleet.targets {
 		if !listed[id] {
 			s.fleet.remove(now, t, settled)
@@ -93,6 +97,7 @@
 // target and counts as missing. The caller holds the fleet's mu.
 func (s *replicaSink) apply(now time.Time, o objects.Object, settled time.Time) {
 	t := s.fleet.targets[o.Name]
+	delete(s.fleet.unconfirmed, o.Name)
 	if o.Deleted {
 		if t != nil {
 			s.fleet.remove(now, t, settled)
@@ -118,7 +123,7 @@
 }
 
 // Replace implements follow.Sink.
-func (s *versionSink) Replace(now time.Time, all []objects.Object, settled time.Time) {
+func (s *versionSink) Replace(now time.Time, all []objects.Object, settled time.Time, _ bool) {
 	s.Apply(now, all, settled)
 }
 
--- a/internal/gateway/target_notice.go
+++ b/internal/gateway/target_notice.go
@@ -12,12 +12,17 @@
 // minutes.
 const noticeRetention = time.Hour
 
-// targetNotice is what one incarnation of a target said about further requests. It
+// goneRetention is how long a former target is remembered as gone. The copy from which a
+// store comes back is some seconds old.
+const goneRetention = 10 * time.Minute
+
+// targetNotice is what is known of further requests to one incarnation of a target. It
 // outlives the target's entry in the store, which lags behind and may lapse and
 // return.
 type targetNotice struct {
 	leaving      bool      // the target accepts no more requests
 	at           time.Time // when that was learned
+	goneAt       time.Time // when its entry had gone, zero while it is listed
 	backoffUntil time.Time // the target wants no requests of this gateway before
 }
 
@@ -117,7 +122,8 @@
 		t := f.targets[i.ID]
 		listed := t != nil && t.replica.Incarnation() == i
 		leaving := n.leaving && now.Sub(n.at) <= noticeRetention
-		if !listed && !leaving && !now.Before(n.backoffUntil) {
+		gone := !n.goneAt.IsZero() && now.Sub(n.goneAt) <= goneRetention
+		if !listed && !leaving && !gone && !now.Before(n.backoffUntil) {
 			delete(f.notices, i)
 		}
 	}
