Count the restore of a store as an outage

Live targets whose entries the copy lacks would be dropped at once, with the connections to their targetds, and their adapters would be loaded elsewhere until they write their entries again.

Cause: missing entries lapse gently only after an outage that a follower has noticed, by a failed call or a gap of 1.5 s between responses. A store can return from a copy within less. The class of fault: a duration stands for what happened during it.

The history in the response tells that the store was restored, whatever time that took; targets that are missing then stay until entries can have been written again, as after any outage.

TestLiveTargetMissingInRestoredStore failed before and passes.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -123,7 +123,7 @@
 		position.History = f.position.History // it may be stated again later
 	}
 	now := time.Now()
-	settled := f.recordResponse(now)
+	settled := f.recordResponse(now, false)
 	f.position = position
 	if len(changed) > 0 {
 		f.sink.Apply(now, changed, settled)
@@ -139,8 +139,8 @@
 		return err
 	}
 	now := time.Now()
-	settled := f.recordResponse(now)
 	restored := f.recordListed(position)
+	settled := f.recordResponse(now, restored)
 	f.sink.Replace(now, all, settled, restored)
 	return nil
 }
@@ -158,13 +158,14 @@
 }
 
 // recordResponse records a response of the store. It returns the time until
-// which missing objects may be written again, zero if there was no outage.
-func (f *Follower) recordResponse(now time.Time) time.Time {
+// which missing objects may be written again, zero if there was no outage. A store that
+// was restored has been away, however short that was, and lacks what was written last.
+func (f *Follower) recordResponse(now time.Time, restored bool) time.Time {
 	if f.unavailable {
 		f.unavailable = false
 		f.recoveredAt = now
 		f.log.Event(event.StoreAvailable).Str("kind", string(f.kind)).Dur("away", now.Sub(f.lastResponse)).Send()
-	} else if !f.lastResponse.IsZero() && now.Sub(f.lastResponse) > maxResponseGap {
+	} else if restored || !f.lastResponse.IsZero() && now.Sub(f.lastResponse) > maxResponseGap {
 		f.recoveredAt = now
 	}
 	f.lastResponse = now
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -131,6 +131,7 @@
 		second := <-sink.calls
 		convey.So(second.replaced, convey.ShouldBeTrue)
 		convey.So(second.restored, convey.ShouldBeTrue)
+		convey.So(second.settling, convey.ShouldBeTrue)
 		convey.So(second.names, convey.ShouldResemble, []string{"b"})
 		convey.So((<-sink.calls).names, convey.ShouldResemble, []string{"c"})
 	})
