Apply another configuration that has the version in force

Callers would be served by a configuration that the operator has replaced, if the store lost its version and gave it out again with other contents, until the next version.

Cause: a configuration was ignored if its version was not higher. Versions are unique only as long as the store keeps what it has acknowledged.

A configuration with the version in force and other contents is applied; an older one still never is.

--- a/internal/gateway/main.go
+++ b/internal/gateway/main.go
@@ -133,7 +133,7 @@
 		Limits:        node.Limits,
 	})
 	store := platform.NewStore(scope)
-	cfg := &configurationSink{platform.Decoder, platform.ConfigurationName, &p.current, p.fleet, log}
+	cfg := &configurationSink{decoder: platform.Decoder, name: platform.ConfigurationName, current: &p.current, fleet: p.fleet, log: log}
 	p.followers = map[string]*follow.Follower{
 		"configuration": follow.New(store, platform.Configurations, cfg, watchIntervals(b.ApplyWithin, watchPauseShare), log),
 		"targets":       follow.New(store, platform.Replicas, &replicaSink{platform.Decoder, p.fleet, log}, watchIntervals(b.DrainWithin, replicaPauseShare), log),
--- a/internal/gateway/restored_store_test.go
+++ b/internal/gateway/restored_store_test.go
@@ -156,7 +156,7 @@
 	f := &followedStore{historyStore: s, fleet: NewFleet("a", "north", map[string]string{"a": "north"}, event.Discard())}
 	var sink follow.Sink = &replicaSink{textDecoder{}, f.fleet, event.Discard()}
 	if _, ok := s.objects["main"]; ok {
-		sink = &configurationSink{textDecoder{}, "main", &f.current, f.fleet, event.Discard()}
+		sink = &configurationSink{decoder: textDecoder{}, name: "main", current: &f.current, fleet: f.fleet, log: event.Discard()}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
--- a/internal/gateway/store_sinks.go
+++ b/internal/gateway/store_sinks.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"sync/atomic"
 	"time"
 
@@ -28,6 +29,7 @@
 	current *atomic.Pointer[routing.Configuration]
 	fleet   *Fleet
 	log     event.Log
+	value   []byte // of the configuration in force
 }
 
 // Replace implements follow.Sink.
@@ -35,7 +37,9 @@
 	s.Apply(now, all, settled)
 }
 
-// Apply implements follow.Sink. An older version never replaces a newer one.
+// Apply implements follow.Sink. An older version never replaces a newer one. Another
+// configuration with the version in force replaces it: a store that has lost the version
+// gives it out again.
 func (s *configurationSink) Apply(_ time.Time, changed []objects.Object, _ time.Time) {
 	for _, o := range changed {
 		if o.Deleted || o.Name != s.name {
@@ -46,9 +50,11 @@
 			s.log.Event(event.RevisionRejected).Err(err).Send()
 			continue
 		}
-		if before := s.current.Load(); before != nil && before.Version >= cfg.Version {
+		before := s.current.Load()
+		if before != nil && (cfg.Version < before.Version || (cfg.Version == before.Version && bytes.Equal(o.Value, s.value))) {
 			continue
 		}
+		s.value = o.Value
 		s.current.Store(cfg)
 		s.fleet.setConfiguration(cfg)
 		s.log.Event(event.RevisionInForce).Int64("revision", cfg.Version).Uint64("object_version", uint64(o.Version)).Send()
