--- a/internal/gateway/store_sinks.go
+++ b/internal/gateway/store_sinks.go
@@ -54,7 +54,7 @@
 		if before != nil && (cfg.Version < before.Version || (cfg.Version == before.Version && bytes.Equal(o.Value, s.value))) {
 			continue
 		}
-		s.value = o.Value
+		s.value = bytes.Clone(o.Value)
 		s.current.Store(cfg)
 		s.fleet.setConfiguration(cfg)
 		s.log.Event(event.RevisionInForce).Int64("revision", cfg.Version).Uint64("object_version", uint64(o.Version)).Send()
