Send no request that can't end before the process stops

In a planned stop, requests that were read in time but waited for an adapter, a permit, the end of a backoff or between two attempts were sent to a target until right before the end of the stop timeout. They were cut there and answered 502 or 504, also those that may run only once.

Cause: the stop rejected requests that were read late, but did not look at when an attempt begins. An attempt begins now only if twice the mean response time of its service is left, or the objective where none is known. Otherwise the call is answered 503 if it has not run, so that its caller can go elsewhere.

TestRequestSentAtStopTimeout failed before (504 after the request was sent) and passes.

--- a/internal/gateway/attempt_loop.go
+++ b/internal/gateway/attempt_loop.go
@@ -139,6 +139,8 @@
 		reason = reasonQuarantined
 	case c.remaining(now) < minAttemptTime:
 		reason = "deadline"
+	case !g.mayEnd(now, c):
+		reason = "stopping"
 	case c.attemptsSent > 0 && !g.RetryBudget.tryAcquire(now, c.service, g.Fleet.entrydCount()):
 		reason = "retry_allowance"
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,7 +52,8 @@
 	inProgress atomic.Int64 // requests
 	admission  *admissionControl
 
-	ending   context.Context // done when the calls in progress are to end
+	endsAt   atomic.Pointer[time.Time] // when the calls in progress are to end, nil unless stopping
+	ending   context.Context           // done at that time
 	endCalls context.CancelFunc
 }
 
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -28,13 +28,46 @@
 func (p *process) stop(ln net.Listener, signals <-chan os.Signal) error {
 	sig := <-signals
 	start := time.Now()
-	p.gateway.stopping.Store(true)
+	end := start.Add(time.Duration(p.stopWithin.Load()) - stopMargin)
+	p.gateway.beginStop(end)
 	p.log.Event(event.Stopping).Stringer("signal", sig).Int64("requests", p.gateway.inProgress.Load()).Send()
 	time.Sleep(drainDelay)
-	p.shutDown(ln, start.Add(time.Duration(p.stopWithin.Load())-stopMargin))
+	p.shutDown(ln, end)
 	return nil
 }
 
+// beginStop has callers close their connections and limits the attempts that begin from
+// now on to those that can end until answerMargin before end.
+func (g *Gateway) beginStop(end time.Time) {
+	end = end.Add(-answerMargin)
+	g.endsAt.Store(&end)
+	g.stopping.Store(true)
+}
+
+// Times that an attempt needs to end before a stop.
+const (
+	// stopMeanDurations is the time in mean response times of the service. Most responses
+	// take less.
+	stopMeanDurations = 2
+	// stopObjectives is the time in objectives of the route, for a service that has not
+	// responded yet.
+	stopObjectives = 1
+)
+
+// mayEnd reports whether an attempt that begins now can end before the stop of the
+// process, if that is stopping. One that can't might run without an answer.
+func (g *Gateway) mayEnd(now time.Time, c *call) bool {
+	end := g.endsAt.Load()
+	if end == nil {
+		return true
+	}
+	needed := stopMeanDurations * g.Fleet.meanDuration(c.service)
+	if needed == 0 {
+		needed = stopObjectives * c.route.Objective
+	}
+	return !now.Add(needed).After(*end)
+}
+
 // shutDown rejects further requests, closes the listener, and until deadline each
 // connection on which no request is in progress. http.Server.Shutdown closes
 // connections on which a request has begun to arrive, and drops requests that are read
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/borageusher/borageusher/pkg/target"
 )
 
 // shutDown begins the shutdown of the server with the given time left, and returns
@@ -75,6 +77,61 @@
 	})
 }
 
+// Requests that were read in time but waited were sent to a target right before the end of
+// the stop timeout, and cut there although they may run only once.
+func TestRequestSentAtStopTimeout(t *testing.T) {
+	convey.Convey("Given a process that is stopping and a call that waits", t, func() {
+		ft := newFakeTarget(t, "t1")
+		ft.steps = []step{ft.hang()}
+		ts := newTestCallerServer(t, ft)
+		c := ts.dial(t)
+		wait := func(d time.Duration) {
+			ts.fleet.mu.Lock()
+			defer ts.fleet.mu.Unlock()
+			ts.fleet.recordBackoff(time.Now(), ts.fleet.targets["t1"], d)
+		}
+		stop := func(left time.Duration) { ts.gateway.beginStop(time.Now().Add(left + answerMargin)) }
+		convey.Convey("it is rejected rather than sent too late to end", func() {
+			wait(100 * time.Millisecond)
+			stop(300 * time.Millisecond) // less than the wait and the objective
+			c.send(requestText("/unsafe/x"))
+			got := c.receive()
+			convey.So(got.status, convey.ShouldEqual, 503)
+			convey.So(got.header.Get("Retry-After"), convey.ShouldNotBeEmpty)
+			convey.So(len(ft.requests()), convey.ShouldEqual, 0)
+			convey.So(ts.logText(), convey.ShouldContainSubstring, `"reason":"stopping"`)
+		})
+		convey.Convey("it is sent if it can end in time, which requests to the service show", func() {
+			ft.mu.Lock()
+			ft.steps = []step{respond(200, "good", signed)}
+			ft.mu.Unlock()
+			ts.fleet.mu.Lock()
+			ts.fleet.latencyOf("s").duration.Observe(10 * time.Millisecond)
+			ts.fleet.mu.Unlock()
+			wait(100 * time.Millisecond)
+			stop(300 * time.Millisecond)
+			c.send(requestText("/unsafe/x"))
+			convey.So(c.receive().status, convey.ShouldEqual, 200)
+		})
+		convey.Convey("a further attempt is not sent too late either", func() {
+			ft.mu.Lock()
+			ft.steps = []step{func(conn net.Conn, r *http.Request) bool {
+				stop(100 * time.Millisecond)
+				return respond(500, "bad", signed)(conn, r)
+			}}
+			ft.mu.Unlock()
+			other := newFakeTarget(t, "t2", respond(200, "good", signed))
+			ts.fleet.mu.Lock()
+			ts.fleet.upsert(time.Now(), target.Replica{ID: "t2", Service: "s", Addr: other.addr, Zone: "a", Slots: 4, State: target.Live})
+			ts.fleet.mu.Unlock()
+			ts.prefer("t1")
+			c.send(requestText("/safe/x"))
+			convey.So(c.receive().status, convey.ShouldEqual, 500) // the target's response
+			convey.So(len(other.requests()), convey.ShouldEqual, 0)
+		})
+	})
+}
+
 // Responses to requests that had begun before a stop left their connections open.
 func TestResponseDuringStopKeepsConnection(t *testing.T) {
 	convey.Convey("The response to a request that began before the stop closes its connection", t, func() {
