Reject calls that arrive late in a stop of entryd

A stopping entryd closes its listener once the load balancer has removed it, but requests on connections that were open and unused were still taken and sent on. Those still in progress at the end of the stop timeout were cut without an answer.

Cause: only the listener was closed. Calls that arrive later are rejected with 503, not_run, Retry-After and a closed connection now. Calls from before that are still cut if they outlast process.stop_within; the operator sets that time.

TestRequestTakenLateInStop failed before (the request was taken, and the end of the stop waited for it) and passes.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -39,6 +39,7 @@
 	opts    Options
 	chain   Handler
 	limit   *limitFilter
+	stop    stopFilter
 	links   *linkTable
 	counter atomic.Uint64
 }
@@ -62,7 +63,7 @@
 		log:      opts.Log,
 		scope:    opts.Scope,
 	}
-	e.chain = chain(last, identifyFilter{configurations: opts.Configurations}, resolveFilter{}, quarantineFilter{suspects: opts.Suspects}, e.limit)
+	e.chain = chain(last, &e.stop, identifyFilter{configurations: opts.Configurations}, resolveFilter{}, quarantineFilter{suspects: opts.Suspects}, e.limit)
 	return e
 }
 
@@ -75,6 +76,9 @@
 	h.Any("/services/:service", e.servePlain)
 }
 
+// RejectCalls rejects all further calls.
+func (e *Entry) RejectCalls() { e.stop.closing.Store(true) }
+
 // InProgress returns the number of calls in progress.
 func (e *Entry) InProgress() int { return e.limit.InProgress() }
 
