Tell all entryds how many are connected to a targetd

An entryd knew only of those that had connected before it, until something else changed in the engine's state. Entryds that divide a retry budget or a limit by the number took up to their whole sum each: with three entryds, 1, 1/2 and 1/3.

Cause: a connecting entryd was sent the number by changing the state that the others had been sent, so that the next comparison found no difference.

--- a/internal/enginecontroller/conns.go
+++ b/internal/enginecontroller/conns.go
@@ -44,8 +44,9 @@
 	}
 	ec.mu.Unlock()
 	ec.inbox <- func(time.Time) {
-		ec.state.ConnectedEntries = ec.entrydCount()
-		_, _ = c.Send(ec.state) // after an error the entryd reconnects
+		state := ec.state // the others learn of the new number with the next change
+		state.ConnectedEntries = ec.entrydCount()
+		_, _ = c.Send(state) // after an error the entryd reconnects
 		_, _ = c.Send(ec.load)
 	}
 }
