Count the answers of all entryds between two crashes

With many entryds, few requests or a high share of crashing ones, a prompt segment that crashes targets was never convicted: 47 to 216 requests with it reached targets after the fifth crash.

Cause: a conviction needs eight answers of the service between two crashes, and an entryd stated only the time of its own last eight. With 20 entryds and 40 requests a second none had so many. The class of fault is that of the request rates: a count over processes of which each sees a part.

A report on a crash states the answers that its sender has not stated before; the receivers count those of all. Reports have an id, because several targetds forward each.

TestDeadlySegment, TestTargetsFailTogether and TestCrashingPromptSegment pass.

--- a/internal/enginecontroller/segments_test.go
+++ b/internal/enginecontroller/segments_test.go
@@ -16,7 +16,7 @@
 		a, b := connect(t, addr, "e1"), connect(t, addr, "e2")
 		convey.So(eventually(func() bool { return b.state().ConnectedEntries == 2 || a.state().ConnectedEntries == 2 }), convey.ShouldBeTrue)
 		crash := peer.SegmentCrash{
-			Engine: "i/1", Service: "s", Age: time.Second, Served: peer.Unknown,
+			Engine: "i/1", Service: "s", Age: time.Second, Served: []time.Duration{600 * time.Millisecond},
 			Segments: []peer.ExposedSegment{{Segment: []byte{1}, Sent: 2 * time.Second, Answered: peer.Unknown}},
 		}
 		a.send(t, crash)
@@ -29,7 +29,8 @@
 		kept := c.segmentReports()[0].(peer.SegmentCrash)
 		convey.So(kept.Age, convey.ShouldBeGreaterThanOrEqualTo, time.Second+20*time.Millisecond)
 		convey.So(kept.Segments[0].Sent-kept.Age, convey.ShouldEqual, time.Second)
-		convey.So(kept.Served, convey.ShouldEqual, peer.Unknown)
+		convey.So(len(kept.Served), convey.ShouldEqual, 1)
+		convey.So(kept.Served[0]-kept.Age, convey.ShouldEqual, -400*time.Millisecond)
 		convey.So(kept.Segments[0].Answered, convey.ShouldEqual, peer.Unknown)
 		convey.So(c.segmentReports()[1].(peer.SegmentAnswers).Age, convey.ShouldBeGreaterThanOrEqualTo, 20*time.Millisecond)
 		convey.So(len(a.segmentReports()), convey.ShouldEqual, 0)
--- a/internal/gateway/segment_tracker.go
+++ b/internal/gateway/segment_tracker.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,9 +32,11 @@
 	mu         sync.Mutex
 	list       quarantine.SegmentList
 	unanswered map[quarantine.Fingerprint]int       // attempts in flight without an answer
-	served     map[string][]time.Time               // last quarantine.MinServiceAnswers answers begun, by service
+	served     map[string][]time.Time               // last answers begun that are known, in the order of time, by service
+	unstated   map[string][]time.Time               // those of this entryd that the others were not told of
 	broken     map[string]*brokenRuns               // by incarnation of the target
 	shared     map[quarantine.Fingerprint]time.Time // answers that the other entryds were told of
+	reports    map[uint64]time.Time                 // when the reports of the other entryds were first received, by id
 }
 
 // brokenRuns are the attempts without an answer whose connections to a target broke.
@@ -49,8 +53,10 @@
 		broadcast:  broadcast,
 		unanswered: map[quarantine.Fingerprint]int{},
 		served:     map[string][]time.Time{},
+		unstated:   map[string][]time.Time{},
 		broken:     map[string]*brokenRuns{},
 		shared:     map[quarantine.Fingerprint]time.Time{},
+		reports:    map[uint64]time.Time{},
 	}
 }
 
@@ -144,9 +150,10 @@
 	if !run.ended {
 		t.forget(run)
 	}
-	served := t.served[run.service]
-	served = append(served, now)
-	t.served[run.service] = served[max(0, len(served)-quarantine.MinServiceAnswers):]
+	t.recordServed(run.service, now)
+	unstated := t.unstated[run.service]
+	unstated = append(unstated, now)
+	t.unstated[run.service] = unstated[max(0, len(unstated)-quarantine.MinServiceAnswers):]
 	var cleared [][]byte
 	for _, s := range run.segments {
 		if t.recordCleared(now, s) {
@@ -189,10 +196,11 @@
 	if b == nil || len(b.sentAt) == 0 || now.Sub(b.last) > crashWindow {
 		return
 	}
-	m := peer.SegmentCrash{Engine: incarnation, Service: b.service, Age: now.Sub(b.first), Served: peer.Unknown}
-	if served := t.served[b.service]; len(served) == quarantine.MinServiceAnswers {
-		m.Served = now.Sub(served[0])
+	m := peer.SegmentCrash{ID: rand.Uint64(), Engine: incarnation, Service: b.service, Age: now.Sub(b.first)}
+	for _, at := range t.unstated[b.service] {
+		m.Served = append(m.Served, now.Sub(at))
 	}
+	delete(t.unstated, b.service)
 	for s, at := range b.sentAt {
 		e := peer.ExposedSegment{Segment: s[:], Sent: now.Sub(at), Answered: peer.Unknown}
 		if at := t.list.AnsweredAt(s); !at.IsZero() {
@@ -211,6 +219,12 @@
 func (t *segmentTracker) applyCrash(now time.Time, m peer.SegmentCrash) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if _, ok := t.reports[m.ID]; !ok {
+		t.reports[m.ID] = now
+		for _, age := range m.Served {
+			t.recordServed(m.Service, now.Add(-age))
+		}
+	}
 	t.add(now, m)
 	for _, e := range m.Segments {
 		s, ok := fingerprintOf(e.Segment)
@@ -245,9 +259,7 @@
 // caller holds mu.
 func (t *segmentTracker) add(now time.Time, m peer.SegmentCrash) {
 	c := quarantine.SegmentCrash{Name: m.Engine, Service: m.Service, At: now.Add(-m.Age)}
-	if m.Served >= 0 {
-		c.ServedAt = now.Add(-m.Served)
-	}
+	c.ServedAt = t.servedBefore(m.Service, c.At)
 	for _, e := range m.Segments {
 		s, ok := fingerprintOf(e.Segment)
 		if !ok {
@@ -265,6 +277,34 @@
 	t.logConvicted(convicted)
 }
 
+// reportRetention is how long a report is remembered: longer than targetds keep it for
+// entryds that connect later.
+const reportRetention = 2 * time.Hour
+
+// maxServed bounds the known answers of a service: enough for the answers of all entryds
+// around a crash.
+const maxServed = 32 * quarantine.MinServiceAnswers
+
+// recordServed records an answer of a service. The caller holds mu.
+func (t *segmentTracker) recordServed(service string, at time.Time) {
+	served := t.served[service]
+	i, _ := slices.BinarySearchFunc(served, at, time.Time.Compare)
+	served = slices.Insert(served, i, at)
+	t.served[service] = served[max(0, len(served)-maxServed):]
+}
+
+// servedBefore returns the time since which a service began
+// quarantine.MinServiceAnswers answers until at, zero if it is not known. The caller holds
+// mu.
+func (t *segmentTracker) servedBefore(service string, at time.Time) time.Time {
+	served := t.served[service]
+	n, _ := slices.BinarySearchFunc(served, at, time.Time.Compare)
+	if n < quarantine.MinServiceAnswers {
+		return time.Time{}
+	}
+	return served[n-quarantine.MinServiceAnswers]
+}
+
 // recordCleared records an answer with a segment and reports whether it clears the
 // segment of a crash. The caller holds mu.
 func (t *segmentTracker) recordCleared(at time.Time, s quarantine.Fingerprint) bool {
@@ -305,6 +345,11 @@
 			delete(t.broken, incarnation)
 		}
 	}
+	for id, at := range t.reports {
+		if now.Sub(at) > reportRetention {
+			delete(t.reports, id)
+		}
+	}
 	for s, at := range t.shared {
 		if now.Sub(at) > quarantine.SuspectFor {
 			delete(t.shared, s)
--- a/internal/gateway/tracked_service_test.go
+++ b/internal/gateway/tracked_service_test.go
@@ -76,7 +76,9 @@
 			}
 			switch m := m.message.(type) {
 			case peer.SegmentCrash:
-				t.applyCrash(s.now, m)
+				for range crashReportFanout { // each of the targetds forwards it
+					t.applyCrash(s.now, m)
+				}
 			case peer.SegmentAnswers:
 				t.applyAnswers(s.now, m)
 			}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -61,7 +61,7 @@
 		LateStream{Allowed: 300 * time.Millisecond},
 		EngineLoad{Running: 2, Queued: 1, MissingAdapters: 3, Full: true},
 		CrashReport{Engine: "i/5", Fingerprints: [][]byte{{1, 2}, {3}}},
-		SegmentCrash{Engine: "i/5", Service: "s", Age: time.Second, Served: Unknown, Segments: []ExposedSegment{{Segment: []byte{1}, Sent: 2 * time.Second, Answered: Unknown}}},
+		SegmentCrash{ID: 1 << 63, Engine: "i/5", Service: "s", Age: time.Second, Served: []time.Duration{0, 1500 * time.Millisecond}, Segments: []ExposedSegment{{Segment: []byte{1}, Sent: 2 * time.Second, Answered: Unknown}}},
 		SegmentAnswers{Age: time.Second, Segments: [][]byte{{1}}},
 		RateLimit{Target: "t1/7", Limited: true, PerSecond: 0.3, Age: time.Second},
 		RateLimit{Target: "t1/7"},
--- a/internal/peer/segment.go
+++ b/internal/peer/segment.go
@@ -9,10 +9,11 @@
 // and had no answer when an engine crashed. Times are ages, so that the clocks of the
 // processes need not agree.
 type SegmentCrash struct {
+	ID       uint64 // unique, because several targetds forward the same report
 	Engine   string // identifies the start of the engine
 	Service  string
-	Age      time.Duration // since the crash
-	Served   time.Duration // time in which the service has begun a number of answers, Unknown if it has not
+	Age      time.Duration   // since the crash
+	Served   []time.Duration // since the service began the last answers that the sender has not stated before
 	Segments []ExposedSegment
 }
 
@@ -33,7 +34,11 @@
 // After returns the message as it is to be sent when the given time has passed.
 func (m SegmentCrash) After(d time.Duration) SegmentCrash {
 	m.Age += d
-	m.Served = ageAfter(m.Served, d)
+	served := make([]time.Duration, len(m.Served))
+	for i, age := range m.Served {
+		served[i] = age + d
+	}
+	m.Served = served
 	segments := make([]ExposedSegment, len(m.Segments))
 	for i, s := range m.Segments {
 		segments[i] = ExposedSegment{Segment: s.Segment, Sent: s.Sent + d, Answered: ageAfter(s.Answered, d)}
@@ -72,10 +77,11 @@
 
 type segmentCrashWire struct {
 	_        struct{} `cbor:",toarray"`
+	ID       uint64
 	Engine   string
 	Service  string
 	AgeMS    int64
-	ServedMS int64
+	ServedMS []int64
 	Segments []exposedSegmentWire
 }
 
@@ -87,7 +93,10 @@
 }
 
 func segmentCrashToWire(m SegmentCrash) *segmentCrashWire {
-	w := &segmentCrashWire{Engine: m.Engine, Service: m.Service, AgeMS: ageToWire(m.Age), ServedMS: ageToWire(m.Served)}
+	w := &segmentCrashWire{ID: m.ID, Engine: m.Engine, Service: m.Service, AgeMS: ageToWire(m.Age)}
+	for _, age := range m.Served {
+		w.ServedMS = append(w.ServedMS, ageToWire(age))
+	}
 	for _, s := range m.Segments {
 		w.Segments = append(w.Segments, exposedSegmentWire{Segment: s.Segment, SentMS: ageToWire(s.Sent), AnsweredMS: ageToWire(s.Answered)})
 	}
@@ -95,7 +104,10 @@
 }
 
 func (w *segmentCrashWire) message() Message {
-	m := SegmentCrash{Engine: w.Engine, Service: w.Service, Age: ageFromWire(w.AgeMS), Served: ageFromWire(w.ServedMS)}
+	m := SegmentCrash{ID: w.ID, Engine: w.Engine, Service: w.Service, Age: ageFromWire(w.AgeMS)}
+	for _, ms := range w.ServedMS {
+		m.Served = append(m.Served, ageFromWire(ms))
+	}
 	for _, s := range w.Segments {
 		m.Segments = append(m.Segments, ExposedSegment{Segment: s.Segment, Sent: ageFromWire(s.SentMS), Answered: ageFromWire(s.AnsweredMS)})
 	}
