Log the software versions of targets and the streams that callers take up

The log named neither the version of a target nor the stream that a request takes up, so that it could not tell a resumption within one response from one by the caller.

No decision uses either.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -53,6 +53,7 @@
 	TargetBackoff     Code = 362
 	TargetLimited     Code = 363
 	TargetUnlimited   Code = 364
+	StreamTakenUp     Code = 365
 	RequestQueued     Code = 400
 	RequestNotRun     Code = 401
 	RequestStarted    Code = 402
@@ -136,7 +137,7 @@
 	{SegmentConvicted, "segment_convicted", zerolog.ErrorLevel, "The prompt segment crashes targets: it was in flight at `crashes` crashes. Requests with it are refused."},
 	{SegmentCleared, "segment_cleared", zerolog.InfoLevel, "A target began to answer a request with the prompt segment, which is no longer a suspect of the crashes before."},
 	{LoadGranted, "load_granted", zerolog.InfoLevel, "Placement decision: `target` may load one adapter for `team` with a load permit that another target transferred."},
-	{AttemptSent, "attempt_sent", zerolog.InfoLevel, "Routing decision: an attempt is sent directly to `target`; `load`, `ahead` (tokens of prompts that it reads before), `wait` and `state_age` are the values behind the decision, `permit` is the time waited for permits so far."},
+	{AttemptSent, "attempt_sent", zerolog.InfoLevel, "Routing decision: an attempt is sent directly to `target`, which runs `version` of its software; `load`, `ahead` (tokens of prompts that it reads before), `wait` and `state_age` are the values behind the decision, `permit` is the time waited for permits so far."},
 	{AttemptEnded, "attempt_ended", zerolog.WarnLevel, "An attempt did not answer the request: `outcome` says whether it was refused, failed or broke off."},
 	{StreamResumed, "stream_resumed", zerolog.InfoLevel, "A broken stream continues at another target after event `last_event`."},
 	{RequestWaiting, "request_waiting", zerolog.InfoLevel, "The request waits until `target` has loaded its adapter."},
@@ -150,6 +151,7 @@
 	{TargetBackoff, "target_backoff", zerolog.InfoLevel, "The target turned a request away and gets none `for` a while, also if there is no other target; later answers may extend it."},
 	{TargetLimited, "target_limited", zerolog.WarnLevel, "The target takes only `rate` requests a second from all entryds together, according to `source`: a response, or the targetd that heard of it."},
 	{TargetUnlimited, "target_unlimited", zerolog.InfoLevel, "The target no longer limits the rate of requests, according to `source`; the limit stood `for` that time."},
+	{StreamTakenUp, "stream_taken_up", zerolog.InfoLevel, "A caller takes up the `stream` that began with the request of that id, after event `last_event`."},
 	{RequestQueued, "request_queued", zerolog.DebugLevel, "The target queued an attempt."},
 	{RequestNotRun, "request_not_run", zerolog.InfoLevel, "The target refused an attempt that it had not started."},
 	{RequestStarted, "request_started", zerolog.DebugLevel, "The request was sent to the engine or service."},
@@ -189,7 +191,7 @@
 	{StoreRestored, "store_restored", zerolog.WarnLevel, "The platform's store has returned to an earlier state, in another `history`: its `version` was `version_before`, and versions are given out again. All objects are read again."},
 	{MembersChanged, "members_changed", zerolog.InfoLevel, "The set of known targets changed."},
 	{MemberLeaving, "member_leaving", zerolog.InfoLevel, "According to the platform's list, the VM of `target` is leaving; the target's registration was marked as leaving."},
-	{TargetChanged, "target_changed", zerolog.InfoLevel, "The platform's entry of `target` changed; `state` is the new state."},
+	{TargetChanged, "target_changed", zerolog.InfoLevel, "The platform's entry of `target`, which runs `version` of its software, changed; `state` is the new state."},
 	{TargetUnreadable, "target_unreadable", zerolog.WarnLevel, "The platform's entry of `target` can't be used; the other entries stay valid."},
 	{VersionAnnounced, "version_announced", zerolog.InfoLevel, "A version of an adapter was announced."},
 	{EntryUnconfirmed, "entry_unconfirmed", zerolog.WarnLevel, "The restored store lists the entry of a `target` that was gone since `gone`; the target gets no requests until it writes the entry again or the entry has stayed for a while."},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -41,6 +41,7 @@
 	g.Log.Event(event.AttemptSent).
 		Str("request", c.meta.ID).
 		Str("target", sel.replica.ID).
+		Str("version", sel.replica.Version).
 		Int("load", sel.load).
 		Int("ahead", sel.backlog).
 		Dur("wait", sel.wait).
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -115,6 +115,10 @@
 // idempotent reports whether the request may run more than once.
 func (c *call) idempotent() bool { return c.route.Idempotent() }
 
+// takesUp reports whether the caller continues a stream that an earlier request of it
+// began.
+func (c *call) takesUp() bool { return c.route.Kind == routing.Stream && c.meta.LastEventID != "" }
+
 // mayRetry reports whether another attempt is allowed after one that may have
 // run.
 func (c *call) mayRetry() bool {
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -162,6 +162,7 @@
 		Str("target", r.ID).
 		Str("service", r.Service).
 		Stringer("address", r.Addr).
+		Str("version", r.Version).
 		Str("state", state).
 		Send()
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -99,6 +99,9 @@
 	service := route.Pick(rand.Float64())
 	c := newCall(now, meta, route, service, r, body)
 	c.revision = cfg.Version
+	if c.takesUp() {
+		g.Log.Event(event.StreamTakenUp).Str("request", meta.ID).Str("stream", meta.Resumes).Str("last_event", meta.LastEventID).Send()
+	}
 	g.RetryBudget.recordRequest(now, service)
 	if g.CrashTracker.quarantined(now, c) {
 		g.respondFailure(r.Context(), w, c, reasonQuarantined)
--- a/pkg/target/replica.go
+++ b/pkg/target/replica.go
@@ -13,6 +13,7 @@
 	Service   string
 	Addr      netip.AddrPort
 	Zone      string // availability zone
+	Version   string // of its software, empty if it is not known
 	Slots     int    // requests that it runs concurrently
 	State     State
 	Started   time.Time     // identifies one start, together with ID
