Continue a broken stream only at the software version that began it

Cause: an attempt that resumes a stream chose any target of the service. Nothing read the version in the targets' entries.

Change: a call keeps the version of the target that sends the first event. Only targets of that version suit its further attempts, in the choice, in the waits and right before the attempt is sent. An unknown version equals none. It is unknown while it is open which start of a target responds: its targetd reports another start than the entry, or it has refused a connection and its targetd has not reported since. If no target of the version is left, the response ends at once.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -139,7 +139,7 @@
 	{LoadGranted, "load_granted", zerolog.InfoLevel, "Placement decision: `target` may load one adapter for `team` with a load permit that another target transferred."},
 	{AttemptSent, "attempt_sent", zerolog.InfoLevel, "Routing decision: an attempt is sent directly to `target`, which runs `version` of its software; `load`, `ahead` (tokens of prompts that it reads before), `wait` and `state_age` are the values behind the decision, `permit` is the time waited for permits so far."},
 	{AttemptEnded, "attempt_ended", zerolog.WarnLevel, "An attempt did not answer the request: `outcome` says whether it was refused, failed or broke off."},
-	{StreamResumed, "stream_resumed", zerolog.InfoLevel, "A broken stream continues at another target after event `last_event`."},
+	{StreamResumed, "stream_resumed", zerolog.InfoLevel, "A broken stream continues at another target of the same `version` after event `last_event`."},
 	{RequestWaiting, "request_waiting", zerolog.InfoLevel, "The request waits until `target` has loaded its adapter."},
 	{TargetAvoided, "target_avoided", zerolog.WarnLevel, "The target failed and gets no requests `for` a while, unless there is no other target."},
 	{LinesDropped, "lines_dropped", zerolog.WarnLevel, "The log could not be written fast enough and `lines` routine lines were dropped."},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -53,6 +53,7 @@
 	g.Scope.Counter("attempts").Inc(1)
 	attemptCtx, cancel := g.withAttemptTimeout(ctx, c)
 	defer cancel()
+	version := g.Fleet.softwareVersion(now, sel.target)
 	active := g.Fleet.beginAttempt(now, sel.target, c, o, cancel)
 	defer g.Fleet.endAttempt(sel.target, c.adapter, active)
 	resp, err := g.Client.Do(attemptCtx, sel.replica.Addr, &req)
@@ -83,8 +84,15 @@
 		out, err := g.relayBuffered(w, c, resp, meta)
 		return g.recordResult(ctx, c, sel, run, out, err, now)
 	}
+	if c.continues() && g.Fleet.softwareVersion(time.Now(), sel.target) != c.version {
+		g.logFailedAttempt(c, sel, broken, errVersionChanged)
+		return broken
+	}
 	onBegin := func(at time.Time) { g.Fleet.recordEventBegin(at, active) }
 	onEvent := func(at time.Time, first bool) {
+		if !c.headerSent {
+			g.Fleet.beginVersion(at, c, sel.target, version)
+		}
 		if first {
 			g.Fleet.recordFirstEvent(sel.target, active, sel.backlog, at.Sub(now))
 		} else {
@@ -169,6 +177,7 @@
 		if ctx.Err() == nil {
 			if errors.Is(err, syscall.ECONNREFUSED) {
 				g.CrashTracker.recordEngineDown(now, sel.target.incarnation)
+				g.Fleet.recordRefusedConn(now, sel.target)
 			}
 			g.Fleet.recordConnectFailure(now, sel.target)
 			g.logFailedAttempt(c, sel, notSent, err)
--- a/internal/gateway/attempt_loop.go
+++ b/internal/gateway/attempt_loop.go
@@ -88,11 +88,11 @@
 		if reason == "" {
 			again, reason = g.awaitPermit(ctx, c, sel)
 		}
-		if again {
+		now := time.Now()
+		if again || (reason == "" && !g.Fleet.stillSuits(now, c, sel.target)) {
 			g.Fleet.endOffer(o)
 			continue
 		}
-		now := time.Now()
 		var run *segmentRun
 		if reason == "" {
 			run, reason = g.admit(now, c)
@@ -257,6 +257,9 @@
 		c.retryAfter = left
 		return 0, "backoff"
 	}
+	if c.continues() && !g.Fleet.hasVersionOf(c) {
+		return 0, reasonVersionGone
+	}
 	return 0, "no_target"
 }
 
@@ -301,8 +304,11 @@
 			status = http.StatusGatewayTimeout
 		}
 	}
-	if reason == "no_target" || reason == reasonQuarantined || reason == "overloaded" {
+	switch reason {
+	case "no_target", reasonQuarantined, "overloaded":
 		after = longRetryAfter
+	case reasonVersionGone:
+		after = 0 // waiting does not help
 	}
 	after = min(max(after, c.retryAfter), c.remaining(time.Now())/retryAfterDivisor)
 	g.setConnection(w.Header())
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -52,6 +52,7 @@
 	headerSent   bool              // the response header was written to the caller
 	unrepeatable bool              // part of a response that no other one can continue was written to the caller
 	lastEventID  string            // of the last event relayed to the caller
+	version      string            // of the software that began the stream, empty if none did or it is not known
 	fallback     *bufferedResponse // a target's 5xx response, delivered if no attempt succeeds
 }
 
@@ -119,6 +120,10 @@
 // began.
 func (c *call) takesUp() bool { return c.route.Kind == routing.Stream && c.meta.LastEventID != "" }
 
+// continues reports whether an attempt continues a stream, which only a target of the
+// version that began it may do.
+func (c *call) continues() bool { return c.headerSent }
+
 // mayRetry reports whether another attempt is allowed after one that may have
 // run.
 func (c *call) mayRetry() bool {
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -114,7 +114,7 @@
 		return
 	}
 	t := f.targets[r.ID]
-	if t != nil && (t.replica.Addr != r.Addr || t.replica.Service != r.Service || t.replica.Incarnation() != r.Incarnation()) {
+	if t != nil && (t.replica.Addr != r.Addr || t.replica.Service != r.Service || t.replica.Incarnation() != r.Incarnation() || t.replica.Version != r.Version) {
 		f.drop(now, t) // a new incarnation shares no state with the previous one
 		t = nil
 	}
--- a/internal/gateway/pacing.go
+++ b/internal/gateway/pacing.go
@@ -117,7 +117,7 @@
 func (f *Fleet) remainsChosen(now time.Time, sel selection, c *call) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return sel.target.usable(now) && (c.model == "" || sel.target.hasVersion(c.adapter, f.version(c.adapter)))
+	return sel.target.usable(now) && f.suits(now, c, sel.target) && (c.model == "" || sel.target.hasVersion(c.adapter, f.version(c.adapter)))
 }
 
 // answerState is the result of waiting for an answer.
--- a/internal/gateway/permit_test.go
+++ b/internal/gateway/permit_test.go
@@ -135,7 +135,7 @@
 			_, _ = call()
 			b := newFakeTarget(t, "t2", respond(200, "other", signed))
 			tg.fleet.mu.Lock()
-			tg.fleet.upsert(time.Now(), target.Replica{ID: "t2", Service: "s", Addr: b.addr, Zone: "a", Slots: 4, State: target.Live})
+			tg.fleet.upsert(time.Now(), target.Replica{ID: "t2", Service: "s", Addr: b.addr, Zone: "a", Version: "v1", Slots: 4, State: target.Live})
 			tg.fleet.mu.Unlock()
 			tg.prefer("t1")
 			got, _ := call()
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -111,7 +111,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, t := range f.targets {
-		if t.replica.Service == c.service && !c.tried[t.replica.ID] && t.usable(now) && t.connecting(now) {
+		if f.suits(now, c, t) && t.usable(now) && t.connecting(now) {
 			return true
 		}
 	}
@@ -141,7 +141,7 @@
 			TimeToFirstEvent: t.latency.firstEventOr(latency),
 			SojournTime:      latency.duration.Value(),
 			Resident:         true,
-			Usable:           t.usable(now) && !c.tried[t.replica.ID],
+			Usable:           t.usable(now) && f.suits(now, c, t),
 			Penalty:          time.Duration(t.decayedFailures(now) * failurePenalty * float64(c.route.Objective)),
 		}
 		if !c.hasPermit(now, t) {
--- /dev/null
+++ b/internal/gateway/software_version.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/borageusher/borageusher/pkg/target"
+)
+
+// restartReportDelay is the time within which a targetd reports that its engine has
+// started again: its polling interval of 100 ms and the latency between regions.
+const restartReportDelay = 300 * time.Millisecond
+
+// reasonVersionGone is the reason of a call that continues a stream while no target has
+// the version that began it.
+const reasonVersionGone = "version_gone"
+
+// beginVersion records the version at which the call's stream begins. version is that of
+// the target when the request was sent.
+func (f *Fleet) beginVersion(now time.Time, c *call, t *targetState, version string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.versionOf(now, t) == version { // else it is not known which start of the target responds
+		c.version = version
+	}
+}
+
+// suits reports whether a target may be sent the call at all, whatever its state: it is of
+// the call's service, has not run the call, and has the version at which the call's stream
+// began. The caller holds mu.
+func (f *Fleet) suits(now time.Time, c *call, t *targetState) bool {
+	if t.replica.Service != c.service || c.tried[t.replica.ID] {
+		return false
+	}
+	return !c.continues() || (c.version != "" && f.versionOf(now, t) == c.version)
+}
+
+// stillSuits does what suits does.
+func (f *Fleet) stillSuits(now time.Time, c *call, t *targetState) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.suits(now, c, t)
+}
+
+// hasVersionOf reports whether a target of the service has the version at which the call's
+// stream began.
+func (f *Fleet) hasVersionOf(c *call) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, t := range f.targets {
+		if t.replica.Service == c.service && t.replica.State == target.Live && t.replica.Version == c.version {
+			return true
+		}
+	}
+	return false
+}
+
+// softwareVersion does what versionOf does.
+func (f *Fleet) softwareVersion(now time.Time, t *targetState) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.versionOf(now, t)
+}
+
+// versionOf returns the version of the software that responds to requests to t now, empty
+// if it is not known. A target may start again with another version under its id, so that
+// the id in a request does not tell. The caller holds mu.
+func (f *Fleet) versionOf(now time.Time, t *targetState) string {
+	if current := f.targets[t.replica.ID]; current != nil && current != t {
+		return ""
+	}
+	started := t.replica.Incarnation().Started
+	switch {
+	case t.conn == nil || t.stateAt.IsZero():
+		if !t.refusedConnAt.IsZero() && now.Sub(t.refusedConnAt) < confirmTime {
+			return ""
+		}
+	case t.state.Started != started && t.state.Started != 0 && started != 0:
+		return ""
+	case !t.refusedConnAt.IsZero() && t.lastMessageAt.Sub(t.refusedConnAt) < restartReportDelay:
+		return ""
+	}
+	return t.replica.Version
+}
+
+// recordRefusedConn records that a target refused a connection: its process has ended, and
+// may start again with another version.
+func (f *Fleet) recordRefusedConn(now time.Time, t *targetState) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t.refusedConnAt = now
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -28,6 +28,7 @@
 
 // Errors of streams that exceed a limit or contain other bytes than events.
 var (
+	errVersionChanged  = errors.New("the target may have another version than the stream")
 	errClosedUnresumed = errors.New("the connection was closed before an event of the resumed stream")
 
 	errEventTooLong = errors.Newf("event exceeds %d bytes", maxEventBytes)
@@ -51,7 +52,7 @@
 ) (outcome, error) {
 	if c.lastEventID != "" {
 		g.Scope.Counter("streams_resumed").Inc(1)
-		g.Log.Event(event.StreamResumed).Str("request", c.meta.ID).Str("last_event", c.lastEventID).Send()
+		g.Log.Event(event.StreamResumed).Str("request", c.meta.ID).Str("last_event", c.lastEventID).Str("version", c.version).Send()
 	}
 	reader := bufio.NewReader(resp)
 	control := http.NewResponseController(w)
--- a/internal/gateway/target_notice.go
+++ b/internal/gateway/target_notice.go
@@ -96,7 +96,7 @@
 	defer f.mu.Unlock()
 	for _, t := range f.targets {
 		until := t.notice.backoffUntil
-		if t.replica.Service != c.service || c.tried[t.replica.ID] || !now.Before(until) || !t.accepts(now) {
+		if !f.suits(now, c, t) || !now.Before(until) || !t.accepts(now) {
 			continue
 		}
 		if c.model != "" && !t.hasVersion(c.adapter, f.version(c.adapter)) && (c.adapter.Name == "" || !t.canLoad(now, c.adapter)) {
--- a/internal/gateway/target_state.go
+++ b/internal/gateway/target_state.go
@@ -84,8 +84,9 @@
 	latency         latencyStats
 	loadTime        retry.Mean // observed time to load an adapter
 	avoidUntil      time.Time
-	connectFailures int     // consecutive
-	failureScore    float64 // failed requests, decayed; as of failureScoreAt
+	refusedConnAt   time.Time // last time at which it refused a connection
+	connectFailures int       // consecutive
+	failureScore    float64   // failed requests, decayed; as of failureScoreAt
 	failureScoreAt  time.Time
 
 	running         map[orders.Adapter]int       // requests at the target by adapter
--- a/internal/gateway/test_gateway_test.go
+++ b/internal/gateway/test_gateway_test.go
@@ -43,6 +43,9 @@
 
 func (testHeaderCodec) TargetHeader(h http.Header, a AttemptMeta) http.Header {
 	out := http.Header{"Id": h["Id"], "Instance": {a.Instance}, "Left": {strconv.FormatInt(a.Remaining.Milliseconds(), 10)}}
+	if last := h.Get("Last-Event"); last != "" {
+		out["Last-Event"] = []string{last}
+	}
 	if a.LastEventID != "" {
 		out["Last-Event"] = []string{a.LastEventID}
 	}
@@ -270,7 +273,7 @@
 	tg.fleet.setConfiguration(cfg)
 	tg.fleet.targetsListed, tg.fleet.versionsListed = true, true
 	for _, ft := range targets {
-		tg.fleet.upsert(time.Now(), target.Replica{ID: ft.id, Service: "s", Addr: ft.addr, Zone: "a", Slots: 4, State: target.Live})
+		tg.fleet.upsert(time.Now(), target.Replica{ID: ft.id, Service: "s", Addr: ft.addr, Zone: "a", Version: "v1", Slots: 4, State: target.Live})
 	}
 	tg.gateway = New(Options{
 		HeaderCodec:   testHeaderCodec{},
