Keep at targetds at which software version each stream began

Cause: an entryd that did not relay the stream, or was restarted since, can't know its version, and sent the request to any target of the service.

Evidence: TestTakeUpJoinsVersions failed on the code before ("id: 3\ndata: v2" after two events of v1).

Change: at the first event, an entryd sends the version of the target to three targetds in different availability zones, chosen by a rendezvous hash of the id of the stream's first request, and again to others when these leave or are lost. A take-up names that id. An entryd that does not know the stream asks the two targetds of the highest rank in each zone. An origin that none of them knows is not guessed: the request is rejected at once with 503 and without Retry-After, as it is when no target of the version is left; only if a targetd did not answer, it names a time. Contradictory origins of one id are unknown. A targetd announces that it keeps origins, so that those of earlier releases get no message that they don't know.

Weighed: a record for each stream in the store (13,000 a second at the planned size, where 400 writes a second are allowed), inference from the versions that are left (wrong when the last targets of a version have just left), and the memory of the entryds (all can be killed at once; the targetds go on).

--- a/internal/enginecontroller/conns.go
+++ b/internal/enginecontroller/conns.go
@@ -12,6 +12,7 @@
 // ServeHTTP accepts the peer connection of an entryd and serves it until
 // it ends.
 func (ec *Controller) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	peer.AnnounceOrigins(w.Header())
 	c, err := peer.Accept(w, r, ec.Self, ec.Key)
 	if err != nil {
 		ec.Log.Event(event.PeerRefused).Err(err).Send()
@@ -99,6 +100,12 @@
 	case peer.PermitCancel:
 		ec.permits.Cancel(time.Now(), c, m.ID)
 		return
+	case peer.StreamOrigin:
+		ec.origins.record(time.Now(), m)
+		return
+	case peer.OriginRequest:
+		_, _ = c.Send(ec.origins.answer(time.Now(), m)) // after an error the entryd reconnects
+		return
 	case peer.PromptOffer:
 		ec.pacer.offer(time.Now(), c, m)
 		return
--- a/internal/enginecontroller/controller.go
+++ b/internal/enginecontroller/controller.go
@@ -70,6 +70,7 @@
 
 	segments segmentReports
 	permits  *permits.Issuer
+	origins  *originTable
 
 	// Owned by the loop.
 	stepRequested    bool // a message arrived that may lead to an order
@@ -100,6 +101,7 @@
 		planner: orders.NewPlanner(),
 		pacer:   newPacer(opts.Log),
 		permits: permits.New(),
+		origins: newOriginTable(),
 
 		instances: map[int64]string{},
 	}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -151,7 +151,7 @@
 	{TargetBackoff, "target_backoff", zerolog.InfoLevel, "The target turned a request away and gets none `for` a while, also if there is no other target; later answers may extend it."},
 	{TargetLimited, "target_limited", zerolog.WarnLevel, "The target takes only `rate` requests a second from all entryds together, according to `source`: a response, or the targetd that heard of it."},
 	{TargetUnlimited, "target_unlimited", zerolog.InfoLevel, "The target no longer limits the rate of requests, according to `source`; the limit stood `for` that time."},
-	{StreamTakenUp, "stream_taken_up", zerolog.InfoLevel, "A caller takes up the `stream` that began with the request of that id, after event `last_event`."},
+	{StreamTakenUp, "stream_taken_up", zerolog.InfoLevel, "A caller takes up the `stream` that began with the request of that id, after event `last_event`. It began at `version` of `service`; that many targetds were `asked`. If it is not continued, `reason` says why."},
 	{RequestQueued, "request_queued", zerolog.DebugLevel, "The target queued an attempt."},
 	{RequestNotRun, "request_not_run", zerolog.InfoLevel, "The target refused an attempt that it had not started."},
 	{RequestStarted, "request_started", zerolog.DebugLevel, "The request was sent to the engine or service."},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -91,7 +91,10 @@
 	onBegin := func(at time.Time) { g.Fleet.recordEventBegin(at, active) }
 	onEvent := func(at time.Time, first bool) {
 		if !c.headerSent {
-			g.Fleet.beginVersion(at, c, sel.target, version)
+			if !c.takesUp() {
+				g.Fleet.beginVersion(at, c, sel.target, version)
+			}
+			g.Fleet.recordOrigin(at, c)
 		}
 		if first {
 			g.Fleet.recordFirstEvent(sel.target, active, sel.backlog, at.Sub(now))
--- a/internal/gateway/attempt_loop.go
+++ b/internal/gateway/attempt_loop.go
@@ -110,6 +110,7 @@
 		switch {
 		case out == delivered:
 			g.CrashTracker.clearSuspect(c)
+			g.Fleet.endStream(c)
 			g.recordOutcome(c, http.StatusOK, reasonDelivered)
 			return
 		case out == callerLeft || callerCtx.Err() != nil:
@@ -307,7 +308,7 @@
 	switch reason {
 	case "no_target", reasonQuarantined, "overloaded":
 		after = longRetryAfter
-	case reasonVersionGone:
+	case reasonOriginUnknown, reasonVersionGone:
 		after = 0 // waiting does not help
 	}
 	after = min(max(after, c.retryAfter), c.remaining(time.Now())/retryAfterDivisor)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -118,11 +118,20 @@
 
 // takesUp reports whether the caller continues a stream that an earlier request of it
 // began.
-func (c *call) takesUp() bool { return c.route.Kind == routing.Stream && c.meta.LastEventID != "" }
+func (c *call) takesUp() bool { return takesUp(c.route, c.meta) }
+
+// streamID returns the id of the request that brought the first event of the call's stream,
+// empty if the caller does not name it.
+func (c *call) streamID() string {
+	if c.takesUp() {
+		return c.meta.Resumes
+	}
+	return c.meta.ID
+}
 
 // continues reports whether an attempt continues a stream, which only a target of the
 // version that began it may do.
-func (c *call) continues() bool { return c.headerSent }
+func (c *call) continues() bool { return c.headerSent || c.takesUp() }
 
 // mayRetry reports whether another attempt is allowed after one that may have
 // run.
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -40,7 +40,8 @@
 	limits         map[string]*rateLimit       // by incarnation of the target
 	permits        *permits.Issuer             // used while no targetd is connected
 	lastPermit     uint64                      // id of the last permit request
-	onTarget       func(*targetState)          // called with mu held for added targets, and for all on a new configuration
+	origins        streamOrigins
+	onTarget       func(*targetState) // called with mu held for added targets, and for all on a new configuration
 }
 
 // NewFleet returns a fleet without targets. Distances are computed from the
@@ -59,6 +60,7 @@
 		unconfirmed: map[string]unconfirmedEntry{},
 		limits:      map[string]*rateLimit{},
 		permits:     permits.New(),
+		origins:     newStreamOrigins(),
 		epoch:       time.Now(),
 	}
 }
@@ -208,6 +210,7 @@
 	}
 	f.expireNotices(now)
 	f.expireLimits(now)
+	f.expireOrigins(now)
 }
 
 // distance returns the network distance to an availability zone.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/borageusher/borageusher/internal/settings"
 	"github.com/borageusher/borageusher/internal/upstream"
 	"github.com/borageusher/borageusher/pkg/routing"
+	"github.com/borageusher/borageusher/pkg/streams"
 )
 
 // Values of Retry-After.
@@ -96,13 +97,20 @@
 		g.reject(w, meta.ID, 503, "stopping", shortRetryAfter)
 		return
 	}
-	service := route.Pick(rand.Float64())
-	c := newCall(now, meta, route, service, r, body)
-	c.revision = cfg.Version
-	if c.takesUp() {
-		g.Log.Event(event.StreamTakenUp).Str("request", meta.ID).Str("stream", meta.Resumes).Str("last_event", meta.LastEventID).Send()
+	service, version, reason := route.Pick(rand.Float64()), "", ""
+	if takesUp(route, meta) {
+		var o streams.Origin
+		if o, reason = g.findOrigin(r.Context(), now, route, meta); reason == "" {
+			service, version = o.Service, o.Version
+		}
 	}
+	c := newCall(now, meta, route, service, r, body)
+	c.revision, c.version = cfg.Version, version
 	g.RetryBudget.recordRequest(now, service)
+	if reason != "" {
+		g.respondFailure(r.Context(), w, c, reason)
+		return
+	}
 	if g.CrashTracker.quarantined(now, c) {
 		g.respondFailure(r.Context(), w, c, reasonQuarantined)
 		return
--- a/internal/gateway/main.go
+++ b/internal/gateway/main.go
@@ -173,6 +173,7 @@
 		case now := <-usage.C:
 			p.fleet.reportUsage()
 			p.fleet.cancelStalled(now)
+			p.fleet.sendMovedOrigins(now)
 		case now := <-sweep.C:
 			p.fleet.Sweep(now)
 			client.CloseExpired(now)
--- a/internal/gateway/mixed_versions_test.go
+++ b/internal/gateway/mixed_versions_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/smartystreets/goconvey/convey"
 
+	"github.com/borageusher/borageusher/internal/peer"
+	"github.com/borageusher/borageusher/pkg/streams"
 	"github.com/borageusher/borageusher/pkg/target"
 )
 
@@ -109,6 +111,126 @@
 	})
 }
 
+// TestTakeUpJoinsVersions guards against a caller whose broken stream continues at another
+// version when it takes the stream up at an entryd that did not relay it.
+func TestTakeUpJoinsVersions(t *testing.T) {
+	takeUp := func(tg *testGateway, headers ...string) (reply, time.Duration) {
+		start := time.Now()
+		got := tg.call(t, "/stream/x", append([]string{"Id", "r2", "Last-Event", "2"}, headers...)...)
+		return got, time.Since(start)
+	}
+	convey.Convey("Given a stream that broke off after event 2 at the only target of v1, beside targets of v2", t, func() {
+		began := newVersionedTarget(t, "t1", "a", "v1", 2)
+		others := []versionedTarget{newVersionedTarget(t, "t2", "b", "v2", 0), newVersionedTarget(t, "t3", "c", "v2", 0), newVersionedTarget(t, "t4", "c", "v2", 0)}
+		all := append([]versionedTarget{began}, others...)
+		first, second := newTestGateway(t), newTestGateway(t)
+		first.list(all...)
+		second.list(all...)
+		var lose []func()
+		for _, vt := range all {
+			lose = append(lose, addTargetd(t, vt.id, first, second))
+		}
+		first.prefer("t1")
+		convey.So(first.call(t, "/stream/x", "Id", "r1").body, convey.ShouldEqual, versionedEvents("v1", 1, 2))
+		kept := func() bool {
+			k := streams.KeyOf("r1")
+			first.fleet.mu.Lock()
+			defer first.fleet.mu.Unlock()
+			return len(first.fleet.origins.own[k].sentTo) == originCopies
+		}
+		convey.So(kept(), convey.ShouldBeTrue)
+		spare := newVersionedTarget(t, "t5", "b", "v1", 0)
+		continued := versionedEvents("v1", 3, lastPiece)
+		convey.Convey("it is rejected at once while no target of v1 has not run it, and without a time to return once v1 is gone", func() {
+			second.fleet.mu.Lock()
+			second.fleet.remove(time.Now(), second.fleet.targets["t1"], time.Time{})
+			second.fleet.mu.Unlock()
+			got, took := takeUp(second, "Resumes", "r1")
+			convey.So(got.status, convey.ShouldEqual, 503)
+			convey.So(got.header.Get("Retry-After"), convey.ShouldEqual, "")
+			convey.So(took, convey.ShouldBeLessThan, 150*time.Millisecond)
+			convey.So(second.logText(), convey.ShouldContainSubstring, `"reason":"version_gone"`)
+		})
+		convey.Convey("it goes on at v1 at another entryd", func() {
+			second.list(spare)
+			second.prefer("t5")
+			got, _ := takeUp(second, "Resumes", "r1")
+			convey.So(got.body, convey.ShouldEqual, continued)
+			convey.So(got.truncated, convey.ShouldBeFalse)
+			convey.Convey("and once more, under the id of its first request", func() {
+				got, _ := takeUp(second, "Id", "r3", "Resumes", "r1")
+				convey.So(got.body, convey.ShouldEqual, continued)
+			})
+			convey.Convey("but not under that of a later one", func() {
+				got, _ := takeUp(second, "Id", "r3", "Resumes", "r2")
+				convey.So(got.status, convey.ShouldEqual, 503)
+			})
+		})
+		convey.Convey("it goes on at v1 although two of the targetds that know it are lost", func() {
+			second.list(spare)
+			second.prefer("t5")
+			for _, i := range []int{0, 1} {
+				lose[i]()
+			}
+			got, _ := takeUp(second, "Resumes", "r1")
+			convey.So(got.body, convey.ShouldEqual, continued)
+		})
+		convey.Convey("it goes on at v1 after its targetds were replaced by others", func() {
+			for i, vt := range all {
+				next := newVersionedTarget(t, fmt.Sprint("n", i), vt.zone, vt.version, 0)
+				first.list(next)
+				second.list(next)
+				addTargetd(t, next.id, first, second)
+				lose[i]()
+			}
+			lost := func() bool {
+				first.fleet.mu.Lock()
+				defer first.fleet.mu.Unlock()
+				return first.fleet.targets["t1"].conn == nil && first.fleet.targets["t4"].conn == nil
+			}
+			convey.So(eventually(lost), convey.ShouldBeTrue)
+			first.fleet.sendMovedOrigins(time.Now())
+			second.list(spare)
+			second.prefer("t5")
+			got, _ := takeUp(second, "Resumes", "r1")
+			convey.So(got.body, convey.ShouldEqual, continued)
+		})
+		convey.Convey("it is rejected where no process knows it, also if only v1 is left", func() {
+			second.list(spare)
+			for _, vt := range others {
+				second.fleet.mu.Lock()
+				second.fleet.remove(time.Now(), second.fleet.targets[vt.id], time.Time{})
+				second.fleet.mu.Unlock()
+			}
+			for _, headers := range [][]string{{"Resumes", "r7"}, nil} {
+				got, took := takeUp(second, headers...)
+				convey.So(got.status, convey.ShouldEqual, 503)
+				convey.So(got.header.Get("Retry-After"), convey.ShouldEqual, "")
+				convey.So(took, convey.ShouldBeLessThan, 150*time.Millisecond)
+			}
+			convey.So(len(spare.requests()), convey.ShouldEqual, 0)
+		})
+		convey.Convey("two requests with one id leave it unknown at which version their streams began", func() {
+			first.prefer("t2")
+			convey.So(first.call(t, "/stream/x", "Id", "r1").body, convey.ShouldEqual, versionedEvents("v2", 1, lastPiece))
+			first.list(spare)
+			got, _ := takeUp(first, "Resumes", "r1")
+			convey.So(got.status, convey.ShouldEqual, 503)
+			convey.So(len(spare.requests()), convey.ShouldEqual, 0)
+		})
+	})
+	convey.Convey("Targetds of earlier releases get no message that they don't know", t, func() {
+		tg := newTestGateway(t)
+		tg.list(newVersionedTarget(t, "t1", "a", "v1", 2))
+		p := newFakePacer(t, tg, "t1", func(c *peer.Conn, m peer.PromptOffer) { _, _ = c.Send(peer.PromptAnswer{ID: m.ID, Admitted: true}) })
+		convey.So(tg.call(t, "/stream/x", "Id", "r1").body, convey.ShouldEqual, versionedEvents("v1", 1, 2))
+		_, _ = takeUp(tg, "Resumes", "r7")
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		convey.So(p.others, convey.ShouldBeEmpty)
+	})
+}
+
 // TestRestartChangesVersion guards against a target whose version is taken from its entry
 // although it has started again with another one under the same id.
 func TestRestartChangesVersion(t *testing.T) {
--- a/internal/gateway/pacing_test.go
+++ b/internal/gateway/pacing_test.go
@@ -29,6 +29,7 @@
 	offers []peer.PromptOffer
 	done   []uint64
 	late   []peer.LateStream
+	others []peer.Message // neither of these nor known to earlier releases
 }
 
 // newFakePacer starts a targetd that answers offers with answer, and connects it to
@@ -84,6 +85,8 @@
 		p.done = append(p.done, m.ID)
 	case peer.LateStream:
 		p.late = append(p.late, m)
+	case peer.StreamOrigin, peer.OriginRequest:
+		p.others = append(p.others, m)
 	}
 }
 
--- /dev/null
+++ b/internal/gateway/stream_origins.go
@@ -0,0 +1,290 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/borageusher/borageusher/internal/event"
+	"github.com/borageusher/borageusher/internal/peer"
+	"github.com/borageusher/borageusher/pkg/placement"
+	"github.com/borageusher/borageusher/pkg/routing"
+	"github.com/borageusher/borageusher/pkg/streams"
+	"github.com/borageusher/borageusher/pkg/target"
+)
+
+// Limits of the origins of streams.
+const (
+	// maxOrigins bounds the memory for origins, at about 100 bytes each, to some MB of the
+	// VM's. It is far more than the streams of one entryd in progress at once.
+	maxOrigins = 1 << 16
+	// originCopies is the number of targetds, each in another availability zone, that keep
+	// the origin of a stream. If two are lost at once, one still has it.
+	originCopies = 3
+	// askedPerZone is the number of targetds in each availability zone that are asked for an
+	// origin: the one that keeps it, and the one that did before another one joined.
+	askedPerZone = 2
+	// originWaitShare is the share of the objective for which a call waits for the origin of
+	// its stream, so that its answer can still be on time.
+	originWaitShare = 0.5
+	// originMargin is the time after the caller's deadline for which an origin is kept. It
+	// covers the latency of the messages.
+	originMargin = time.Second
+)
+
+// Reasons for which a stream that its caller takes up is not continued.
+const (
+	reasonOriginUnknown    = "origin_unknown"    // no process knows at which version the stream began
+	reasonOriginUnanswered = "origin_unanswered" // some processes did not answer in time
+)
+
+// streamOrigins is what a fleet knows of the versions at which streams began. It is
+// guarded by the fleet's mu.
+type streamOrigins struct {
+	known        *streams.Table
+	own          map[streams.Key]*ownStream // that callers may take up, until they are delivered
+	queries      map[streams.Key][]*originQuery
+	holdersMoved bool // targetds were connected or lost, or leave, since the own origins were sent
+}
+
+func newStreamOrigins() streamOrigins {
+	return streamOrigins{
+		known:   streams.NewTable(maxOrigins),
+		own:     map[streams.Key]*ownStream{},
+		queries: map[streams.Key][]*originQuery{},
+	}
+}
+
+// ownStream is a stream that this process relays or relayed.
+type ownStream struct {
+	origin streams.Origin
+	until  time.Time // when its caller gives up
+	sentTo []*peer.Conn
+}
+
+// originQuery is a call's wait for the origin of its stream.
+type originQuery struct {
+	key     streams.Key
+	asked   map[*peer.Conn]bool // true for those that need not be waited for any more
+	changed chan struct{}       // signals that the origin may be known, or that no process does
+}
+
+// takesUp reports whether the caller of a request continues a stream that an earlier
+// request of it began.
+func takesUp(route *routing.Route, m RequestMeta) bool {
+	return route.Kind == routing.Stream && m.LastEventID != ""
+}
+
+// findOrigin returns the origin of the stream that a request takes up. If it is not
+// known, it returns the reason. Unknown origins are never guessed: that one version is
+// left does not mean that it began the stream.
+func (g *Gateway) findOrigin(ctx context.Context, start time.Time, route *routing.Route, m RequestMeta) (o streams.Origin, reason string) {
+	q := g.Fleet.beginOriginQuery(streams.KeyOf(m.Resumes))
+	timer := time.NewTimer(time.Duration(originWaitShare * float64(route.Objective)))
+	defer timer.Stop()
+	pending := m.Resumes != ""
+	for ended := false; pending && !ended; {
+		if o, pending = g.Fleet.checkOrigin(time.Now(), q); !pending {
+			break
+		}
+		select {
+		case <-q.changed:
+		case <-timer.C:
+			ended = true
+		case <-ctx.Done():
+			ended = true
+		}
+	}
+	asked := g.Fleet.endOriginQuery(q)
+	switch {
+	case o.Known() && slices.ContainsFunc(route.Shares, func(s routing.Share) bool { return s.Service == o.Service }):
+		reason = ""
+	case o.Known():
+		reason = reasonVersionGone // the route leads to other services now
+	case pending:
+		reason = reasonOriginUnanswered
+	default:
+		reason = reasonOriginUnknown
+	}
+	g.Log.Event(event.StreamTakenUp).
+		Str("request", m.ID).
+		Str("stream", m.Resumes).
+		Str("last_event", m.LastEventID).
+		Str("service", o.Service).
+		Str("version", o.Version).
+		Int("asked", asked).
+		Dur("waited", time.Since(start)).
+		Str("reason", reason).
+		Send()
+	g.Scope.Tagged(map[string]string{"reason": reason}).Counter("streams_taken_up").Inc(1)
+	return o, reason
+}
+
+func (f *Fleet) beginOriginQuery(k streams.Key) *originQuery {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	q := &originQuery{key: k, asked: map[*peer.Conn]bool{}, changed: make(chan struct{}, 1)}
+	f.origins.queries[k] = append(f.origins.queries[k], q)
+	return q
+}
+
+// endOriginQuery ends a query and returns the number of targetds that were asked.
+func (f *Fleet) endOriginQuery(q *originQuery) (asked int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	rest := slices.DeleteFunc(f.origins.queries[q.key], func(o *originQuery) bool { return o == q })
+	f.origins.queries[q.key] = rest
+	if len(rest) == 0 {
+		delete(f.origins.queries, q.key)
+	}
+	return len(q.asked)
+}
+
+// checkOrigin returns the origin that a query is for, if it is known, or else whether it
+// may become known. It asks the targetds that were not asked yet.
+func (f *Fleet) checkOrigin(now time.Time, q *originQuery) (o streams.Origin, pending bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if o, _, ok := f.origins.known.Origin(now, q.key); ok {
+		return o, false
+	}
+	ask := f.originHolders(q.key, askedPerZone, false)
+	for _, t := range append(ask, f.originHolders(q.key, askedPerZone, true)...) {
+		if _, ok := q.asked[t.conn]; !ok {
+			_, err := t.conn.Send(peer.OriginRequest{Stream: uint64(q.key)})
+			q.asked[t.conn] = err != nil
+		}
+	}
+	for _, done := range q.asked {
+		pending = pending || !done
+	}
+	for _, t := range f.targets {
+		pending = pending || (t.closeConn != nil && t.conn == nil && t.connecting(now))
+	}
+	return streams.Origin{}, pending
+}
+
+// originHolders returns the targets whose targetds keep the origin of a stream, in order
+// of preference, perZone in each availability zone. If staying is set, those that leave
+// are left out. The caller holds mu.
+func (f *Fleet) originHolders(k streams.Key, perZone int, staying bool) []*targetState {
+	var targets []*targetState
+	var processes []streams.Process
+	for _, t := range f.targets {
+		leaves := t.replica.State != target.Live || t.notice.leaving || t.state.Departing
+		if t.conn == nil || !t.conn.KeepsOrigins() || (staying && leaves) {
+			continue
+		}
+		targets = append(targets, t)
+		processes = append(processes, streams.Process{Hash: placement.Hash(t.replica.Addr.Addr().String()), Zone: t.replica.Zone})
+	}
+	var out []*targetState
+	for _, i := range streams.Holders(k, processes, perZone) {
+		out = append(out, targets[i])
+	}
+	return out
+}
+
+// recordOrigin records at which version the call's stream began, for the requests that may
+// take it up.
+func (f *Fleet) recordOrigin(now time.Time, c *call) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c.version == "" || c.streamID() == "" || !c.route.Resumable {
+		return
+	}
+	k, o := streams.KeyOf(c.streamID()), streams.Origin{Service: c.service, Version: c.version}
+	until := c.start.Add(max(c.route.Timeout, c.meta.Deadline) + originMargin)
+	if !f.origins.known.Record(now, k, o, until) {
+		return
+	}
+	s := &ownStream{origin: o, until: until}
+	f.origins.own[k] = s
+	f.sendOrigin(now, k, s)
+}
+
+// sendOrigin sends the origin of a stream to the targetds that keep it and have not got it
+// yet. The caller holds mu.
+func (f *Fleet) sendOrigin(now time.Time, k streams.Key, s *ownStream) {
+	holders := f.originHolders(k, 1, true)
+	m := peer.StreamOrigin{Stream: uint64(k), Service: s.origin.Service, Version: s.origin.Version, Within: s.until.Sub(now)}
+	for _, t := range holders[:min(len(holders), originCopies)] {
+		if slices.Contains(s.sentTo, t.conn) {
+			continue
+		}
+		if _, err := t.conn.Send(m); err == nil { // else the end of the connection moves the holders
+			s.sentTo = append(s.sentTo, t.conn)
+		}
+	}
+}
+
+// endStream drops the own stream of a call that was delivered.
+func (f *Fleet) endStream(c *call) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.origins.own, streams.KeyOf(c.streamID()))
+}
+
+// sendMovedOrigins sends the origins of own streams to the targetds that have to keep them
+// since others were lost.
+func (f *Fleet) sendMovedOrigins(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.origins.holdersMoved {
+		return
+	}
+	f.origins.holdersMoved = false
+	for k, s := range f.origins.own {
+		if now.Before(s.until) {
+			f.sendOrigin(now, k, s)
+		}
+	}
+}
+
+// expireOrigins drops the origins of streams whose callers have given up. The caller holds
+// mu.
+func (f *Fleet) expireOrigins(now time.Time) {
+	f.origins.known.Expire(now)
+	for k, s := range f.origins.own {
+		if !now.Before(s.until) {
+			delete(f.origins.own, k)
+		}
+	}
+}
+
+// applyOriginAnswer passes the answer of a targetd to the calls that wait for it.
+func (f *Fleet) applyOriginAnswer(now time.Time, c *peer.Conn, m peer.OriginAnswer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	k, o := streams.Key(m.Stream), streams.Origin{Service: m.Service, Version: m.Version}
+	queries := f.origins.queries[k]
+	if len(queries) > 0 && o.Known() {
+		f.origins.known.Record(now, k, o, now.Add(m.Within))
+	}
+	for _, q := range queries {
+		q.asked[c] = true
+		q.signal()
+	}
+}
+
+// moveHolders records that a targetd was connected, or that c was lost if it is not nil.
+// The caller holds mu.
+func (f *Fleet) moveHolders(lost *peer.Conn) {
+	f.origins.holdersMoved = true
+	for _, queries := range f.origins.queries {
+		for _, q := range queries {
+			if _, ok := q.asked[lost]; ok {
+				q.asked[lost] = true
+			}
+			q.signal()
+		}
+	}
+}
+
+// signal has the call of a query check it again.
+func (q *originQuery) signal() {
+	select {
+	case q.changed <- struct{}{}:
+	default:
+	}
+}
--- a/internal/gateway/target_notice.go
+++ b/internal/gateway/target_notice.go
@@ -60,6 +60,7 @@
 		return
 	}
 	n.leaving, n.at = true, now
+	f.origins.holdersMoved = true
 	f.log.Event(event.TargetDeparting).
 		Str("target", t.replica.ID).
 		Str("service", t.replica.Service).
--- a/internal/gateway/targetd_conns.go
+++ b/internal/gateway/targetd_conns.go
@@ -78,6 +78,7 @@
 	f := tc.fleet
 	f.mu.Lock()
 	t.conn = c
+	f.moveHolders(nil)
 	f.sendEngineSpec(t)
 	f.mu.Unlock()
 	err := c.Run(ctx, func() peer.Heartbeat { return peer.Heartbeat{Active: true} }, func(m peer.Message) {
@@ -98,6 +99,8 @@
 			f.applyRateLimit(now, m)
 		case peer.PermitAnswer:
 			f.applyPermitAnswer(t, m)
+		case peer.OriginAnswer:
+			f.applyOriginAnswer(now, c, m)
 		case peer.CrashReport:
 			tc.onCrashReport(now, m)
 		case peer.SegmentCrash:
@@ -108,6 +111,7 @@
 	})
 	f.mu.Lock()
 	t.conn = nil
+	f.moveHolders(c)
 	t.endPacing()
 	t.endPermitRequests()
 	f.notifyAll()
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -39,6 +39,9 @@
 	typePermitRequest  messageType = 62
 	typePermitAnswer   messageType = 63
 	typePermitCancel   messageType = 64
+	typeStreamOrigin   messageType = 65
+	typeOriginRequest  messageType = 66
+	typeOriginAnswer   messageType = 67
 
 	typeStateRequest  messageType = 40
 	typeStateAnswer   messageType = 41
@@ -80,6 +83,9 @@
 func (PermitRequest) messageType() messageType  { return typePermitRequest }
 func (PermitAnswer) messageType() messageType   { return typePermitAnswer }
 func (PermitCancel) messageType() messageType   { return typePermitCancel }
+func (StreamOrigin) messageType() messageType   { return typeStreamOrigin }
+func (OriginRequest) messageType() messageType  { return typeOriginRequest }
+func (OriginAnswer) messageType() messageType   { return typeOriginAnswer }
 
 // Encode returns the wire format of m: one byte for its type, followed by its
 // fields as a CBOR array.
@@ -187,6 +193,12 @@
 		return &permitAnswerWire{}
 	case typePermitCancel:
 		return &permitCancelWire{}
+	case typeStreamOrigin:
+		return &streamOriginWire{}
+	case typeOriginRequest:
+		return &originRequestWire{}
+	case typeOriginAnswer:
+		return &originAnswerWire{}
 	}
 	return nil
 }
@@ -262,6 +274,12 @@
 		return &permitAnswerWire{ID: m.ID, Granted: m.Granted, WaitMS: m.Wait.Milliseconds()}
 	case PermitCancel:
 		return &permitCancelWire{ID: m.ID}
+	case StreamOrigin:
+		return &streamOriginWire{Stream: m.Stream, Service: m.Service, Version: m.Version, WithinMS: m.Within.Milliseconds()}
+	case OriginRequest:
+		return &originRequestWire{Stream: m.Stream}
+	case OriginAnswer:
+		return &originAnswerWire{Stream: m.Stream, Service: m.Service, Version: m.Version, WithinMS: m.Within.Milliseconds()}
 	case CrashReport:
 		return &crashReportWire{Engine: m.Engine, Fingerprints: m.Fingerprints}
 	case SegmentCrash:
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -23,7 +23,10 @@
 type Conn struct {
 	ws     *websocket.Conn
 	remote Identity
-	out    *outQueue
+
+	keepsOrigins bool // see KeepsOrigins
+
+	out *outQueue
 
 	closed       chan struct{}
 	closeOnce    sync.Once
--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -38,13 +38,14 @@
 	if d.Secure {
 		scheme = "wss://"
 	}
-	ws, _, err := websocket.Dial( //nolint:bodyclose // the library closes the body
+	ws, resp, err := websocket.Dial( //nolint:bodyclose // the library closes the body
 		ctx, scheme+addr.String()+Path, &websocket.DialOptions{HTTPClient: d.Client},
 	)
 	if err != nil {
 		return nil, &Error{Op: "dial", Kind: Unreachable, Err: err}
 	}
 	c := newConn(ws)
+	c.keepsOrigins = resp.Header.Get(keepsOriginsHeader) != ""
 	if err := c.handshakeDialling(ctx, d.Self, d.Key); err != nil {
 		c.Close()
 		return nil, err
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -68,6 +68,10 @@
 		PermitRequest{ID: 7, Limit: RateLimit{Target: "t1/7", Limited: true, PerSecond: 6.8, Age: time.Second}, Urgency: 1, Within: 300 * time.Millisecond},
 		PermitAnswer{ID: 7, Granted: true, Wait: 20 * time.Millisecond},
 		PermitCancel{ID: 7},
+		StreamOrigin{Stream: 1 << 63, Service: "s", Version: "v1.1", Within: 12 * time.Second},
+		OriginRequest{Stream: 1 << 63},
+		OriginAnswer{Stream: 1 << 63, Service: "s", Version: "v1.1", Within: 12 * time.Second},
+		OriginAnswer{Stream: 7},
 	}
 }
 
