--- a/internal/enginecontroller/stream_origins.go
+++ b/internal/enginecontroller/stream_origins.go
@@ -10,7 +10,7 @@
 
 // Limits of the origins of streams that are kept for entryds.
 const (
-	// maxOrigins bounds the memory for origins, at about 100 bytes each, to some MB of the
+	// maxOrigins bounds the memory for origins, at about 150 bytes each, to some MB of the
 	// VM's. It is far more than the streams of the users' deployments in progress at once.
 	maxOrigins = 1 << 16
 	// maxOriginTime limits how long an origin is kept: far longer than any route's timeout
--- a/internal/gateway/stream_origins.go
+++ b/internal/gateway/stream_origins.go
@@ -15,7 +15,7 @@
 
 // Limits of the origins of streams.
 const (
-	// maxOrigins bounds the memory for origins, at about 100 bytes each, to some MB of the
+	// maxOrigins bounds the memory for origins, at about 150 bytes each, to some MB of the
 	// VM's. It is far more than the streams of one entryd in progress at once.
 	maxOrigins = 1 << 16
 	// originCopies is the number of targetds, each in another availability zone, that keep
