Compute the rendezvous hash of a target's VM once

Every stream hashed the addresses of all targets while it held the lock of the fleet, and a change of the connected targetds did so for each stream in progress. No caller saw a fault; read in the code: 600 hashes of formatted addresses a stream at the planned size.

--- a/internal/gateway/stream_origins.go
+++ b/internal/gateway/stream_origins.go
@@ -7,7 +7,6 @@
 
 	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/internal/peer"
-	"github.com/borageusher/borageusher/pkg/placement"
 	"github.com/borageusher/borageusher/pkg/routing"
 	"github.com/borageusher/borageusher/pkg/streams"
 	"github.com/borageusher/borageusher/pkg/target"
@@ -148,11 +147,12 @@
 	if o, _, ok := f.origins.known.Origin(now, q.key); ok {
 		return o, false
 	}
-	ask := f.originHolders(q.key, askedPerZone, false)
-	for _, t := range append(ask, f.originHolders(q.key, askedPerZone, true)...) {
-		if _, ok := q.asked[t.conn]; !ok {
-			_, err := t.conn.Send(peer.OriginRequest{Stream: uint64(q.key)})
-			q.asked[t.conn] = err != nil
+	for _, staying := range []bool{true, false} {
+		for _, t := range f.originKeepers(staying).holders(q.key, askedPerZone) {
+			if _, ok := q.asked[t.conn]; !ok {
+				_, err := t.conn.Send(peer.OriginRequest{Stream: uint64(q.key)})
+				q.asked[t.conn] = err != nil
+			}
 		}
 	}
 	for _, done := range q.asked {
@@ -164,23 +164,33 @@
 	return streams.Origin{}, pending
 }
 
-// originHolders returns the targets whose targetds keep the origin of a stream, in order
-// of preference, perZone in each availability zone. If staying is set, those that leave
-// are left out. The caller holds mu.
-func (f *Fleet) originHolders(k streams.Key, perZone int, staying bool) []*targetState {
-	var targets []*targetState
-	var processes []streams.Process
+// originKeepers are the targets whose targetds keep origins.
+type originKeepers struct {
+	targets   []*targetState
+	processes []streams.Process // their targetds
+}
+
+// originKeepers returns the targets whose connected targetds keep origins. If staying is
+// set, those that leave are left out. The caller holds mu.
+func (f *Fleet) originKeepers(staying bool) originKeepers {
+	var k originKeepers
 	for _, t := range f.targets {
 		leaves := t.replica.State != target.Live || t.notice.leaving || t.state.Departing
 		if t.conn == nil || !t.conn.KeepsOrigins() || (staying && leaves) {
 			continue
 		}
-		targets = append(targets, t)
-		processes = append(processes, streams.Process{Hash: placement.Hash(t.replica.Addr.Addr().String()), Zone: t.replica.Zone})
+		k.targets = append(k.targets, t)
+		k.processes = append(k.processes, streams.Process{Hash: t.vmHash, Zone: t.replica.Zone})
 	}
+	return k
+}
+
+// holders returns the targets whose targetds keep the origin of a stream, in order of
+// preference, perZone in each availability zone.
+func (k originKeepers) holders(stream streams.Key, perZone int) []*targetState {
 	var out []*targetState
-	for _, i := range streams.Holders(k, processes, perZone) {
-		out = append(out, targets[i])
+	for _, i := range streams.Holders(stream, k.processes, perZone) {
+		out = append(out, k.targets[i])
 	}
 	return out
 }
@@ -200,14 +210,13 @@
 	}
 	s := &ownStream{origin: o, until: until}
 	f.origins.own[k] = s
-	f.sendOrigin(now, k, s)
+	f.originKeepers(true).send(now, k, s)
 }
 
-// sendOrigin sends the origin of a stream to the targetds that keep it and have not got it
-// yet. The caller holds mu.
-func (f *Fleet) sendOrigin(now time.Time, k streams.Key, s *ownStream) {
-	holders := f.originHolders(k, 1, true)
-	m := peer.StreamOrigin{Stream: uint64(k), Service: s.origin.Service, Version: s.origin.Version, Within: s.until.Sub(now)}
+// send sends the origin of a stream to the targetds that keep it and have not got it yet.
+func (k originKeepers) send(now time.Time, stream streams.Key, s *ownStream) {
+	holders := k.holders(stream, 1)
+	m := peer.StreamOrigin{Stream: uint64(stream), Service: s.origin.Service, Version: s.origin.Version, Within: s.until.Sub(now)}
 	for _, t := range holders[:min(len(holders), originCopies)] {
 		if slices.Contains(s.sentTo, t.conn) {
 			continue
@@ -234,9 +243,10 @@
 		return
 	}
 	f.origins.holdersMoved = false
+	keepers := f.originKeepers(true)
 	for k, s := range f.origins.own {
 		if now.Before(s.until) {
-			f.sendOrigin(now, k, s)
+			keepers.send(now, k, s)
 		}
 	}
 }
