Log what came before a refusal on its connection

Change: attempt_ended has the status of a refusal, the number of requests sent before over its connection (zero rules out a copy) and the number of responses skipped before it. The counter responses_skipped counts skipped responses of all attempts. Nothing is logged that was not logged before; an event grows by three numbers.

Tests: TestRefusalLog and the new part of TestStrayResponses.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -137,7 +137,7 @@
 	{SegmentCleared, "segment_cleared", zerolog.InfoLevel, "A target began to answer a request with the prompt segment, which is no longer a suspect of the crashes before."},
 	{LoadGranted, "load_granted", zerolog.InfoLevel, "Placement decision: `target` may load one adapter for `team` with a load permit that another target transferred."},
 	{AttemptSent, "attempt_sent", zerolog.InfoLevel, "Routing decision: an attempt is sent directly to `target`; `load`, `ahead` (tokens of prompts that it reads before), `wait` and `state_age` are the values behind the decision, `permit` is the time waited for permits so far."},
-	{AttemptEnded, "attempt_ended", zerolog.WarnLevel, "An attempt did not answer the request: `outcome` says whether it was refused, failed or broke off."},
+	{AttemptEnded, "attempt_ended", zerolog.WarnLevel, "An attempt did not answer the request: `outcome` says whether it was refused, failed or broke off. For a refusal, `earlier` is the number of requests sent before over its connection and `skipped` that of responses to other requests that preceded it."},
 	{StreamResumed, "stream_resumed", zerolog.InfoLevel, "A broken stream continues at another target after event `last_event`."},
 	{RequestWaiting, "request_waiting", zerolog.InfoLevel, "The request waits until `target` has loaded its adapter."},
 	{TargetAvoided, "target_avoided", zerolog.WarnLevel, "The target failed and gets no requests `for` a while, unless there is no other target."},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -59,6 +59,7 @@
 		return g.handleNoResponse(ctx, c, sel, run, err, now)
 	}
 	defer resp.Close()
+	g.Scope.Counter("responses_skipped").Inc(int64(resp.Skipped))
 	c.attemptsSent++
 	meta := g.HeaderCodec.ParseResponse(resp.Status, resp.Header)
 	g.Fleet.observeNotice(time.Now(), sel.target, meta)
@@ -152,7 +153,7 @@
 			g.CrashTracker.recordBroken(now, sel.target.incarnation, c, run)
 		}
 		g.Fleet.recordFailure(now, sel.target)
-		g.logFailedAttempt(c, sel, out, err)
+		g.logFailedAttempt(c, sel, out, nil, err)
 	}
 	return out
 }
@@ -170,7 +171,7 @@
 				g.CrashTracker.recordEngineDown(now, sel.target.incarnation)
 			}
 			g.Fleet.recordConnectFailure(now, sel.target)
-			g.logFailedAttempt(c, sel, notSent, err)
+			g.logFailedAttempt(c, sel, notSent, nil, err)
 		}
 		return notSent
 	}
@@ -184,7 +185,7 @@
 	} else {
 		g.recordSilence(now, c, sel, start)
 	}
-	g.logFailedAttempt(c, sel, broken, err)
+	g.logFailedAttempt(c, sel, broken, nil, err)
 	return broken
 }
 
@@ -204,7 +205,7 @@
 	if resp.Status == http.StatusMisdirectedRequest { // another incarnation, or the adapter is not resident
 		g.Fleet.removeResident(sel.target, c.adapter)
 	}
-	g.logFailedAttempt(c, sel, refused, errors.New(http.StatusText(resp.Status)))
+	g.logFailedAttempt(c, sel, refused, resp, errors.New(http.StatusText(resp.Status)))
 	return refused
 }
 
@@ -216,15 +217,17 @@
 }
 
 // logFailedAttempt logs and counts an attempt that produced no final response
-// for the call.
-func (g *Gateway) logFailedAttempt(c *call, sel selection, out outcome, err error) {
+// for the call. refusal is nil unless the target refused it.
+func (g *Gateway) logFailedAttempt(c *call, sel selection, out outcome, refusal *upstream.Response, err error) {
 	g.Scope.Tagged(map[string]string{"outcome": outcomeNames[out]}).Counter("attempts_failed").Inc(1)
-	g.Log.Event(event.AttemptEnded).
+	e := g.Log.Event(event.AttemptEnded).
 		Str("request", c.meta.ID).
 		Str("target", sel.replica.ID).
-		Str("outcome", outcomeNames[out]).
-		Err(err).
-		Send()
+		Str("outcome", outcomeNames[out])
+	if refusal != nil {
+		e = e.Int("status", refusal.Status).Int("earlier", refusal.Earlier).Int("skipped", refusal.Skipped)
+	}
+	e.Err(err).Send()
 }
 
 // relayBuffered reads a response and writes it to the caller. A body of more than
--- a/internal/gateway/repeated_test.go
+++ b/internal/gateway/repeated_test.go
@@ -118,3 +118,21 @@
 		})
 	}
 }
+
+// TestRefusalLog checks that the log of a refusal tells whether it may be one of an
+// earlier request on the connection.
+func TestRefusalLog(t *testing.T) {
+	convey.Convey("The log of a refusal has the earlier requests and responses on its connection", t, func() {
+		ft := newFakeTarget(t, "t1",
+			respond(200, "own", signed),
+			func(c net.Conn, r *http.Request) bool {
+				_, _ = io.WriteString(c, "HTTP/1.1 503 X\r\nId: r0\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+				return respond(503, "", "Not-Run: 1")(c, r)
+			},
+			respond(200, "own", signed))
+		tg := newTestGateway(t, ft)
+		convey.So(tg.call(t, "/unsafe/x", "Id", "r0").status, convey.ShouldEqual, 200)
+		convey.So(tg.call(t, "/unsafe/x").status, convey.ShouldEqual, 200)
+		convey.So(tg.logText(), convey.ShouldContainSubstring, `"outcome":"refused","status":503,"earlier":1,"skipped":1,`)
+	})
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -88,6 +88,7 @@
 	if err := conn.send(req); err != nil {
 		return nil, err
 	}
+	skipped := 0
 	for range maxSkippedResponses + 1 {
 		resp, err := conn.readHead(req.Method) //nolint:bodyclose // closing the Response closes the connection
 		if err != nil {
@@ -104,9 +105,12 @@
 			if !conn.discard(resp.Body) {
 				return nil, &Error{Op: "skip response", Kind: Broken, Err: errSkipFailed}
 			}
+			skipped++
 			continue
 		}
-		return newResponse(conn, resp), nil
+		out := newResponse(conn, resp)
+		out.Skipped = skipped
+		return out, nil
 	}
 	return nil, &Error{Op: "read response", Kind: Mismatched}
 }
@@ -118,6 +122,7 @@
 		Body:       resp.Body,
 		Length:     resp.ContentLength,
 		UntilClose: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
+		Earlier:    conn.sent - 1,
 	}
 	conn.expires = time.Now().Add(reusePeriod(resp.Header))
 	if resp.Close {
@@ -129,6 +134,7 @@
 // send writes the request. A large body is written in the background, because
 // the target may respond before it has read all of it.
 func (c *conn) send(req *Request) error {
+	c.sent++
 	head := req.head()
 	if len(req.Body) <= maxInlineBodyBytes {
 		if _, err := c.Write(append(head, req.Body...)); err != nil {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -46,6 +46,7 @@
 	addr        netip.AddrPort
 	limit       *headLimit // of the bytes that reader may read
 	reader      *bufio.Reader
+	sent        int           // requests sent
 	expires     time.Time     // time from which the connection is not reused
 	bodyWritten chan struct{} // closed when the request's body has been written, nil if it was written inline
 }
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -57,6 +57,9 @@
 
 	UntilClose bool // the body has neither a length nor chunks, and ends with its connection
 
+	Earlier int // requests sent before over the connection
+	Skipped int // responses to other requests that preceded this one
+
 	conn     *conn
 	client   *Client
 	bodyRead bool
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -133,9 +133,14 @@
 		c := New(identify)
 		_, err := fetch(c, s.addr, newGetRequest("0"))
 		convey.So(err, convey.ShouldBeNil)
-		body, err := fetch(c, s.addr, newGetRequest("1"))
+		resp, err := c.Do(context.Background(), s.addr, newGetRequest("1"))
 		convey.So(err, convey.ShouldBeNil)
-		convey.So(body, convey.ShouldEqual, "own")
+		defer resp.Close()
+		body, err := io.ReadAll(resp)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(string(body), convey.ShouldEqual, "own")
+		convey.So(resp.Earlier, convey.ShouldEqual, 1)
+		convey.So(resp.Skipped, convey.ShouldEqual, 1)
 	})
 	convey.Convey("A connection with unexpected data is not reused", t, func() {
 		s := newFakeTarget(t, func(_ int, r *http.Request) (string, bool) {
