Send a request id once over a connection to a target

Cause: a target may write a refusal a second time, later, on the same connection. The copy has the id of the refused request. If that id is under way again on the connection, the copy passes for the response to it, and as proof that it has not run. The attempt of a call at a target that refused it has had a new connection since, but connections are kept by address and that was decided by the call and the target's id: a target whose entry got another id in between, and another call with the same request id, a take-up included, got the connection of the refusal.

Change: each connection keeps the hashes of the request ids that were sent over it, and a request takes an idle connection over which its id was never sent, or a new one. What a connection returns under an id is then about that one request, whatever it is a copy of and whenever it arrives. Request.Resent is gone: the caller of the package need not know what came before. Unlike before, an attempt at a target that refused the call uses other idle connections to it.

Cost: 8 bytes a request and connection.

TestDiscard sent one id three times over a connection, which is no longer possible; it now sends three ids and still expects one connection.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -31,7 +31,6 @@
 		sel.backlog = o.ahead
 	}
 	req := c.request
-	req.Resent = c.refused[sel.replica.ID]
 	req.Header = g.HeaderCodec.TargetHeader(c.header, AttemptMeta{
 		Instance:    sel.replica.ID,
 		Remaining:   c.remaining(now),
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"hash/maphash"
 	"io"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 )
@@ -28,6 +30,7 @@
 // concurrent use.
 type Client struct {
 	identify RequestIDFunc
+	seed     maphash.Seed // of the hashes of request ids
 
 	mu   sync.Mutex
 	idle map[netip.AddrPort][]*conn
@@ -35,7 +38,7 @@
 
 // New returns a client that recognizes responses with identify.
 func New(identify RequestIDFunc) *Client {
-	return &Client{identify: identify, idle: map[netip.AddrPort][]*conn{}}
+	return &Client{identify: identify, seed: maphash.MakeSeed(), idle: map[netip.AddrPort][]*conn{}}
 }
 
 // Do sends req to the target at addr and returns the response, whose body is not
@@ -43,7 +46,8 @@
 // is reset, also while the body is read. WasSent distinguishes the errors of
 // requests that may have run.
 func (c *Client) Do(ctx context.Context, addr netip.AddrPort, req *Request) (*Response, error) {
-	conn, err := c.acquire(ctx, addr, req)
+	id := maphash.String(c.seed, req.ID)
+	conn, err := c.acquire(ctx, addr, req, id)
 	if err != nil {
 		return nil, err
 	}
@@ -51,6 +55,7 @@
 		c.release(conn, true)
 		return nil, &Error{Op: "send", Kind: NotSent, Err: ctx.Err()}
 	}
+	conn.sent = append(conn.sent, id)
 	stop := context.AfterFunc(ctx, conn.abort)
 	resp, err := c.roundTrip(conn, req)
 	if err != nil {
@@ -122,7 +127,7 @@
 		Body:       resp.Body,
 		Length:     resp.ContentLength,
 		UntilClose: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
-		Earlier:    conn.sent - 1,
+		Earlier:    len(conn.sent) - 1,
 	}
 	conn.expires = time.Now().Add(reusePeriod(resp.Header))
 	if resp.Close {
@@ -134,7 +139,6 @@
 // send writes the request. A large body is written in the background, because
 // the target may respond before it has read all of it.
 func (c *conn) send(req *Request) error {
-	c.sent++
 	head := req.head()
 	if len(req.Body) <= maxInlineBodyBytes {
 		if _, err := c.Write(append(head, req.Body...)); err != nil {
@@ -162,16 +166,17 @@
 // queueing delay.
 const earlyResponseTimeout = 300 * time.Millisecond
 
-// acquire returns an idle connection that is still usable, or a new one. A request
-// without an id and one that was sent to the target before get a new one, because
-// their responses can't be distinguished from earlier ones.
-func (c *Client) acquire(ctx context.Context, addr netip.AddrPort, req *Request) (*conn, error) {
-	if req.ID == "" || req.Resent {
+// acquire returns a usable idle connection over which the request's id was never sent,
+// or a new connection: a target may send the response to a request twice, and the copy
+// of one would pass for the response to the next with the same id. A request without an
+// id gets a new connection. id is the hash of the request's id.
+func (c *Client) acquire(ctx context.Context, addr netip.AddrPort, req *Request, id uint64) (*conn, error) {
+	if req.ID == "" {
 		return dial(ctx, addr)
 	}
 	now := time.Now()
 	for {
-		conn := c.popIdle(addr)
+		conn := c.popIdle(addr, id)
 		if conn == nil {
 			return dial(ctx, addr)
 		}
@@ -182,18 +187,19 @@
 	}
 }
 
-// popIdle removes and returns the most recently used idle connection to addr, nil
-// if there is none.
-func (c *Client) popIdle(addr netip.AddrPort) *conn {
+// popIdle removes and returns the most recently used idle connection to addr over which
+// no request with the given hash of its id was sent, nil if there is none.
+func (c *Client) popIdle(addr netip.AddrPort, id uint64) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	list := c.idle[addr]
-	if len(list) == 0 {
-		return nil
+	for i := len(list) - 1; i >= 0; i-- {
+		if conn := list[i]; !conn.hasSent(id) {
+			c.idle[addr] = slices.Delete(list, i, i+1)
+			return conn
+		}
 	}
-	conn := list[len(list)-1]
-	c.idle[addr] = list[:len(list)-1]
-	return conn
+	return nil
 }
 
 // release keeps a connection for reuse, or resets it.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -37,8 +38,14 @@
 	idleTimeoutShare = 0.7
 )
 
-// readBufferBytes is the size of a connection's read buffer.
-const readBufferBytes = 4 << 10
+// Limits of a connection's memory.
+const (
+	// readBufferBytes is the size of the read buffer.
+	readBufferBytes = 4 << 10
+	// maxRequests limits the requests that are sent over a connection, whose ids take
+	// 8 bytes each.
+	maxRequests = 64
+)
 
 // conn is one connection to a target. It serves one request at a time.
 type conn struct {
@@ -46,7 +53,7 @@
 	addr        netip.AddrPort
 	limit       *headLimit // of the bytes that reader may read
 	reader      *bufio.Reader
-	sent        int           // requests sent
+	sent        []uint64      // hashes of the ids of all requests sent
 	expires     time.Time     // time from which the connection is not reused
 	bodyWritten chan struct{} // closed when the request's body has been written, nil if it was written inline
 }
@@ -110,9 +117,12 @@
 			return false // the target responded before the request was written completely
 		}
 	}
-	return !c.hasCloseOption(resp.Header) && c.reader.Buffered() == 0
+	return !c.hasCloseOption(resp.Header) && c.reader.Buffered() == 0 && len(c.sent) < maxRequests
 }
 
+// hasSent reports whether a request whose id has the given hash was sent.
+func (c *conn) hasSent(id uint64) bool { return slices.Contains(c.sent, id) }
+
 // hasCloseOption reports whether the Connection header contains close.
 func (c *conn) hasCloseOption(h http.Header) bool {
 	for _, v := range h.Values("Connection") {
--- a/internal/upstream/doc.go
+++ b/internal/upstream/doc.go
@@ -4,7 +4,8 @@
 //
 // It has its own connection pool instead of net/http's Transport, because the
 // Transport retries requests automatically, and because a late response to an
-// earlier request must be recognized by its request id and skipped.
+// earlier request must be recognized by its request id and skipped. A connection
+// carries each request id once, so that the id identifies the request on it.
 //
 // # Usage
 //
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -163,8 +164,8 @@
 			return responseText(r.Header.Get(idHeader), "refused"), true
 		})
 		c := New(identify)
-		for range 3 {
-			resp, err := c.Do(context.Background(), s.addr, newGetRequest("1"))
+		for i := range 3 {
+			resp, err := c.Do(context.Background(), s.addr, newGetRequest(fmt.Sprint(i)))
 			convey.So(err, convey.ShouldBeNil)
 			resp.Discard()
 			resp.Close()
--- a/internal/upstream/repeated_test.go
+++ b/internal/upstream/repeated_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"testing"
 
@@ -60,15 +61,41 @@
 		}
 		convey.So(s.conns.Load(), convey.ShouldEqual, 3)
 	})
-	convey.Convey("A request that is sent again is not sent over a connection that served it before", t, func() {
+	convey.Convey("A request id is sent once over a connection", t, func() {
 		s := newFakeTarget(t, echo)
 		c := New(identify)
-		for i := range 3 {
-			r := newGetRequest("1")
-			r.Resent = i > 0
-			_, err := fetch(c, s.addr, r)
+		for range 3 {
+			_, err := fetch(c, s.addr, newGetRequest("1"))
 			convey.So(err, convey.ShouldBeNil)
 		}
 		convey.So(s.conns.Load(), convey.ShouldEqual, 3)
+		convey.Convey("and the connections are reused for other ids", func() {
+			for i := range 4 {
+				_, err := fetch(c, s.addr, newGetRequest(fmt.Sprint("other", i)))
+				convey.So(err, convey.ShouldBeNil)
+			}
+			convey.So(s.conns.Load(), convey.ShouldEqual, 3)
+		})
+	})
+	convey.Convey("An id that was sent over one connection is sent over another one that is idle", t, func() {
+		s := newFakeTarget(t, echo)
+		c := New(identify)
+		first, err := c.Do(context.Background(), s.addr, newGetRequest("1"))
+		convey.So(err, convey.ShouldBeNil)
+		for _, id := range []string{"2", "1"} {
+			_, err := fetch(c, s.addr, newGetRequest(id))
+			convey.So(err, convey.ShouldBeNil)
+		}
+		first.Close()
+		convey.So(s.conns.Load(), convey.ShouldEqual, 2)
+	})
+	convey.Convey("A connection is not reused after maxRequests requests", t, func() {
+		s := newFakeTarget(t, echo)
+		c := New(identify)
+		for i := range 2 * maxRequests {
+			_, err := fetch(c, s.addr, newGetRequest(fmt.Sprint(i)))
+			convey.So(err, convey.ShouldBeNil)
+		}
+		convey.So(s.conns.Load(), convey.ShouldEqual, 2)
 	})
 }
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -17,7 +17,6 @@
 	Header  http.Header // without hop-by-hop headers
 	Body    []byte
 	HasBody bool // the caller sent a body, which may be empty
-	Resent  bool // the target may have responded to a request with this id before
 }
 
 // head returns the encoded request line and headers.
