--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -17,7 +17,6 @@
 	Header  http.Header // without hop-by-hop headers
 	Body    []byte
 	HasBody bool // the caller sent a body, which may be empty
-	Resent  bool // the target may have responded to a request with this id before
 }
 
 // head returns the encoded request line and headers.
@@ -57,6 +56,9 @@
 
 	UntilClose bool // the body has neither a length nor chunks, and ends with its connection
 
+	Earlier int // requests sent before over the connection
+	Skipped int // responses to other requests that preceded this one
+
 	conn     *conn
 	client   *Client
 	bodyRead bool
