Keep targets whose addresses entries of other services name

An entry of another writer, for a service that the configuration doesn't name, had the address of each target and a later start.

Cause: two entries with one address were taken for two starts of one target, whatever their services were, and the later one replaced the other for good: the store sends an entry again only when it changes.

Now an entry replaces another at its address only if it is a later start of a target of the same service.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -110,9 +110,10 @@
 // upsert adds or updates a target from its entry in the store. The caller holds
 // mu.
 func (f *Fleet) upsert(now time.Time, r target.Replica) {
-	if f.dropSuperseded(now, r) {
+	if f.isSuperseded(r) {
 		return
 	}
+	f.dropSuperseded(now, r)
 	t := f.targets[r.ID]
 	if t != nil && (t.replica.Addr != r.Addr || t.replica.Service != r.Service || t.replica.Incarnation() != r.Incarnation()) {
 		f.drop(now, t) // a new incarnation shares no state with the previous one
@@ -139,23 +140,6 @@
 	}
 }
 
-// dropSuperseded drops the earlier incarnations that had the target's address,
-// and reports whether a later one has it: an entry outlives its target for a
-// while. The caller holds mu.
-func (f *Fleet) dropSuperseded(now time.Time, r target.Replica) bool {
-	for _, t := range f.targets {
-		if t.replica.Addr != r.Addr || t.replica.ID == r.ID {
-			continue
-		}
-		if t.replica.Started.After(r.Started) {
-			return true
-		}
-		f.logState(t.replica, "superseded")
-		f.drop(now, t)
-	}
-	return false
-}
-
 // logState logs a change of a target's state.
 func (f *Fleet) logState(r target.Replica, state string) {
 	f.log.Event(event.TargetChanged).
