Undo a wrong belief about which target has an address

A target stayed unused for as long as an entry of another writer named its service and its address with a later start; if that entry was removed, drained or became unreadable, the target stayed unused until its own entry changed. If all targets of a service are hidden so, callers get 503.

Cause: a superseded entry was forgotten, and nothing that targets answer was held against the belief that the later start is there.

With the reuse of connections as it was, TestRejectionCopiedToNextEntry failed: expected 200, actual 502.

Superseded entries are kept and used again when no later start supersedes them. An entry that drains supersedes no other, because it gets no request that could refute it.

A call may now go to two targets at one address, so an attempt after a refusal uses a new connection, whichever target it goes to.

--- a/internal/gateway/address_claims_test.go
+++ b/internal/gateway/address_claims_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
@@ -12,6 +14,7 @@
 
 	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/internal/objects"
+	"github.com/borageusher/borageusher/internal/peer"
 	"github.com/borageusher/borageusher/pkg/routing"
 	"github.com/borageusher/borageusher/pkg/target"
 )
@@ -172,3 +175,280 @@
 		}
 	})
 }
+
+// heard records a response from the target at the address of the sound entry.
+func (l *listedFleet) heard(id string, s sender) {
+	l.now = l.now.Add(time.Millisecond)
+	l.observeSender(l.now, l.now, l.targets[id], s)
+}
+
+// TestLaterEntryHidesTarget guards against a target that stays unused because another
+// writer's entry of its service names its address with a later start.
+func TestLaterEntryHidesTarget(t *testing.T) {
+	const later = "s ready 9 127.0.0.1:1"
+	convey.Convey("Given a target and a later entry of its service at its address", t, func() {
+		l := newListedFleet()
+		l.list("x", soundEntry, "y", later)
+		convey.So(l.chosen("s"), convey.ShouldEqual, "y")
+		convey.Convey("the target is used once another target has answered there", func() {
+			l.heard("y", otherSender)
+			convey.So(l.chosen("s"), convey.ShouldEqual, "x")
+			convey.Convey("also if the later entry changes or is listed again", func() {
+				l.change("y", "s draining 9 127.0.0.1:1", "y", later)
+				convey.So(l.chosen("s"), convey.ShouldEqual, "x")
+				l.list("x", soundEntry, "y", later)
+				convey.So(l.chosen("s"), convey.ShouldEqual, "x")
+			})
+			convey.Convey("until an entry has a still later start", func() {
+				l.change("z", "s ready 10 127.0.0.1:1")
+				convey.So(l.chosen("s"), convey.ShouldEqual, "z")
+			})
+			convey.Convey("and the later one if that answers there", func() {
+				l.heard("y", expectedSender)
+				convey.So(l.chosen("s"), convey.ShouldEqual, "y")
+			})
+		})
+		convey.Convey("the target is used after the later entry was removed", func() {
+			l.change("y", "")
+			convey.So(l.chosen("s"), convey.ShouldEqual, "x")
+		})
+		convey.Convey("the target is used after the later entry became unreadable", func() {
+			l.change("y", "?")
+			convey.So(l.chosen("s"), convey.ShouldEqual, "x")
+		})
+		convey.Convey("the target is used after the later entry is of another service", func() {
+			l.change("y", namedEntry)
+			convey.So(l.chosen("s"), convey.ShouldEqual, "x")
+		})
+		convey.Convey("the target is used while the later entry drains, because no request can refute that", func() {
+			l.change("y", "s draining 9 127.0.0.1:1")
+			convey.So(l.chosen("s"), convey.ShouldEqual, "x")
+		})
+		convey.Convey("the target is used after the later entry has drained, whatever that says then", func() {
+			l.change("y", "s draining 9 127.0.0.1:1")
+			l.change("y", later)
+			convey.So(l.chosen("s"), convey.ShouldEqual, "x")
+		})
+		convey.Convey("the target is used after the later entry has lapsed", func() {
+			l.sink.Apply(l.now, entries("y", ""), l.now.Add(time.Second))
+			l.Sweep(l.now.Add(2 * time.Second))
+			convey.So(l.chosen("s"), convey.ShouldEqual, "x")
+		})
+		convey.Convey("the target is not used if its entry was removed meanwhile", func() {
+			l.change("x", "")
+			l.change("y", "")
+			convey.So(l.chosen("s"), convey.ShouldBeEmpty)
+			convey.So(l.superseded, convey.ShouldBeEmpty)
+		})
+		convey.Convey("the target is not used if it is not listed any more", func() {
+			l.list("y", later)
+			l.change("y", "")
+			convey.So(l.chosen("s"), convey.ShouldBeEmpty)
+		})
+	})
+}
+
+// TestResponseToEarlierRequest guards against a target that is taken for another one
+// because a response of its predecessor was read after it had started.
+func TestResponseToEarlierRequest(t *testing.T) {
+	convey.Convey("A response refutes only the entries that were known when its request was sent", t, func() {
+		l := newListedFleet()
+		l.list("x", soundEntry)
+		former, sentAt := l.targets["x"], l.now
+		l.now = l.now.Add(time.Second)
+		l.change("y", "s ready 9 127.0.0.1:1")
+		l.change("z", namedEntry)
+		l.observeSender(l.now, sentAt, former, expectedSender)
+		convey.So(l.targets["y"].notice.refuted, convey.ShouldBeFalse)
+		convey.So(l.targets["z"].notice.refuted, convey.ShouldBeFalse)
+		convey.So(l.chosen("s"), convey.ShouldEqual, "y")
+		l.observeSender(l.now.Add(2*time.Second), l.now.Add(time.Second), l.targets["y"], expectedSender)
+		convey.So(l.targets["y"].notice.refuted, convey.ShouldBeFalse)
+		convey.So(l.targets["z"].notice.refuted, convey.ShouldBeTrue)
+	})
+}
+
+// TestRefutedTargetIsAvoided guards against requests that go again and again to an entry
+// whose address another target has, and against one that is avoided for good.
+func TestRefutedTargetIsAvoided(t *testing.T) {
+	convey.Convey("A refuted target is chosen only if there is no other, or after some time", t, func() {
+		l := newListedFleet()
+		l.list("x", soundEntry, "y", "s ready 5 127.0.0.1:2")
+		l.heard("x", otherSender)
+		for range 20 {
+			convey.So(l.chosen("s"), convey.ShouldEqual, "y")
+		}
+		l.change("y", "")
+		convey.So(l.chosen("s"), convey.ShouldEqual, "x")
+		l.change("y", "s ready 5 127.0.0.1:2")
+		l.now = l.now.Add(refutedAvoidTime)
+		seen := map[string]bool{}
+		for range 100 {
+			seen[l.chosen("s")] = true
+		}
+		convey.So(seen, convey.ShouldResemble, map[string]bool{"x": true, "y": true})
+	})
+}
+
+// TestTruthAtAddress guards against orders of entries and responses after which the target
+// at an address stays unused although its entry is listed.
+func TestTruthAtAddress(t *testing.T) {
+	for seed := range uint64(300) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		l := newListedFleet()
+		current := map[string]string{}
+		value := func(service, state string) string {
+			return fmt.Sprintf("%s %s %d 127.0.0.1:1", service, state, random.IntN(9))
+		}
+		services := []string{"s", "b", "gauge"}
+		for range 30 {
+			l.now = l.now.Add(100 * time.Millisecond)
+			id := fmt.Sprintf("f-%d", random.IntN(4))
+			switch random.IntN(4) {
+			case 0:
+				current[id] = value(services[random.IntN(3)], "ready")
+				l.change(id, current[id])
+			case 1:
+				current[id] = value(services[random.IntN(3)], "draining")
+				l.change(id, current[id])
+			case 2:
+				delete(current, id)
+				l.change(id, "")
+			case 3:
+				if at := l.targets[l.chosen(services[random.IntN(2)])]; at != nil {
+					l.observeSender(l.now, l.now, at, []sender{otherSender, expectedSender}[random.IntN(2)])
+				}
+			}
+		}
+		current["x"] = value("s", "ready")
+		if random.IntN(2) == 0 {
+			l.change("x", current["x"])
+		} else {
+			var all []string
+			for id, v := range current {
+				all = append(all, id, v)
+			}
+			l.list(all...)
+		}
+		for requests := 0; ; requests++ {
+			id := l.chosen("s")
+			if id == "x" {
+				break
+			}
+			if id == "" || requests > len(current) {
+				t.Fatalf("seed %d: %q is chosen after %d requests; entries %v", seed, id, requests, current)
+			}
+			l.heard(id, otherSender)
+		}
+		l.heard("x", expectedSender)
+		for range 5 {
+			if id := l.chosen("s"); id != "x" {
+				t.Fatalf("seed %d: %q is chosen beside the target that answered; entries %v", seed, id, current)
+			}
+		}
+	}
+}
+
+func TestSenderOf(t *testing.T) {
+	convey.Convey("A response names its sender, or shows whether it is the target that was meant", t, func() {
+		for _, test := range []struct {
+			status     int
+			meta       ResponseMeta
+			namesModel bool
+			want       sender
+		}{
+			{421, ResponseMeta{Instance: "y", NotRun: true}, false, otherSender},
+			{421, ResponseMeta{Instance: "y", NotRun: true}, true, otherSender},
+			{421, ResponseMeta{Instance: "x", NotRun: true}, true, expectedSender},
+			{421, ResponseMeta{NotRun: true}, false, otherSender},
+			{421, ResponseMeta{NotRun: true}, true, unknownSender},
+			{200, ResponseMeta{Signed: true}, true, expectedSender},
+			{200, ResponseMeta{Signed: true, Instance: "y"}, true, unknownSender},
+			{200, ResponseMeta{}, false, unknownSender},
+			{503, ResponseMeta{NotRun: true}, false, unknownSender},
+			{503, ResponseMeta{NotRun: true, Instance: "x"}, false, expectedSender},
+			{500, ResponseMeta{Signed: true}, false, unknownSender},
+		} {
+			convey.So(senderOf(test.status, test.meta, "x", test.namesModel), convey.ShouldEqual, test.want)
+		}
+	})
+}
+
+// TestEngineBesideLaterEntry guards against an engine that stays unused although the
+// targetd beside it reports the start of the entry that was set aside.
+func TestEngineBesideLaterEntry(t *testing.T) {
+	convey.Convey("Given an engine and a later entry of its service at its address", t, func() {
+		l := newListedFleet()
+		l.list("x", soundEntry, "y", "s ready 9 127.0.0.1:1")
+		report := func(started int64) {
+			for _, at := range l.targets {
+				l.applyEngineState(l.now, at, peer.EngineState{Reachable: true, Started: started})
+				return
+			}
+		}
+		convey.So(l.chosen("s"), convey.ShouldEqual, "y")
+		convey.Convey("the engine is used when its targetd reports its start", func() {
+			report(5)
+			convey.So(l.chosen("s"), convey.ShouldEqual, "x")
+			convey.Convey("and the later one when its targetd reports that", func() {
+				report(9)
+				convey.So(l.chosen("s"), convey.ShouldEqual, "y")
+			})
+		})
+		convey.Convey("nothing changes when the report is of neither", func() {
+			report(7)
+			convey.So(l.chosen("s"), convey.ShouldEqual, "y")
+			convey.So(l.targets["y"].notice.refuted, convey.ShouldBeFalse)
+		})
+	})
+}
+
+// TestRequestsBesideLaterEntry guards against a gateway that rejects requests because a
+// later entry of another writer has the address of the only target of their service.
+func TestRequestsBesideLaterEntry(t *testing.T) {
+	unnamed := func(c net.Conn, r *http.Request) bool {
+		if r.Header.Get("Instance") != "t1" {
+			return respond(http.StatusMisdirectedRequest, "", "Not-Run: yes")(c, r)
+		}
+		return respond(http.StatusOK, "from t1", signed)(c, r)
+	}
+	for name, do := range map[string]step{"names itself": rejectOthers("t1"), "doesn't name itself": unnamed} {
+		convey.Convey("One request is sent twice, and none is rejected, by a target that "+name, t, func() {
+			ft := newFakeTarget(t, "t1", do)
+			tg := newTestGateway(t, ft)
+			tg.addEntry("x", "s", ft.addr, 9)
+			for range 5 {
+				r := tg.call(t, "/unsafe/1")
+				convey.So(r.status, convey.ShouldEqual, http.StatusOK)
+				convey.So(r.body, convey.ShouldEqual, "from t1")
+			}
+			convey.So(ft.requests(), convey.ShouldHaveLength, 6)
+		})
+	}
+}
+
+// TestRejectionCopiedToNextEntry guards against the copy of a rejection that is taken for
+// the response to the same request when that goes to the target with the next entry.
+func TestRejectionCopiedToNextEntry(t *testing.T) {
+	convey.Convey("A request that another entry's target rejected uses a new connection to the same address", t, func() {
+		var rejecting, runs sync.Map
+		copied := rejectOthers("t1")
+		ft := newFakeTarget(t, "t1", func(c net.Conn, r *http.Request) bool {
+			if r.Header.Get("Instance") != "t1" {
+				rejecting.Store(c, true)
+				return copied(c, r)
+			}
+			runs.Store(r, true)
+			if _, ok := rejecting.Load(c); ok {
+				return thenRespond("HTTP/1.1 421 X\r\nId: r1\r\nNot-Run: 1\r\nInstance: t1\r\nContent-Length: 0\r\n\r\n")(c, r)
+			}
+			return copied(c, r)
+		})
+		tg := newTestGateway(t, ft)
+		tg.addEntry("x", "s", ft.addr, 9)
+		convey.So(tg.call(t, "/unsafe/1").status, convey.ShouldEqual, http.StatusOK)
+		n := 0
+		runs.Range(func(any, any) bool { n++; return true })
+		convey.So(n, convey.ShouldEqual, 1)
+	})
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -31,7 +31,7 @@
 		sel.backlog = o.ahead
 	}
 	req := c.request
-	req.Resent = c.refused[sel.replica.ID]
+	req.Resent = len(c.refused) > 0 // several entries may name the address at which it was refused
 	req.Header = g.HeaderCodec.TargetHeader(c.header, AttemptMeta{
 		Instance:    sel.replica.ID,
 		Remaining:   c.remaining(now),
@@ -63,6 +63,7 @@
 	meta := g.HeaderCodec.ParseResponse(resp.Status, resp.Header)
 	g.Fleet.observeNotice(time.Now(), sel.target, meta)
 	g.Fleet.observeRateLimit(time.Now(), sel.target, now, meta.RateLimit)
+	g.Fleet.observeSender(time.Now(), now, sel.target, senderOf(resp.Status, meta, sel.replica.ID, c.model != ""))
 	// A 400 is relayed as the final response even if the request did not run, and a
 	// success contradicts a refusal.
 	refusal := meta.NotRun && resp.Status >= 300 && resp.Status != http.StatusBadRequest
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -37,6 +37,7 @@
 	lastScan       time.Time                        // last run of cancelStalled
 	notices        map[target.Incarnation]*targetNotice
 	unconfirmed    map[string]unconfirmedEntry // by id
+	superseded     map[string]target.Replica   // entries that are not used while a later start has their address, by id
 	limits         map[string]*rateLimit       // by incarnation of the target
 	permits        *permits.Issuer             // used while no targetd is connected
 	lastPermit     uint64                      // id of the last permit request
@@ -57,6 +58,7 @@
 		changes:     map[orders.Adapter]chan struct{}{},
 		notices:     map[target.Incarnation]*targetNotice{},
 		unconfirmed: map[string]unconfirmedEntry{},
+		superseded:  map[string]target.Replica{},
 		limits:      map[string]*rateLimit{},
 		permits:     permits.New(),
 		epoch:       time.Now(),
@@ -111,9 +113,11 @@
 // mu.
 func (f *Fleet) upsert(now time.Time, r target.Replica) {
 	if f.isSuperseded(r) {
+		f.setAside(now, r)
 		return
 	}
-	f.dropSuperseded(now, r)
+	delete(f.superseded, r.ID)
+	f.setAsideSuperseded(now, r)
 	t := f.targets[r.ID]
 	if t != nil && (t.replica.Addr != r.Addr || t.replica.Service != r.Service || t.replica.Incarnation() != r.Incarnation()) {
 		f.drop(now, t) // a new incarnation shares no state with the previous one
@@ -189,6 +193,7 @@
 			f.drop(now, t)
 		}
 	}
+	f.reinstate(now)
 	f.expireNotices(now)
 	f.expireLimits(now)
 }
--- a/internal/gateway/header_codec.go
+++ b/internal/gateway/header_codec.go
@@ -28,6 +28,7 @@
 // ResponseMeta is the metadata in the headers of a response.
 type ResponseMeta struct {
 	ID        string
+	Instance  string        // incarnation that wrote the response, empty if it is not stated
 	Signed    bool          // the response is proven to come from the target
 	NotRun    bool          // the target did not run the request and never will
 	Reencoded bool          // the body was re-encoded on the way from the target
--- a/internal/gateway/store_sinks.go
+++ b/internal/gateway/store_sinks.go
@@ -73,6 +73,7 @@
 func (s *replicaSink) Replace(now time.Time, all []objects.Object, settled time.Time, restored bool) {
 	s.fleet.mu.Lock()
 	defer s.fleet.mu.Unlock()
+	clear(s.fleet.superseded)
 	listed := make(map[string]bool, len(all))
 	for _, o := range all {
 		if r, err := s.decoder.Replica(o.Name, o.Value); err == nil && s.fleet.holdUnconfirmed(now, r, restored) {
@@ -87,6 +88,7 @@
 			s.fleet.remove(now, t, settled)
 		}
 	}
+	s.fleet.reinstate(now)
 	s.fleet.targetsListed = true
 }
 
@@ -97,6 +99,7 @@
 	for _, o := range changed {
 		s.apply(now, o, settled)
 	}
+	s.fleet.reinstate(now)
 }
 
 // apply applies one object. An object that can't be decoded was not written by a
@@ -104,6 +107,7 @@
 func (s *replicaSink) apply(now time.Time, o objects.Object, settled time.Time) {
 	t := s.fleet.targets[o.Name]
 	delete(s.fleet.unconfirmed, o.Name)
+	delete(s.fleet.superseded, o.Name)
 	if o.Deleted {
 		if t != nil {
 			s.fleet.remove(now, t, settled)
--- a/internal/gateway/target_notice.go
+++ b/internal/gateway/target_notice.go
@@ -24,6 +24,7 @@
 	at           time.Time // when that was learned
 	goneAt       time.Time // when its entry had gone, zero while it is listed
 	backoffUntil time.Time // the target wants no requests of this gateway before
+	refuted      bool      // another target answered last at its address
 }
 
 // noticeOf returns the notice of an incarnation. The caller holds mu.
--- a/internal/gateway/targetd_conns.go
+++ b/internal/gateway/targetd_conns.go
@@ -139,6 +139,7 @@
 	f.observeLoadTimes(now, t, s)
 	crashed = t.engineCrashed(s)
 	arrived, changed := t.applyState(now, s)
+	f.observeStart(now, t, s)
 	if s.Departing && s.Started == t.replica.Incarnation().Started {
 		f.recordLeaving(now, t, "targetd")
 	}
--- a/internal/gateway/test_gateway_test.go
+++ b/internal/gateway/test_gateway_test.go
@@ -50,7 +50,7 @@
 }
 
 func (testHeaderCodec) ParseResponse(status int, h http.Header) ResponseMeta {
-	m := ResponseMeta{ID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "", Reencoded: h.Get("Content-Encoding") != "", Leaving: h.Get("Leaving") != ""}
+	m := ResponseMeta{ID: h.Get("Id"), Instance: h.Get("Instance"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "", Reencoded: h.Get("Content-Encoding") != "", Leaving: h.Get("Leaving") != ""}
 	if seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64); err == nil && status == http.StatusServiceUnavailable {
 		m.Backoff = time.Duration(seconds * float64(time.Second))
 	}
