Take an engine's capacity from the spec for its own start

If an entry of another service with an engine named the address of an engine, the targetd beside it planned loads with the capacity of that service. An engine that is ordered to load more than it holds crashes, with all requests that it runs. No caller has reported it.

Cause: the targetd used the spec that it received last, whatever start of the engine it was meant for, and forgot the ids of all starts after 33 specs.

Now specs are kept by the start that they are meant for, and the one for the engine's own start applies; the last one applies only until that arrives. When too many are kept, that of the engine's own start stays.

TestSpecOfOtherEntry passes, go test -race ./internal/enginecontroller too.

--- a/internal/enginecontroller/controller.go
+++ b/internal/enginecontroller/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -76,8 +77,8 @@
 	planner          *orders.Planner
 	load             peer.EngineLoad
 	loadSentAt       time.Time
-	spec             peer.EngineSpec
-	instances        map[int64]string // ids of the engine's instances, by start time
+	specs            map[int64]peer.EngineSpec // by the start time of the engine that they are meant for
+	lastSpec         peer.EngineSpec           // received last
 	state            peer.EngineState
 	report           orders.Report
 	reachable        bool
@@ -101,22 +102,22 @@
 		pacer:   newPacer(opts.Log),
 		permits: permits.New(),
 
-		instances: map[int64]string{},
+		specs: map[int64]peer.EngineSpec{},
 	}
 }
 
-// maxInstances bounds the number of engine instances whose ids are kept. When it
-// is exceeded, the next spec replaces them all.
-const maxInstances = 32
+// maxSpecs bounds the number of specs that are kept. When it is exceeded, only that of
+// the engine that reported last is kept beside the next one.
+const maxSpecs = 32
 
 // applySpec records the capacity, the identity and the announced adapter
 // versions that an entryd sent for the engine.
 func (ec *Controller) applySpec(now time.Time, m peer.EngineSpec) {
-	if len(ec.instances) > maxInstances {
-		clear(ec.instances)
+	if len(ec.specs) > maxSpecs {
+		maps.DeleteFunc(ec.specs, func(started int64, _ peer.EngineSpec) bool { return started != ec.report.Started })
 	}
-	ec.instances[m.Started] = m.Instance
-	ec.spec = m
+	ec.specs[m.Started] = m
+	ec.lastSpec = m
 	known := max(ec.newestStart, ec.report.Started)
 	if restarted := known != 0 && m.Started > known; restarted {
 		ec.backoffUntil = time.Time{}
@@ -181,7 +182,7 @@
 // step reads the report, executes orders as long as they are accepted, sends the
 // changes to entryds, and returns the time until the next step.
 func (ec *Controller) step(ctx context.Context) time.Duration {
-	if ec.spec.Instance == "" && ec.entrydCount() == 0 {
+	if ec.lastSpec.Instance == "" && ec.entrydCount() == 0 {
 		return disconnectedInterval
 	}
 	for range maxOrdersPerStep {
@@ -298,17 +299,23 @@
 	if ec.report.Instance != "" {
 		return ec.report.Instance
 	}
-	return ec.instances[ec.report.Started]
+	return ec.specs[ec.report.Started].Instance
 }
 
-// capacity returns the capacity of the engine according to its spec.
+// capacity returns the capacity of the engine according to the spec for its start: entries
+// of other writers may name its address, so that specs for other services arrive too. An
+// engine whose entry is not listed yet has the capacity of the start before it.
 func (ec *Controller) capacity() orders.Capacity {
+	spec, ok := ec.specs[ec.report.Started]
+	if !ok {
+		spec = ec.lastSpec
+	}
 	return orders.Capacity{
-		AdapterSlots: ec.spec.AdapterSlots,
-		WeightsMB:    ec.spec.WeightsMB,
-		Model:        ec.spec.Model,
-		ModelMB:      ec.spec.ModelMB,
-		AdapterMB:    ec.spec.AdapterMB,
-		MaxLoads:     ec.spec.MaxLoads,
+		AdapterSlots: spec.AdapterSlots,
+		WeightsMB:    spec.WeightsMB,
+		Model:        spec.Model,
+		ModelMB:      spec.ModelMB,
+		AdapterMB:    spec.AdapterMB,
+		MaxLoads:     spec.MaxLoads,
 	}
 }
