Count entryds and VMs, not connections, where several entries name a VM

An entryd connects to a targetd once for each entry with the address of its engine, so entries of other writers made the targetd report too many entryds. Each of them then took too small a part of the retries and of limited rates, and refused requests that it could have sent. Crash reports, which go to three targetds so that two may be lost, could all go to one.

Evidence: TestEntrydCountedTwice, before: expected 1, actual 2. TestReportsToOneVM with the connections chosen as before (trial): five of one VM, where one is expected.

Now a targetd counts names of entryds, and reports go to one target on each VM.

--- a/internal/enginecontroller/conns.go
+++ b/internal/enginecontroller/conns.go
@@ -57,11 +57,16 @@
 	ec.mu.Unlock()
 }
 
-// entrydCount returns the number of connected entryds.
+// entrydCount returns the number of connected entryds. One has several connections if
+// several entries name the address of the engine.
 func (ec *Controller) entrydCount() int {
 	ec.mu.Lock()
 	defer ec.mu.Unlock()
-	return len(ec.conns)
+	names := make(map[string]bool, len(ec.conns))
+	for c := range ec.conns {
+		names[c.Remote().Name] = true
+	}
+	return len(names)
 }
 
 // receive posts a message of an entryd to the loop. Messages that do not concern the
--- a/internal/enginecontroller/conns_test.go
+++ b/internal/enginecontroller/conns_test.go
@@ -36,3 +36,22 @@
 		convey.So(know(2), convey.ShouldBeTrue)
 	})
 }
+
+// TestEntrydCountedTwice guards against a share of the retries and of limited rates that is
+// too small because an entryd has a connection for each entry with the engine's address.
+func TestEntrydCountedTwice(t *testing.T) {
+	convey.Convey("An entryd with two connections counts once", t, func() {
+		addr := startController(t, &fakeEngine{report: orders.Report{Started: 7}})
+		first := connect(t, addr, "e1")
+		first.send(t, engineSpec("i", 7))
+		convey.So(eventually(func() bool { return first.state().Reachable }), convey.ShouldBeTrue)
+		second := connect(t, addr, "e1")
+		second.send(t, engineSpec("y", 9))
+		convey.So(eventually(func() bool { return second.state().Reachable }), convey.ShouldBeTrue)
+		convey.So(second.state().ConnectedEntries, convey.ShouldEqual, 1)
+		other := connect(t, addr, "e2")
+		convey.So(eventually(func() bool { return other.state().ConnectedEntries == 2 }), convey.ShouldBeTrue)
+		second.conn.Close()
+		convey.So(eventually(func() bool { return first.state().ConnectedEntries == 2 }), convey.ShouldBeTrue)
+	})
+}
--- a/internal/gateway/address_claims_test.go
+++ b/internal/gateway/address_claims_test.go
@@ -452,3 +452,22 @@
 		convey.So(n, convey.ShouldEqual, 1)
 	})
 }
+
+// TestReportsToOneVM guards against crash reports that all go to the targetd of one VM,
+// whose address several entries name, and are lost with it.
+func TestReportsToOneVM(t *testing.T) {
+	convey.Convey("Reports go to different VMs", t, func() {
+		now := time.Now()
+		f := engineFleet(now, 2)
+		for i := range 4 {
+			id := fmt.Sprintf("y-%d", i)
+			f.upsert(now, target.Replica{ID: id, Service: fmt.Sprint("other", i), Addr: testAddr(0), Zone: "a", Slots: 4, State: target.Live, Started: time.UnixMilli(9)})
+			f.targets[id].conn = &peer.Conn{}
+		}
+		vms := map[netip.Addr]int{}
+		for _, at := range f.connectedVMs() {
+			vms[at.replica.Addr.Addr()]++
+		}
+		convey.So(vms, convey.ShouldResemble, map[netip.Addr]int{testAddr(0).Addr(): 1, testAddr(1).Addr(): 1})
+	})
+}
--- a/internal/gateway/targetd_conns.go
+++ b/internal/gateway/targetd_conns.go
@@ -173,9 +173,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	sent := 0
-	for _, t := range f.targets {
-		if t.conn == nil || sent == crashReportFanout {
-			continue
+	for _, t := range f.connectedVMs() {
+		if sent == crashReportFanout {
+			break
 		}
 		if _, err := t.conn.Send(m); err == nil {
 			sent++
@@ -183,6 +183,20 @@
 	}
 }
 
+// connectedVMs returns one target with a connected targetd on each VM. Several targets
+// have the same targetd if several entries name its VM's address. The caller holds mu.
+func (f *Fleet) connectedVMs() []*targetState {
+	seen := map[netip.Addr]bool{}
+	var found []*targetState
+	for _, t := range f.targets {
+		if vm := t.replica.Addr.Addr(); t.conn != nil && !seen[vm] {
+			seen[vm] = true
+			found = append(found, t)
+		}
+	}
+	return found
+}
+
 // crashReportFanout is the number of targetds that receive a crash report. If
 // two are lost at once, one still forwards it to the other entryds.
 const crashReportFanout = 3
