--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -37,6 +37,7 @@
 	lastScan       time.Time                        // last run of cancelStalled
 	notices        map[target.Incarnation]*targetNotice
 	unconfirmed    map[string]unconfirmedEntry // by id
+	superseded     map[string]target.Replica   // entries that are not used while a later start has their address, by id
 	limits         map[string]*rateLimit       // by incarnation of the target
 	permits        *permits.Issuer             // used while no targetd is connected
 	lastPermit     uint64                      // id of the last permit request
@@ -58,6 +59,7 @@
 		changes:     map[orders.Adapter]chan struct{}{},
 		notices:     map[target.Incarnation]*targetNotice{},
 		unconfirmed: map[string]unconfirmedEntry{},
+		superseded:  map[string]target.Replica{},
 		limits:      map[string]*rateLimit{},
 		permits:     permits.New(),
 		origins:     newStreamOrigins(),
@@ -112,9 +114,12 @@
 // upsert adds or updates a target from its entry in the store. The caller holds
 // mu.
 func (f *Fleet) upsert(now time.Time, r target.Replica) {
-	if f.dropSuperseded(now, r) {
+	if f.isSuperseded(r) {
+		f.setAside(now, r)
 		return
 	}
+	delete(f.superseded, r.ID)
+	f.setAsideSuperseded(now, r)
 	t := f.targets[r.ID]
 	if t != nil && (t.replica.Addr != r.Addr || t.replica.Service != r.Service || t.replica.Incarnation() != r.Incarnation() || t.replica.Version != r.Version) {
 		f.drop(now, t) // a new incarnation shares no state with the previous one
@@ -141,23 +146,6 @@
 	}
 }
 
-// dropSuperseded drops the earlier incarnations that had the target's address,
-// and reports whether a later one has it: an entry outlives its target for a
-// while. The caller holds mu.
-func (f *Fleet) dropSuperseded(now time.Time, r target.Replica) bool {
-	for _, t := range f.targets {
-		if t.replica.Addr != r.Addr || t.replica.ID == r.ID {
-			continue
-		}
-		if t.replica.Started.After(r.Started) {
-			return true
-		}
-		f.logState(t.replica, "superseded")
-		f.drop(now, t)
-	}
-	return false
-}
-
 // logState logs a change of a target's state.
 func (f *Fleet) logState(r target.Replica, state string) {
 	f.log.Event(event.TargetChanged).
@@ -208,6 +196,7 @@
 			f.drop(now, t)
 		}
 	}
+	f.reinstate(now)
 	f.expireNotices(now)
 	f.expireLimits(now)
 	f.expireOrigins(now)
--- a/internal/gateway/targetd_conns.go
+++ b/internal/gateway/targetd_conns.go
@@ -143,6 +143,7 @@
 	f.observeLoadTimes(now, t, s)
 	crashed = t.engineCrashed(s)
 	arrived, changed := t.applyState(now, s)
+	f.observeStart(now, t, s)
 	if s.Departing && s.Started == t.replica.Incarnation().Started {
 		f.recordLeaving(now, t, "targetd")
 	}
@@ -176,9 +177,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	sent := 0
-	for _, t := range f.targets {
-		if t.conn == nil || sent == crashReportFanout {
-			continue
+	for _, t := range f.connectedVMs() {
+		if sent == crashReportFanout {
+			break
 		}
 		if _, err := t.conn.Send(m); err == nil {
 			sent++
@@ -186,6 +187,20 @@
 	}
 }
 
+// connectedVMs returns one target with a connected targetd on each VM. Several targets
+// have the same targetd if several entries name its VM's address. The caller holds mu.
+func (f *Fleet) connectedVMs() []*targetState {
+	seen := map[netip.Addr]bool{}
+	var found []*targetState
+	for _, t := range f.targets {
+		if vm := t.replica.Addr.Addr(); t.conn != nil && !seen[vm] {
+			seen[vm] = true
+			found = append(found, t)
+		}
+	}
+	return found
+}
+
 // crashReportFanout is the number of targetds that receive a crash report. If
 // two are lost at once, one still forwards it to the other entryds.
 const crashReportFanout = 3
