Bound the memory of all responses in progress together

What callers saw: a target that sent bytes without end, or stopped just short of a limit, to many calls at once.

Cause: a head (64 KiB), an event (1 MiB) and a buffered body (256 KiB) were each bounded for one call, but nothing bounded their sum. With 1,233 calls in progress the bounds add up to more than a gigabyte, on machines of 160 to 536 MB. A head of 64 KiB in short lines takes over 1 MiB once it is parsed.

Change: the memory in the settings, less that of the process and of what the garbage collector needs, is divided between a fixed part for each request, which now also limits the number of requests, and a part that long heads, events and buffered bodies share. They reserve memory as they grow. A success for which there is none left is passed on as it arrives; a failure isn't kept for the caller; a head or an event ends its attempt. Short responses need none of the shared part, so that those of other targets are not affected. A long response is passed on through a buffer of 4 KiB instead of 32 KiB.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -16,12 +16,6 @@
 	"github.com/borageusher/borageusher/pkg/routing"
 )
 
-// maxBufferedBytes limits the part of a response body that is buffered, so that
-// the responses in progress fit into a VM's memory. Up to this size, a response
-// that ends early can be replaced by one of another target. Responses of the
-// platform's plain targets have about 1 KiB.
-const maxBufferedBytes = 256 << 10
-
 // attempt sends the call, whose prompt was offered with o, to a target and relays the
 // response. It ends run.
 func (g *Gateway) attempt(ctx context.Context, w http.ResponseWriter, c *call, sel selection, o *offer, run *segmentRun) outcome {
@@ -54,6 +48,7 @@
 	defer cancel()
 	active := g.Fleet.beginAttempt(now, sel.target, c, o, cancel)
 	defer g.Fleet.endAttempt(sel.target, c.adapter, active)
+	defer func() { c.memory.shrink(c.fallbackHeld) }()
 	resp, err := g.Client.Do(attemptCtx, sel.replica.Addr, &req)
 	if err != nil {
 		return g.handleNoResponse(ctx, c, sel, run, err, now)
@@ -228,9 +223,9 @@
 }
 
 // relayBuffered reads a response and writes it to the caller. A body of more than
-// maxBufferedBytes is passed on as it arrives. A 5xx response to an idempotent
-// call is kept as the call's fallback instead. If the outcome is not delivered, it
-// returns the reason.
+// maxBufferedBytes, or for which there is no memory, is passed on as it arrives. A 5xx
+// response to an idempotent call is kept as the call's fallback instead. If the outcome
+// is not delivered, it returns the reason.
 func (g *Gateway) relayBuffered(w http.ResponseWriter, c *call, upstreamResp *upstream.Response, meta ResponseMeta) (outcome, error) {
 	status := upstreamResp.Status
 	switch {
@@ -245,21 +240,22 @@
 	case c.headerSent:
 		return broken, errors.New("a started stream can't continue with another response")
 	}
-	body, err := io.ReadAll(io.LimitReader(upstreamResp, maxBufferedBytes+1))
-	if err != nil {
+	headBytes := c.memory.bytes
+	body, err := readBuffered(upstreamResp, upstreamResp.Length, c.memory.reserve)
+	long := errors.Is(err, errNotBuffered)
+	if err != nil && !long {
 		return broken, err
 	}
-	long := len(body) > maxBufferedBytes
 	resp := &bufferedResponse{status: status, header: upstreamResp.Header, body: body}
 	if status >= 500 && c.idempotent() {
 		if long {
-			return failed, errors.Newf("the response of a failed request exceeds %d bytes", maxBufferedBytes)
+			return failed, err
 		}
-		c.fallback = resp
+		c.fallback, c.fallbackHeld = resp, c.memory.bytes-c.fallbackHeld
 		return failed, errors.Newf("status %d", status)
 	}
 	if long {
-		return g.relayLong(w, c, upstreamResp, body)
+		return g.relayLong(w, c, upstreamResp, body, headBytes)
 	}
 	upstreamResp.Close() // frees the connection before the caller sends its next request
 	g.writeResponse(w, resp)
@@ -267,16 +263,19 @@
 }
 
 // relayLong writes a response whose body begins with head to the caller, and
-// passes on the rest of the body as it arrives.
-func (g *Gateway) relayLong(w http.ResponseWriter, c *call, resp *upstream.Response, head []byte) (outcome, error) {
+// passes on the rest of the body as it arrives. It returns all but kept of the call's
+// memory once the head is written.
+func (g *Gateway) relayLong(w http.ResponseWriter, c *call, resp *upstream.Response, head []byte, kept int64) (outcome, error) {
 	_ = http.NewResponseController(w).SetWriteDeadline(c.deadline.Add(writeMargin)) // not supported by httptest.ResponseRecorder
 	g.writeHeader(w, resp.Status, resp.Header, resp.Length)
 	c.headerSent, c.unrepeatable = true, true
 	if _, err := w.Write(head); err != nil {
 		return callerLeft, nil
 	}
+	c.memory.shrink(kept)
 	body := &errorRecorder{r: resp}
-	if _, err := io.Copy(w, body); err != nil && body.err == nil {
+	// The type hides io.ReaderFrom, which would use a larger buffer.
+	if _, err := io.CopyBuffer(struct{ io.Writer }{w}, body, make([]byte, freeBufferBytes)); err != nil && body.err == nil {
 		return callerLeft, nil
 	}
 	if body.err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -99,6 +99,9 @@
 	service := route.Pick(rand.Float64())
 	c := newCall(now, meta, route, service, r, body)
 	c.revision = cfg.Version
+	c.memory.admission = g.admission
+	c.request.Reserve = c.memory.reserve
+	defer c.memory.shrink(0)
 	g.RetryBudget.recordRequest(now, service)
 	if g.CrashTracker.quarantined(now, c) {
 		g.respondFailure(r.Context(), w, c, reasonQuarantined)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -31,6 +31,7 @@
 	errClosedUnresumed = errors.New("the connection was closed before an event of the resumed stream")
 
 	errEventTooLong = errors.Newf("event exceeds %d bytes", maxEventBytes)
+	errEventMemory  = errors.New("event exceeds the memory for responses")
 	errNoEventID    = errors.New("an event of a resumed stream has no id")
 	errNoProgress   = errors.Newf("no new event within %d bytes", maxEventBytes)
 )
@@ -53,13 +54,13 @@
 		g.Scope.Counter("streams_resumed").Inc(1)
 		g.Log.Event(event.StreamResumed).Str("request", c.meta.ID).Str("last_event", c.lastEventID).Send()
 	}
-	reader := bufio.NewReader(resp)
+	reader := &eventReader{r: bufio.NewReaderSize(resp, freeBufferBytes), onBegin: onBegin, memory: &c.memory, kept: c.memory.bytes}
 	control := http.NewResponseController(w)
 	_ = control.SetWriteDeadline(c.deadline.Add(writeMargin)) // not supported by httptest.ResponseRecorder
 	resumes, progressed := c.headerSent, false
 	skipped := 0 // bytes of events that came before, since the last new one
 	for first := true; ; first = false {
-		e, err := readEvent(reader, onBegin)
+		e, err := reader.read()
 		if err != nil {
 			if c.headerSent {
 				_ = control.Flush() // the caller may have disconnected
@@ -92,7 +93,7 @@
 		if _, err := w.Write(e); err != nil {
 			return callerLeft, nil
 		}
-		if reader.Buffered() > 0 {
+		if reader.r.Buffered() > 0 {
 			continue
 		}
 		if err := control.Flush(); err != nil {
@@ -120,30 +121,60 @@
 	c.firstEvent = time.Now()
 }
 
-// readEvent returns the next event including the blank line that ends it, and calls
-// onBegin when its first byte has arrived. At the end of the stream it returns the
-// remaining bytes and io.EOF, and for an event larger than maxEventBytes
-// errEventTooLong.
-func readEvent(r *bufio.Reader, onBegin func(at time.Time)) ([]byte, error) {
-	if _, err := r.Peek(1); err != nil {
+// eventReader reads the events of a stream.
+type eventReader struct {
+	r       *bufio.Reader
+	onBegin func(at time.Time) // called when the first byte of an event has arrived
+	memory  *responseMemory
+	kept    int64  // bytes of memory that the response holds beside the events
+	buf     []byte // is reused for short events
+}
+
+// read returns the next event including the blank line that ends it, which is valid until
+// the next call. At the end of the stream it returns the remaining bytes and io.EOF. It
+// returns errEventTooLong for an event larger than maxEventBytes, and errEventMemory for
+// one for which there is no memory.
+func (r *eventReader) read() ([]byte, error) {
+	if cap(r.buf) > freeBufferBytes {
+		r.buf = nil
+	}
+	r.buf = r.buf[:0]
+	r.memory.shrink(r.kept)
+	if _, err := r.r.Peek(1); err != nil {
 		return nil, err
 	}
-	onBegin(time.Now())
-	var e []byte
+	r.onBegin(time.Now())
 	for {
-		line, err := r.ReadSlice('\n')
-		e = append(e, line...)
+		line, err := r.r.ReadSlice('\n')
+		if tooLong := r.add(line); tooLong != nil {
+			return nil, tooLong
+		}
 		switch {
-		case len(e) > maxEventBytes:
-			return nil, errEventTooLong
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case err != nil:
-			return e, err
+			return r.buf, err
 		case len(bytes.TrimRight(line, "\r\n")) == 0:
-			return e, nil
+			return r.buf, nil
+		}
+	}
+}
+
+// add appends a part of a line to the event.
+func (r *eventReader) add(part []byte) error {
+	need := len(r.buf) + len(part)
+	if need > maxEventBytes {
+		return errEventTooLong
+	}
+	if need > cap(r.buf) {
+		size := max(need, min(2*cap(r.buf), maxEventBytes))
+		if size > freeBufferBytes && !r.memory.reserve(int64(size-max(cap(r.buf), freeBufferBytes))) {
+			return errEventMemory
 		}
+		r.buf = append(make([]byte, 0, size), r.buf...)
 	}
+	r.buf = append(r.buf, part...)
+	return nil
 }
 
 // acceptEvent records an event that is about to be relayed, and reports whether
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -85,6 +85,7 @@
 // to other requests and informational ones. A response without an id to a request
 // with one may belong to any request, so that it is an error.
 func (c *Client) roundTrip(conn *conn, req *Request) (*Response, error) {
+	conn.limit.begin(req.Reserve)
 	if err := conn.send(req); err != nil {
 		return nil, err
 	}
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -172,3 +172,43 @@
 		convey.So(s.conns.Load(), convey.ShouldEqual, 1)
 	})
 }
+
+func TestHeadMemory(t *testing.T) {
+	lines := strings.Repeat("X-More: x\r\n", 1000)
+	get := func(text string, available int64) (reserved int64, err error) {
+		s := newFakeTarget(t, func(int, *http.Request) (string, bool) { return text, false })
+		req := newGetRequest("1")
+		req.Reserve = func(n int64) bool {
+			if reserved+n > available {
+				return false
+			}
+			reserved += n
+			return true
+		}
+		resp, err := New(identify).Do(context.Background(), s.addr, req)
+		if err == nil {
+			_, err = io.Copy(io.Discard, resp)
+			resp.Close()
+		}
+		return reserved, err
+	}
+	convey.Convey("Long heads need memory, by their lines and their bytes", t, func() {
+		reserved, err := get("HTTP/1.1 200 OK\r\nTest-Id: 1\r\n"+lines+"Content-Length: 0\r\n\r\n", 1<<20)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(reserved, convey.ShouldBeGreaterThan, 1000*headLineCost)
+		_, err = get("HTTP/1.1 200 OK\r\nTest-Id: 1\r\n"+lines+"Content-Length: 0\r\n\r\n", 100<<10)
+		convey.So(err, convey.ShouldNotBeNil)
+		convey.So(WasSent(err), convey.ShouldBeTrue)
+		convey.So(err.Error(), convey.ShouldContainSubstring, "memory for responses")
+	})
+	convey.Convey("The heads that are skipped count too", t, func() {
+		reserved, err := get("HTTP/1.1 100 Continue\r\n"+lines[:3300]+"\r\nHTTP/1.1 100 Continue\r\n"+lines[:3300]+"\r\n"+responseText("1", "own"), 1<<20)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(reserved, convey.ShouldBeGreaterThan, 500*headLineCost)
+	})
+	convey.Convey("A short head needs none, whatever its body", t, func() {
+		reserved, err := get("HTTP/1.1 200 OK\r\nTest-Id: 1\r\n"+lines[:220]+"\r\n"+strings.Repeat("\n", 100<<10), 0)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(reserved, convey.ShouldEqual, 0)
+	})
+}
--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bytes"
 	"io"
 	"math"
 	"net/http"
@@ -20,6 +21,13 @@
 	// target writes the head at once; retransmissions on a path with packet loss
 	// take less than a second.
 	headTimeout = time.Second
+	// freeHeadCost is the memory of heads for which none is reserved, and
+	// headCostStep the memory that is reserved at once beyond it.
+	freeHeadCost = 8 << 10
+	headCostStep = 8 << 10
+	// headLineCost is the memory of a header line beside its text, in the two maps of
+	// the headers as received and as passed on.
+	headLineCost = 256
 	// maxDiscardedBytes limits a body that is read only to reuse its connection.
 	// Reading more costs more than a new connection.
 	maxDiscardedBytes = 64 << 10
@@ -31,23 +39,60 @@
 // Errors of responses that exceed a limit or can't be attributed to a request.
 var (
 	errHeadTooLong = errors.Newf("response header exceeds %d bytes", maxHeadBytes)
+	errHeadMemory  = errors.New("response header exceeds the memory for responses")
 	errHeadTooSlow = errors.Newf("response header incomplete %s after its first byte", headTimeout)
 	errNoID        = errors.New("response without a request id")
 	errSkipFailed  = errors.Newf("the body of a response to another request did not end within %d bytes and %s", maxDiscardedBytes, discardTimeout)
 )
 
 // headLimit is the reader of a connection. It fails with errHeadTooLong when more
-// bytes are read than allowed.
+// bytes are read than allowed, and with errHeadMemory when there is no memory for the
+// heads of a request's responses.
 type headLimit struct {
 	r         io.Reader
 	remaining int64
+	inHead    bool // the next byte belongs to a head
+	blank     bool // the current line of the head is empty so far
+
+	reserve func(n int64) bool // nil for no limit
+	cost    int64              // of the heads read for the request
+	granted int64              // for which memory is set aside
+}
+
+// begin starts the limit of the heads of a request's responses.
+func (l *headLimit) begin(reserve func(n int64) bool) {
+	l.reserve, l.cost, l.granted = reserve, 0, freeHeadCost
 }
 
-// set allows n more bytes.
-func (l *headLimit) set(n int64) { l.remaining = n }
+// set allows n more bytes, of a head.
+func (l *headLimit) set(n int64) { l.remaining, l.inHead, l.blank = n, true, false }
+
+// lift allows any number of bytes, of a body.
+func (l *headLimit) lift() { l.remaining, l.inHead = math.MaxInt64, false }
+
+// count adds the cost of the bytes of p that belong to the head, and reports whether
+// there is memory for it.
+func (l *headLimit) count(p []byte) bool {
+	for len(p) > 0 && l.inHead {
+		line, rest, found := bytes.Cut(p, newline)
+		l.cost += int64(len(line))
+		l.blank = l.blank && len(bytes.TrimRight(line, "\r")) == 0
+		if found {
+			l.cost += headLineCost
+			l.inHead, l.blank = !l.blank, true
+		}
+		p = rest
+	}
+	for l.reserve != nil && l.cost > l.granted {
+		if !l.reserve(headCostStep) {
+			return false
+		}
+		l.granted += headCostStep
+	}
+	return true
+}
 
-// lift allows any number of bytes.
-func (l *headLimit) lift() { l.remaining = math.MaxInt64 }
+var newline = []byte{'\n'}
 
 // Read implements io.Reader.
 func (l *headLimit) Read(p []byte) (int, error) {
@@ -59,6 +104,9 @@
 	}
 	n, err := l.r.Read(p)
 	l.remaining -= int64(n)
+	if !l.count(p[:n]) {
+		return 0, errHeadMemory
+	}
 	return n, err
 }
 
@@ -67,6 +115,9 @@
 func (c *conn) readHead(method string) (*http.Response, error) {
 	c.limit.set(maxHeadBytes)
 	defer c.limit.lift()
+	if ahead, err := c.reader.Peek(c.reader.Buffered()); err != nil || !c.limit.count(ahead) {
+		return nil, errHeadMemory
+	}
 	if _, err := c.reader.Peek(1); err != nil {
 		return nil, err
 	}
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -18,6 +18,11 @@
 	Body    []byte
 	HasBody bool // the caller sent a body, which may be empty
 	Resent  bool // the target may have responded to a request with this id before
+
+	// Reserve sets aside memory for n bytes of long response headers, and reports
+	// whether it is available; nil for no limit. It is for the response to this
+	// request and those that are skipped on the way to it.
+	Reserve func(n int64) bool
 }
 
 // head returns the encoded request line and headers.
