Limit the headers that all HTTP clients accept

What callers saw: a machine that sent header lines without end could take the memory of the process that had called it, and its requests with it (LOST).

Cause: the clients of the store, of the object API, of peers and of engines of our own interface had net/http's limit of 10 MiB. Header lines of a few bytes take some sixteen times their text, so that one response takes most of a machine's memory; a targetd reads as many at once as its engine has slots.

Evidence: the new tests failed before. The clients of internal/daemon are changed in the same way and have no test of their own.

Change: 64 KiB, as for the targets; the headers of the platform have a few hundred bytes.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -83,7 +83,7 @@
 // uses TLS if c.CAFile is set, and returns an error if that file can't be read or
 // contains no certificate.
 func NewDialer(self peer.Identity, c settings.Common) (*peer.Dialer, error) {
-	transport := &http.Transport{}
+	transport := &http.Transport{MaxResponseHeaderBytes: peer.MaxHeaderBytes}
 	if c.CAFile != "" {
 		pool, err := loadCertPool(c.CAFile)
 		if err != nil {
@@ -103,7 +103,7 @@
 // are limited to the process's share of the call budget.
 func NewStore(c settings.Common, scope tally.Scope) *objects.Client {
 	budget := objects.NewBudget(c.StoreReadsPerSecond, c.StoreWritesPerSecond, c.Processes)
-	return objects.NewMetered(c.Platform, &http.Client{Transport: &http.Transport{}}, budget, scope)
+	return objects.NewMetered(c.Platform, &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: objects.MaxHeaderBytes}}, budget, scope)
 }
 
 func loadCertPool(path string) (*x509.CertPool, error) {
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -37,6 +37,10 @@
 	Loaded       []string // names of the resident adapters
 }
 
+// maxHeaderBytes limits the header of a response, which has a few hundred bytes. Short
+// header lines take many times their length in memory.
+const maxHeaderBytes = 64 << 10
+
 // Client is an HTTP client for one engine or plain service. It is safe for
 // concurrent use.
 type Client struct {
@@ -53,8 +57,8 @@
 	return &Client{
 		baseURL: "http://" + addr.String(),
 		epoch:   epoch,
-		http:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}},
-		runs:    &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}},
+		http:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}},
+		runs:    &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}},
 	}
 }
 
--- a/internal/engine/faulty_test.go
+++ b/internal/engine/faulty_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
 
 	"github.com/smartystreets/goconvey/convey"
@@ -94,3 +95,17 @@
 		}
 	})
 }
+
+// TestLongHeader guards against an engine whose header lines without end are kept until
+// they exceed the memory of the VM.
+func TestLongHeader(t *testing.T) {
+	convey.Convey("A header of 1 MiB is no response", t, func() {
+		head := "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + strings.Repeat("X-More: x\r\n", 100<<10) + "\r\n"
+		c := newRawClient(t, func(int, *http.Request) (string, bool) { return head, false })
+		_, err := c.Run(context.Background(), rawRequest)
+		convey.So(IsKind(err, Uncertain), convey.ShouldBeTrue)
+		_, err = c.State(context.Background())
+		convey.So(err, convey.ShouldNotBeNil)
+		convey.So(err.Error(), convey.ShouldContainSubstring, "header")
+	})
+}
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/borageusher/borageusher/internal/peer"
 )
 
 // endlessBody returns a step that writes a response's head and then repeats text
@@ -171,3 +173,18 @@
 		}
 	})
 }
+
+// TestEndlessPeerHeader guards against a process at the address of a targetd whose header
+// lines without end are kept until they exceed the memory of the VM.
+func TestEndlessPeerHeader(t *testing.T) {
+	convey.Convey("A header of 1 MiB is no response to the upgrade of a peer connection", t, func() {
+		long := strings.Repeat("X-More: x\r\n", 100<<10)
+		ft := newFakeTarget(t, "t1", respond(200, "", long[:len(long)-2]))
+		resp, err := newPeerClient().Get("http://" + ft.addr.String() + peer.Path)
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		convey.So(err, convey.ShouldNotBeNil)
+		convey.So(err.Error(), convey.ShouldContainSubstring, "header")
+	})
+}
--- a/internal/gateway/main.go
+++ b/internal/gateway/main.go
@@ -152,7 +152,7 @@
 
 func newPeerClient() *http.Client {
 	d := net.Dialer{Timeout: peerDialTimeout}
-	return &http.Client{Transport: &http.Transport{DialContext: d.DialContext}}
+	return &http.Client{Transport: &http.Transport{DialContext: d.DialContext, MaxResponseHeaderBytes: peer.MaxHeaderBytes}}
 }
 
 // runPeriodic applies reloaded settings and runs the periodic tasks until ctx is
--- a/internal/objects/client.go
+++ b/internal/objects/client.go
@@ -62,6 +62,9 @@
 // of many more of the usual size of less than 1 KiB.
 const maxResponseBytes = 64 << 20
 
+// MaxHeaderBytes limits the header of a response, which has a few hundred bytes.
+const MaxHeaderBytes = 64 << 10
+
 // New returns a client of the API at addr without a budget or metrics. Calls are
 // made with httpClient.
 func New(addr netip.AddrPort, httpClient *http.Client) *Client {
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -18,6 +18,10 @@
 // Submit with the body and the other fields of a request.
 const maxMessageBytes = 20 << 20
 
+// MaxHeaderBytes bounds the header of the response to a WebSocket upgrade, which has a few
+// hundred bytes.
+const MaxHeaderBytes = 64 << 10
+
 // Conn is an authenticated connection to a peer. Send may be called from
 // several goroutines, Run from only one.
 type Conn struct {
