Limit the messages of a peer that has not authenticated itself

Cause: a connection between peers read messages of up to 20 MiB from its first byte, also from a process that does not know the key: one that listens at the address of a targetd that is gone, or any that dials one.

Evidence: TestLongHello failed before: a Hello of 1 MiB was read and decoded, on the accepting side ("Expected: true Actual: false") and on the dialling one.

Change: 16 KiB until the proof of the key, then 20 MiB as before. A Hello has some names, a nonce and a proof. The larger limit is set before the message that allows the other side to send more, so that no valid message meets the smaller one.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -18,6 +18,10 @@
 // Submit with the body and the other fields of a request.
 const maxMessageBytes = 20 << 20
 
+// maxHandshakeBytes bounds a message from a process that has not proved that it knows the
+// key. It has some names, a nonce and a proof.
+const maxHandshakeBytes = 16 << 10
+
 // MaxHeaderBytes bounds the header of the response to a WebSocket upgrade, which has a few
 // hundred bytes.
 const MaxHeaderBytes = 64 << 10
@@ -44,7 +48,7 @@
 }
 
 func newConn(ws *websocket.Conn) *Conn {
-	ws.SetReadLimit(maxMessageBytes)
+	ws.SetReadLimit(maxHandshakeBytes)
 	return &Conn{
 		ws:           ws,
 		out:          newOutQueue(),
--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -83,6 +83,7 @@
 		return &Error{Op: "handshake", Kind: BadKey}
 	}
 	c.remote = hello.Identity
+	c.ws.SetReadLimit(maxMessageBytes)
 	return c.write(Encode(Proof{Proof: proof(key, "dial", hello.Nonce, self)}))
 }
 
@@ -106,6 +107,7 @@
 	if !ok || !hmac.Equal(p.Proof, proof(key, "dial", nonce, hello.Identity)) {
 		return &Error{Op: "handshake", Kind: BadKey}
 	}
+	c.ws.SetReadLimit(maxMessageBytes)
 	return nil
 }
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -5,9 +5,11 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/coder/websocket"
 	"github.com/smartystreets/goconvey/convey"
 
 	"github.com/borageusher/borageusher/pkg/adapter"
@@ -137,6 +139,52 @@
 	})
 }
 
+// TestLongHello guards against a process without the key whose first message takes as much
+// memory as the largest one between peers.
+func TestLongHello(t *testing.T) {
+	long := Hello{Identity: Identity{Name: strings.Repeat("x", 1<<20), Role: "targetd"}, Nonce: newNonce()}
+	convey.Convey("A long message before the end of the handshake is not read, on both sides", t, func() {
+		accepted := make(chan *Conn, 1)
+		ws, _, err := websocket.Dial(context.Background(), "ws://"+serve(t, Key("k"), accepted).String()+Path, nil)
+		convey.So(err, convey.ShouldBeNil)
+		defer func() { _ = ws.CloseNow() }() // the test ends
+		c := newConn(ws)
+		_ = c.write(Encode(long)) // fails if the other side closes the connection meanwhile
+		_, err = c.receive(context.Background())
+		convey.So(IsKind(err, Closed), convey.ShouldBeTrue)
+		convey.So(<-accepted, convey.ShouldBeNil)
+
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			ws, err := websocket.Accept(w, r, nil)
+			if err != nil {
+				return
+			}
+			c := newConn(ws)
+			_ = c.write(Encode(long)) // the other side closes the connection
+			_, _ = c.receive(context.Background())
+		}))
+		defer srv.Close()
+		d := Dialer{Key: Key("k"), Client: http.DefaultClient}
+		_, err = d.Dial(context.Background(), netip.MustParseAddrPort(srv.Listener.Addr().String()))
+		convey.So(IsKind(err, Closed), convey.ShouldBeTrue)
+	})
+	convey.Convey("After it, a message may be long", t, func() {
+		accepted := make(chan *Conn, 1)
+		d := Dialer{Key: Key("k"), Client: http.DefaultClient}
+		c, err := d.Dial(context.Background(), serve(t, Key("k"), accepted))
+		convey.So(err, convey.ShouldBeNil)
+		defer c.Close()
+		s := <-accepted
+		m := SectionAnswer{Digest: []byte{1}, Data: make([]byte, 1<<20)}
+		for _, ends := range [][2]*Conn{{c, s}, {s, c}} {
+			convey.So(ends[0].write(Encode(m)), convey.ShouldBeNil)
+			got, err := ends[1].receive(context.Background())
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(got, convey.ShouldResemble, m)
+		}
+	})
+}
+
 func TestSilence(t *testing.T) {
 	conns := make(chan *Conn, 1)
 	addr := serve(t, Key("k"), conns)
