--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -106,6 +106,9 @@
 	}
 	c := newCall(now, meta, route, service, r, body)
 	c.revision, c.version = cfg.Version, version
+	c.memory.admission = g.admission
+	c.request.Reserve = c.memory.reserve
+	defer c.memory.shrink(0)
 	g.RetryBudget.recordRequest(now, service)
 	if reason != "" {
 		g.respondFailure(r.Context(), w, c, reason)
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -17,6 +17,11 @@
 	Header  http.Header // without hop-by-hop headers
 	Body    []byte
 	HasBody bool // the caller sent a body, which may be empty
+
+	// Reserve sets aside memory for n bytes of long response headers, and reports
+	// whether it is available; nil for no limit. It is for the response to this
+	// request and those that are skipped on the way to it.
+	Reserve func(n int64) bool
 }
 
 // head returns the encoded request line and headers.
