Keep the origin of a stream for a bounded time

What callers would have seen: streams that can't be taken up any more, once callers with long deadlines have filled the tables of 65,536 streams; not released.

Cause: an origin was kept until the deadline that the caller states, which may be 24 days away.

Evidence: TestLongDeadlineFillsOrigins failed before: "Expected '555h33m20.998761254s' to be less than '1m0s'".

Change: it is kept until 10 s after the deadline of the call, which the route's timeout bounds.

--- a/internal/gateway/mixed_versions_test.go
+++ b/internal/gateway/mixed_versions_test.go
@@ -231,6 +231,21 @@
 	})
 }
 
+// TestLongDeadlineFillsOrigins guards against callers whose deadlines keep the origins of
+// their streams for so long that those of others find no room.
+func TestLongDeadlineFillsOrigins(t *testing.T) {
+	convey.Convey("The deadline that a caller states does not decide how long an origin is kept", t, func() {
+		tg := newTestGateway(t)
+		tg.list(newVersionedTarget(t, "t1", "a", "v1", 0))
+		convey.So(tg.call(t, "/stream/x", "Id", "r1", "Deadline", "2000000000").body, convey.ShouldEqual, versionedEvents("v1", 1, lastPiece))
+		tg.fleet.mu.Lock()
+		defer tg.fleet.mu.Unlock()
+		_, until, ok := tg.fleet.origins.known.Origin(time.Now(), streams.KeyOf("r1"))
+		convey.So(ok, convey.ShouldBeTrue)
+		convey.So(time.Until(until), convey.ShouldBeLessThan, time.Minute)
+	})
+}
+
 // TestRestartChangesVersion guards against a target whose version is taken from its entry
 // although it has started again with another one under the same id.
 func TestRestartChangesVersion(t *testing.T) {
--- a/internal/gateway/stream_origins.go
+++ b/internal/gateway/stream_origins.go
@@ -26,9 +26,10 @@
 	// originWaitShare is the share of the objective for which a call waits for the origin of
 	// its stream, so that its answer can still be on time.
 	originWaitShare = 0.5
-	// originMargin is the time after the caller's deadline for which an origin is kept. It
-	// covers the latency of the messages.
-	originMargin = time.Second
+	// takeUpTime is the time after a call's deadline in which its caller may take the stream
+	// up: about the longest deadline on the users' data sheets. What callers state as their
+	// deadline is not used, because it has no bound.
+	takeUpTime = 10 * time.Second
 )
 
 // Reasons for which a stream that its caller takes up is not continued.
@@ -204,7 +205,7 @@
 		return
 	}
 	k, o := streams.KeyOf(c.streamID()), streams.Origin{Service: c.service, Version: c.version}
-	until := c.start.Add(max(c.route.Timeout, c.meta.Deadline) + originMargin)
+	until := c.deadline.Add(takeUpTime)
 	if !f.origins.known.Record(now, k, o, until) {
 		return
 	}
