Check the version of a target at the first event that continues a stream

What callers saw: none in the field.

Cause: an attempt that continues a stream compared the version of the target when the head of the response arrived. A restart that its targetd reported between the head and the first event was not considered, unlike for new streams, whose version is read at the first event.

Evidence: TestRestartBeforeFirstEvent failed on the code before in both of its cases ("id: 3 data: v2" after two events of v1).

Change: the version is compared at the first event of the response, before it is relayed. A target that started again is not blamed for it, as before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -84,12 +84,11 @@
 		out, err := g.relayBuffered(w, c, resp, meta)
 		return g.recordResult(ctx, c, sel, run, out, err, now)
 	}
-	if c.continues() && g.Fleet.softwareVersion(time.Now(), sel.target) != c.version {
-		g.logFailedAttempt(c, sel, broken, errVersionChanged)
-		return broken
-	}
 	onBegin := func(at time.Time) { g.Fleet.recordEventBegin(at, active) }
-	onEvent := func(at time.Time, first bool) {
+	onEvent := func(at time.Time, first bool) error {
+		if first && c.continues() && g.Fleet.softwareVersion(at, sel.target) != c.version {
+			return errVersionChanged
+		}
 		if !c.headerSent {
 			if !c.takesUp() {
 				g.Fleet.beginVersion(at, c, sel.target, version)
@@ -104,8 +103,13 @@
 			g.CrashTracker.segments.recordAnswer(at, run)
 		}
 		g.Fleet.recordActivity(at, active)
+		return nil
 	}
 	out, err := g.relayStream(w, c, resp, onBegin, onEvent)
+	if errors.Is(err, errVersionChanged) { // not a failure of the target
+		g.logFailedAttempt(c, sel, out, err)
+		return out
+	}
 	if active.unfinished.Load() && out == broken {
 		err = errEventTooSlow
 	}
--- /dev/null
+++ b/internal/gateway/software_version_test.go
@@ -0,0 +1,65 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+)
+
+// newPausingTarget starts a target that is listed with v1 and answers with v2. It sends the
+// head of its response, closes head, and sends events only after release is closed.
+func newPausingTarget(t *testing.T, id string) (vt versionedTarget, head, release chan struct{}) {
+	head, release = make(chan struct{}), make(chan struct{})
+	return versionedTarget{version: "v1", zone: "a", fakeTarget: newFakeTarget(t, id, func(c net.Conn, r *http.Request) bool {
+		last, _ := strconv.Atoi(r.Header.Get("Last-Event"))
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: yes\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+		close(head)
+		<-release
+		writeChunk(c, versionedEvents("v2", last+1, lastPiece))
+		_, _ = io.WriteString(c, "0\r\n\r\n")
+		return true
+	})}, head, release
+}
+
+// TestRestartBeforeFirstEvent guards against a stream that continues at a target which
+// is reported to have started again after the head of its response arrived.
+func TestRestartBeforeFirstEvent(t *testing.T) {
+	tests := []struct {
+		name    string
+		headers []string
+	}{
+		{"within one response", []string{"Id", "r1"}},
+		{"when its caller takes it up", []string{"Id", "r2", "Resumes", "r1", "Last-Event", "2"}},
+	}
+	convey.Convey("Given a target that started again after it was sent a request that continues a stream", t, func() {
+		for i, test := range tests {
+			convey.Convey("it does not continue the stream "+test.name, func() {
+				tg := newTestGateway(t)
+				tg.list(newVersionedTarget(t, "t1", "a", "v1", 2))
+				addTargetd(t, "t1", tg)
+				if i > 0 {
+					convey.So(tg.call(t, "/stream/x", "Id", "r1").body, convey.ShouldEqual, versionedEvents("v1", 1, 2))
+				}
+				next, head, release := newPausingTarget(t, "t2")
+				tg.list(next)
+				addTargetd(t, "t2", tg)
+				tg.prefer([]string{"t1", "t2"}[i])
+				replies := make(chan reply)
+				go func() { replies <- tg.call(t, "/stream/x", test.headers...) }()
+				<-head
+				time.Sleep(50 * time.Millisecond) // the gateway reads the head
+				tg.fleet.mu.Lock()
+				tg.fleet.targets["t2"].state.Started = 2
+				tg.fleet.mu.Unlock()
+				close(release)
+				convey.So((<-replies).body, convey.ShouldNotContainSubstring, "v2")
+			})
+		}
+	})
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -44,11 +44,12 @@
 // calls onBegin when the first byte of an event has arrived and onEvent when it is
 // complete. It returns delivered if the stream ends after a whole event and the
 // response has started, callerLeft if a write to the caller fails, and otherwise
-// broken with the reason. A response that resumes a stream is broken at an event
-// without an id, which may belong to no stream. It is also broken if its connection is
-// closed before a new event, unless its framing shows that it is complete.
+// broken with the reason. If onEvent returns an error, the event is not relayed. A
+// response that resumes a stream is broken at an event without an id, which may belong
+// to no stream. It is also broken if its connection is closed before a new event, unless
+// its framing shows that it is complete.
 func (g *Gateway) relayStream(
-	w http.ResponseWriter, c *call, resp *upstream.Response, onBegin func(at time.Time), onEvent func(at time.Time, first bool),
+	w http.ResponseWriter, c *call, resp *upstream.Response, onBegin func(at time.Time), onEvent func(at time.Time, first bool) error,
 ) (outcome, error) {
 	if c.lastEventID != "" {
 		g.Scope.Counter("streams_resumed").Inc(1)
@@ -78,7 +79,9 @@
 			return broken, errNoEventID
 		}
 		now := time.Now()
-		onEvent(now, first)
+		if err := onEvent(now, first); err != nil {
+			return broken, err
+		}
 		c.recordEventAt(now)
 		if !c.acceptEvent(id) {
 			if skipped += len(e); skipped > maxEventBytes {
