Wait for the origin of a stream within the caller's time

What callers saw: none in the field. In a test, a caller that waits 100 ms and takes a stream up was rejected after 151 ms, when it had given up.

Cause: a request waits for the origin of its stream for half of its objective if a targetd does not answer, whatever time the caller has left.

Evidence: TestTakeUpOutlastsCaller failed on the code before ("Expected '151.059011ms' to be less than '100ms'").

Change: the wait ends after half of the objective or half of the caller's time, whichever is less.

--- a/internal/gateway/stream_origins.go
+++ b/internal/gateway/stream_origins.go
@@ -25,7 +25,8 @@
 	// origin: the one that keeps it, and the one that did before another one joined.
 	askedPerZone = 2
 	// originWaitShare is the share of the objective for which a call waits for the origin of
-	// its stream, so that its answer can still be on time.
+	// its stream, so that its answer can still be on time, or of the caller's time if that
+	// is less.
 	originWaitShare = 0.5
 	// originMargin is the time after the caller's deadline for which an origin is kept. It
 	// covers the latency of the messages.
@@ -80,7 +81,11 @@
 // left does not mean that it began the stream.
 func (g *Gateway) findOrigin(ctx context.Context, start time.Time, route *routing.Route, m RequestMeta) (o streams.Origin, reason string) {
 	q := g.Fleet.beginOriginQuery(streams.KeyOf(m.Resumes))
-	timer := time.NewTimer(time.Duration(originWaitShare * float64(route.Objective)))
+	within := route.Objective
+	if m.Deadline > 0 {
+		within = min(within, m.Deadline)
+	}
+	timer := time.NewTimer(time.Duration(originWaitShare * float64(within)))
 	defer timer.Stop()
 	pending := m.Resumes != ""
 	for ended := false; pending && !ended; {
