Take an engine's version from its entry only while its targetd confirms its start

Cause: the entry of an engine was believed while no targetd was connected to say otherwise.

The new part of TestRestartChangesVersion failed before ("Expected: "" Actual: "v1"").

Change: the version of a target with a targetd is known while that is connected, has been heard of recently and has reported on this connection the start that the entry has. A stream that waits for such a target after a start of the entryd still waits for the first report. Targets without a targetd are as before.

--- a/internal/gateway/mixed_versions_test.go
+++ b/internal/gateway/mixed_versions_test.go
@@ -264,6 +264,17 @@
 			f.mu.Unlock()
 			convey.So(f.softwareVersion(now, ts), convey.ShouldEqual, "")
 		})
+		convey.Convey("the loss of the targetd of an engine leaves it unknown, which may start again meanwhile", func() {
+			f.mu.Lock()
+			ts.closeConn = func() {}
+			f.mu.Unlock()
+			convey.So(f.softwareVersion(now, ts), convey.ShouldEqual, "")
+			lose := addTargetd(t, "t1", tg)
+			convey.So(f.softwareVersion(now, ts), convey.ShouldEqual, "v1")
+			convey.So(f.softwareVersion(time.Now().Add(2*targetdSilenceTimeout), ts), convey.ShouldEqual, "")
+			lose()
+			convey.So(eventually(func() bool { return f.softwareVersion(now, ts) == "" }), convey.ShouldBeTrue)
+		})
 		convey.Convey("a refused connection does until its targetd has reported since", func() {
 			addTargetd(t, "t1", tg)
 			f.recordRefusedConn(now.Add(time.Hour), ts)
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -111,7 +111,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, t := range f.targets {
-		if f.suits(now, c, t) && t.usable(now) && t.connecting(now) {
+		// Its version is confirmed by its targetd.
+		suits := f.suits(now, c, t) || (c.mayGoTo(t) && c.version != "" && t.replica.Version == c.version)
+		if suits && t.usable(now) && t.connecting(now) {
 			return true
 		}
 	}
--- a/internal/gateway/software_version.go
+++ b/internal/gateway/software_version.go
@@ -28,12 +28,17 @@
 // the call's service, has not run the call, and has the version at which the call's stream
 // began. The caller holds mu.
 func (f *Fleet) suits(now time.Time, c *call, t *targetState) bool {
-	if t.replica.Service != c.service || c.tried[t.replica.ID] {
+	if !c.mayGoTo(t) {
 		return false
 	}
 	return !c.continues() || (c.version != "" && f.versionOf(now, t) == c.version)
 }
 
+// mayGoTo reports whether a target is of the call's service and has not run the call.
+func (c *call) mayGoTo(t *targetState) bool {
+	return t.replica.Service == c.service && !c.tried[t.replica.ID]
+}
+
 // stillSuits does what suits does.
 func (f *Fleet) stillSuits(now time.Time, c *call, t *targetState) bool {
 	f.mu.Lock()
@@ -63,25 +68,35 @@
 
 // versionOf returns the version of the software that responds to requests to t now, empty
 // if it is not known. A target may start again with another version under its id, so that
-// the id in a request does not tell. The caller holds mu.
+// the id in a request does not tell. Of an engine it is known while its targetd reports
+// the start that is in its entry. The caller holds mu.
 func (f *Fleet) versionOf(now time.Time, t *targetState) string {
 	if current := f.targets[t.replica.ID]; current != nil && current != t {
 		return ""
 	}
-	started := t.replica.Incarnation().Started
+	hasTargetd := t.closeConn != nil || t.conn != nil
+	refused := !t.refusedConnAt.IsZero()
 	switch {
-	case t.conn == nil || t.stateAt.IsZero():
-		if !t.refusedConnAt.IsZero() && now.Sub(t.refusedConnAt) < confirmTime {
-			return ""
-		}
-	case t.state.Started != started && t.state.Started != 0 && started != 0:
+	case !hasTargetd && refused && now.Sub(t.refusedConnAt) < confirmTime:
+		return ""
+	case hasTargetd && !t.reportsStart(now):
 		return ""
-	case !t.refusedConnAt.IsZero() && t.lastMessageAt.Sub(t.refusedConnAt) < restartReportDelay:
+	case hasTargetd && refused && t.lastMessageAt.Sub(t.refusedConnAt) < restartReportDelay:
 		return ""
 	}
 	return t.replica.Version
 }
 
+// reportsStart reports whether the targetd of an engine is heard of, and has reported the
+// start of the engine that is in its entry, as far as both name one.
+func (t *targetState) reportsStart(now time.Time) bool {
+	if t.conn == nil || !t.stateOfConn || t.targetdSilent(now) || !t.state.Reachable {
+		return false
+	}
+	started := t.replica.Incarnation().Started
+	return t.state.Started == started || t.state.Started == 0 || started <= 0
+}
+
 // recordRefusedConn records that a target refused a connection: its process has ended, and
 // may start again with another version.
 func (f *Fleet) recordRefusedConn(now time.Time, t *targetState) {
--- a/internal/gateway/target_state.go
+++ b/internal/gateway/target_state.go
@@ -57,6 +57,7 @@
 	conn            *peer.Conn // to the targetd, nil while disconnected
 	state           peer.EngineState
 	stateAt         time.Time                // zero until the first report
+	stateOfConn     bool                     // state was received on conn
 	resident        map[orders.Adapter]int64 // version of each adapter that the engine holds
 	loading         map[orders.Adapter]bool  // adapters that the engine is loading
 	recent          recentAdapters           // adapters that it held recently
@@ -190,7 +191,7 @@
 	for _, a := range s.Loading {
 		loading[orders.Adapter{Model: a.Model, Name: a.Adapter}] = true
 	}
-	t.state, t.stateAt = s, now
+	t.state, t.stateAt, t.stateOfConn = s, now, true
 	t.resident, t.loading = resident, loading
 	t.recent.record(now, resident)
 	return arrived, changed
--- a/internal/gateway/targetd_conns.go
+++ b/internal/gateway/targetd_conns.go
@@ -77,7 +77,7 @@
 	tc.log.Event(event.PeerConnected).Str("target", id).Str("peer", c.Remote().Name).Send()
 	f := tc.fleet
 	f.mu.Lock()
-	t.conn = c
+	t.conn, t.stateOfConn = c, false
 	f.moveHolders(nil)
 	f.sendEngineSpec(t)
 	f.mu.Unlock()
