Test the limit on bodies in a VM that has room for two requests

Since the memory also limits the number of requests. TestAdmissionControl failed since ("Expected: true Actual: false" in each run), because its VM of 4,000 bytes has room for one request, where the test admits two. All its sizes are 1,024 times as large now, so that it checks the same relations: two bodies of 600 exceed a quarter of 4,000, bodies of 100 and 600 don't, and the descriptors of two requests are used up.

--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -12,13 +12,13 @@
 
 func TestAdmissionControl(t *testing.T) {
 	convey.Convey("Requests and their bodies stay within the limits", t, func() {
-		ac := newAdmissionControl(reservedDescriptors+2*requestDescriptors, 4000)
-		a, ok := ac.acquire(600)
+		ac := newAdmissionControl(reservedDescriptors+2*requestDescriptors, 4000<<10)
+		a, ok := ac.acquire(600 << 10)
 		convey.So(ok, convey.ShouldBeTrue)
-		_, ok = ac.acquire(600)
-		convey.So(ok, convey.ShouldBeFalse) // a quarter of the memory is 1000
-		a = ac.resize(a, 100)
-		b, ok := ac.acquire(600)
+		_, ok = ac.acquire(600 << 10)
+		convey.So(ok, convey.ShouldBeFalse) // a quarter of the memory is 1000 KiB
+		a = ac.resize(a, 100<<10)
+		b, ok := ac.acquire(600 << 10)
 		convey.So(ok, convey.ShouldBeTrue)
 		_, ok = ac.acquire(0)
 		convey.So(ok, convey.ShouldBeFalse) // the descriptors are used up
