Limit the time of each page of a list, not of the whole list

An entryd reported itself unready and rejected every request if the pages of a list took longer together than 2.8 s, as with many targets and a slow store: the list was given up and begun again, without end. An observation of the review; no caller has reported it.

Cause: the time of one watch limited a list with all its pages.

A list that follows a watch in another history has its own time, no longer the rest of the watch's.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -15,6 +15,10 @@
 	// responseTimeout limits the time of a call beyond the time for which the
 	// store may hold a watch.
 	responseTimeout = time.Second
+	// listTimeout limits a list with all its pages, each of which the source limits. It is
+	// the longest time for which the users' store keeps a watch waiting, after which the
+	// history since the first page may be gone.
+	listTimeout = 30 * time.Second
 	// meanRetryDelay is the mean of the randomized delay after a failed call. It
 	// limits the number of calls during an outage. Outages last at least one
 	// second, and the delay prolongs them by only a fraction of that.
@@ -27,9 +31,10 @@
 	maxResponseGap = 1500 * time.Millisecond
 )
 
-// Source is the store from which a Follower reads. A list is of a single history. The
-// changes of a watch are those after a version in the history of the returned position,
-// which need not be that of after.
+// Source is the store from which a Follower reads. A list is of a single history; a source
+// that reads it in several calls limits the time of each of them. The changes of a watch
+// are those after a version in the history of the returned position, which need not be
+// that of after.
 type Source interface {
 	List(ctx context.Context, kind objects.ObjectKind) ([]objects.Object, Position, error)
 	Watch(
@@ -110,9 +115,9 @@
 	if !f.listed {
 		return f.list(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.watchTimeout+responseTimeout)
-	defer cancel()
-	changed, position, err := f.source.Watch(ctx, f.kind, f.position, f.watchTimeout)
+	watchCtx, cancel := context.WithTimeout(ctx, f.watchTimeout+responseTimeout)
+	changed, position, err := f.source.Watch(watchCtx, f.kind, f.position, f.watchTimeout)
+	cancel()
 	if err != nil {
 		return err
 	}
@@ -132,7 +137,7 @@
 }
 
 func (f *Follower) list(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, f.watchTimeout+responseTimeout)
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	all, position, err := f.source.List(ctx, f.kind)
 	if err != nil {
