--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -191,7 +191,7 @@
 	{StoreRestored, "store_restored", zerolog.WarnLevel, "The platform's store has returned to an earlier state, in another `history`: its `version` was `version_before`, and versions are given out again. All objects are read again."},
 	{MembersChanged, "members_changed", zerolog.InfoLevel, "The set of known targets changed."},
 	{MemberLeaving, "member_leaving", zerolog.InfoLevel, "According to the platform's list, the VM of `target` is leaving; the target's registration was marked as leaving."},
-	{TargetChanged, "target_changed", zerolog.InfoLevel, "The platform's entry of `target`, which runs `version` of its software, changed; `state` is the new state."},
+	{TargetChanged, "target_changed", zerolog.InfoLevel, "The platform's entry of `target`, which runs `version` of its software, changed; `state` is the new state: `refuted` if another target has answered at its address, `confirmed` if it has answered itself since, `superseded` while a later start of its service is used there."},
 	{TargetUnreadable, "target_unreadable", zerolog.WarnLevel, "The platform's entry of `target` can't be used; the other entries stay valid."},
 	{VersionAnnounced, "version_announced", zerolog.InfoLevel, "A version of an adapter was announced."},
 	{EntryUnconfirmed, "entry_unconfirmed", zerolog.WarnLevel, "The restored store lists the entry of a `target` that was gone since `gone`; the target gets no requests until it writes the entry again or the entry has stayed for a while."},
