Vary the deadlines of TestPartlySentRequest over more magnitudes

All 400 deadlines were below 1 ms, so that on a busy machine no request might be sent and the test would fail, and few ended during a dial. They are now between nothing and 4 ms, short ones as often as long ones of each magnitude. What is checked stays the same.

--- a/internal/upstream/sent_test.go
+++ b/internal/upstream/sent_test.go
@@ -57,7 +57,7 @@
 			mu.Lock()
 			limit = len(id) + rng.IntN(1<<rng.IntN(18))
 			mu.Unlock()
-			ctx, cancel := context.WithTimeout(context.Background(), time.Duration(rng.IntN(1+int(time.Millisecond))))
+			ctx, cancel := context.WithTimeout(context.Background(), time.Duration(rng.IntN(1<<rng.IntN(23))))
 			_, err := c.Do(ctx, addr, r)
 			cancel()
 			convey.So(err, convey.ShouldNotBeNil)
