--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -187,7 +187,7 @@
 	{StoreUnavailable, "store_unavailable", zerolog.WarnLevel, "The object API did not respond; the process continues with the state that it has."},
 	{DutyChanged, "duty_changed", zerolog.InfoLevel, "The process started or stopped watching the object API for its availability zone."},
 	{StoreAvailable, "store_available", zerolog.InfoLevel, "The object API responds again after `away`."},
-	{HistoryGone, "history_gone", zerolog.InfoLevel, "The object API no longer has the changes since `version`; everything is listed again."},
+	{HistoryGone, "history_gone", zerolog.InfoLevel, "The object API no longer has the changes since `version`, or they exceed 16 MiB; everything is listed again."},
 	{StoreRestored, "store_restored", zerolog.WarnLevel, "The platform's store has returned to an earlier state, in another `history`: its `version` was `version_before`, and versions are given out again. All objects are read again."},
 	{MembersChanged, "members_changed", zerolog.InfoLevel, "The set of known targets changed."},
 	{MemberLeaving, "member_leaving", zerolog.InfoLevel, "According to the platform's list, the VM of `target` is leaving; the target's registration was marked as leaving."},
