Keep the origin of a stream for as long as its call may last

Cause: an origin is kept for the time that the route or the caller states. If neither states one, a call may last a minute, but its origin was kept for one second.

Evidence: TestOriginWithoutTimeout failed on the code before: the origin expired 59 s before the deadline of its call.

Change: an origin is kept at least until the deadline of its call.

--- a/internal/gateway/stream_origins.go
+++ b/internal/gateway/stream_origins.go
@@ -199,7 +199,7 @@
 		return
 	}
 	k, o := streams.KeyOf(c.streamID()), streams.Origin{Service: c.service, Version: c.version}
-	until := c.start.Add(max(c.route.Timeout, c.meta.Deadline) + originMargin)
+	until := c.start.Add(max(c.remaining(c.start), c.route.Timeout, c.meta.Deadline) + originMargin)
 	if !f.origins.known.Record(now, k, o, until) {
 		return
 	}
--- a/internal/gateway/stream_origins_test.go
+++ b/internal/gateway/stream_origins_test.go
@@ -9,7 +9,10 @@
 
 	"github.com/smartystreets/goconvey/convey"
 
+	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/internal/peer"
+	"github.com/borageusher/borageusher/pkg/routing"
+	"github.com/borageusher/borageusher/pkg/streams"
 )
 
 // newSilentTargetd starts a targetd that keeps origins but answers nothing.
@@ -41,3 +44,18 @@
 		convey.So(time.Since(start), convey.ShouldBeLessThan, 100*time.Millisecond)
 	})
 }
+
+// TestOriginWithoutTimeout guards against an origin that expires while its stream goes on
+// because neither the caller nor the route limits the stream's time.
+func TestOriginWithoutTimeout(t *testing.T) {
+	convey.Convey("An origin is kept for as long as its call may last", t, func() {
+		f := NewFleet("a", "north", map[string]string{"a": "north"}, event.Discard())
+		route := &routing.Route{Kind: routing.Stream, Resumable: true, Objective: time.Second}
+		c := newCall(time.Now(), RequestMeta{ID: "r1"}, route, "s", httptest.NewRequest(http.MethodPost, "/stream/x", nil), nil)
+		c.version = "v1"
+		f.recordOrigin(c.start, c)
+		_, until, ok := f.origins.known.Origin(c.start, streams.KeyOf("r1"))
+		convey.So(ok, convey.ShouldBeTrue)
+		convey.So(until, convey.ShouldHappenOnOrAfter, c.deadline)
+	})
+}
