Wait for targetds that reconnect before a stream is given up

What callers saw: none measured in the field.

Cause: an entryd that does not know an origin asks the targetds that are connected. One whose connection was lost counted as one that does not know the stream, although it does, and although it is dialled again within 50 ms.

Evidence: TestTakeUpDuringReconnect failed on the code before in both of its cases: the stream was not continued, and the response named no time.

Change: a targetd of those that would be asked is waited for while its connection is expected: for 2 s after its discovery, as before, and after the loss of its connection. The wait ends as that for an answer does. A targetd that is discovered but would not be asked is not waited for any more.

--- a/internal/gateway/stream_origins.go
+++ b/internal/gateway/stream_origins.go
@@ -153,8 +153,8 @@
 	if o, _, ok := f.origins.known.Origin(now, q.key); ok {
 		return o, false
 	}
-	ask := f.originHolders(q.key, askedPerZone, false)
-	for _, t := range append(ask, f.originHolders(q.key, askedPerZone, true)...) {
+	ask := f.originHolders(q.key, askedPerZone, (*targetState).keepsOrigins)
+	for _, t := range append(ask, f.originHolders(q.key, askedPerZone, (*targetState).keepsNewOrigins)...) {
 		if _, ok := q.asked[t.conn]; !ok {
 			_, err := t.conn.Send(peer.OriginRequest{Stream: uint64(q.key)})
 			q.asked[t.conn] = err != nil
@@ -163,21 +163,38 @@
 	for _, done := range q.asked {
 		pending = pending || !done
 	}
-	for _, t := range f.targets {
-		pending = pending || (t.closeConn != nil && t.conn == nil && t.connecting(now))
+	expected := func(t *targetState) bool { return t.keepsOrigins() || t.expectsOriginConn(now) }
+	for _, t := range f.originHolders(q.key, askedPerZone, expected) {
+		pending = pending || t.conn == nil
 	}
 	return streams.Origin{}, pending
 }
 
-// originHolders returns the targets whose targetds keep the origin of a stream, in order
-// of preference, perZone in each availability zone. If staying is set, those that leave
-// are left out. The caller holds mu.
-func (f *Fleet) originHolders(k streams.Key, perZone int, staying bool) []*targetState {
+// keepsOrigins reports whether the target's targetd is connected and keeps origins.
+func (t *targetState) keepsOrigins() bool { return t.conn != nil && t.conn.KeepsOrigins() }
+
+// keepsNewOrigins reports whether the target's targetd is to be sent further origins.
+func (t *targetState) keepsNewOrigins() bool {
+	return t.keepsOrigins() && t.replica.State == target.Live && !t.notice.leaving && !t.state.Departing
+}
+
+// expectsOriginConn reports whether a connection to a targetd that may keep origins is
+// expected soon: the target was discovered recently, or the connection was lost recently.
+func (t *targetState) expectsOriginConn(now time.Time) bool {
+	if t.closeConn == nil || t.conn != nil {
+		return false
+	}
+	return t.connecting(now) || (!t.originsLostAt.IsZero() && now.Sub(t.originsLostAt) < connectGrace)
+}
+
+// originHolders returns those of the targets that a condition applies to whose targetds
+// keep the origin of a stream, in order of preference, perZone in each availability zone.
+// The caller holds mu.
+func (f *Fleet) originHolders(k streams.Key, perZone int, applies func(*targetState) bool) []*targetState {
 	var targets []*targetState
 	var processes []streams.Process
 	for _, t := range f.targets {
-		leaves := t.replica.State != target.Live || t.notice.leaving || t.state.Departing
-		if t.conn == nil || !t.conn.KeepsOrigins() || (staying && leaves) {
+		if !applies(t) {
 			continue
 		}
 		targets = append(targets, t)
@@ -211,7 +228,7 @@
 // sendOrigin sends the origin of a stream to the targetds that keep it and have not got it
 // yet. The caller holds mu.
 func (f *Fleet) sendOrigin(now time.Time, k streams.Key, s *ownStream) {
-	holders := f.originHolders(k, 1, true)
+	holders := f.originHolders(k, 1, (*targetState).keepsNewOrigins)
 	m := peer.StreamOrigin{Stream: uint64(k), Service: s.origin.Service, Version: s.origin.Version, Within: s.until.Sub(now)}
 	for _, t := range holders[:min(len(holders), originCopies)] {
 		if slices.Contains(s.sentTo, t.conn) {
--- a/internal/gateway/stream_origins_test.go
+++ b/internal/gateway/stream_origins_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -8,13 +9,29 @@
 	"time"
 
 	"github.com/smartystreets/goconvey/convey"
+	"github.com/uber-go/tally/v4"
 
+	"github.com/borageusher/borageusher/internal/enginecontroller"
 	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/internal/peer"
 	"github.com/borageusher/borageusher/pkg/routing"
 	"github.com/borageusher/borageusher/pkg/streams"
 )
 
+// newTargetd starts a targetd that the test connects to gateways.
+func newTargetd(t *testing.T, id string) netip.AddrPort {
+	t.Helper()
+	ec := enginecontroller.New(enginecontroller.Options{
+		Self: peer.Identity{Name: id, Role: "targetd"}, Key: peer.Key("k"), Engine: idleEngine{}, Log: event.Discard(), Scope: tally.NoopScope,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	srv := httptest.NewServer(ec)
+	go ec.Run(ctx)
+	t.Cleanup(srv.Close)
+	t.Cleanup(cancel)
+	return netip.MustParseAddrPort(srv.Listener.Addr().String())
+}
+
 // newSilentTargetd starts a targetd that keeps origins but answers nothing.
 func newSilentTargetd(t testing.TB, id string) netip.AddrPort {
 	t.Helper()
@@ -45,6 +62,62 @@
 	})
 }
 
+// TestTakeUpDuringReconnect guards against a stream that is given up because the entryd has
+// lost its connection to the targetd that knows it, although it is restored soon.
+func TestTakeUpDuringReconnect(t *testing.T) {
+	convey.Convey("Given a stream that broke off, and another entryd whose connection to the targetd was reset", t, func() {
+		first, second := newTestGateway(t), newTestGateway(t)
+		began, spare := newVersionedTarget(t, "t1", "a", "v1", 2), newVersionedTarget(t, "t2", "a", "v1", 0)
+		first.list(began, spare)
+		second.list(began, spare)
+		first.prefer("t1")
+		second.prefer("t2")
+		targetd := newTargetd(t, "t1")
+		connectTargetd(t.Context(), t, first, "t1", targetd, "e1")
+		tg := second.fleet.targets["t1"]
+		dialer := peer.Dialer{Self: peer.Identity{Name: "e2", Role: "entryd"}, Key: peer.Key("k"), Client: &http.Client{}}
+		tc := &targetdConns{fleet: second.fleet, log: event.Discard(), onEngineDown: func(time.Time, string) {}}
+		dialled := make(chan *peer.Conn, 2)
+		dial := func() {
+			c, err := dialer.Dial(t.Context(), targetd)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			dialled <- c
+			_ = tc.serve(t.Context(), tg, "t1", c) // ends with the test
+		}
+		go dial()
+		connected := func(want bool) func() bool {
+			return func() bool {
+				second.fleet.mu.Lock()
+				defer second.fleet.mu.Unlock()
+				return (tg.conn != nil) == want
+			}
+		}
+		convey.So(eventually(connected(true)), convey.ShouldBeTrue)
+		second.fleet.mu.Lock()
+		tg.closeConn = func() {} // the connection is maintained
+		tg.applyState(time.Now(), peer.EngineState{Reachable: true})
+		second.fleet.mu.Unlock()
+		if got := first.call(t, "/stream/x", "Id", "r1"); got.body == "" {
+			t.Fatal("no stream begins")
+		}
+		(<-dialled).Close()
+		convey.So(eventually(connected(false)), convey.ShouldBeTrue)
+		convey.Convey("it goes on when the connection is restored", func() {
+			time.AfterFunc(50*time.Millisecond, dial)
+			got := second.call(t, "/stream/x", "Id", "r2", "Resumes", "r1", "Last-Event", "2")
+			convey.So(got.body, convey.ShouldEqual, versionedEvents("v1", 3, lastPiece))
+		})
+		convey.Convey("its caller gets a time to return if the connection is not restored in time", func() {
+			got := second.call(t, "/stream/x", "Id", "r2", "Resumes", "r1", "Last-Event", "2")
+			convey.So(got.status, convey.ShouldEqual, 503)
+			convey.So(got.header.Get("Retry-After"), convey.ShouldNotBeEmpty)
+		})
+	})
+}
+
 // TestOriginWithoutTimeout guards against an origin that expires while its stream goes on
 // because neither the caller nor the route limits the stream's time.
 func TestOriginWithoutTimeout(t *testing.T) {
--- a/internal/gateway/target_state.go
+++ b/internal/gateway/target_state.go
@@ -64,6 +64,7 @@
 	lastMessageAt   time.Time                // last message of the targetd
 	vmAliveAt       time.Time                // last liveness signal of the target's VM, zero until the first one; also set after a pause of this process
 	closeConn       func()                   // stops maintaining conn
+	originsLostAt   time.Time                // last loss of a connection to a targetd that keeps origins
 
 	paces      bool              // the targetd is offered prompts
 	pacedUntil time.Time         // until when prompts have to be paced, according to the targetd
--- a/internal/gateway/targetd_conns.go
+++ b/internal/gateway/targetd_conns.go
@@ -111,6 +111,9 @@
 	})
 	f.mu.Lock()
 	t.conn = nil
+	if c.KeepsOrigins() {
+		t.originsLostAt = time.Now()
+	}
 	f.moveHolders(c)
 	t.endPacing()
 	t.endPermitRequests()
