Keep three copies of a stream's origin in fewer availability zones too

Cause: one targetd in each availability zone keeps an origin, so that there is one copy with a single zone and two with two. The comment promises that one is left if two are lost.

Evidence: TestOriginInOneZone failed on the code before (1 copy, 3 expected).

Change: with fewer zones than copies, several targetds of a zone keep an origin. A process that asks for it asks one more in each zone than those that it would send it to.

--- a/internal/gateway/stream_origins.go
+++ b/internal/gateway/stream_origins.go
@@ -18,12 +18,12 @@
 	// maxOrigins bounds the memory for origins, at about 100 bytes each, to some MB of the
 	// VM's. It is far more than the streams of one entryd in progress at once.
 	maxOrigins = 1 << 16
-	// originCopies is the number of targetds, each in another availability zone, that keep
-	// the origin of a stream. If two are lost at once, one still has it.
+	// originCopies is the number of targetds that keep the origin of a stream, as far as
+	// possible in different availability zones. If two are lost at once, one still has it.
 	originCopies = 3
-	// askedPerZone is the number of targetds in each availability zone that are asked for an
-	// origin: the one that keeps it, and the one that did before another one joined.
-	askedPerZone = 2
+	// originSpares is the number of further targetds in each availability zone that are
+	// asked for an origin: one of them kept it before another one joined.
+	originSpares = 1
 	// originWaitShare is the share of the objective for which a call waits for the origin of
 	// its stream, so that its answer can still be on time, or of the caller's time if that
 	// is less.
@@ -153,8 +153,8 @@
 	if o, _, ok := f.origins.known.Origin(now, q.key); ok {
 		return o, false
 	}
-	ask := f.originHolders(q.key, askedPerZone, (*targetState).keepsOrigins)
-	for _, t := range append(ask, f.originHolders(q.key, askedPerZone, (*targetState).keepsNewOrigins)...) {
+	ask := f.originHolders(q.key, originSpares, (*targetState).keepsOrigins)
+	for _, t := range append(ask, f.originHolders(q.key, originSpares, (*targetState).keepsNewOrigins)...) {
 		if _, ok := q.asked[t.conn]; !ok {
 			_, err := t.conn.Send(peer.OriginRequest{Stream: uint64(q.key)})
 			q.asked[t.conn] = err != nil
@@ -164,7 +164,7 @@
 		pending = pending || !done
 	}
 	expected := func(t *targetState) bool { return t.keepsOrigins() || t.expectsOriginConn(now) }
-	for _, t := range f.originHolders(q.key, askedPerZone, expected) {
+	for _, t := range f.originHolders(q.key, originSpares, expected) {
 		pending = pending || t.conn == nil
 	}
 	return streams.Origin{}, pending
@@ -188,20 +188,23 @@
 }
 
 // originHolders returns those of the targets that a condition applies to whose targetds
-// keep the origin of a stream, in order of preference, perZone in each availability zone.
-// The caller holds mu.
-func (f *Fleet) originHolders(k streams.Key, perZone int, applies func(*targetState) bool) []*targetState {
+// keep the origin of a stream, in order of preference, and in each availability zone as
+// many spares. The caller holds mu.
+func (f *Fleet) originHolders(k streams.Key, spares int, applies func(*targetState) bool) []*targetState {
 	var targets []*targetState
 	var processes []streams.Process
+	zones := map[string]bool{}
 	for _, t := range f.targets {
 		if !applies(t) {
 			continue
 		}
 		targets = append(targets, t)
+		zones[t.replica.Zone] = true
 		processes = append(processes, streams.Process{Hash: placement.Hash(t.replica.Addr.Addr().String()), Zone: t.replica.Zone})
 	}
+	perZone := (originCopies + len(zones) - 1) / max(1, len(zones))
 	var out []*targetState
-	for _, i := range streams.Holders(k, processes, perZone) {
+	for _, i := range streams.Holders(k, processes, perZone+spares) {
 		out = append(out, targets[i])
 	}
 	return out
@@ -228,7 +231,7 @@
 // sendOrigin sends the origin of a stream to the targetds that keep it and have not got it
 // yet. The caller holds mu.
 func (f *Fleet) sendOrigin(now time.Time, k streams.Key, s *ownStream) {
-	holders := f.originHolders(k, 1, (*targetState).keepsNewOrigins)
+	holders := f.originHolders(k, 0, (*targetState).keepsNewOrigins)
 	m := peer.StreamOrigin{Stream: uint64(k), Service: s.origin.Service, Version: s.origin.Version, Within: s.until.Sub(now)}
 	for _, t := range holders[:min(len(holders), originCopies)] {
 		if slices.Contains(s.sentTo, t.conn) {
--- a/internal/gateway/stream_origins_test.go
+++ b/internal/gateway/stream_origins_test.go
@@ -132,3 +132,19 @@
 		convey.So(until, convey.ShouldHappenOnOrAfter, c.deadline)
 	})
 }
+
+// TestOriginInOneZone guards against an origin that a single targetd keeps because there
+// are fewer availability zones than copies.
+func TestOriginInOneZone(t *testing.T) {
+	convey.Convey("In a single zone, an origin has as many copies as in several", t, func() {
+		tg := newTestGateway(t)
+		for _, id := range []string{"t1", "t2", "t3", "t4"} {
+			tg.list(newVersionedTarget(t, id, "a", "v1", 2))
+			connectTargetd(t.Context(), t, tg, id, newTargetd(t, id), "e1")
+		}
+		convey.So(tg.call(t, "/stream/x", "Id", "r1").truncated, convey.ShouldBeTrue)
+		tg.fleet.mu.Lock()
+		defer tg.fleet.mu.Unlock()
+		convey.So(len(tg.fleet.origins.own[streams.KeyOf("r1")].sentTo), convey.ShouldEqual, originCopies)
+	})
+}
