Choose the holders of origins once for each change of the targetds

What callers saw: none measured in the field. While targetds come and go in a deployment of 600, an entryd that relays 400 streams holds the lock of its fleet for 80 ms at intervals of 250 ms, during which its other requests wait.

Cause: for each stream, the processes that keep origins were collected anew, and their addresses hashed. A request that waits for an origin did the same twice for each answer.

No test failed.

Change: the processes are collected once for all streams, and the hash is that of the target's state. A query chooses the targetds that it asks only when one was connected or lost.

--- a/internal/gateway/stream_origins.go
+++ b/internal/gateway/stream_origins.go
@@ -7,7 +7,6 @@
 
 	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/internal/peer"
-	"github.com/borageusher/borageusher/pkg/placement"
 	"github.com/borageusher/borageusher/pkg/routing"
 	"github.com/borageusher/borageusher/pkg/streams"
 	"github.com/borageusher/borageusher/pkg/target"
@@ -65,9 +64,12 @@
 
 // originQuery is a call's wait for the origin of its stream.
 type originQuery struct {
-	key     streams.Key
-	asked   map[*peer.Conn]bool // true for those that need not be waited for any more
-	changed chan struct{}       // signals that the origin may be known, or that no process does
+	key      streams.Key
+	asked    map[*peer.Conn]bool // true for those that need not be waited for any more
+	expected []*targetState      // whose targetds may keep the origin if they are connected soon
+	changed  chan struct{}       // signals that the origin may be known, or that no process does
+
+	holdersMoved bool // targetds were connected or lost since the holders were asked
 }
 
 // takesUp reports whether the caller of a request continues a stream that an earlier
@@ -128,7 +130,7 @@
 func (f *Fleet) beginOriginQuery(k streams.Key) *originQuery {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	q := &originQuery{key: k, asked: map[*peer.Conn]bool{}, changed: make(chan struct{}, 1)}
+	q := &originQuery{key: k, asked: map[*peer.Conn]bool{}, changed: make(chan struct{}, 1), holdersMoved: true}
 	f.origins.queries[k] = append(f.origins.queries[k], q)
 	return q
 }
@@ -146,30 +148,44 @@
 }
 
 // checkOrigin returns the origin that a query is for, if it is known, or else whether it
-// may become known. It asks the targetds that were not asked yet.
+// may become known. If targetds were connected or lost, it asks those that were not asked
+// yet.
 func (f *Fleet) checkOrigin(now time.Time, q *originQuery) (o streams.Origin, pending bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if o, _, ok := f.origins.known.Origin(now, q.key); ok {
 		return o, false
 	}
-	ask := f.originHolders(q.key, originSpares, (*targetState).keepsOrigins)
-	for _, t := range append(ask, f.originHolders(q.key, originSpares, (*targetState).keepsNewOrigins)...) {
-		if _, ok := q.asked[t.conn]; !ok {
-			_, err := t.conn.Send(peer.OriginRequest{Stream: uint64(q.key)})
-			q.asked[t.conn] = err != nil
-		}
+	if q.holdersMoved {
+		q.holdersMoved = false
+		f.askHolders(now, q)
 	}
 	for _, done := range q.asked {
 		pending = pending || !done
 	}
-	expected := func(t *targetState) bool { return t.keepsOrigins() || t.expectsOriginConn(now) }
-	for _, t := range f.originHolders(q.key, originSpares, expected) {
-		pending = pending || t.conn == nil
+	for _, t := range q.expected {
+		pending = pending || (t.conn == nil && t.expectsOriginConn(now))
 	}
 	return streams.Origin{}, pending
 }
 
+// askHolders asks the targetds that may keep the origin of a query and were not asked yet.
+// The caller holds mu.
+func (f *Fleet) askHolders(now time.Time, q *originQuery) {
+	ask := f.originKeepers((*targetState).keepsOrigins).holders(q.key, originSpares)
+	for _, t := range append(ask, f.originKeepers((*targetState).keepsNewOrigins).holders(q.key, originSpares)...) {
+		if _, ok := q.asked[t.conn]; !ok {
+			_, err := t.conn.Send(peer.OriginRequest{Stream: uint64(q.key)})
+			q.asked[t.conn] = err != nil
+		}
+	}
+	q.expected = nil
+	if expects := func(t *targetState) bool { return t.expectsOriginConn(now) }; len(f.originKeepers(expects).targets) > 0 {
+		both := func(t *targetState) bool { return t.keepsOrigins() || expects(t) }
+		q.expected = f.originKeepers(both).holders(q.key, originSpares)
+	}
+}
+
 // keepsOrigins reports whether the target's targetd is connected and keeps origins.
 func (t *targetState) keepsOrigins() bool { return t.conn != nil && t.conn.KeepsOrigins() }
 
@@ -187,25 +203,34 @@
 	return t.connecting(now) || (!t.originsLostAt.IsZero() && now.Sub(t.originsLostAt) < connectGrace)
 }
 
-// originHolders returns those of the targets that a condition applies to whose targetds
-// keep the origin of a stream, in order of preference, and in each availability zone as
-// many spares. The caller holds mu.
-func (f *Fleet) originHolders(k streams.Key, spares int, applies func(*targetState) bool) []*targetState {
-	var targets []*targetState
-	var processes []streams.Process
-	zones := map[string]bool{}
+// originKeepers are targets whose targetds keep origins.
+type originKeepers struct {
+	targets   []*targetState
+	processes []streams.Process // the targetds
+	zones     map[string]bool
+}
+
+// originKeepers returns the targets that a condition applies to. The caller holds mu.
+func (f *Fleet) originKeepers(applies func(*targetState) bool) originKeepers {
+	keepers := originKeepers{zones: map[string]bool{}}
 	for _, t := range f.targets {
 		if !applies(t) {
 			continue
 		}
-		targets = append(targets, t)
-		zones[t.replica.Zone] = true
-		processes = append(processes, streams.Process{Hash: placement.Hash(t.replica.Addr.Addr().String()), Zone: t.replica.Zone})
+		keepers.targets = append(keepers.targets, t)
+		keepers.processes = append(keepers.processes, streams.Process{Hash: t.hostHash, Zone: t.replica.Zone})
+		keepers.zones[t.replica.Zone] = true
 	}
-	perZone := (originCopies + len(zones) - 1) / max(1, len(zones))
+	return keepers
+}
+
+// holders returns those that keep the origin of a stream, in order of preference, and in
+// each availability zone as many spares.
+func (o originKeepers) holders(k streams.Key, spares int) []*targetState {
+	perZone := (originCopies + len(o.zones) - 1) / max(1, len(o.zones))
 	var out []*targetState
-	for _, i := range streams.Holders(k, processes, perZone+spares) {
-		out = append(out, targets[i])
+	for _, i := range streams.Holders(k, o.processes, perZone+spares) {
+		out = append(out, o.targets[i])
 	}
 	return out
 }
@@ -225,13 +250,13 @@
 	}
 	s := &ownStream{origin: o, until: until}
 	f.origins.own[k] = s
-	f.sendOrigin(now, k, s)
+	sendOrigin(now, k, s, f.originKeepers((*targetState).keepsNewOrigins))
 }
 
-// sendOrigin sends the origin of a stream to the targetds that keep it and have not got it
-// yet. The caller holds mu.
-func (f *Fleet) sendOrigin(now time.Time, k streams.Key, s *ownStream) {
-	holders := f.originHolders(k, 0, (*targetState).keepsNewOrigins)
+// sendOrigin sends the origin of a stream to the keepers that have not got it yet. The
+// caller holds the fleet's mu.
+func sendOrigin(now time.Time, k streams.Key, s *ownStream, keepers originKeepers) {
+	holders := keepers.holders(k, 0)
 	m := peer.StreamOrigin{Stream: uint64(k), Service: s.origin.Service, Version: s.origin.Version, Within: s.until.Sub(now)}
 	for _, t := range holders[:min(len(holders), originCopies)] {
 		if slices.Contains(s.sentTo, t.conn) {
@@ -259,9 +284,10 @@
 		return
 	}
 	f.origins.holdersMoved = false
+	keepers := f.originKeepers((*targetState).keepsNewOrigins)
 	for k, s := range f.origins.own {
 		if now.Before(s.until) {
-			f.sendOrigin(now, k, s)
+			sendOrigin(now, k, s, keepers)
 		}
 	}
 }
@@ -301,6 +327,7 @@
 			if _, ok := q.asked[lost]; ok {
 				q.asked[lost] = true
 			}
+			q.holdersMoved = true
 			q.signal()
 		}
 	}
--- a/internal/gateway/target_state.go
+++ b/internal/gateway/target_state.go
@@ -46,6 +46,7 @@
 	replica     target.Replica
 	incarnation string // identifies the target's start in crash reports
 	hash        uint64 // rendezvous hash of the address
+	hostHash    uint64 // rendezvous hash of the address without its port, that of the targetd
 	distance    assignment.Distance
 	added       time.Time
 	goneAt      time.Time // end of the grace period of a lapsed entry, zero if it did not lapse
@@ -103,6 +104,7 @@
 		replica:         r,
 		incarnation:     r.Incarnation().String(),
 		hash:            placement.Hash(r.Addr.String()),
+		hostHash:        placement.Hash(r.Addr.Addr().String()),
 		notice:          n,
 		limit:           l,
 		turnedAway:      make(chan struct{}),
