Show that a stream is given up once all targets of its version drain

What callers saw: none measured in the field.

Cause: a target that has reported draining gets no request, also not one that only targets of its version can continue. They accept requests for the drain time.

Evidence: TestTakeUpAtLeavingTargets fails: of three targets of v1 that have just begun to leave, none is sent the request, which is rejected with 503.

Not fixed: the drain time runs from the acknowledgement of the entry by the store, which the entryds learn late while the store is away, so that a fixed part of it may exceed the bound of rule DRAIN.

--- a/internal/gateway/stream_origins_test.go
+++ b/internal/gateway/stream_origins_test.go
@@ -16,6 +16,7 @@
 	"github.com/borageusher/borageusher/internal/peer"
 	"github.com/borageusher/borageusher/pkg/routing"
 	"github.com/borageusher/borageusher/pkg/streams"
+	"github.com/borageusher/borageusher/pkg/target"
 )
 
 // newTargetd starts a targetd that the test connects to gateways.
@@ -148,3 +149,25 @@
 		convey.So(len(tg.fleet.origins.own[streams.KeyOf("r1")].sentTo), convey.ShouldEqual, originCopies)
 	})
 }
+
+// TestTakeUpAtLeavingTargets guards against a stream that is given up while all targets of
+// its version leave, although they accept requests for the drain time.
+func TestTakeUpAtLeavingTargets(t *testing.T) {
+	convey.Convey("A stream goes on at targets of its version that have just begun to leave", t, func() {
+		tg := newTestGateway(t)
+		old := []versionedTarget{newVersionedTarget(t, "t1", "a", "v1", 2), newVersionedTarget(t, "t2", "a", "v1", 0), newVersionedTarget(t, "t3", "a", "v1", 0)}
+		tg.list(old[0])
+		convey.So(tg.call(t, "/stream/x", "Id", "r1").body, convey.ShouldEqual, versionedEvents("v1", 1, 2))
+		tg.list(old[1], old[2], newVersionedTarget(t, "t4", "a", "v2", 0))
+		tg.fleet.mu.Lock()
+		for _, vt := range old {
+			r := vt.replica()
+			r.State = target.Leaving
+			tg.fleet.upsert(time.Now(), r)
+		}
+		tg.fleet.mu.Unlock()
+		tg.prefer("t2")
+		got := tg.call(t, "/stream/x", "Id", "r2", "Resumes", "r1", "Last-Event", "2")
+		convey.So(got.body, convey.ShouldEqual, versionedEvents("v1", 3, lastPiece))
+	})
+}
