Show that a stream continues at a target that started again under its entry

What callers saw: none in the field. In a test, a caller that took its stream up at the target that had broken it off got events of v2 after events of v1 (rule ORDER).

Cause: without a connected targetd, the version of a target is that of its entry, unless it refused a connection within the last 8 s. A target that breaks off its streams and accepts connections again before a request is sent to it refuses none.

Evidence: TestRestartUnderSameEntry fails.

Not fixed: if each broken stream left the version unknown, streams that begin at a faulty target could not be taken up for 8 s.

--- a/internal/gateway/software_version_test.go
+++ b/internal/gateway/software_version_test.go
@@ -63,3 +63,28 @@
 		}
 	})
 }
+
+// TestRestartUnderSameEntry guards against a stream that continues at its own target after
+// that broke it off and started again with another version, which no targetd reports.
+func TestRestartUnderSameEntry(t *testing.T) {
+	convey.Convey("Given a target without a targetd that breaks a stream off and starts again with another version", t, func() {
+		tg := newTestGateway(t)
+		begins := func(c net.Conn, r *http.Request) bool {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: yes\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+			writeChunk(c, versionedEvents("v1", 1, 2))
+			time.Sleep(20 * time.Millisecond) // a reset drops data that was not read yet
+			_ = c.(*net.TCPConn).SetLinger(0)
+			return false
+		}
+		continues := func(c net.Conn, r *http.Request) bool {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: yes\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+			writeChunk(c, versionedEvents("v2", 3, lastPiece))
+			_, _ = io.WriteString(c, "0\r\n\r\n")
+			return true
+		}
+		tg.list(versionedTarget{newFakeTarget(t, "t1", begins, continues), "v1", "a"})
+		convey.So(tg.call(t, "/stream/x", "Id", "r1").body, convey.ShouldEqual, versionedEvents("v1", 1, 2))
+		got := tg.call(t, "/stream/x", "Id", "r2", "Resumes", "r1", "Last-Event", "2")
+		convey.So(got.body, convey.ShouldNotContainSubstring, "v2")
+	})
+}
