Show that an origin recorded before a restart was reported is not corrected

What callers saw: none in the field. In a test, a stream that began at v2 was taken up at v1 (rule ORDER).

Cause: a targetd polls its engine every 100 ms. A stream that begins in between, after a restart under the same id with another version, is recorded at the version of the entry. When the report arrives, the origin stays as it is, here and at the targetds that keep it.

Evidence: TestRestartReportedLate fails. It needs a restart that no poll sees as unreachable, or a targetd that is frozen meanwhile.

Not fixed: it takes a record of which streams began at a target since its last report.

--- a/internal/gateway/software_version_test.go
+++ b/internal/gateway/software_version_test.go
@@ -88,3 +88,25 @@
 		convey.So(got.body, convey.ShouldNotContainSubstring, "v2")
 	})
 }
+
+// TestRestartReportedLate guards against a stream that is taken up at the version of its
+// target's entry although the target had started again with another one before it began.
+func TestRestartReportedLate(t *testing.T) {
+	convey.Convey("Given a stream that began at a target of v2 while it was listed with v1", t, func() {
+		tg := newTestGateway(t)
+		began := newVersionedTarget(t, "t1", "a", "v2", 2)
+		began.version = "v1" // of the start before
+		tg.list(began)
+		addTargetd(t, "t1", tg)
+		convey.So(tg.call(t, "/stream/x", "Id", "r1").body, convey.ShouldEqual, versionedEvents("v2", 1, 2))
+		convey.Convey("it is not taken up at v1 after the targetd has reported the start", func() {
+			tg.fleet.mu.Lock()
+			tg.fleet.targets["t1"].state.Started = 2
+			tg.fleet.mu.Unlock()
+			tg.list(newVersionedTarget(t, "t2", "a", "v1", 0))
+			tg.prefer("t2")
+			got := tg.call(t, "/stream/x", "Id", "r2", "Resumes", "r1", "Last-Event", "2")
+			convey.So(got.body, convey.ShouldNotContainSubstring, "v1")
+		})
+	})
+}
