--- a/internal/gateway/software_version_test.go
+++ b/internal/gateway/software_version_test.go
@@ -63,3 +63,50 @@
 		}
 	})
 }
+
+// TestRestartUnderSameEntry guards against a stream that continues at its own target after
+// that broke it off and started again with another version, which no targetd reports.
+func TestRestartUnderSameEntry(t *testing.T) {
+	convey.Convey("Given a target without a targetd that breaks a stream off and starts again with another version", t, func() {
+		tg := newTestGateway(t)
+		begins := func(c net.Conn, r *http.Request) bool {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: yes\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+			writeChunk(c, versionedEvents("v1", 1, 2))
+			time.Sleep(20 * time.Millisecond) // a reset drops data that was not read yet
+			_ = c.(*net.TCPConn).SetLinger(0)
+			return false
+		}
+		continues := func(c net.Conn, r *http.Request) bool {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: yes\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+			writeChunk(c, versionedEvents("v2", 3, lastPiece))
+			_, _ = io.WriteString(c, "0\r\n\r\n")
+			return true
+		}
+		tg.list(versionedTarget{newFakeTarget(t, "t1", begins, continues), "v1", "a"})
+		convey.So(tg.call(t, "/stream/x", "Id", "r1").body, convey.ShouldEqual, versionedEvents("v1", 1, 2))
+		got := tg.call(t, "/stream/x", "Id", "r2", "Resumes", "r1", "Last-Event", "2")
+		convey.So(got.body, convey.ShouldNotContainSubstring, "v2")
+	})
+}
+
+// TestRestartReportedLate guards against a stream that is taken up at the version of its
+// target's entry although the target had started again with another one before it began.
+func TestRestartReportedLate(t *testing.T) {
+	convey.Convey("Given a stream that began at a target of v2 while it was listed with v1", t, func() {
+		tg := newTestGateway(t)
+		began := newVersionedTarget(t, "t1", "a", "v2", 2)
+		began.version = "v1" // of the start before
+		tg.list(began)
+		addTargetd(t, "t1", tg)
+		convey.So(tg.call(t, "/stream/x", "Id", "r1").body, convey.ShouldEqual, versionedEvents("v2", 1, 2))
+		convey.Convey("it is not taken up at v1 after the targetd has reported the start", func() {
+			tg.fleet.mu.Lock()
+			tg.fleet.targets["t1"].state.Started = 2
+			tg.fleet.mu.Unlock()
+			tg.list(newVersionedTarget(t, "t2", "a", "v1", 0))
+			tg.prefer("t2")
+			got := tg.call(t, "/stream/x", "Id", "r2", "Resumes", "r1", "Last-Event", "2")
+			convey.So(got.body, convey.ShouldNotContainSubstring, "v1")
+		})
+	})
+}
--- a/internal/gateway/stream_origins.go
+++ b/internal/gateway/stream_origins.go
@@ -17,12 +17,12 @@
 	// maxOrigins bounds the memory for origins, at about 150 bytes each, to some MB of the
 	// VM's. It is far more than the streams of one entryd in progress at once.
 	maxOrigins = 1 << 16
-	// originCopies is the number of targetds, each in another availability zone, that keep
-	// the origin of a stream. If two are lost at once, one still has it.
+	// originCopies is the number of targetds that keep the origin of a stream, as far as
+	// possible in different availability zones. If two are lost at once, one still has it.
 	originCopies = 3
-	// askedPerZone is the number of targetds in each availability zone that are asked for an
-	// origin: the one that keeps it, and the one that did before another one joined.
-	askedPerZone = 2
+	// originSpares is the number of further targetds in each availability zone that are
+	// asked for an origin: one of them kept it before another one joined.
+	originSpares = 1
 	// originWaitShare is the share of the objective for which a call waits for the origin of
 	// its stream, so that its answer can still be on time, or of the caller's time if that
 	// is less.
@@ -65,9 +65,12 @@
 
 // originQuery is a call's wait for the origin of its stream.
 type originQuery struct {
-	key     streams.Key
-	asked   map[*peer.Conn]bool // true for those that need not be waited for any more
-	changed chan struct{}       // signals that the origin may be known, or that no process does
+	key      streams.Key
+	asked    map[*peer.Conn]bool // true for those that need not be waited for any more
+	expected []*targetState      // whose targetds may keep the origin if they are connected soon
+	changed  chan struct{}       // signals that the origin may be known, or that no process does
+
+	holdersMoved bool // targetds were connected or lost since the holders were asked
 }
 
 // takesUp reports whether the caller of a request continues a stream that an earlier
@@ -128,7 +131,7 @@
 func (f *Fleet) beginOriginQuery(k streams.Key) *originQuery {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	q := &originQuery{key: k, asked: map[*peer.Conn]bool{}, changed: make(chan struct{}, 1)}
+	q := &originQuery{key: k, asked: map[*peer.Conn]bool{}, changed: make(chan struct{}, 1), holdersMoved: true}
 	f.origins.queries[k] = append(f.origins.queries[k], q)
 	return q
 }
@@ -146,57 +149,89 @@
 }
 
 // checkOrigin returns the origin that a query is for, if it is known, or else whether it
-// may become known. It asks the targetds that were not asked yet.
+// may become known. If targetds were connected or lost, it asks those that were not asked
+// yet.
 func (f *Fleet) checkOrigin(now time.Time, q *originQuery) (o streams.Origin, pending bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if o, _, ok := f.origins.known.Origin(now, q.key); ok {
 		return o, false
 	}
-	for _, staying := range []bool{true, false} {
-		for _, t := range f.originKeepers(staying).holders(q.key, askedPerZone) {
-			if _, ok := q.asked[t.conn]; !ok {
-				_, err := t.conn.Send(peer.OriginRequest{Stream: uint64(q.key)})
-				q.asked[t.conn] = err != nil
-			}
-		}
+	if q.holdersMoved {
+		q.holdersMoved = false
+		f.askHolders(now, q)
 	}
 	for _, done := range q.asked {
 		pending = pending || !done
 	}
-	for _, t := range f.targets {
-		pending = pending || (t.closeConn != nil && t.conn == nil && t.connecting(now))
+	for _, t := range q.expected {
+		pending = pending || (t.conn == nil && t.expectsOriginConn(now))
 	}
 	return streams.Origin{}, pending
 }
 
-// originKeepers are the targets whose targetds keep origins.
+// askHolders asks the targetds that may keep the origin of a query and were not asked yet.
+// The caller holds mu.
+func (f *Fleet) askHolders(now time.Time, q *originQuery) {
+	ask := f.originKeepers((*targetState).keepsOrigins).holders(q.key, originSpares)
+	for _, t := range append(ask, f.originKeepers((*targetState).keepsNewOrigins).holders(q.key, originSpares)...) {
+		if _, ok := q.asked[t.conn]; !ok {
+			_, err := t.conn.Send(peer.OriginRequest{Stream: uint64(q.key)})
+			q.asked[t.conn] = err != nil
+		}
+	}
+	q.expected = nil
+	if expects := func(t *targetState) bool { return t.expectsOriginConn(now) }; len(f.originKeepers(expects).targets) > 0 {
+		both := func(t *targetState) bool { return t.keepsOrigins() || expects(t) }
+		q.expected = f.originKeepers(both).holders(q.key, originSpares)
+	}
+}
+
+// keepsOrigins reports whether the target's targetd is connected and keeps origins.
+func (t *targetState) keepsOrigins() bool { return t.conn != nil && t.conn.KeepsOrigins() }
+
+// keepsNewOrigins reports whether the target's targetd is to be sent further origins.
+func (t *targetState) keepsNewOrigins() bool {
+	return t.keepsOrigins() && t.replica.State == target.Live && !t.notice.leaving && !t.state.Departing
+}
+
+// expectsOriginConn reports whether a connection to a targetd that may keep origins is
+// expected soon: the target was discovered recently, or the connection was lost recently.
+func (t *targetState) expectsOriginConn(now time.Time) bool {
+	if t.closeConn == nil || t.conn != nil {
+		return false
+	}
+	return t.connecting(now) || (!t.originsLostAt.IsZero() && now.Sub(t.originsLostAt) < connectGrace)
+}
+
+// originKeepers are targets whose targetds keep origins.
 type originKeepers struct {
 	targets   []*targetState
-	processes []streams.Process // their targetds
+	processes []streams.Process // the targetds
+	zones     map[string]bool
 }
 
-// originKeepers returns the targets whose connected targetds keep origins. If staying is
-// set, those that leave are left out. The caller holds mu.
-func (f *Fleet) originKeepers(staying bool) originKeepers {
-	var k originKeepers
+// originKeepers returns the targets that a condition applies to. The caller holds mu.
+func (f *Fleet) originKeepers(applies func(*targetState) bool) originKeepers {
+	keepers := originKeepers{zones: map[string]bool{}}
 	for _, t := range f.targets {
-		leaves := t.replica.State != target.Live || t.notice.leaving || t.state.Departing
-		if t.conn == nil || !t.conn.KeepsOrigins() || (staying && leaves) {
+		if !applies(t) {
 			continue
 		}
-		k.targets = append(k.targets, t)
-		k.processes = append(k.processes, streams.Process{Hash: t.vmHash, Zone: t.replica.Zone})
+		keepers.targets = append(keepers.targets, t)
+		keepers.processes = append(keepers.processes, streams.Process{Hash: t.vmHash, Zone: t.replica.Zone})
+		keepers.zones[t.replica.Zone] = true
 	}
-	return k
+	return keepers
 }
 
-// holders returns the targets whose targetds keep the origin of a stream, in order of
-// preference, perZone in each availability zone.
-func (k originKeepers) holders(stream streams.Key, perZone int) []*targetState {
+// holders returns those that keep the origin of a stream, in order of preference, and in
+// each availability zone as many spares.
+func (o originKeepers) holders(k streams.Key, spares int) []*targetState {
+	perZone := (originCopies + len(o.zones) - 1) / max(1, len(o.zones))
 	var out []*targetState
-	for _, i := range streams.Holders(stream, k.processes, perZone) {
-		out = append(out, k.targets[i])
+	for _, i := range streams.Holders(k, o.processes, perZone+spares) {
+		out = append(out, o.targets[i])
 	}
 	return out
 }
@@ -216,13 +251,14 @@
 	}
 	s := &ownStream{origin: o, until: until}
 	f.origins.own[k] = s
-	f.originKeepers(true).send(now, k, s)
+	sendOrigin(now, k, s, f.originKeepers((*targetState).keepsNewOrigins))
 }
 
-// send sends the origin of a stream to the targetds that keep it and have not got it yet.
-func (k originKeepers) send(now time.Time, stream streams.Key, s *ownStream) {
-	holders := k.holders(stream, 1)
-	m := peer.StreamOrigin{Stream: uint64(stream), Service: s.origin.Service, Version: s.origin.Version, Within: s.until.Sub(now)}
+// sendOrigin sends the origin of a stream to the keepers that have not got it yet. The
+// caller holds the fleet's mu.
+func sendOrigin(now time.Time, k streams.Key, s *ownStream, keepers originKeepers) {
+	holders := keepers.holders(k, 0)
+	m := peer.StreamOrigin{Stream: uint64(k), Service: s.origin.Service, Version: s.origin.Version, Within: s.until.Sub(now)}
 	for _, t := range holders[:min(len(holders), originCopies)] {
 		if slices.Contains(s.sentTo, t.conn) {
 			continue
@@ -249,10 +285,10 @@
 		return
 	}
 	f.origins.holdersMoved = false
-	keepers := f.originKeepers(true)
+	keepers := f.originKeepers((*targetState).keepsNewOrigins)
 	for k, s := range f.origins.own {
 		if now.Before(s.until) {
-			keepers.send(now, k, s)
+			sendOrigin(now, k, s, keepers)
 		}
 	}
 }
@@ -292,6 +328,7 @@
 			if _, ok := q.asked[lost]; ok {
 				q.asked[lost] = true
 			}
+			q.holdersMoved = true
 			q.signal()
 		}
 	}
--- a/internal/gateway/target_state.go
+++ b/internal/gateway/target_state.go
@@ -46,7 +46,7 @@
 	replica     target.Replica
 	incarnation string // identifies the target's start in crash reports
 	hash        uint64 // rendezvous hash of the address
-	vmHash      uint64 // of the address of its VM, which its targetd has as well
+	vmHash      uint64 // rendezvous hash of the address without its port, that of the targetd
 	distance    assignment.Distance
 	added       time.Time
 	goneAt      time.Time // end of the grace period of a lapsed entry, zero if it did not lapse
@@ -66,6 +66,7 @@
 	lastMessageAt   time.Time                // last message of the targetd
 	vmAliveAt       time.Time                // last liveness signal of the target's VM, zero until the first one; also set after a pause of this process
 	closeConn       func()                   // stops maintaining conn
+	originsLostAt   time.Time                // last loss of a connection to a targetd that keeps origins
 
 	paces      bool              // the targetd is offered prompts
 	pacedUntil time.Time         // until when prompts have to be paced, according to the targetd
