Bound the memory of request bodies by what has been read and may still be

What callers saw: 38 of them uploaded 4 MB each in chunks to one entry machine of 284 MB. Beside 24 uploads and more, small requests were refused.

Cause: a body of unknown length reserved 64 KiB until it had been read as a whole, and the limit on bodies was in no relation to what responses, requests and the garbage collector need. A body at the limit was refused only after it had arrived, and short bodies were refused because of long ones.

TestBodyOfEarlyResponse failed in one of three runs without the wait that it tests.

Change: bodies lease the shared memory that responses use, and the sum is what the memory in the settings leaves. A body of known length leases it before it is read, one in chunks as it grows, and beyond 64 KiB at once for the longest that it may become. Long bodies may take 0.85 of it, those of up to 4 KiB need none. A caller who does not fit gets 503 with Retry-After before the body has arrived; the rest of it is read and dropped, so that the connection is not reset before the answer is read. The runtime's soft limit is set as well.

TestAdmissionControl had tested the former rule, a quarter of the memory for bodies and any single body admitted; the latter contradicts a bound. It now tests that the sum of all limits, twice for the collector, is the memory beside the process, for eight sizes of machines; TestLease plays random leases against the limits.

--- a/Makefile
+++ b/Makefile
@@ -39,9 +39,10 @@
 	$(GO) test -run '^$$' -bench . -benchmem ./pkg/...
 
 # Measures the resources that a node uses, with real processes. Takes some
-# minutes; see internal/scale.
+# minutes; see internal/scale and platform/upload_scale_test.go.
 scale:
 	$(GO) test -tags scale -count 1 -v -timeout 30m ./internal/scale
+	$(GO) test -tags scale -count 1 -v -run TestUploadMemory ./platform
 
 # Runs the soak scenario with random faults for the time SOAK_FOR. SOAK_SEED seeds
 # the random number generator and is printed.
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -22,31 +22,42 @@
 	// response.
 	requestBytes = 40 << 10
 	// maxRequestShare is the share of the memory for live objects that is set aside
-	// for requestBytes of each request; the rest is for what some requests need
-	// beyond it.
+	// for requestBytes of each request; the rest is shared by those that need more.
 	maxRequestShare = 0.5
-	// bodyMemoryShare is the share of the memory that request bodies may use.
-	// Sockets, responses and the process itself need the rest.
-	bodyMemoryShare = 0.25
-	// responseShare is the share of the memory beyond requestBytes that responses
-	// may use.
+	// longBodyShare is the share of the shared memory that long bodies may use. The
+	// rest is always available to short ones and to responses.
+	longBodyShare = 0.85
+	// responseShare is the share of the shared memory that responses may use.
 	responseShare = 0.1
-	// assumedChunkedBytes is the assumed size of a body of unknown length until
-	// it is read.
-	assumedChunkedBytes = 64 << 10
+	// lingerShare is the share of the requests in progress that may be rejected ones
+	// whose bodies still arrive.
+	lingerShare = 0.25
+)
+
+// memoryUse is what shared memory is used for.
+type memoryUse uint8
+
+const (
+	shortBody memoryUse = iota // a request body of up to shortBodyBytes
+	longBody                   // a longer request body
+	response                   // a head, an event or a buffered body of a target
+	memoryUses
 )
 
 // admissionControl limits the requests in progress and the memory that they hold, so
-// that the process stays within the limits of its VM under any load.
+// that the process stays within the limits of its VM under any load. A limit of zero
+// is none.
 type admissionControl struct {
-	maxRequests      int   // zero for no limit
-	maxBytes         int64 // of request bodies, zero for no limit
-	maxResponseBytes int64 // of responses beyond requestBytes, zero for no limit
-
-	mu            sync.Mutex
-	requests      int
-	bytes         int64 // of request bodies
-	responseBytes int64
+	maxRequests  int
+	maxLingering int
+	maxShared    int64             // bytes of all uses together
+	maxUse       [memoryUses]int64 // bytes of one use
+
+	mu        sync.Mutex
+	requests  int
+	lingering int
+	shared    int64
+	used      [memoryUses]int64
 }
 
 // newAdmissionControl derives the limits from a VM's limits on descriptors and
@@ -57,87 +68,108 @@
 		a.maxRequests = max(1, (descriptors-reservedDescriptors)/requestDescriptors)
 	}
 	if memory > 0 {
-		a.maxBytes = int64(bodyMemoryShare * float64(memory))
 		live := max(memory-processBytes, memory/collectorFactor) / collectorFactor
 		n := max(1, int(maxRequestShare*float64(live)/requestBytes))
 		if a.maxRequests == 0 || n < a.maxRequests {
 			a.maxRequests = n
 		}
-		a.maxResponseBytes = int64(responseShare * float64(live-int64(a.maxRequests)*requestBytes))
+		a.maxShared = max(1, live-int64(a.maxRequests)*requestBytes)
+		a.maxUse[longBody] = max(1, int64(longBodyShare*float64(a.maxShared)))
+		a.maxUse[response] = max(1, int64(responseShare*float64(a.maxShared)))
 	}
+	a.maxLingering = int(lingerShare * float64(a.maxRequests))
 	return a
 }
 
-// acquire admits a request with a body of size bytes, negative if unknown, and
-// reports whether it is within the limits. The limit on bytes does not apply while
-// none are reserved, so that a single body larger than it is admitted. After
-// an admitted request the caller must call release with the reserved bytes, or with
-// those that resize returns.
-func (a *admissionControl) acquire(size int64) (reserved int64, ok bool) {
-	if size < 0 {
-		size = assumedChunkedBytes
-	}
+// acquire admits a request and reports whether it is within the limit. The caller must
+// call release after an admitted request.
+func (a *admissionControl) acquire() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.maxRequests > 0 && a.requests >= a.maxRequests {
-		return 0, false
-	}
-	if a.maxBytes > 0 && a.bytes > 0 && a.bytes+size > a.maxBytes {
-		return 0, false
+		return false
 	}
 	a.requests++
-	a.bytes += size
-	return size, true
+	return true
 }
 
-// resize replaces the reserved bytes of a request by the actual size of its body,
-// and returns the new reservation.
-func (a *admissionControl) resize(reserved, size int64) int64 {
+// release ends an admitted request.
+func (a *admissionControl) release() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.bytes += size - reserved
-	return size
+	a.requests--
 }
 
-// release ends a request and returns its reserved bytes.
-func (a *admissionControl) release(reserved int64) {
+// acquireLinger reports whether a rejected request may read the rest of its body. The
+// caller must call releaseLinger after one that may.
+func (a *admissionControl) acquireLinger() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.requests--
-	a.bytes -= reserved
+	if a.maxRequests > 0 && a.lingering >= a.maxLingering {
+		return false
+	}
+	a.lingering++
+	return true
 }
 
-// responseMemory is what a call's responses hold beyond requestBytes. The zero value
-// has no limit.
-type responseMemory struct {
+// releaseLinger ends the reading of a rejected request's body.
+func (a *admissionControl) releaseLinger() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.lingering--
+}
+
+// longestBody returns the largest size of a body, of up to limit bytes, that the shared
+// memory can hold.
+func (a *admissionControl) longestBody(limit int64) int64 {
+	if m := a.maxUse[longBody]; m > 0 {
+		return min(limit, m)
+	}
+	return limit
+}
+
+// lease is shared memory that a request holds beyond requestBytes. The zero value has no
+// limit. Its methods must not be called concurrently.
+type lease struct {
 	admission *admissionControl
+	use       memoryUse
 	bytes     int64
 }
 
-// reserve adds n bytes, and reports whether they are within the limit.
-func (m *responseMemory) reserve(n int64) bool {
-	a := m.admission
+// resize replaces the leased memory by n bytes for a use. It reports whether they are
+// within the limits; if not, the lease is unchanged. A lease can always become smaller.
+func (l *lease) resize(use memoryUse, n int64) bool {
+	a := l.admission
 	if a == nil {
 		return true
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.maxResponseBytes > 0 && a.responseBytes+n > a.maxResponseBytes {
-		return false
+	inUse := a.used[use] + n
+	if use == l.use {
+		inUse -= l.bytes
+	}
+	if n > l.bytes {
+		if a.maxShared > 0 && a.shared+n-l.bytes > a.maxShared {
+			return false
+		}
+		if m := a.maxUse[use]; m > 0 && inUse > m {
+			return false
+		}
 	}
-	a.responseBytes += n
-	m.bytes += n
+	a.shared += n - l.bytes
+	a.used[l.use] -= l.bytes
+	a.used[use] += n
+	l.use, l.bytes = use, n
 	return true
 }
 
-// shrink returns all but n of the reserved bytes.
-func (m *responseMemory) shrink(n int64) {
-	a := m.admission
-	if a == nil || m.bytes <= n {
-		return
+// reserve adds n bytes, and reports whether they are within the limits.
+func (l *lease) reserve(n int64) bool { return l.resize(l.use, l.bytes+n) }
+
+// shrink returns all but n of the leased bytes.
+func (l *lease) shrink(n int64) {
+	if l.bytes > n {
+		l.resize(l.use, n)
 	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.responseBytes -= m.bytes - n
-	m.bytes = n
 }
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -11,29 +12,96 @@
 )
 
 func TestAdmissionControl(t *testing.T) {
-	convey.Convey("Requests and their bodies stay within the limits", t, func() {
-		ac := newAdmissionControl(reservedDescriptors+2*requestDescriptors, 4000)
-		a, ok := ac.acquire(600)
-		convey.So(ok, convey.ShouldBeTrue)
-		_, ok = ac.acquire(600)
-		convey.So(ok, convey.ShouldBeFalse) // a quarter of the memory is 1000
-		a = ac.resize(a, 100)
-		b, ok := ac.acquire(600)
-		convey.So(ok, convey.ShouldBeTrue)
-		_, ok = ac.acquire(0)
-		convey.So(ok, convey.ShouldBeFalse) // the descriptors are used up
-		ac.release(a)
-		ac.release(b)
-		convey.So(ac.bytes, convey.ShouldEqual, 0)
-		_, ok = ac.acquire(-1)
-		convey.So(ok, convey.ShouldBeTrue) // admitted whatever its size, as no bytes are reserved
+	convey.Convey("Requests stay within the limits on descriptors and memory", t, func() {
+		ac := newAdmissionControl(reservedDescriptors+2*requestDescriptors, 0)
+		convey.So(ac.acquire(), convey.ShouldBeTrue)
+		convey.So(ac.acquire(), convey.ShouldBeTrue)
+		convey.So(ac.acquire(), convey.ShouldBeFalse)
+		ac.release()
+		convey.So(ac.acquire(), convey.ShouldBeTrue)
+	})
+	convey.Convey("The sum of all limits, twice for the garbage collector, fits into the memory beside the process", t, func() {
+		for _, megabytes := range []int64{96, 144, 160, 184, 284, 424, 536, 4096} {
+			for _, descriptors := range []int{0, 1000, 4100, 10250, 1 << 20} {
+				memory := megabytes << 20
+				ac := newAdmissionControl(descriptors, memory)
+				sum := processBytes + collectorFactor*(int64(ac.maxRequests)*requestBytes+ac.maxShared)
+				convey.So(sum, convey.ShouldBeBetweenOrEqual, memory-1<<20, memory)
+				convey.So(ac.maxUse[longBody]+ac.maxUse[response], convey.ShouldBeLessThan, ac.maxShared)
+			}
+		}
 	})
 	convey.Convey("Without limits every request is admitted", t, func() {
 		ac := newAdmissionControl(0, 0)
+		l := &lease{admission: ac}
 		for range 10000 {
-			_, ok := ac.acquire(1 << 20)
-			convey.So(ok, convey.ShouldBeTrue)
+			convey.So(ac.acquire(), convey.ShouldBeTrue)
+			convey.So(l.resize(longBody, 1<<40), convey.ShouldBeTrue)
+		}
+	})
+}
+
+func TestLease(t *testing.T) {
+	convey.Convey("Random leases never exceed a limit, and are returned", t, func() {
+		for seed := range uint64(20) {
+			r := rand.New(rand.NewPCG(seed, 0))
+			ac := newAdmissionControl(4100, 184<<20)
+			leases := make([]lease, 200)
+			refused := 0
+			for i := range leases {
+				leases[i].admission = ac
+				leases[i].use = memoryUse(r.IntN(int(memoryUses)))
+			}
+			for range 5000 {
+				l := &leases[r.IntN(len(leases))]
+				before := *l
+				switch r.IntN(4) {
+				case 0:
+					l.shrink(int64(r.IntN(1 << 20)))
+					continue
+				case 1:
+					l.shrink(0)
+					continue
+				}
+				use := l.use
+				if use == shortBody {
+					use = longBody
+				}
+				if !l.resize(use, int64(r.IntN(4<<20))) {
+					refused++
+					if *l != before {
+						t.Fatalf("seed %d: a refused lease changed: %+v, %+v", seed, before, *l)
+					}
+				}
+				var sum int64
+				var used [memoryUses]int64
+				for _, l := range leases {
+					sum += l.bytes
+					used[l.use] += l.bytes
+				}
+				if sum != ac.shared || used != ac.used || sum > ac.maxShared || used[longBody] > ac.maxUse[longBody] || used[response] > ac.maxUse[response] {
+					t.Fatalf("seed %d: leased %d %v, recorded %d %v, limits %d %v", seed, sum, used, ac.shared, ac.used, ac.maxShared, ac.maxUse)
+				}
+			}
+			for i := range leases {
+				leases[i].shrink(0)
+			}
+			convey.So(refused, convey.ShouldBeGreaterThan, 0)
+			convey.So(ac.shared, convey.ShouldEqual, 0)
+			convey.So(ac.used, convey.ShouldEqual, [memoryUses]int64{})
+		}
+	})
+	convey.Convey("Long bodies and responses leave memory for short bodies", t, func() {
+		ac := newAdmissionControl(4100, 184<<20)
+		for _, use := range []memoryUse{longBody, response} {
+			l := &lease{admission: ac, use: use}
+			n := 0
+			for l.reserve(4 << 10) { // until none is left
+				n++
+			}
+			convey.So(n, convey.ShouldBeGreaterThan, 0)
 		}
+		convey.So((&lease{admission: ac}).reserve(shortBodyBytes), convey.ShouldBeTrue)
 	})
 }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -54,8 +54,8 @@
 	lastEventID  string            // of the last event relayed to the caller
 	fallback     *bufferedResponse // a target's 5xx response, delivered if no attempt succeeds
 
-	memory       responseMemory // of the current response and the fallback
-	fallbackHeld int64          // bytes of memory for the fallback
+	memory       lease // of the current response and the fallback
+	fallbackHeld int64 // bytes of memory for the fallback
 }
 
 // bufferedResponse is a response that was read completely.
--- a/internal/gateway/caller_conns_test.go
+++ b/internal/gateway/caller_conns_test.go
@@ -51,7 +51,13 @@
 
 func newTestCallerServer(t *testing.T, targets ...*fakeTarget) *testCallerServer {
 	t.Helper()
-	ts := &testCallerServer{testGateway: newTestGateway(t, targets...), hooks: make(chan *connHook, 1)}
+	return newCallerServerOf(t, newTestGateway(t, targets...))
+}
+
+// newCallerServerOf starts a callers' server of a gateway.
+func newCallerServerOf(t *testing.T, tg *testGateway) *testCallerServer {
+	t.Helper()
+	ts := &testCallerServer{testGateway: tg, hooks: make(chan *connHook, 1)}
 	log := event.New(lockedWriter{ts.testGateway}, "entryd", "e1", zerolog.InfoLevel)
 	ts.process = &process{log: log, gateway: ts.gateway}
 	ts.process.callers = newCallerConns(func() time.Duration { return time.Duration(ts.idleTimeout.Load()) }, log, tally.NoopScope)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -80,16 +78,17 @@
 		g.reject(w, meta.ID, 404, "no_route", 0)
 		return
 	}
-	reserved, ok := g.admission.acquire(r.ContentLength)
-	if !ok {
-		g.reject(w, meta.ID, 503, "no_room", shortRetryAfter)
+	if !g.admission.acquire() {
+		g.rejectUnread(w, r, meta.ID, 503, "no_room", shortRetryAfter)
 		return
 	}
-	defer func() { g.admission.release(reserved) }()
-	body, status := readBody(w, r, cfg.Limits.BodyBytes)
-	reserved = g.admission.resize(reserved, int64(len(body)))
-	if status != 0 {
-		g.reject(w, meta.ID, status, "body", 0)
+	defer g.admission.release()
+	bodyMemory := &lease{admission: g.admission}
+	defer bodyMemory.shrink(0)
+	body, err := g.readBody(r, cfg.Limits.BodyBytes, bodyMemory)
+	if err != nil {
+		bodyMemory.shrink(0)
+		g.rejectBody(w, r, meta, err)
 		return
 	}
 	if g.closing.Load() { // after the body was read, so that the connection isn't reset
@@ -99,7 +98,7 @@
 	service := route.Pick(rand.Float64())
 	c := newCall(now, meta, route, service, r, body)
 	c.revision = cfg.Version
-	c.memory.admission = g.admission
+	c.memory = lease{admission: g.admission, use: response}
 	c.request.Reserve = c.memory.reserve
 	defer c.memory.shrink(0)
 	g.RetryBudget.recordRequest(now, service)
@@ -119,22 +118,6 @@
 	return path
 }
 
-// readBody returns the whole body, or the status of the rejection.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, int) {
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case err == nil:
-		return body, 0
-	case errors.As(err, &tooLarge):
-		return nil, 413
-	}
-	return nil, 400 // the caller closed the connection or the body is malformed
-}
-
 // reject responds to a request that is rejected before a call exists for it.
 func (g *Gateway) reject(w http.ResponseWriter, id string, status int, reason string, after time.Duration) {
 	g.Log.Event(event.RequestRejected).Str("request", id).Int("status", status).Str("reason", reason).Send()
--- a/internal/gateway/main.go
+++ b/internal/gateway/main.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -45,6 +46,11 @@
 	sweepInterval = time.Second
 )
 
+// collectorShare is the share of a VM's memory from which on garbage is collected more often.
+// admissionControl bounds the memory without it; it helps where the runtime returns
+// memory to the system late.
+const collectorShare = 0.85
+
 // Platform holds the platform-specific parts of a gateway.
 type Platform struct {
 	NewStore          func(tally.Scope) follow.Source
@@ -86,6 +92,9 @@
 	if err != nil {
 		return err
 	}
+	if node.Limits.Memory > 0 {
+		debug.SetMemoryLimit(int64(collectorShare * float64(node.Limits.Memory)))
+	}
 	log.Event(event.Started).Stringer("address", node.Callers).Str("zone", node.Zone).Send()
 	return p.stop(ln, signals)
 }
--- a/internal/gateway/response_memory_test.go
+++ b/internal/gateway/response_memory_test.go
@@ -16,14 +16,15 @@
 
 // limitResponses sets the memory for responses beyond that of each request.
 func (tg *testGateway) limitResponses(n int64) {
-	tg.gateway.admission = &admissionControl{maxResponseBytes: n}
+	tg.gateway.admission = &admissionControl{}
+	tg.gateway.admission.maxUse[response] = n
 }
 
 func (tg *testGateway) responseBytes() int64 {
 	a := tg.gateway.admission
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.responseBytes
+	return a.used[response]
 }
 
 func TestResponseMemory(t *testing.T) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -125,7 +125,7 @@
 type eventReader struct {
 	r       *bufio.Reader
 	onBegin func(at time.Time) // called when the first byte of an event has arrived
-	memory  *responseMemory
+	memory  *lease
 	kept    int64  // bytes of memory that the response holds beside the events
 	buf     []byte // is reused for short events
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -55,7 +55,7 @@
 	resp, err := c.roundTrip(conn, req)
 	if err != nil {
 		stop()
-		conn.abort()
+		conn.abandon()
 		return nil, err
 	}
 	resp.conn, resp.client = conn, c
@@ -131,24 +131,25 @@
 // the target may respond before it has read all of it.
 func (c *conn) send(req *Request) error {
 	head := req.head()
+	c.bodyWritten, c.bodyDone = nil, nil
 	if len(req.Body) <= maxInlineBodyBytes {
 		if _, err := c.Write(append(head, req.Body...)); err != nil {
 			return &Error{Op: "write request", Kind: Broken, Err: err}
 		}
-		c.bodyWritten = nil
 		return nil
 	}
 	if _, err := c.Write(head); err != nil {
 		return &Error{Op: "write request", Kind: Broken, Err: err}
 	}
-	c.bodyWritten = make(chan struct{})
-	go func(written chan struct{}) {
+	c.bodyWritten, c.bodyDone = make(chan struct{}), make(chan struct{})
+	go func(written, done chan struct{}) {
+		defer close(done)
 		if _, err := io.Copy(c.Conn, bytes.NewReader(req.Body)); err != nil {
 			_ = c.SetReadDeadline(time.Now().Add(earlyResponseTimeout)) // an early response may be in transit
 			return
 		}
 		close(written)
-	}(c.bodyWritten)
+	}(c.bodyWritten, c.bodyDone)
 	return nil
 }
 
@@ -194,7 +195,7 @@
 // release keeps a connection for reuse, or resets it.
 func (c *Client) release(conn *conn, reuse bool) {
 	if !reuse {
-		conn.abort()
+		conn.abandon()
 		return
 	}
 	c.mu.Lock()
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -48,6 +48,7 @@
 	reader      *bufio.Reader
 	expires     time.Time     // time from which the connection is not reused
 	bodyWritten chan struct{} // closed when the request's body has been written, nil if it was written inline
+	bodyDone    chan struct{} // closed when the request's body is not used any more, nil as bodyWritten
 }
 
 func dial(ctx context.Context, addr netip.AddrPort) (*conn, error) {
@@ -99,6 +100,14 @@
 	_ = c.Close()
 }
 
+// abandon resets the connection and waits until the request's body is not used any more.
+func (c *conn) abandon() {
+	c.abort()
+	if c.bodyDone != nil {
+		<-c.bodyDone
+	}
+}
+
 // reusable reports whether another request may be sent after the response resp,
 // which was read completely.
 func (c *conn) reusable(resp *Response) bool {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -270,3 +270,41 @@
 		convey.So(reusePeriod(http.Header{}), convey.ShouldEqual, idleTimeout)
 	})
 }
+
+// TestBodyOfEarlyResponse guards against a request's body that is still used, and takes
+// memory, after the request has ended.
+func TestBodyOfEarlyResponse(t *testing.T) {
+	convey.Convey("A body that the target does not read is not used after the response is closed, or after an error", t, func() {
+		for _, text := range []string{responseText("1", "early"), "no response\r\n\r\n"} {
+			ln, err := net.Listen("tcp4", "127.0.0.1:0")
+			convey.So(err, convey.ShouldBeNil)
+			go func() {
+				c, err := ln.Accept()
+				if err == nil {
+					_, _ = c.Read(make([]byte, 1024)) // the body is not read
+					_, _ = io.WriteString(c, text)
+				}
+			}()
+			req := newGetRequest("1")
+			req.Method, req.HasBody, req.Body = http.MethodPost, true, make([]byte, 32<<20)
+			addr := netip.MustParseAddrPort(ln.Addr().String())
+			c, err := dial(context.Background(), addr)
+			convey.So(err, convey.ShouldBeNil)
+			client := New(identify)
+			c.expires = time.Now().Add(time.Minute)
+			client.release(c, true) // is used for the request
+			resp, err := client.Do(context.Background(), addr, req)
+			if err == nil {
+				_, err = io.Copy(io.Discard, resp)
+				convey.So(err, convey.ShouldBeNil)
+				resp.Close()
+			}
+			select {
+			case <-c.bodyDone:
+			default:
+				t.Error("the body is still used")
+			}
+			_ = ln.Close()
+		}
+	})
+}
