Bound the memory of the heads of callers' requests

Callers whose heads consist of many short lines took the memory of the entry machine, and with it the requests of all others.

Cause: a head is parsed before the request is admitted, so that it was in no bound but net/http's 1 MiB a connection, and takes some sixteen times its text.

Change: the connection of a caller estimates the memory of a head while it arrives, as that to a target does, and leases what exceeds 8 KiB from the part that heads and responses share. Without memory the caller gets a 503 with Retry-After, and the request is not read on. The limit of a head is 64 KiB; the platform's configurations allow 16 KiB.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -40,7 +40,7 @@
 const (
 	shortBody memoryUse = iota // a request body of up to shortBodyBytes
 	longBody                   // a longer request body
-	response                   // a head, an event or a buffered body of a target
+	response                   // a head, an event or a buffered body of a target, or the head of a request
 	memoryUses
 )
 
--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/borageusher/borageusher/internal/socket"
+	"github.com/borageusher/borageusher/internal/upstream"
 )
 
 // callerConn is a caller's connection. A request is in progress on it from its first
@@ -26,10 +27,12 @@
 	conns *callerConns
 
 	mu        sync.Mutex
-	busy      bool // a request is in progress
-	responded bool // the response has been written; the next Read ends the request
-	ahead     bool // the last Read returned one byte, which the server keeps for the next request
-	closed    bool // closed as idle
+	head      upstream.HeadMeter // of the request in progress
+	memory    lease              // for its head, until the response is written
+	busy      bool               // a request is in progress
+	responded bool               // the response has been written; the next Read ends the request
+	ahead     bool               // the last Read returned one byte, which the server keeps for the next request
+	closed    bool               // closed as idle
 	idleSince time.Time
 	timeout   time.Duration // idle timeout in force at idleSince, on which the caller relies
 }
@@ -40,6 +43,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.responded, c.idleSince, c.timeout = true, now, timeout
+	c.head.Reset()
+	c.memory.shrink(0)
 }
 
 // Read implements net.Conn.
@@ -51,6 +56,9 @@
 	waits := c.responded // for the next request
 	if waits {
 		c.responded, c.busy = false, c.ahead
+		if c.ahead {
+			c.head.Begin()
+		}
 	}
 	partial := waits && c.ahead
 	c.mu.Unlock()
@@ -69,6 +77,9 @@
 		return 0, c.readError(op.Err)
 	case err != nil:
 		return 0, c.readError(err)
+	case errors.Is(readErr, errHeadMemory):
+		c.rejectHead()
+		return 0, c.readError(readErr)
 	case readErr != nil:
 		return 0, c.readError(readErr)
 	case n == 0:
@@ -90,7 +101,7 @@
 func (c *callerConn) SetReadDeadline(t time.Time) error {
 	if !t.IsZero() {
 		c.mu.Lock()
-		c.responded = false
+		c.responded = false // the head is not metered, as its end may have been read as well
 		c.mu.Unlock()
 	}
 	return c.TCPConn.SetReadDeadline(t)
@@ -113,12 +124,36 @@
 		case err != nil:
 			return 0, os.NewSyscallError("read", err)
 		}
+		if n > 0 && !c.busy {
+			c.head.Begin()
+		}
 		c.busy = c.busy || n > 0
+		c.head.Add(p[:n])
+		if more := c.head.Cost() - upstream.FreeHeadCost - c.memory.bytes; more > 0 && !c.memory.reserve(more) {
+			return 0, errHeadMemory
+		}
 		c.ahead = len(p) == 1 && n == 1
 		return n, nil
 	}
 }
 
+// errHeadMemory is the error of a request's head for which there is no memory.
+var errHeadMemory = errors.New("no memory for the head")
+
+// rejectionText is the response to a request whose head was not read.
+const rejectionText = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 2\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// rejectionTimeout limits the write of rejectionText, which fits into the buffer of a
+// connection.
+const rejectionTimeout = 100 * time.Millisecond
+
+// rejectHead responds to a request whose head is not read to its end. The server closes the
+// connection.
+func (c *callerConn) rejectHead() {
+	_ = c.SetWriteDeadline(time.Now().Add(rejectionTimeout))
+	_, _ = io.WriteString(c.TCPConn, rejectionText)
+}
+
 // readError returns the error of a Read in the form that package net uses.
 func (c *callerConn) readError(err error) error {
 	return &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: err}
@@ -153,5 +188,9 @@
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
 	c.conns.remove(c)
-	return c.TCPConn.Close()
+	err := c.TCPConn.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.memory.shrink(0)
+	return err
 }
--- a/internal/gateway/caller_conns.go
+++ b/internal/gateway/caller_conns.go
@@ -19,6 +19,7 @@
 	idleTimeout func() time.Duration // in force, zero for none
 	log         event.Log
 	scope       tally.Scope
+	admission   *admissionControl // of the memory for heads, nil for no limit
 
 	mu   sync.Mutex
 	open map[*callerConn]struct{}
@@ -48,7 +49,7 @@
 	if err != nil {
 		return nil, err // never for an open connection
 	}
-	c := &callerConn{TCPConn: conn, raw: raw, conns: l.conns}
+	c := &callerConn{TCPConn: conn, raw: raw, conns: l.conns, memory: lease{admission: l.conns.admission, use: response}}
 	l.conns.mu.Lock()
 	defer l.conns.mu.Unlock()
 	l.conns.open[c] = struct{}{}
--- a/internal/gateway/caller_conns_test.go
+++ b/internal/gateway/caller_conns_test.go
@@ -61,6 +61,7 @@
 	log := event.New(lockedWriter{ts.testGateway}, "entryd", "e1", zerolog.InfoLevel)
 	ts.process = &process{log: log, gateway: ts.gateway}
 	ts.process.callers = newCallerConns(func() time.Duration { return time.Duration(ts.idleTimeout.Load()) }, log, tally.NoopScope)
+	ts.process.callers.admission = tg.gateway.admission
 	ts.idleTimeout.Store(int64(callerIdleTimeout))
 	ts.server = ts.process.newCallerServer()
 	report := ts.server.ConnState
--- a/internal/gateway/main.go
+++ b/internal/gateway/main.go
@@ -46,6 +46,10 @@
 	sweepInterval = time.Second
 )
 
+// maxCallerHeaderBytes limits the head of a request. The configurations of the platform
+// allow 16 KiB.
+const maxCallerHeaderBytes = 64 << 10
+
 // collectorShare is the share of a VM's memory from which on garbage is collected more often.
 // admissionControl bounds the memory without it; it helps where the runtime returns
 // memory to the system late.
@@ -141,6 +145,7 @@
 		Scope:         scope,
 		Limits:        node.Limits,
 	})
+	p.callers.admission = p.gateway.admission
 	store := platform.NewStore(scope)
 	cfg := &configurationSink{decoder: platform.Decoder, name: platform.ConfigurationName, current: &p.current, fleet: p.fleet, log: log}
 	p.followers = map[string]*follow.Follower{
@@ -249,6 +254,7 @@
 	return &http.Server{
 		Handler:           p.gateway,
 		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    maxCallerHeaderBytes,
 		ConnState:         p.callers.onStateChange,
 		ConnContext:       p.callers.connContext,
 	}
--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -21,9 +21,9 @@
 	// target writes the head at once; retransmissions on a path with packet loss
 	// take less than a second.
 	headTimeout = time.Second
-	// freeHeadCost is the memory of heads for which none is reserved, and
+	// FreeHeadCost is the memory of heads for which none is reserved, and
 	// headCostStep the memory that is reserved at once beyond it.
-	freeHeadCost = 8 << 10
+	FreeHeadCost = 8 << 10
 	headCostStep = 8 << 10
 	// headLineCost is the memory of a header line beside its text, in the two maps of
 	// the headers as received and as passed on.
@@ -45,45 +45,77 @@
 	errSkipFailed  = errors.Newf("the body of a response to another request did not end within %d bytes and %s", maxDiscardedBytes, discardTimeout)
 )
 
+// HeadMeter estimates the memory that the heads of messages take, while they arrive. The
+// zero value is outside of a head.
+type HeadMeter struct {
+	cost   int64
+	inHead bool // the next byte belongs to a head
+	blank  bool // the current line of the head is empty so far
+}
+
+// Begin starts a head.
+func (m *HeadMeter) Begin() { m.inHead, m.blank = true, false }
+
+// End ends a head early.
+func (m *HeadMeter) End() { m.inHead = false }
+
+// Reset sets the cost to zero.
+func (m *HeadMeter) Reset() { m.cost = 0 }
+
+// Cost returns the cost in bytes of the heads since the last Reset.
+func (m *HeadMeter) Cost() int64 { return m.cost }
+
+// Add adds the cost of the bytes of p that belong to the head.
+func (m *HeadMeter) Add(p []byte) {
+	for len(p) > 0 && m.inHead {
+		line, rest, found := bytes.Cut(p, newline)
+		m.cost += int64(len(line))
+		m.blank = m.blank && len(bytes.TrimRight(line, "\r")) == 0
+		if found {
+			m.cost += headLineCost
+			m.inHead, m.blank = !m.blank, true
+		}
+		p = rest
+	}
+}
+
+var newline = []byte{'\n'}
+
 // headLimit is the reader of a connection. It fails with errHeadTooLong when more
 // bytes are read than allowed, and with errHeadMemory when there is no memory for the
 // heads of a request's responses.
 type headLimit struct {
 	r         io.Reader
 	remaining int64
-	inHead    bool // the next byte belongs to a head
-	blank     bool // the current line of the head is empty so far
+	meter     HeadMeter
 
 	reserve func(n int64) bool // nil for no limit
-	cost    int64              // of the heads read for the request
-	granted int64              // for which memory is set aside
+	granted int64              // cost for which memory is set aside
 }
 
 // begin starts the limit of the heads of a request's responses.
 func (l *headLimit) begin(reserve func(n int64) bool) {
-	l.reserve, l.cost, l.granted = reserve, 0, freeHeadCost
+	l.meter.Reset()
+	l.reserve, l.granted = reserve, FreeHeadCost
 }
 
 // set allows n more bytes, of a head.
-func (l *headLimit) set(n int64) { l.remaining, l.inHead, l.blank = n, true, false }
+func (l *headLimit) set(n int64) {
+	l.remaining = n
+	l.meter.Begin()
+}
 
 // lift allows any number of bytes, of a body.
-func (l *headLimit) lift() { l.remaining, l.inHead = math.MaxInt64, false }
+func (l *headLimit) lift() {
+	l.remaining = math.MaxInt64
+	l.meter.End()
+}
 
 // count adds the cost of the bytes of p that belong to the head, and reports whether
 // there is memory for it.
 func (l *headLimit) count(p []byte) bool {
-	for len(p) > 0 && l.inHead {
-		line, rest, found := bytes.Cut(p, newline)
-		l.cost += int64(len(line))
-		l.blank = l.blank && len(bytes.TrimRight(line, "\r")) == 0
-		if found {
-			l.cost += headLineCost
-			l.inHead, l.blank = !l.blank, true
-		}
-		p = rest
-	}
-	for l.reserve != nil && l.cost > l.granted {
+	l.meter.Add(p)
+	for l.reserve != nil && l.meter.Cost() > l.granted {
 		if !l.reserve(headCostStep) {
 			return false
 		}
@@ -92,8 +124,6 @@
 	return true
 }
 
-var newline = []byte{'\n'}
-
 // Read implements io.Reader.
 func (l *headLimit) Read(p []byte) (int, error) {
 	if l.remaining <= 0 {
