--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -55,8 +55,8 @@
 	version      string            // of the software that began the stream, empty if none did or it is not known
 	fallback     *bufferedResponse // a target's 5xx response, delivered if no attempt succeeds
 
-	memory       responseMemory // of the current response and the fallback
-	fallbackHeld int64          // bytes of memory for the fallback
+	memory       lease // of the current response and the fallback
+	fallbackHeld int64 // bytes of memory for the fallback
 }
 
 // bufferedResponse is a response that was read completely.
--- a/internal/gateway/main.go
+++ b/internal/gateway/main.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -45,6 +46,15 @@
 	sweepInterval = time.Second
 )
 
+// maxCallerHeaderBytes limits the head of a request. The configurations of the platform
+// allow 16 KiB.
+const maxCallerHeaderBytes = 64 << 10
+
+// collectorShare is the share of a VM's memory from which on garbage is collected more often.
+// admissionControl bounds the memory without it; it helps where the runtime returns
+// memory to the system late.
+const collectorShare = 0.85
+
 // Platform holds the platform-specific parts of a gateway.
 type Platform struct {
 	NewStore          func(tally.Scope) follow.Source
@@ -86,6 +96,9 @@
 	if err != nil {
 		return err
 	}
+	if node.Limits.Memory > 0 {
+		debug.SetMemoryLimit(int64(collectorShare * float64(node.Limits.Memory)))
+	}
 	log.Event(event.Started).Stringer("address", node.Callers).Str("zone", node.Zone).Send()
 	return p.stop(ln, signals)
 }
@@ -132,6 +145,7 @@
 		Scope:         scope,
 		Limits:        node.Limits,
 	})
+	p.callers.admission = p.gateway.admission
 	store := platform.NewStore(scope)
 	cfg := &configurationSink{decoder: platform.Decoder, name: platform.ConfigurationName, current: &p.current, fleet: p.fleet, log: log}
 	p.followers = map[string]*follow.Follower{
@@ -241,6 +255,7 @@
 	return &http.Server{
 		Handler:           p.gateway,
 		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    maxCallerHeaderBytes,
 		ConnState:         p.callers.onStateChange,
 		ConnContext:       p.callers.connContext,
 	}
