Probe targets after broken connections to detect their crashes

Cause: a broken connection counts as a crash if the target is seen down within 2 s. Beside an engine, a targetd looks for that. For a plain target only an attempt that is refused shows it, and the failure just recorded keeps the entryd from making one. The class of fault: evidence that arrives only if traffic happens to look for it.

After a broken or refused connection an entryd now probes the target's address itself. Two successive probes that are refused show a crash, for plain targets and engines alike; a targetd's report counts as before. A reset by the network, or by a target with too many connections, leaves the listener and convicts nothing. A target that leaves doesn't crash. One refused attempt alone is no evidence any more.

TestCrashingRequestAtPlainTargets failed before ("the request reached 9 targets, want 2 before it is refused") and passes. TestLeavingTargetConvictsNoRequest fails without the look at the notice.

--- /dev/null
+++ b/internal/gateway/crash_probe.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/borageusher/borageusher/pkg/target"
+)
+
+// Timing of the probes of a target after a connection to it broke.
+const (
+	// probeDelay is the time until the first probe, in which a process that ends closes
+	// its listener after its connections.
+	probeDelay = 50 * time.Millisecond
+	// probePause is the time between two probes: shorter than half of the shortest time
+	// of a restart, so that two probes fall into it.
+	probePause = 100 * time.Millisecond
+	// minRefusals is the number of successive probes without a listener that show a
+	// crash. A single one may come from the network.
+	minRefusals = 2
+)
+
+// probeAfterBreak probes a target in the background after a connection to it broke or
+// was refused, and records a crash if no process listens at its address any more. A
+// reset by the network or by a target with too many connections leaves the listener. A
+// target that leaves does not crash.
+func (g *Gateway) probeAfterBreak(now time.Time, t *targetState) {
+	if !g.Fleet.isServing(t) || !g.CrashTracker.beginProbe(now, t.incarnation) {
+		return
+	}
+	go func() {
+		defer g.CrashTracker.endProbe(t.incarnation)
+		ctx, cancel := context.WithTimeout(context.Background(), crashWindow)
+		defer cancel()
+		if g.refusesConnections(ctx, t) && !g.Fleet.isLeaving(t) {
+			g.CrashTracker.recordEngineDown(time.Now(), t.incarnation)
+		}
+	}()
+}
+
+// refusesConnections reports whether successive probes find no listener at a target's
+// address. Probes that end otherwise before ctx is done are repeated.
+func (g *Gateway) refusesConnections(ctx context.Context, t *targetState) bool {
+	refusals := 0
+	for pause := probeDelay; refusals < minRefusals; pause = probePause {
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+			return false
+		}
+		switch err := g.Client.Probe(ctx, t.replica.Addr); {
+		case err == nil:
+			return false
+		case errors.Is(err, syscall.ECONNREFUSED):
+			refusals++
+		default:
+			refusals = 0
+		}
+	}
+	return true
+}
+
+// isServing reports whether a target is listed as live and does not leave, so that a
+// crash would be the reason why it ends.
+func (f *Fleet) isServing(t *targetState) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return t.replica.State == target.Live && !t.notice.leaving
+}
+
+// isLeaving reports whether a target is known to leave.
+func (f *Fleet) isLeaving(t *targetState) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return t.notice.leaving
+}
--- a/internal/gateway/crash_tracker.go
+++ b/internal/gateway/crash_tracker.go
@@ -12,7 +12,7 @@
 // crashWindow is the longest time between a broken connection and the
 // indication that its target crashed, in either order: the time in which
 // keep-alive probes detect a dead connection, plus the interval of a targetd's
-// reports.
+// reports. A target is probed for as long.
 const crashWindow = 2 * time.Second
 
 // crashTracker identifies the requests that crash targets. It is safe for
@@ -26,6 +26,7 @@
 	list   quarantine.List
 	broken map[string]map[quarantine.Fingerprint]time.Time // time of each broken request, by incarnation of the target
 	downAt map[string]time.Time                            // last indication of a crash, by incarnation of the target
+	probed map[string]bool                                 // incarnations that are being probed
 }
 
 func newCrashTracker(broadcast func(peer.Message), log event.Log) *crashTracker {
@@ -35,6 +36,7 @@
 		segments:  newSegmentTracker(broadcast, log),
 		broken:    map[string]map[quarantine.Fingerprint]time.Time{},
 		downAt:    map[string]time.Time{},
+		probed:    map[string]bool{},
 	}
 }
 
@@ -78,6 +80,25 @@
 	}
 }
 
+// beginProbe reports whether an incarnation of a target is to be probed: not if a probe
+// of it is under way or its crash is known. After the probe, endProbe has to be called.
+func (t *crashTracker) beginProbe(now time.Time, incarnation string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.probed[incarnation] || now.Sub(t.downAt[incarnation]) < crashWindow {
+		return false
+	}
+	t.probed[incarnation] = true
+	return true
+}
+
+// endProbe ends a probe of an incarnation.
+func (t *crashTracker) endProbe(incarnation string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.probed, incarnation)
+}
+
 // recordEngineDown records an indication that an incarnation of a target crashed.
 func (t *crashTracker) recordEngineDown(now time.Time, incarnation string) {
 	t.mu.Lock()
--- a/internal/gateway/crashing_segment_test.go
+++ b/internal/gateway/crashing_segment_test.go
@@ -30,11 +30,14 @@
 type fragileFleet struct {
 	t        *testing.T
 	gateways []*testGateway
+	targets  []*fragileTarget
+	plain    bool // the targets have no targetd that reports their crashes, and answer without a stream
 
-	mu      sync.Mutex
-	stopped bool
-	crashes []time.Time
-	arrived []time.Time // deadly requests at targets
+	mu       sync.Mutex
+	stopped  bool
+	maxConns int // of a target, which resets those beyond; zero for no limit
+	crashes  []time.Time
+	arrived  []time.Time // deadly requests at targets
 }
 
 // fragileTarget is a target of a fragileFleet.
@@ -68,6 +71,7 @@
 	for i := range targets {
 		ft := &fragileTarget{fleet: f, number: i, addr: "127.0.0.1:0"}
 		ft.start()
+		f.targets = append(f.targets, ft)
 		t.Cleanup(ft.stop)
 	}
 	t.Cleanup(func() { // before the targets stop
@@ -99,9 +103,13 @@
 		Handler:           http.HandlerFunc(ft.serve),
 		ReadHeaderTimeout: time.Second,
 		ConnState: func(c net.Conn, s http.ConnState) {
+			limit := ft.fleet.connLimit()
 			ft.mu.Lock()
 			defer ft.mu.Unlock()
 			ft.conns[c] = s != http.StateClosed
+			if s == http.StateNew && limit > 0 && len(ft.open()) > limit {
+				reset(c)
+			}
 		},
 	}
 	go func() { _ = srv.Serve(ln) }() // ends with the listener
@@ -146,6 +154,9 @@
 	ft.fleet.crashes = append(ft.fleet.crashes, time.Now())
 	ft.fleet.mu.Unlock()
 	for _, tg := range ft.fleet.gateways {
+		if ft.fleet.plain {
+			break
+		}
 		time.AfterFunc(testReportDelay, func() { tg.crashes.recordEngineDown(time.Now(), incarnation) })
 	}
 	time.AfterFunc(testDownTime, ft.start)
@@ -164,8 +175,10 @@
 	}
 	w.Header().Set("Id", r.Header.Get("Id"))
 	w.Header().Set("Signed", "yes")
-	w.Header().Set("Content-Type", "text/event-stream")
-	_ = http.NewResponseController(w).Flush()
+	if !ft.fleet.plain {
+		w.Header().Set("Content-Type", "text/event-stream")
+		_ = http.NewResponseController(w).Flush()
+	}
 	select {
 	case <-time.After(testReadTime/2 + rand.N(testReadTime)):
 	case <-r.Context().Done():
@@ -175,6 +188,10 @@
 		ft.crash(start)
 		return
 	}
+	if ft.fleet.plain {
+		_, _ = io.WriteString(w, "answer")
+		return
+	}
 	for i := range 3 {
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", i+1)
 		_ = http.NewResponseController(w).Flush()
