Withdraw crashes of targets that answer later

A network element that resets connections may refuse new ones too. Two refused probes then counted as a crash of a target that runs, and a sound request that many callers repeat was refused for an hour.

Cause: the refusal of a connection tells of the path as well as of the process, and nothing refuted it. The class of fault: evidence that is never weighed against later evidence.

Five successive probes have to be refused now, within half a second; targets that crashed are down for seconds. An answer to a request that was sent later shows that the incarnation has not crashed: it prevents the report, or withdraws the crash from the requests' and the segments' list (event crash_withdrawn, 338). A 421 doesn't count, and neither does an answer after a targetd has stated the crash.

TestAnswerWithdrawsCrash failed without the withdrawal ("gateway 0: sound request is answered 503", all three gateways). In TestCrashingRequestAtPlainTargets a target is down for 1 s instead of 0.33 s, as five probes take 0.45 s; without probes it fails as before (9 targets reached).

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -38,6 +38,7 @@
 	SegmentsSuspected Code = 335
 	SegmentConvicted  Code = 336
 	SegmentCleared    Code = 337
+	CrashWithdrawn    Code = 338
 	LoadGranted       Code = 340
 	AttemptSent       Code = 350
 	AttemptEnded      Code = 351
@@ -135,6 +136,7 @@
 	{SegmentsSuspected, "segments_suspected", zerolog.WarnLevel, "The target crashed; `segments` are the prompt segments in flight that had no answer then and have had none since, at most 16."},
 	{SegmentConvicted, "segment_convicted", zerolog.ErrorLevel, "The prompt segment crashes targets: it was in flight at `crashes` crashes. Requests with it are refused."},
 	{SegmentCleared, "segment_cleared", zerolog.InfoLevel, "A target began to answer a request with the prompt segment, which is no longer a suspect of the crashes before."},
+	{CrashWithdrawn, "crash_withdrawn", zerolog.InfoLevel, "The target answered a request that was sent after its supposed crash: connections to it were only refused."},
 	{LoadGranted, "load_granted", zerolog.InfoLevel, "Placement decision: `target` may load one adapter for `team` with a load permit that another target transferred."},
 	{AttemptSent, "attempt_sent", zerolog.InfoLevel, "Routing decision: an attempt is sent directly to `target`; `load`, `ahead` (tokens of prompts that it reads before), `wait` and `state_age` are the values behind the decision, `permit` is the time waited for permits so far."},
 	{AttemptEnded, "attempt_ended", zerolog.WarnLevel, "An attempt did not answer the request: `outcome` says whether it was refused, failed or broke off."},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -61,6 +61,9 @@
 	defer resp.Close()
 	c.attemptsSent++
 	meta := g.HeaderCodec.ParseResponse(resp.Status, resp.Header)
+	if resp.Status != http.StatusMisdirectedRequest { // else another incarnation may answer
+		g.CrashTracker.recordAlive(now, sel.target.incarnation)
+	}
 	g.Fleet.observeNotice(time.Now(), sel.target, meta)
 	g.Fleet.observeRateLimit(time.Now(), sel.target, now, meta.RateLimit)
 	// A 400 is relayed as the final response even if the request did not run, and a
--- a/internal/gateway/crash_probe.go
+++ b/internal/gateway/crash_probe.go
@@ -15,12 +15,12 @@
 	// probeDelay is the time until the first probe, in which a process that ends closes
 	// its listener after its connections.
 	probeDelay = 50 * time.Millisecond
-	// probePause is the time between two probes: shorter than half of the shortest time
-	// of a restart, so that two probes fall into it.
+	// probePause is the time between two probes.
 	probePause = 100 * time.Millisecond
 	// minRefusals is the number of successive probes without a listener that show a
-	// crash. A single one may come from the network.
-	minRefusals = 2
+	// crash: some may be refused by a network element that resets connections. Targets
+	// that crashed are down for seconds.
+	minRefusals = 5
 )
 
 // probeAfterBreak probes a target in the background after a connection to it broke or
@@ -36,7 +36,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), crashWindow)
 		defer cancel()
 		if g.refusesConnections(ctx, t) && !g.Fleet.isLeaving(t) {
-			g.CrashTracker.recordEngineDown(time.Now(), t.incarnation)
+			g.CrashTracker.recordUnreachable(time.Now(), now, t.incarnation)
 		}
 	}()
 }
--- a/internal/gateway/crash_probe_test.go
+++ b/internal/gateway/crash_probe_test.go
@@ -17,10 +17,11 @@
 func TestCrashingRequestAtPlainTargets(t *testing.T) {
 	const (
 		requests = 9
-		pause    = 500 * time.Millisecond // longer than a crashed target is down
+		down     = time.Second // of a target that crashed
+		pause    = 1200 * time.Millisecond
 	)
 	f := newFragileFleet(t, 3, 3)
-	f.plain = true
+	f.plain, f.down = true, down
 	for n := range requests {
 		f.gateways[n%len(f.gateways)].call(t, "/unsafe/deadly")
 		time.Sleep(pause)
@@ -65,6 +66,26 @@
 	}
 }
 
+// refuse resets the target's connections and refuses new ones for a time, as a network
+// element does. The target runs on.
+func (ft *fragileTarget) refuse(t *testing.T, d time.Duration) {
+	t.Helper()
+	ft.mu.Lock()
+	_ = ft.ln.Close()
+	ft.mu.Unlock()
+	ft.resetConns()
+	time.Sleep(d)
+	ln, err := net.Listen("tcp4", ft.addr)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	ft.mu.Lock()
+	ft.ln = ln
+	ft.mu.Unlock()
+	go func() { _ = ft.srv.Serve(ln) }() // ends with the listener
+}
+
 // sendUntil sends the same sound request through all gateways until the given time, and
 // returns the number of requests by status, zero for none.
 func (f *fragileFleet) sendUntil(t *testing.T, end time.Time) map[int]int {
@@ -102,14 +123,17 @@
 // Resets by the network and by targets with too many connections must not convict a
 // sound request that many callers repeat.
 func TestResetsConvictNoRequest(t *testing.T) {
-	const length = time.Second
-	for seed := range uint64(20) {
+	const (
+		length     = time.Second
+		maxRefusal = 300 * time.Millisecond // of new connections at a time
+	)
+	for seed := range uint64(21) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			rng := rand.New(rand.NewPCG(seed, 11))
 			f := newFragileFleet(t, 3, 3)
 			f.plain = true
-			if seed%2 == 1 {
+			if seed%3 == 0 {
 				f.mu.Lock()
 				f.maxConns = 1 + rng.IntN(2)
 				f.mu.Unlock()
@@ -118,14 +142,18 @@
 			done := make(chan struct{})
 			go func() {
 				defer close(done)
-				for seed%2 == 0 && time.Now().Before(end) {
+				for n := 0; seed%3 > 0 && time.Now().Before(end); n++ {
 					time.Sleep(time.Duration(rng.IntN(40)) * time.Millisecond)
-					f.targets[rng.IntN(len(f.targets))].resetConns()
+					if seed%3 == 1 {
+						f.targets[rng.IntN(len(f.targets))].resetConns()
+					} else {
+						f.targets[n%len(f.targets)].refuse(t, time.Duration(rng.Int64N(int64(maxRefusal))))
+					}
 				}
 			}()
 			statuses := f.sendUntil(t, end)
 			<-done
-			if statuses[502] < 5 {
+			if statuses[502] < 5 && seed%3 < 2 {
 				t.Errorf("few requests were reset: by status %v", statuses)
 			}
 			f.checkNoCrash(t)
@@ -158,3 +186,44 @@
 	}
 	f.checkNoCrash(t)
 }
+
+// A sound request stayed convicted after a network element had refused the connections
+// to its targets.
+func TestAnswerWithdrawsCrash(t *testing.T) {
+	f := newFragileFleet(t, 3, 2)
+	f.plain = true
+	for i, tg := range f.gateways { // each target is in use by each gateway
+		for n := range 8 {
+			tg.call(t, "/unsafe/other", "Id", fmt.Sprint("r", i, n))
+		}
+	}
+	for _, ft := range f.targets {
+		ft.slow.Store(true)
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			ft.refuse(t, time.Second)
+			ft.slow.Store(false)
+		}()
+	}
+	var wg sync.WaitGroup
+	for n := range 12 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			f.gateways[n%len(f.gateways)].call(t, "/unsafe/sound", "Id", fmt.Sprint("r", n))
+		}()
+	}
+	wg.Wait()
+	time.Sleep(1500 * time.Millisecond)
+	if n := strings.Count(f.gateways[0].logText(), "crash_known"); n == 0 {
+		t.Error("no crash was reported")
+	}
+	for i, tg := range f.gateways {
+		for n := range 20 { // to both targets
+			tg.call(t, "/unsafe/other", "Id", fmt.Sprint("s", i, n))
+		}
+		if reply := tg.call(t, "/unsafe/sound"); reply.status != 200 {
+			t.Errorf("gateway %d: sound request is answered %d", i, reply.status)
+		}
+	}
+}
--- a/internal/gateway/crash_tracker.go
+++ b/internal/gateway/crash_tracker.go
@@ -27,6 +27,9 @@
 	broken map[string]map[quarantine.Fingerprint]time.Time // time of each broken request, by incarnation of the target
 	downAt map[string]time.Time                            // last indication of a crash, by incarnation of the target
 	probed map[string]bool                                 // incarnations that are being probed
+	known  map[string]time.Time                            // latest possible times of the crashes that may be withdrawn, by incarnation
+	stated map[string]time.Time                            // when a targetd stated a crash, which is not withdrawn, by incarnation
+	alive  map[string]time.Time                            // when the last request that was answered was sent, by incarnation
 }
 
 func newCrashTracker(broadcast func(peer.Message), log event.Log) *crashTracker {
@@ -37,6 +40,9 @@
 		broken:    map[string]map[quarantine.Fingerprint]time.Time{},
 		downAt:    map[string]time.Time{},
 		probed:    map[string]bool{},
+		known:     map[string]time.Time{},
+		stated:    map[string]time.Time{},
+		alive:     map[string]time.Time{},
 	}
 }
 
@@ -99,14 +105,48 @@
 	delete(t.probed, incarnation)
 }
 
-// recordEngineDown records an indication that an incarnation of a target crashed.
+// recordEngineDown records the statement of the targetd beside a target that this
+// incarnation crashed.
 func (t *crashTracker) recordEngineDown(now time.Time, incarnation string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.stated[incarnation] = now
 	t.downAt[incarnation] = now
 	t.reportCrash(now, incarnation)
 }
 
+// recordUnreachable records that no process listens any more at the address of an
+// incarnation to which a connection broke at the given time. It is no crash if the
+// incarnation has answered a request that was sent later.
+func (t *crashTracker) recordUnreachable(now, brokenAt time.Time, incarnation string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.alive[incarnation].After(brokenAt) {
+		return
+	}
+	t.downAt[incarnation] = now
+	t.reportCrash(now, incarnation)
+}
+
+// recordAlive records that an incarnation answered a request that was sent at the given
+// time. It withdraws a crash before that: network elements may refuse connections too.
+func (t *crashTracker) recordAlive(sent time.Time, incarnation string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if sent.After(t.alive[incarnation]) {
+		t.alive[incarnation] = sent
+	}
+	at, ok := t.known[incarnation]
+	if _, stated := t.stated[incarnation]; !ok || stated || !sent.After(at) {
+		return
+	}
+	delete(t.known, incarnation)
+	delete(t.downAt, incarnation)
+	t.list.Remove(incarnation)
+	t.segments.withdrawCrash(incarnation)
+	t.log.Event(event.CrashWithdrawn).Str("target", incarnation).Send()
+}
+
 // reportCrash records the calls in flight at the crash of an incarnation and
 // broadcasts them to the other entryds. The caller holds mu.
 func (t *crashTracker) reportCrash(now time.Time, incarnation string) {
@@ -133,6 +173,14 @@
 	t.add(now, m)
 }
 
+// applySegmentCrash applies a report of another entryd.
+func (t *crashTracker) applySegmentCrash(now time.Time, m peer.SegmentCrash) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.known[m.Engine] = now
+	t.segments.applyCrash(now, m)
+}
+
 // add records and logs a crash. The caller holds mu.
 func (t *crashTracker) add(now time.Time, m peer.CrashReport) {
 	c := quarantine.Crash{Name: m.Engine, Target: m.Engine, At: now}
@@ -143,6 +191,7 @@
 		}
 	}
 	t.list.Add(c)
+	t.known[m.Engine] = now
 	t.log.Event(event.CrashKnown).Str("target", m.Engine).Int("in_flight", len(c.InFlight)).Send()
 }
 
@@ -166,6 +215,18 @@
 			delete(t.downAt, incarnation)
 		}
 	}
+	for incarnation, at := range t.alive {
+		if now.Sub(at) > crashWindow {
+			delete(t.alive, incarnation)
+		}
+	}
+	for _, times := range []map[string]time.Time{t.known, t.stated} {
+		for incarnation, at := range times {
+			if now.Sub(at) > quarantine.ConvictedFor {
+				delete(times, incarnation)
+			}
+		}
+	}
 	for incarnation, calls := range t.broken {
 		for f, at := range calls {
 			if now.Sub(at) > crashWindow {
--- a/internal/gateway/crashing_segment_test.go
+++ b/internal/gateway/crashing_segment_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -31,7 +32,8 @@
 	t        *testing.T
 	gateways []*testGateway
 	targets  []*fragileTarget
-	plain    bool // the targets have no targetd that reports their crashes, and answer without a stream
+	down     time.Duration // of a target that crashed
+	plain    bool          // the targets have no targetd that reports their crashes, and answer without a stream
 
 	mu       sync.Mutex
 	stopped  bool
@@ -45,17 +47,19 @@
 	fleet  *fragileFleet
 	number int
 	addr   string
+	slow   atomic.Bool // answers take a second longer
 
 	mu      sync.Mutex
 	starts  int
 	ln      net.Listener
+	srv     *http.Server
 	conns   map[net.Conn]bool
 	started time.Time
 }
 
 func newFragileFleet(t *testing.T, gateways, targets int) *fragileFleet {
 	t.Helper()
-	f := &fragileFleet{t: t}
+	f := &fragileFleet{t: t, down: testDownTime}
 	for range gateways {
 		f.gateways = append(f.gateways, newTestGateway(t))
 	}
@@ -112,6 +116,9 @@
 			}
 		},
 	}
+	ft.mu.Lock()
+	ft.srv = srv
+	ft.mu.Unlock()
 	go func() { _ = srv.Serve(ln) }() // ends with the listener
 	for _, tg := range ft.fleet.gateways {
 		tg.fleet.mu.Lock()
@@ -159,7 +166,7 @@
 		}
 		time.AfterFunc(testReportDelay, func() { tg.crashes.recordEngineDown(time.Now(), incarnation) })
 	}
-	time.AfterFunc(testDownTime, ft.start)
+	time.AfterFunc(ft.fleet.down, ft.start)
 }
 
 func (ft *fragileTarget) serve(w http.ResponseWriter, r *http.Request) {
@@ -179,8 +186,12 @@
 		w.Header().Set("Content-Type", "text/event-stream")
 		_ = http.NewResponseController(w).Flush()
 	}
+	read := testReadTime/2 + rand.N(testReadTime)
+	if ft.slow.Load() {
+		read += time.Second
+	}
 	select {
-	case <-time.After(testReadTime/2 + rand.N(testReadTime)):
+	case <-time.After(read):
 	case <-r.Context().Done():
 		return
 	}
--- a/internal/gateway/main.go
+++ b/internal/gateway/main.go
@@ -117,7 +117,7 @@
 	}
 	p.crashes = newCrashTracker(p.fleet.broadcast, log)
 	conns.onEngineDown, conns.onCrashReport = p.crashes.recordEngineDown, p.crashes.applyReport
-	conns.onSegmentCrash, conns.onSegmentAnswers = p.crashes.segments.applyCrash, p.crashes.segments.applyAnswers
+	conns.onSegmentCrash, conns.onSegmentAnswers = p.crashes.applySegmentCrash, p.crashes.segments.applyAnswers
 	p.fleet.onTarget = conns.connect
 	client := upstream.New(platform.HeaderCodec.RequestID)
 	b := node.Bounds
--- a/internal/gateway/segment_tracker.go
+++ b/internal/gateway/segment_tracker.go
@@ -235,6 +235,13 @@
 	}
 }
 
+// withdrawCrash removes the crash of an incarnation.
+func (t *segmentTracker) withdrawCrash(incarnation string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.logConvicted(t.list.Remove(incarnation))
+}
+
 // applyAnswers applies a report of another entryd.
 func (t *segmentTracker) applyAnswers(now time.Time, m peer.SegmentAnswers) {
 	t.mu.Lock()
--- a/internal/gateway/test_gateway_test.go
+++ b/internal/gateway/test_gateway_test.go
@@ -303,7 +303,7 @@
 	case peer.CrashReport:
 		tg.crashes.applyReport(time.Now(), m)
 	case peer.SegmentCrash:
-		tg.crashes.segments.applyCrash(time.Now(), m)
+		tg.crashes.applySegmentCrash(time.Now(), m)
 	case peer.SegmentAnswers:
 		tg.crashes.segments.applyAnswers(time.Now(), m)
 	}
--- a/pkg/quarantine/segments.go
+++ b/pkg/quarantine/segments.go
@@ -104,6 +104,13 @@
 	return a
 }
 
+// Remove removes the named crash, which was none. It returns the segments that are
+// convicted now because there are fewer crashes under which they were not in flight.
+func (l *SegmentList) Remove(name string) []Fingerprint {
+	l.crashes = slices.DeleteFunc(l.crashes, func(c *SegmentCrash) bool { return c.Name == name })
+	return l.rebuild()
+}
+
 // dropOldest removes the oldest crash that convicts no segment, or the oldest one.
 func (l *SegmentList) dropOldest() {
 	i := slices.IndexFunc(l.crashes, func(c *SegmentCrash) bool {
--- a/pkg/quarantine/segments_test.go
+++ b/pkg/quarantine/segments_test.go
@@ -137,3 +137,19 @@
 		convey.So(len(l.answered), convey.ShouldEqual, 0)
 	})
 }
+
+func TestRemoveSegmentCrash(t *testing.T) {
+	convey.Convey("A crash that was none convicts no segment, and its absence may convict another", t, func() {
+		var l SegmentList
+		for i := range minSegmentCrashes {
+			at := time.Duration(i) * time.Second
+			l.Add(segmentCrash(fmt.Sprint(i), at, exposure("x", at-1)))
+			l.Add(segmentCrash(fmt.Sprint("none", i), at+1, exposure("y", at)))
+		}
+		convey.So(l.Classify(start.Add(time.Minute), testSegment("x")), convey.ShouldEqual, Suspect)
+		convicted := l.Remove("none0")
+		convey.So(convicted, convey.ShouldResemble, []Fingerprint{testSegment("x")})
+		l.Remove("1")
+		convey.So(l.Classify(start.Add(time.Minute), testSegment("x")), convey.ShouldEqual, Suspect)
+	})
+}
