Expect no answer to a prompt sooner than usual when targets crash

Cause: a segment counts as a suspect of each crash before its next answer. A request with a long prompt needs more than a second until its answer begins; if targets live for less, it is in flight at each crash and gets no answer, whatever the cause. The class of fault: a missing answer taken as evidence before it was due.

For a segment that has been answered lately, a crash is a recurrence only if its request had been in flight for the mean time that answers with it took. An entryd that has seen no answer itself takes the longest mean time that it knows.

TestProvenSegmentBeforeAnswer failed without the condition in two of four cases.

--- a/internal/gateway/segment_tracker.go
+++ b/internal/gateway/segment_tracker.go
@@ -156,6 +156,7 @@
 	t.unstated[run.service] = unstated[max(0, len(unstated)-quarantine.MinServiceAnswers):]
 	var cleared [][]byte
 	for _, s := range run.segments {
+		t.list.RecordWait(s, now.Sub(run.sentAt))
 		if t.recordCleared(now, s) {
 			t.log.Event(event.SegmentCleared).Stringer("segment", s).Str("service", run.service).Send()
 			cleared = append(cleared, s[:])
--- a/pkg/quarantine/segments.go
+++ b/pkg/quarantine/segments.go
@@ -60,6 +60,8 @@
 	crashes   []*SegmentCrash                 // in order of time
 	uncleared map[Fingerprint][]*SegmentCrash // crashes by segment, in order of time, without those before its last answer
 	answered  map[Fingerprint]time.Time       // last answer begun by segment
+	waits     map[Fingerprint]*waits          // until answers began, by segment
+	longest   time.Duration                   // mean wait of the segment with the longest one, at the last rebuild
 	convicted map[Fingerprint]time.Time       // time of the last crash, by segment
 }
 
@@ -143,6 +145,42 @@
 	return len(l.uncleared[s]) < before, convicted
 }
 
+// waits are the times until answers to requests with a segment began.
+type waits struct {
+	n   int
+	sum time.Duration
+}
+
+func (w *waits) mean() time.Duration { return w.sum / time.Duration(w.n) }
+
+// RecordWait records how long it took until a target began an answer to a request with
+// the segment. A request that crashes its target does so no sooner.
+func (l *SegmentList) RecordWait(s Fingerprint, d time.Duration) {
+	if l.waits == nil {
+		l.waits = map[Fingerprint]*waits{}
+	}
+	w := l.waits[s]
+	if w == nil {
+		if len(l.waits) >= maxProven {
+			return
+		}
+		w = &waits{}
+		l.waits[s] = w
+	}
+	w.n++
+	w.sum += d
+}
+
+// usualWait returns the mean time until an answer to a request with the segment begins.
+// If only other processes have seen one, it is the longest of all segments, zero if none
+// is known.
+func (l *SegmentList) usualWait(s Fingerprint) time.Duration {
+	if w := l.waits[s]; w != nil {
+		return w.mean()
+	}
+	return l.longest
+}
+
 // AnsweredAt returns the time of the last answer with the segment, zero if none is
 // known.
 func (l *SegmentList) AnsweredAt(s Fingerprint) time.Time { return l.answered[s] }
@@ -184,6 +222,7 @@
 	for s, at := range l.answered {
 		if now.Sub(at) > provenFor && len(l.uncleared[s]) == 0 {
 			delete(l.answered, s)
+			delete(l.waits, s)
 		}
 	}
 }
@@ -198,6 +237,10 @@
 			}
 		}
 	}
+	l.longest = 0
+	for _, w := range l.waits {
+		l.longest = max(l.longest, w.mean())
+	}
 	earlier := l.convicted
 	l.convicted = map[Fingerprint]time.Time{}
 	var added []Fingerprint
@@ -237,13 +280,22 @@
 // requests in between.
 func (l *SegmentList) recurs(s Fingerprint, run []*SegmentCrash) bool {
 	last, recurrences := run[0].At, 0
+	proven := l.provenAt(run[0].At, s)
+	var wait time.Duration
+	if proven {
+		wait = l.usualWait(s)
+	}
 	for _, c := range run[1:] {
-		if c.ServedAt.After(last) && c.sentAt(s).After(last) {
+		sentAt := c.sentAt(s)
+		if c.At.Sub(sentAt) < wait {
+			continue // the target crashed before it would have begun to answer
+		}
+		if c.ServedAt.After(last) && sentAt.After(last) {
 			last = c.At
 			recurrences++
 		}
 	}
-	if l.provenAt(run[0].At, s) {
+	if proven {
 		return recurrences >= minProvenRecurrences
 	}
 	return recurrences >= minRecurrences
--- a/pkg/quarantine/segments_test.go
+++ b/pkg/quarantine/segments_test.go
@@ -153,3 +153,34 @@
 		convey.So(l.Classify(start.Add(time.Minute), testSegment("x")), convey.ShouldEqual, Suspect)
 	})
 }
+
+// Sound segments of long prompts were convicted when targets crashed, for other reasons,
+// sooner than they could begin to answer.
+func TestProvenSegmentBeforeAnswer(t *testing.T) {
+	tests := []struct {
+		about string
+		age   time.Duration // of the requests at the crashes
+		wait  string        // segment whose usual wait is 60 ns
+		want  Verdict
+	}{
+		{"crashes before the usual wait", 50, "x", Suspect},
+		{"crashes after the usual wait", 70, "x", Convicted},
+		{"crashes before the usual wait of another segment", 50, "y", Suspect},
+		{"crashes after the usual wait of another segment", 70, "y", Convicted},
+	}
+	convey.Convey("A proven segment is convicted by crashes after its usual wait", t, func() {
+		for _, test := range tests {
+			convey.Convey(test.about, func() {
+				var l SegmentList
+				l.Answer(start.Add(-1), testSegment("x"))
+				l.RecordWait(testSegment(test.wait), 40)
+				l.RecordWait(testSegment(test.wait), 80)
+				for i := range minProvenRecurrences + 1 {
+					at := time.Duration(100 * i)
+					l.Add(segmentCrash(fmt.Sprint(i), at, exposure("x", at-test.age)))
+				}
+				convey.So(l.Classify(start.Add(500), testSegment("x")), convey.ShouldEqual, test.want)
+			})
+		}
+	})
+}
