Convict no prompt segment for crashes that chance explains

Sound segments that few requests use were convicted where the only targets of a service crashed by themselves: two or three requests were refused after 14 crashes (TestFewTargetsCrash).

Cause: three crashes convict a segment however many segments were in flight at them. With 40 of some 330 in flight at each, one of them is at three crashes by chance. The class of fault is that of many comparisons: a bound that is right for one candidate, applied to hundreds.

A conviction now needs that at most 0.2 segments are expected to be in flight at as many of the crashes by chance, from the numbers of segments at each crash and of all that are known; 64 are assumed where fewer are known.

TestCoincidence failed without the condition.

--- a/pkg/quarantine/segments.go
+++ b/pkg/quarantine/segments.go
@@ -33,6 +33,12 @@
 	// provenFor is the time for which a segment that has been answered counts as
 	// proven.
 	provenFor = SuspectFor
+	// maxCoincidences is the greatest number of sound segments that may be expected to
+	// have been in flight at as many crashes by chance.
+	maxCoincidences = 0.2
+	// minKnown is the number of segments that a service is assumed to have at least, as
+	// long as fewer are known.
+	minKnown = 64
 	// maxSegmentCrashes and maxProven bound the memory of a SegmentList.
 	maxSegmentCrashes = 256
 	maxProven         = 1 << 14
@@ -61,6 +67,7 @@
 	uncleared map[Fingerprint][]*SegmentCrash // crashes by segment, in order of time, without those before its last answer
 	answered  map[Fingerprint]time.Time       // last answer begun by segment
 	waits     map[Fingerprint]*waits          // until answers began, by segment
+	known     int                             // segments in flight or answered, at the last rebuild
 	longest   time.Duration                   // mean wait of the segment with the longest one, at the last rebuild
 	convicted map[Fingerprint]time.Time       // time of the last crash, by segment
 }
@@ -237,6 +244,12 @@
 			}
 		}
 	}
+	l.known = len(l.answered)
+	for s := range l.uncleared {
+		if _, ok := l.answered[s]; !ok {
+			l.known++
+		}
+	}
 	l.longest = 0
 	for _, w := range l.waits {
 		l.longest = max(l.longest, w.mean())
@@ -267,7 +280,7 @@
 			if run[len(run)-1].At.Sub(run[0].At) > SuspectFor {
 				break
 			}
-			if l.recurs(s, run) && l.coversMost(run) && !l.hasRival(s, run) {
+			if l.recurs(s, run) && l.coversMost(run) && !l.hasRival(s, run) && l.coincidences(run) <= maxCoincidences {
 				return run[len(run)-1].At, true
 			}
 		}
@@ -319,9 +332,28 @@
 	return time.Time{}
 }
 
+// coincidences returns the number of segments that are expected to be in flight at as
+// many crashes as the given ones if they are no cause: each crash has its segments at
+// random among the known ones.
+func (l *SegmentList) coincidences(run []*SegmentCrash) float64 {
+	total, known := l.crashesAround(run), float64(max(minKnown, l.known))
+	expected := known
+	for i, c := range run {
+		expected *= min(1, float64(len(c.Exposed))/known)
+		expected *= float64(total-i) / float64(i+1) // choices of as many among the crashes around
+	}
+	return expected
+}
+
 // coversMost reports whether the given crashes are more than half of the service's
-// crashes from coverMargin before the first to coverMargin after the last of them.
+// crashes around them.
 func (l *SegmentList) coversMost(run []*SegmentCrash) bool {
+	return 2*len(run) > l.crashesAround(run)
+}
+
+// crashesAround returns the number of the service's crashes from coverMargin before the
+// first to coverMargin after the last of the given ones.
+func (l *SegmentList) crashesAround(run []*SegmentCrash) int {
 	from, to := run[0].At.Add(-coverMargin), run[len(run)-1].At.Add(coverMargin)
 	total := 0
 	for _, c := range l.crashes {
@@ -329,7 +361,7 @@
 			total++
 		}
 	}
-	return 2*len(run) > total
+	return total
 }
 
 // hasRival reports whether another segment may as well have caused the crashes: it is
--- a/pkg/quarantine/segments_test.go
+++ b/pkg/quarantine/segments_test.go
@@ -184,3 +184,24 @@
 		}
 	})
 }
+
+// Sound segments that few requests use were convicted where many of them were in flight
+// at each crash.
+func TestCoincidence(t *testing.T) {
+	const known, inFlight = 300, 40
+	convey.Convey("A segment is convicted if none is expected to be at as many crashes by chance", t, func() {
+		var l SegmentList
+		for i := range known {
+			l.Answer(start.Add(-2*provenFor), testSegment(fmt.Sprint("doc", i)))
+		}
+		for i, want := range []Verdict{Suspect, Suspect, Suspect, Convicted} {
+			at := time.Duration(100 * i)
+			c := segmentCrash(fmt.Sprint(i), at, exposure("x", at-50))
+			for j := range inFlight {
+				c.Exposed = append(c.Exposed, exposure(fmt.Sprint("doc", i*inFlight+j), at-50))
+			}
+			l.Add(c)
+			convey.So(l.Classify(start.Add(500), testSegment("x")), convey.ShouldEqual, want)
+		}
+	})
+}
