Let fewer answers convict a prompt segment that recurs more often

Cause: a recurrence counts only if the service begins eight answers since the crash before, however many crashes there are. And answers were told to the other entryds only with the next crash under a request of the same entryd. The class of fault: a fixed number where the evidence is the relation of two.

By chance, all orders of the crashes and the answers are equally likely. Two crashes and eight answers have 45 orders; so many suffice now, for example five crashes and three answers, over all crashes that are weighed. At a service that begins fewer than eight answers in 2 s, an answer that clears a segment is counted as an answer by the entryds that are told of it.

--- a/internal/gateway/segment_tracker.go
+++ b/internal/gateway/segment_tracker.go
@@ -151,9 +151,6 @@
 		t.forget(run)
 	}
 	t.recordServed(run.service, now)
-	unstated := t.unstated[run.service]
-	unstated = append(unstated, now)
-	t.unstated[run.service] = unstated[max(0, len(unstated)-quarantine.MinServiceAnswers):]
 	var cleared [][]byte
 	for _, s := range run.segments {
 		t.list.RecordWait(s, now.Sub(run.sentAt))
@@ -164,9 +161,31 @@
 	}
 	if len(cleared) > 0 {
 		t.broadcast(peer.SegmentAnswers{Segments: cleared})
+		if t.quiet(now, run.service) {
+			return // the others count the answer already
+		}
 	}
+	unstated := t.unstated[run.service]
+	unstated = append(unstated, now)
+	t.unstated[run.service] = unstated[max(0, len(unstated)-quarantine.MinServiceAnswers):]
 }
 
+// quietTime is the time within which a service that is not quiet begins
+// quarantine.MinServiceAnswers answers.
+const quietTime = 2 * time.Second
+
+// quiet reports whether a service gets so few requests that each answer to others than
+// those with a suspect segment is evidence. The caller holds mu.
+func (t *segmentTracker) quiet(now time.Time, service string) bool {
+	served := t.served[service]
+	n := len(served)
+	return n < quarantine.MinServiceAnswers || now.Sub(served[n-quarantine.MinServiceAnswers]) > quietTime
+}
+
+// copySpread is the time within which the copies of a report arrive that several targetds
+// forward.
+const copySpread = 100 * time.Millisecond
+
 // recordBroken records that the connection to an incarnation of a target broke during
 // an attempt.
 func (t *segmentTracker) recordBroken(now time.Time, incarnation string, run *segmentRun) {
@@ -247,9 +266,14 @@
 func (t *segmentTracker) applyAnswers(now time.Time, m peer.SegmentAnswers) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	at := now.Add(-m.Age)
+	counted := false
 	for _, b := range m.Segments {
 		if s, ok := fingerprintOf(b); ok {
-			at := now.Add(-m.Age)
+			if service := t.list.Service(s); !counted && service != "" && t.quiet(now, service) && at.Sub(t.list.AnsweredAt(s)) > copySpread {
+				t.recordServed(service, at)
+				counted = true
+			}
 			t.recordCleared(at, s)
 			if t.list.AnsweredAt(s).Equal(at) {
 				t.shared[s] = at
@@ -267,7 +291,10 @@
 // caller holds mu.
 func (t *segmentTracker) add(now time.Time, m peer.SegmentCrash) {
 	c := quarantine.SegmentCrash{Name: m.Engine, Service: m.Service, At: now.Add(-m.Age)}
-	c.ServedAt = t.servedBefore(m.Service, c.At)
+	c.Served = t.servedBefore(m.Service, c.At)
+	if len(c.Served) == quarantine.MinServiceAnswers {
+		c.ServedAt = c.Served[0]
+	}
 	for _, e := range m.Segments {
 		s, ok := fingerprintOf(e.Segment)
 		if !ok {
@@ -301,16 +328,12 @@
 	t.served[service] = served[max(0, len(served)-maxServed):]
 }
 
-// servedBefore returns the time since which a service began
-// quarantine.MinServiceAnswers answers until at, zero if it is not known. The caller holds
-// mu.
-func (t *segmentTracker) servedBefore(service string, at time.Time) time.Time {
+// servedBefore returns when a service began its last answers before at that are known,
+// quarantine.MinServiceAnswers at most. The caller holds mu.
+func (t *segmentTracker) servedBefore(service string, at time.Time) []time.Time {
 	served := t.served[service]
 	n, _ := slices.BinarySearchFunc(served, at, time.Time.Compare)
-	if n < quarantine.MinServiceAnswers {
-		return time.Time{}
-	}
-	return served[n-quarantine.MinServiceAnswers]
+	return slices.Clone(served[max(0, n-quarantine.MinServiceAnswers):n])
 }
 
 // recordCleared records an answer with a segment and reports whether it clears the
--- a/internal/gateway/tracked_service_test.go
+++ b/internal/gateway/tracked_service_test.go
@@ -269,3 +269,27 @@
 		}
 	}
 }
+
+// Requests with a deadly segment kept crashing targets where a service got few others.
+func TestDeadlySegmentAtLittleTraffic(t *testing.T) { testLittleTraffic(t, 3, 5) }
+
+// The same where a service begins hardly any answer between the crashes.
+func TestDeadlySegmentAtFewAnswers(t *testing.T) { testLittleTraffic(t, 0.5, 1, 2) }
+
+// testLittleTraffic plays a service at the given requests a second, of which two in three
+// have a deadly segment.
+func testLittleTraffic(t *testing.T, rates ...float64) {
+	t.Helper()
+	for _, rate := range rates {
+		for seed := range uint64(6) {
+			s := newTrackedService(seed, 3, 9, rate, 0.66)
+			s.play(time.Minute)
+			if late := s.late(); late > 3 {
+				t.Errorf("%g requests a second, seed %d: %d requests with the segment reached targets late, %d targets crashed", rate, seed, late, len(s.crashes))
+			}
+			if len(s.refused) > 0 {
+				t.Errorf("%g requests a second, seed %d: sound requests refused by segment: %v", rate, seed, s.refused)
+			}
+		}
+	}
+}
--- a/pkg/quarantine/doc.go
+++ b/pkg/quarantine/doc.go
@@ -16,10 +16,12 @@
 // segment gets an answer as soon as a target lives, one that crashes targets never.
 // A segment is convicted if it is a suspect of several crashes, of which a later one
 // occurred under a request that was sent after the first, while the service answered
-// other requests; if it is a suspect of most crashes of its service meanwhile; and if no
-// other segment explains the same crashes better. Targets that fail together, again and
-// again, thus convict no segment: as long as none of them answers, nothing is decided,
-// and the first answers clear the segments in use.
+// other requests; if it is a suspect of most crashes of its service meanwhile; if so many
+// of them are unlikely by chance; and if no other segment explains the same crashes
+// better. For a segment that had been answered before, a crash counts only if an answer
+// was due. Targets that fail together, again and again, thus convict no segment: as long
+// as none of them answers, nothing is decided, and the first answers clear the segments
+// in use.
 //
 // The method is group testing of the requests in flight; see R. Dorfman,
 // "The Detection of Defective Members of Large Populations", 1943.
--- a/pkg/quarantine/segments.go
+++ b/pkg/quarantine/segments.go
@@ -15,8 +15,12 @@
 	minTiedCrashes = 6
 	// MinServiceAnswers is the number of answers that a service must begin between
 	// two crashes: a segment in half of the requests is in none of so many answers by
-	// a chance of 1 in 256.
+	// a chance of 1 in 256. Fewer suffice between more crashes.
 	MinServiceAnswers = 8
+	// minOrders is the least number of orders in which the crashes under requests with
+	// a segment and the answers to others may occur: that of two crashes and
+	// MinServiceAnswers answers.
+	minOrders = (MinServiceAnswers + 2) * (MinServiceAnswers + 1) / 2
 	// maxWeighed bounds the crashes that are weighed for one segment.
 	maxWeighed = 16
 	// minRecurrences is the number of crashes that must occur each under a request
@@ -56,7 +60,8 @@
 	Name     string // unique identifier of the crash
 	Service  string
 	At       time.Time
-	ServedAt time.Time // since then, the service has begun MinServiceAnswers answers; zero if unknown
+	ServedAt time.Time   // since then, the service has begun MinServiceAnswers answers; zero if unknown
+	Served   []time.Time // when the service began answers before, the last MinServiceAnswers at most
 	Exposed  []Exposure
 }
 
@@ -101,6 +106,9 @@
 		a.At = b.At
 	}
 	a.ServedAt = later(a.ServedAt, b.ServedAt)
+	if len(b.Served) > len(a.Served) {
+		a.Served = b.Served
+	}
 	a.Exposed = slices.Clone(a.Exposed)
 	for _, e := range b.Exposed {
 		i := slices.IndexFunc(a.Exposed, func(o Exposure) bool { return o.Segment == e.Segment })
@@ -192,6 +200,15 @@
 // known.
 func (l *SegmentList) AnsweredAt(s Fingerprint) time.Time { return l.answered[s] }
 
+// Service returns the service of the crashes of which the segment is a suspect, empty if
+// there are none.
+func (l *SegmentList) Service(s Fingerprint) string {
+	if known := l.uncleared[s]; len(known) > 0 {
+		return known[0].Service
+	}
+	return ""
+}
+
 // Empty reports whether all segments are innocent.
 func (l *SegmentList) Empty() bool { return len(l.uncleared) == 0 }
 
@@ -292,26 +309,53 @@
 // segment that was sent after an earlier one of them, and the service answered other
 // requests in between.
 func (l *SegmentList) recurs(s Fingerprint, run []*SegmentCrash) bool {
-	last, recurrences := run[0].At, 0
 	proven := l.provenAt(run[0].At, s)
 	var wait time.Duration
+	minAnswers := 0
 	if proven {
-		wait = l.usualWait(s)
+		wait, minAnswers = l.usualWait(s), MinServiceAnswers
 	}
+	last, recurrences, answers := run[0].At, 0, 0
 	for _, c := range run[1:] {
-		sentAt := c.sentAt(s)
+		sentAt, n := c.sentAt(s), c.servedSince(last)
 		if c.At.Sub(sentAt) < wait {
 			continue // the target crashed before it would have begun to answer
 		}
-		if c.ServedAt.After(last) && sentAt.After(last) {
+		if n >= minAnswers && sentAt.After(last) {
 			last = c.At
 			recurrences++
+			answers += n
 		}
 	}
 	if proven {
 		return recurrences >= minProvenRecurrences
 	}
-	return recurrences >= minRecurrences
+	return recurrences >= minRecurrences && orders(recurrences+1, answers) >= minOrders
+}
+
+// orders returns the number of orders in which crashes and answers may occur: by chance,
+// each is as likely as the one in which a segment has all the crashes and no answer.
+func orders(crashes, answers int) int {
+	n := 1
+	for i := 1; i <= answers && n < minOrders; i++ {
+		n = n * (crashes + i) / i
+	}
+	return n
+}
+
+// servedSince returns the number of answers that the service began between t and the
+// crash, MinServiceAnswers at most.
+func (c *SegmentCrash) servedSince(t time.Time) int {
+	if c.ServedAt.After(t) {
+		return MinServiceAnswers
+	}
+	n := 0
+	for _, at := range c.Served {
+		if at.After(t) {
+			n++
+		}
+	}
+	return n
 }
 
 // provenAt reports whether the segment was answered within provenFor before a crash of
--- a/pkg/quarantine/segments_test.go
+++ b/pkg/quarantine/segments_test.go
@@ -205,3 +205,30 @@
 		}
 	})
 }
+
+func TestFewAnswersBetweenCrashes(t *testing.T) {
+	convey.Convey("Fewer answers of the service convict a segment that recurs more often", t, func() {
+		for _, test := range []struct {
+			crashes, answers int
+			want             Verdict
+		}{{4, 3, Suspect}, {4, 4, Convicted}, {5, 2, Suspect}, {5, 3, Convicted}, {8, 1, Suspect}, {8, 2, Convicted}, {16, 0, Suspect}} {
+			var l SegmentList
+			var served []time.Time
+			for i := range test.crashes {
+				at := time.Duration(100 * i)
+				c := segmentCrash(fmt.Sprint(i), at, exposure("x", at-50))
+				if i > 0 && i <= test.answers {
+					served = append(served, start.Add(at-10))
+				}
+				if i == test.crashes-1 { // the rest
+					for len(served) < test.answers {
+						served = append(served, start.Add(at-5))
+					}
+				}
+				c.ServedAt, c.Served = time.Time{}, slices.Clone(served)
+				l.Add(c)
+			}
+			convey.So(l.Classify(start.Add(2000), testSegment("x")), convey.ShouldEqual, test.want)
+		}
+	})
+}
