Probe the address that the attempt used

A probe read the target's entry without the fleet's lock, while an update from the store may replace it: a data race since the probes exist, found by reading. The probe takes the address from the attempt's selection, which is a copy.

TestEntryUpdatedDuringProbe failed before ("WARNING: DATA RACE") and passes. go test -race of the gateway: only the known red test fails.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -153,7 +153,7 @@
 		}
 		if out == broken {
 			g.CrashTracker.recordBroken(now, sel.target.incarnation, c, run)
-			g.probeAfterBreak(now, sel.target)
+			g.probeAfterBreak(now, sel)
 		}
 		g.Fleet.recordFailure(now, sel.target)
 		g.logFailedAttempt(c, sel, out, err)
@@ -171,7 +171,7 @@
 		c.refused[sel.replica.ID] = true
 		if ctx.Err() == nil {
 			if errors.Is(err, syscall.ECONNREFUSED) {
-				g.probeAfterBreak(now, sel.target)
+				g.probeAfterBreak(now, sel)
 			}
 			g.Fleet.recordConnectFailure(now, sel.target)
 			g.logFailedAttempt(c, sel, notSent, err)
@@ -184,7 +184,7 @@
 	if ctx.Err() == nil {
 		g.Fleet.recordFailure(now, sel.target)
 		g.CrashTracker.recordBroken(now, sel.target.incarnation, c, run)
-		g.probeAfterBreak(now, sel.target)
+		g.probeAfterBreak(now, sel)
 		g.Client.CloseIdleTo(sel.replica.Addr)
 	} else {
 		g.recordSilence(now, c, sel, start)
--- a/internal/gateway/crash_probe.go
+++ b/internal/gateway/crash_probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"syscall"
 	"time"
 
@@ -27,7 +28,8 @@
 // was refused, and records a crash if no process listens at its address any more. A
 // reset by the network or by a target with too many connections leaves the listener. A
 // target that leaves does not crash.
-func (g *Gateway) probeAfterBreak(now time.Time, t *targetState) {
+func (g *Gateway) probeAfterBreak(now time.Time, sel selection) {
+	t := sel.target
 	if !g.Fleet.isServing(t) || !g.CrashTracker.beginProbe(now, t.incarnation) {
 		return
 	}
@@ -35,15 +37,15 @@
 		defer g.CrashTracker.endProbe(t.incarnation)
 		ctx, cancel := context.WithTimeout(context.Background(), crashWindow)
 		defer cancel()
-		if g.refusesConnections(ctx, t) && !g.Fleet.isLeaving(t) {
+		if g.refusesConnections(ctx, sel.replica.Addr) && !g.Fleet.isLeaving(t) {
 			g.CrashTracker.recordUnreachable(time.Now(), now, t.incarnation)
 		}
 	}()
 }
 
-// refusesConnections reports whether successive probes find no listener at a target's
-// address. Probes that end otherwise before ctx is done are repeated.
-func (g *Gateway) refusesConnections(ctx context.Context, t *targetState) bool {
+// refusesConnections reports whether successive probes find no listener at an address.
+// Probes that end otherwise before ctx is done are repeated.
+func (g *Gateway) refusesConnections(ctx context.Context, addr netip.AddrPort) bool {
 	refusals := 0
 	for pause := probeDelay; refusals < minRefusals; pause = probePause {
 		select {
@@ -51,7 +53,7 @@
 		case <-ctx.Done():
 			return false
 		}
-		switch err := g.Client.Probe(ctx, t.replica.Addr); {
+		switch err := g.Client.Probe(ctx, addr); {
 		case err == nil:
 			return false
 		case errors.Is(err, syscall.ECONNREFUSED):
--- a/internal/gateway/crash_probe_test.go
+++ b/internal/gateway/crash_probe_test.go
@@ -227,3 +227,27 @@
 		}
 	}
 }
+
+// A probe read the target's entry while an update replaced it (found by the race
+// detector).
+func TestEntryUpdatedDuringProbe(t *testing.T) {
+	ft := newFakeTarget(t, "t1", resetAfter(""))
+	tg := newTestGateway(t, ft)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 300 {
+			tg.fleet.mu.Lock()
+			tg.fleet.upsert(time.Now(), target.Replica{ID: "t1", Service: "s", Addr: ft.addr, Zone: "a", Slots: 4, State: target.Live})
+			tg.fleet.mu.Unlock()
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	for range 3 {
+		tg.call(t, "/unsafe/x")
+	}
+	<-done
+	if strings.Contains(tg.logText(), "crash_known") {
+		t.Error("a reset counts as a crash")
+	}
+}
