--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -58,6 +58,9 @@
 	g.Scope.Counter("responses_skipped").Inc(int64(resp.Skipped))
 	c.attemptsSent++
 	meta := g.HeaderCodec.ParseResponse(resp.Status, resp.Header)
+	if resp.Status != http.StatusMisdirectedRequest { // else another incarnation may answer
+		g.CrashTracker.recordAlive(now, sel.target.incarnation)
+	}
 	g.Fleet.observeNotice(time.Now(), sel.target, meta)
 	g.Fleet.observeRateLimit(time.Now(), sel.target, now, meta.RateLimit)
 	g.Fleet.observeSender(time.Now(), now, sel.target, senderOf(resp.Status, meta, sel.replica.ID, c.model != ""))
@@ -162,6 +165,7 @@
 		}
 		if out == broken {
 			g.CrashTracker.recordBroken(now, sel.target.incarnation, c, run)
+			g.probeAfterBreak(now, sel)
 		}
 		g.Fleet.recordFailure(now, sel.target)
 		g.logFailedAttempt(c, sel, out, nil, err)
@@ -179,7 +183,7 @@
 		c.refused[sel.replica.ID] = true
 		if ctx.Err() == nil {
 			if errors.Is(err, syscall.ECONNREFUSED) {
-				g.CrashTracker.recordEngineDown(now, sel.target.incarnation)
+				g.probeAfterBreak(now, sel)
 				g.Fleet.recordRefusedConn(now, sel.target)
 			}
 			g.Fleet.recordConnectFailure(now, sel.target)
@@ -193,6 +197,7 @@
 	if ctx.Err() == nil {
 		g.Fleet.recordFailure(now, sel.target)
 		g.CrashTracker.recordBroken(now, sel.target.incarnation, c, run)
+		g.probeAfterBreak(now, sel)
 		g.Client.CloseIdleTo(sel.replica.Addr)
 	} else {
 		g.recordSilence(now, c, sel, start)
--- a/internal/gateway/crashing_segment_test.go
+++ b/internal/gateway/crashing_segment_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,11 +31,15 @@
 type fragileFleet struct {
 	t        *testing.T
 	gateways []*testGateway
+	targets  []*fragileTarget
+	down     time.Duration // of a target that crashed
+	plain    bool          // the targets have no targetd that reports their crashes, and answer without a stream
 
-	mu      sync.Mutex
-	stopped bool
-	crashes []time.Time
-	arrived []time.Time // deadly requests at targets
+	mu       sync.Mutex
+	stopped  bool
+	maxConns int // of a target, which resets those beyond; zero for no limit
+	crashes  []time.Time
+	arrived  []time.Time // deadly requests at targets
 }
 
 // fragileTarget is a target of a fragileFleet.
@@ -42,17 +47,19 @@
 	fleet  *fragileFleet
 	number int
 	addr   string
+	slow   atomic.Bool // answers take a second longer
 
 	mu      sync.Mutex
 	starts  int
 	ln      net.Listener
+	srv     *http.Server
 	conns   map[net.Conn]bool
 	started time.Time
 }
 
 func newFragileFleet(t *testing.T, gateways, targets int) *fragileFleet {
 	t.Helper()
-	f := &fragileFleet{t: t}
+	f := &fragileFleet{t: t, down: testDownTime}
 	for range gateways {
 		f.gateways = append(f.gateways, newTestGateway(t))
 	}
@@ -68,6 +75,7 @@
 	for i := range targets {
 		ft := &fragileTarget{fleet: f, number: i, addr: "127.0.0.1:0"}
 		ft.start()
+		f.targets = append(f.targets, ft)
 		t.Cleanup(ft.stop)
 	}
 	t.Cleanup(func() { // before the targets stop
@@ -99,11 +107,18 @@
 		Handler:           http.HandlerFunc(ft.serve),
 		ReadHeaderTimeout: time.Second,
 		ConnState: func(c net.Conn, s http.ConnState) {
+			limit := ft.fleet.connLimit()
 			ft.mu.Lock()
 			defer ft.mu.Unlock()
 			ft.conns[c] = s != http.StateClosed
+			if s == http.StateNew && limit > 0 && len(ft.open()) > limit {
+				reset(c)
+			}
 		},
 	}
+	ft.mu.Lock()
+	ft.srv = srv
+	ft.mu.Unlock()
 	go func() { _ = srv.Serve(ln) }() // ends with the listener
 	for _, tg := range ft.fleet.gateways {
 		tg.fleet.mu.Lock()
@@ -146,9 +161,12 @@
 	ft.fleet.crashes = append(ft.fleet.crashes, time.Now())
 	ft.fleet.mu.Unlock()
 	for _, tg := range ft.fleet.gateways {
+		if ft.fleet.plain {
+			break
+		}
 		time.AfterFunc(testReportDelay, func() { tg.crashes.recordEngineDown(time.Now(), incarnation) })
 	}
-	time.AfterFunc(testDownTime, ft.start)
+	time.AfterFunc(ft.fleet.down, ft.start)
 }
 
 func (ft *fragileTarget) serve(w http.ResponseWriter, r *http.Request) {
@@ -164,10 +182,16 @@
 	}
 	w.Header().Set("Id", r.Header.Get("Id"))
 	w.Header().Set("Signed", "yes")
-	w.Header().Set("Content-Type", "text/event-stream")
-	_ = http.NewResponseController(w).Flush()
+	if !ft.fleet.plain {
+		w.Header().Set("Content-Type", "text/event-stream")
+		_ = http.NewResponseController(w).Flush()
+	}
+	read := testReadTime/2 + rand.N(testReadTime)
+	if ft.slow.Load() {
+		read += time.Second
+	}
 	select {
-	case <-time.After(testReadTime/2 + rand.N(testReadTime)):
+	case <-time.After(read):
 	case <-r.Context().Done():
 		return
 	}
@@ -175,6 +199,10 @@
 		ft.crash(start)
 		return
 	}
+	if ft.fleet.plain {
+		_, _ = io.WriteString(w, "answer")
+		return
+	}
 	for i := range 3 {
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", i+1)
 		_ = http.NewResponseController(w).Flush()
--- a/pkg/quarantine/segments.go
+++ b/pkg/quarantine/segments.go
@@ -15,8 +15,12 @@
 	minTiedCrashes = 6
 	// MinServiceAnswers is the number of answers that a service must begin between
 	// two crashes: a segment in half of the requests is in none of so many answers by
-	// a chance of 1 in 256.
+	// a chance of 1 in 256. Fewer suffice between more crashes.
 	MinServiceAnswers = 8
+	// minOrders is the least number of orders in which the crashes under requests with
+	// a segment and the answers to others may occur: that of two crashes and
+	// MinServiceAnswers answers.
+	minOrders = (MinServiceAnswers + 2) * (MinServiceAnswers + 1) / 2
 	// maxWeighed bounds the crashes that are weighed for one segment.
 	maxWeighed = 16
 	// minRecurrences is the number of crashes that must occur each under a request
@@ -33,6 +37,12 @@
 	// provenFor is the time for which a segment that has been answered counts as
 	// proven.
 	provenFor = SuspectFor
+	// maxCoincidences is the greatest number of sound segments that may be expected to
+	// have been in flight at as many crashes by chance.
+	maxCoincidences = 0.2
+	// minKnown is the number of segments that a service is assumed to have at least, as
+	// long as fewer are known.
+	minKnown = 64
 	// maxSegmentCrashes and maxProven bound the memory of a SegmentList.
 	maxSegmentCrashes = 256
 	maxProven         = 1 << 14
@@ -50,7 +60,8 @@
 	Name     string // unique identifier of the crash
 	Service  string
 	At       time.Time
-	ServedAt time.Time // since then, the service has begun MinServiceAnswers answers; zero if unknown
+	ServedAt time.Time   // since then, the service has begun MinServiceAnswers answers; zero if unknown
+	Served   []time.Time // when the service began answers before, the last MinServiceAnswers at most
 	Exposed  []Exposure
 }
 
@@ -60,6 +71,9 @@
 	crashes   []*SegmentCrash                 // in order of time
 	uncleared map[Fingerprint][]*SegmentCrash // crashes by segment, in order of time, without those before its last answer
 	answered  map[Fingerprint]time.Time       // last answer begun by segment
+	waits     map[Fingerprint]*waits          // until answers began, by segment
+	known     int                             // segments in flight or answered, at the last rebuild
+	longest   time.Duration                   // mean wait of the segment with the longest one, at the last rebuild
 	convicted map[Fingerprint]time.Time       // time of the last crash, by segment
 }
 
@@ -92,6 +106,9 @@
 		a.At = b.At
 	}
 	a.ServedAt = later(a.ServedAt, b.ServedAt)
+	if len(b.Served) > len(a.Served) {
+		a.Served = b.Served
+	}
 	a.Exposed = slices.Clone(a.Exposed)
 	for _, e := range b.Exposed {
 		i := slices.IndexFunc(a.Exposed, func(o Exposure) bool { return o.Segment == e.Segment })
@@ -104,6 +121,13 @@
 	return a
 }
 
+// Remove removes the named crash, which was none. It returns the segments that are
+// convicted now because there are fewer crashes under which they were not in flight.
+func (l *SegmentList) Remove(name string) []Fingerprint {
+	l.crashes = slices.DeleteFunc(l.crashes, func(c *SegmentCrash) bool { return c.Name == name })
+	return l.rebuild()
+}
+
 // dropOldest removes the oldest crash that convicts no segment, or the oldest one.
 func (l *SegmentList) dropOldest() {
 	i := slices.IndexFunc(l.crashes, func(c *SegmentCrash) bool {
@@ -136,10 +160,55 @@
 	return len(l.uncleared[s]) < before, convicted
 }
 
+// waits are the times until answers to requests with a segment began.
+type waits struct {
+	n   int
+	sum time.Duration
+}
+
+func (w *waits) mean() time.Duration { return w.sum / time.Duration(w.n) }
+
+// RecordWait records how long it took until a target began an answer to a request with
+// the segment. A request that crashes its target does so no sooner.
+func (l *SegmentList) RecordWait(s Fingerprint, d time.Duration) {
+	if l.waits == nil {
+		l.waits = map[Fingerprint]*waits{}
+	}
+	w := l.waits[s]
+	if w == nil {
+		if len(l.waits) >= maxProven {
+			return
+		}
+		w = &waits{}
+		l.waits[s] = w
+	}
+	w.n++
+	w.sum += d
+}
+
+// usualWait returns the mean time until an answer to a request with the segment begins.
+// If only other processes have seen one, it is the longest of all segments, zero if none
+// is known.
+func (l *SegmentList) usualWait(s Fingerprint) time.Duration {
+	if w := l.waits[s]; w != nil {
+		return w.mean()
+	}
+	return l.longest
+}
+
 // AnsweredAt returns the time of the last answer with the segment, zero if none is
 // known.
 func (l *SegmentList) AnsweredAt(s Fingerprint) time.Time { return l.answered[s] }
 
+// Service returns the service of the crashes of which the segment is a suspect, empty if
+// there are none.
+func (l *SegmentList) Service(s Fingerprint) string {
+	if known := l.uncleared[s]; len(known) > 0 {
+		return known[0].Service
+	}
+	return ""
+}
+
 // Empty reports whether all segments are innocent.
 func (l *SegmentList) Empty() bool { return len(l.uncleared) == 0 }
 
@@ -177,6 +246,7 @@
 	for s, at := range l.answered {
 		if now.Sub(at) > provenFor && len(l.uncleared[s]) == 0 {
 			delete(l.answered, s)
+			delete(l.waits, s)
 		}
 	}
 }
@@ -191,6 +261,16 @@
 			}
 		}
 	}
+	l.known = len(l.answered)
+	for s := range l.uncleared {
+		if _, ok := l.answered[s]; !ok {
+			l.known++
+		}
+	}
+	l.longest = 0
+	for _, w := range l.waits {
+		l.longest = max(l.longest, w.mean())
+	}
 	earlier := l.convicted
 	l.convicted = map[Fingerprint]time.Time{}
 	var added []Fingerprint
@@ -217,7 +297,7 @@
 			if run[len(run)-1].At.Sub(run[0].At) > SuspectFor {
 				break
 			}
-			if l.recurs(s, run) && l.coversMost(run) && !l.hasRival(s, run) {
+			if l.recurs(s, run) && l.coversMost(run) && !l.hasRival(s, run) && l.coincidences(run) <= maxCoincidences {
 				return run[len(run)-1].At, true
 			}
 		}
@@ -229,17 +309,53 @@
 // segment that was sent after an earlier one of them, and the service answered other
 // requests in between.
 func (l *SegmentList) recurs(s Fingerprint, run []*SegmentCrash) bool {
-	last, recurrences := run[0].At, 0
+	proven := l.provenAt(run[0].At, s)
+	var wait time.Duration
+	minAnswers := 0
+	if proven {
+		wait, minAnswers = l.usualWait(s), MinServiceAnswers
+	}
+	last, recurrences, answers := run[0].At, 0, 0
 	for _, c := range run[1:] {
-		if c.ServedAt.After(last) && c.sentAt(s).After(last) {
+		sentAt, n := c.sentAt(s), c.servedSince(last)
+		if c.At.Sub(sentAt) < wait {
+			continue // the target crashed before it would have begun to answer
+		}
+		if n >= minAnswers && sentAt.After(last) {
 			last = c.At
 			recurrences++
+			answers += n
 		}
 	}
-	if l.provenAt(run[0].At, s) {
+	if proven {
 		return recurrences >= minProvenRecurrences
 	}
-	return recurrences >= minRecurrences
+	return recurrences >= minRecurrences && orders(recurrences+1, answers) >= minOrders
+}
+
+// orders returns the number of orders in which crashes and answers may occur: by chance,
+// each is as likely as the one in which a segment has all the crashes and no answer.
+func orders(crashes, answers int) int {
+	n := 1
+	for i := 1; i <= answers && n < minOrders; i++ {
+		n = n * (crashes + i) / i
+	}
+	return n
+}
+
+// servedSince returns the number of answers that the service began between t and the
+// crash, MinServiceAnswers at most.
+func (c *SegmentCrash) servedSince(t time.Time) int {
+	if c.ServedAt.After(t) {
+		return MinServiceAnswers
+	}
+	n := 0
+	for _, at := range c.Served {
+		if at.After(t) {
+			n++
+		}
+	}
+	return n
 }
 
 // provenAt reports whether the segment was answered within provenFor before a crash of
@@ -260,9 +376,28 @@
 	return time.Time{}
 }
 
+// coincidences returns the number of segments that are expected to be in flight at as
+// many crashes as the given ones if they are no cause: each crash has its segments at
+// random among the known ones.
+func (l *SegmentList) coincidences(run []*SegmentCrash) float64 {
+	total, known := l.crashesAround(run), float64(max(minKnown, l.known))
+	expected := known
+	for i, c := range run {
+		expected *= min(1, float64(len(c.Exposed))/known)
+		expected *= float64(total-i) / float64(i+1) // choices of as many among the crashes around
+	}
+	return expected
+}
+
 // coversMost reports whether the given crashes are more than half of the service's
-// crashes from coverMargin before the first to coverMargin after the last of them.
+// crashes around them.
 func (l *SegmentList) coversMost(run []*SegmentCrash) bool {
+	return 2*len(run) > l.crashesAround(run)
+}
+
+// crashesAround returns the number of the service's crashes from coverMargin before the
+// first to coverMargin after the last of the given ones.
+func (l *SegmentList) crashesAround(run []*SegmentCrash) int {
 	from, to := run[0].At.Add(-coverMargin), run[len(run)-1].At.Add(coverMargin)
 	total := 0
 	for _, c := range l.crashes {
@@ -270,7 +405,7 @@
 			total++
 		}
 	}
-	return 2*len(run) > total
+	return total
 }
 
 // hasRival reports whether another segment may as well have caused the crashes: it is
--- a/pkg/quarantine/segments_test.go
+++ b/pkg/quarantine/segments_test.go
@@ -137,3 +137,98 @@
 		convey.So(len(l.answered), convey.ShouldEqual, 0)
 	})
 }
+
+func TestRemoveSegmentCrash(t *testing.T) {
+	convey.Convey("A crash that was none convicts no segment, and its absence may convict another", t, func() {
+		var l SegmentList
+		for i := range minSegmentCrashes {
+			at := time.Duration(i) * time.Second
+			l.Add(segmentCrash(fmt.Sprint(i), at, exposure("x", at-1)))
+			l.Add(segmentCrash(fmt.Sprint("none", i), at+1, exposure("y", at)))
+		}
+		convey.So(l.Classify(start.Add(time.Minute), testSegment("x")), convey.ShouldEqual, Suspect)
+		convicted := l.Remove("none0")
+		convey.So(convicted, convey.ShouldResemble, []Fingerprint{testSegment("x")})
+		l.Remove("1")
+		convey.So(l.Classify(start.Add(time.Minute), testSegment("x")), convey.ShouldEqual, Suspect)
+	})
+}
+
+// Sound segments of long prompts were convicted when targets crashed, for other reasons,
+// sooner than they could begin to answer.
+func TestProvenSegmentBeforeAnswer(t *testing.T) {
+	tests := []struct {
+		about string
+		age   time.Duration // of the requests at the crashes
+		wait  string        // segment whose usual wait is 60 ns
+		want  Verdict
+	}{
+		{"crashes before the usual wait", 50, "x", Suspect},
+		{"crashes after the usual wait", 70, "x", Convicted},
+		{"crashes before the usual wait of another segment", 50, "y", Suspect},
+		{"crashes after the usual wait of another segment", 70, "y", Convicted},
+	}
+	convey.Convey("A proven segment is convicted by crashes after its usual wait", t, func() {
+		for _, test := range tests {
+			convey.Convey(test.about, func() {
+				var l SegmentList
+				l.Answer(start.Add(-1), testSegment("x"))
+				l.RecordWait(testSegment(test.wait), 40)
+				l.RecordWait(testSegment(test.wait), 80)
+				for i := range minProvenRecurrences + 1 {
+					at := time.Duration(100 * i)
+					l.Add(segmentCrash(fmt.Sprint(i), at, exposure("x", at-test.age)))
+				}
+				convey.So(l.Classify(start.Add(500), testSegment("x")), convey.ShouldEqual, test.want)
+			})
+		}
+	})
+}
+
+// Sound segments that few requests use were convicted where many of them were in flight
+// at each crash.
+func TestCoincidence(t *testing.T) {
+	const known, inFlight = 300, 40
+	convey.Convey("A segment is convicted if none is expected to be at as many crashes by chance", t, func() {
+		var l SegmentList
+		for i := range known {
+			l.Answer(start.Add(-2*provenFor), testSegment(fmt.Sprint("doc", i)))
+		}
+		for i, want := range []Verdict{Suspect, Suspect, Suspect, Convicted} {
+			at := time.Duration(100 * i)
+			c := segmentCrash(fmt.Sprint(i), at, exposure("x", at-50))
+			for j := range inFlight {
+				c.Exposed = append(c.Exposed, exposure(fmt.Sprint("doc", i*inFlight+j), at-50))
+			}
+			l.Add(c)
+			convey.So(l.Classify(start.Add(500), testSegment("x")), convey.ShouldEqual, want)
+		}
+	})
+}
+
+func TestFewAnswersBetweenCrashes(t *testing.T) {
+	convey.Convey("Fewer answers of the service convict a segment that recurs more often", t, func() {
+		for _, test := range []struct {
+			crashes, answers int
+			want             Verdict
+		}{{4, 3, Suspect}, {4, 4, Convicted}, {5, 2, Suspect}, {5, 3, Convicted}, {8, 1, Suspect}, {8, 2, Convicted}, {16, 0, Suspect}} {
+			var l SegmentList
+			var served []time.Time
+			for i := range test.crashes {
+				at := time.Duration(100 * i)
+				c := segmentCrash(fmt.Sprint(i), at, exposure("x", at-50))
+				if i > 0 && i <= test.answers {
+					served = append(served, start.Add(at-10))
+				}
+				if i == test.crashes-1 { // the rest
+					for len(served) < test.answers {
+						served = append(served, start.Add(at-5))
+					}
+				}
+				c.ServedAt, c.Served = time.Time{}, slices.Clone(served)
+				l.Add(c)
+			}
+			convey.So(l.Classify(start.Add(2000), testSegment("x")), convey.ShouldEqual, test.want)
+		}
+	})
+}
