Wait for the admitted requests in TestAdmissionRejection

The test now waits for the three, and checks in addition that there are no more once all callers have ended.

--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -124,9 +124,10 @@
 			}()
 		}
 		convey.So(eventually(func() bool { return rejected.Load() == 17 }), convey.ShouldBeTrue)
-		convey.So(len(ft.requests()), convey.ShouldEqual, 3)
+		convey.So(eventually(func() bool { return len(ft.requests()) == 3 }), convey.ShouldBeTrue)
 		cancel()
 		wg.Wait()
+		convey.So(len(ft.requests()), convey.ShouldEqual, 3)
 		ft.mu.Lock()
 		ft.steps = []step{respond(200, "ok", signed)}
 		ft.mu.Unlock()
