Name the software version of a call and the id of its stream apart from others

call.version stood beside Fleet.version, that of adapters, and RequestMeta had the platform's name of a header.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -85,7 +85,7 @@
 	}
 	onBegin := func(at time.Time) { g.Fleet.recordEventBegin(at, active) }
 	onEvent := func(at time.Time, first bool) error {
-		if first && c.continues() && g.Fleet.softwareVersion(at, sel.target) != c.version {
+		if first && c.continues() && g.Fleet.softwareVersion(at, sel.target) != c.softwareVersion {
 			return errVersionChanged
 		}
 		if !c.headerSent {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -45,15 +45,15 @@
 	adapterWait time.Duration // total time waited for a target, mostly for adapters to load
 	retryAfter  time.Duration // expected time until the adapter is loaded, zero if unknown
 
-	firstEvent   time.Time
-	lastEventAt  time.Time         // of any attempt
-	longestGap   time.Duration     // between two events
-	history      []string          // routing decisions, logged if the call fails
-	headerSent   bool              // the response header was written to the caller
-	unrepeatable bool              // part of a response that no other one can continue was written to the caller
-	lastEventID  string            // of the last event relayed to the caller
-	version      string            // of the software that began the stream, empty if none did or it is not known
-	fallback     *bufferedResponse // a target's 5xx response, delivered if no attempt succeeds
+	firstEvent      time.Time
+	lastEventAt     time.Time         // of any attempt
+	longestGap      time.Duration     // between two events
+	history         []string          // routing decisions, logged if the call fails
+	headerSent      bool              // the response header was written to the caller
+	unrepeatable    bool              // part of a response that no other one can continue was written to the caller
+	lastEventID     string            // of the last event relayed to the caller
+	softwareVersion string            // at which the stream began, empty if none did or it is not known
+	fallback        *bufferedResponse // a target's 5xx response, delivered if no attempt succeeds
 
 	memory       lease // of the current response and the fallback
 	fallbackHeld int64 // bytes of memory for the fallback
@@ -127,7 +127,7 @@
 // empty if the caller does not name it.
 func (c *call) streamID() string {
 	if c.takesUp() {
-		return c.meta.Resumes
+		return c.meta.StreamID
 	}
 	return c.meta.ID
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -104,7 +104,7 @@
 		}
 	}
 	c := newCall(now, meta, route, service, r, body)
-	c.revision, c.version = cfg.Version, version
+	c.revision, c.softwareVersion = cfg.Version, version
 	c.memory = lease{admission: g.admission, use: response}
 	c.request.Reserve = c.memory.reserve
 	defer c.memory.shrink(0)
--- a/internal/gateway/header_codec.go
+++ b/internal/gateway/header_codec.go
@@ -15,7 +15,7 @@
 	PromptTokens      int
 	MaxResponseTokens int    // upper bound
 	LastEventID       string // id of the event after which a stream resumes, empty for none
-	Resumes           string // id of the request that brought the first event of that stream, empty if not named
+	StreamID          string // id of the request that brought the first event of that stream, empty if not named
 }
 
 // AttemptMeta is the metadata that is sent to a target with a request.
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -112,7 +112,7 @@
 	defer f.mu.Unlock()
 	for _, t := range f.targets {
 		// Its version is confirmed by its targetd.
-		suits := f.suits(now, c, t) || (c.mayGoTo(t) && c.version != "" && t.replica.Version == c.version)
+		suits := f.suits(now, c, t) || (c.mayGoTo(t) && c.softwareVersion != "" && t.replica.Version == c.softwareVersion)
 		if suits && t.usable(now) && t.connecting(now) {
 			return true
 		}
--- a/internal/gateway/software_version.go
+++ b/internal/gateway/software_version.go
@@ -20,7 +20,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.versionOf(now, t) == version { // else it is not known which start of the target responds
-		c.version = version
+		c.softwareVersion = version
 	}
 }
 
@@ -31,7 +31,7 @@
 	if !c.mayGoTo(t) {
 		return false
 	}
-	return !c.continues() || (c.version != "" && f.versionOf(now, t) == c.version)
+	return !c.continues() || (c.softwareVersion != "" && f.versionOf(now, t) == c.softwareVersion)
 }
 
 // mayGoTo reports whether a target is of the call's service and has not run the call.
@@ -52,7 +52,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, t := range f.targets {
-		if t.replica.Service == c.service && t.replica.State == target.Live && t.replica.Version == c.version {
+		if t.replica.Service == c.service && t.replica.State == target.Live && t.replica.Version == c.softwareVersion {
 			return true
 		}
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -54,7 +54,7 @@
 ) (outcome, error) {
 	if c.lastEventID != "" {
 		g.Scope.Counter("streams_resumed").Inc(1)
-		g.Log.Event(event.StreamResumed).Str("request", c.meta.ID).Str("last_event", c.lastEventID).Str("version", c.version).Send()
+		g.Log.Event(event.StreamResumed).Str("request", c.meta.ID).Str("last_event", c.lastEventID).Str("version", c.softwareVersion).Send()
 	}
 	reader := &eventReader{r: bufio.NewReaderSize(resp, freeBufferBytes), onBegin: onBegin, memory: &c.memory, kept: c.memory.bytes}
 	control := http.NewResponseController(w)
--- a/internal/gateway/stream_origins.go
+++ b/internal/gateway/stream_origins.go
@@ -83,14 +83,14 @@
 // known, it returns the reason. Unknown origins are never guessed: that one version is
 // left does not mean that it began the stream.
 func (g *Gateway) findOrigin(ctx context.Context, start time.Time, route *routing.Route, m RequestMeta) (o streams.Origin, reason string) {
-	q := g.Fleet.beginOriginQuery(streams.KeyOf(m.Resumes))
+	q := g.Fleet.beginOriginQuery(streams.KeyOf(m.StreamID))
 	within := route.Objective
 	if m.Deadline > 0 {
 		within = min(within, m.Deadline)
 	}
 	timer := time.NewTimer(time.Duration(originWaitShare * float64(within)))
 	defer timer.Stop()
-	pending := m.Resumes != ""
+	pending := m.StreamID != ""
 	for ended := false; pending && !ended; {
 		if o, pending = g.Fleet.checkOrigin(time.Now(), q); !pending {
 			break
@@ -116,7 +116,7 @@
 	}
 	g.Log.Event(event.StreamTakenUp).
 		Str("request", m.ID).
-		Str("stream", m.Resumes).
+		Str("stream", m.StreamID).
 		Str("last_event", m.LastEventID).
 		Str("service", o.Service).
 		Str("version", o.Version).
@@ -241,10 +241,10 @@
 func (f *Fleet) recordOrigin(now time.Time, c *call) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if c.version == "" || c.streamID() == "" || !c.route.Resumable {
+	if c.softwareVersion == "" || c.streamID() == "" || !c.route.Resumable {
 		return
 	}
-	k, o := streams.KeyOf(c.streamID()), streams.Origin{Service: c.service, Version: c.version}
+	k, o := streams.KeyOf(c.streamID()), streams.Origin{Service: c.service, Version: c.softwareVersion}
 	until := c.deadline.Add(takeUpTime)
 	if !f.origins.known.Record(now, k, o, until) {
 		return
--- a/internal/gateway/stream_origins_test.go
+++ b/internal/gateway/stream_origins_test.go
@@ -126,7 +126,7 @@
 		f := NewFleet("a", "north", map[string]string{"a": "north"}, event.Discard())
 		route := &routing.Route{Kind: routing.Stream, Resumable: true, Objective: time.Second}
 		c := newCall(time.Now(), RequestMeta{ID: "r1"}, route, "s", httptest.NewRequest(http.MethodPost, "/stream/x", nil), nil)
-		c.version = "v1"
+		c.softwareVersion = "v1"
 		f.recordOrigin(c.start, c)
 		_, until, ok := f.origins.known.Origin(c.start, streams.KeyOf("r1"))
 		convey.So(ok, convey.ShouldBeTrue)
--- a/internal/gateway/test_gateway_test.go
+++ b/internal/gateway/test_gateway_test.go
@@ -31,7 +31,7 @@
 type testHeaderCodec struct{}
 
 func (testHeaderCodec) ParseRequest(h http.Header) RequestMeta {
-	m := RequestMeta{ID: h.Get("Id"), Model: h.Get("Model"), Adapter: h.Get("Adapter"), LastEventID: h.Get("Last-Event"), Resumes: h.Get("Resumes")}
+	m := RequestMeta{ID: h.Get("Id"), Model: h.Get("Model"), Adapter: h.Get("Adapter"), LastEventID: h.Get("Last-Event"), StreamID: h.Get("Resumes")}
 	if ms, err := strconv.Atoi(h.Get("Deadline")); err == nil {
 		m.Deadline = time.Duration(ms) * time.Millisecond
 	}
