Take no stream up at a service without a share of its route

Cause: a service with the weight 0 counted as one of the route's.

Evidence: TestTakeUpAtServiceWithoutShare failed before ("Expected: \"version_gone\" Actual: \"\"").

Change: the origin's service needs a weight above 0.

--- a/internal/gateway/stream_origins.go
+++ b/internal/gateway/stream_origins.go
@@ -105,7 +105,7 @@
 	}
 	asked := g.Fleet.endOriginQuery(q)
 	switch {
-	case o.Known() && slices.ContainsFunc(route.Shares, func(s routing.Share) bool { return s.Service == o.Service }):
+	case o.Known() && slices.ContainsFunc(route.Shares, func(s routing.Share) bool { return s.Service == o.Service && s.Weight > 0 }):
 		reason = ""
 	case o.Known():
 		reason = reasonVersionGone // the route leads to other services now
--- a/internal/gateway/stream_origins_test.go
+++ b/internal/gateway/stream_origins_test.go
@@ -171,3 +171,18 @@
 		convey.So(got.body, convey.ShouldEqual, versionedEvents("v1", 3, lastPiece))
 	})
 }
+
+// TestTakeUpAtServiceWithoutShare guards against a stream that is taken up at a service to
+// which its route leads no requests any more.
+func TestTakeUpAtServiceWithoutShare(t *testing.T) {
+	convey.Convey("A stream goes on only at a service with a share of its route", t, func() {
+		tg, now := newTestGateway(t), time.Now()
+		tg.fleet.origins.known.Record(now, streams.KeyOf("r1"), streams.Origin{Service: "old", Version: "v1"}, now.Add(time.Minute))
+		route := routing.Route{Kind: routing.Stream, Objective: time.Second}
+		for weight, want := range map[float64]string{0: reasonVersionGone, 1: ""} {
+			route.Shares = []routing.Share{{Service: "s", Weight: 1}, {Service: "old", Weight: weight}}
+			_, reason := tg.gateway.findOrigin(t.Context(), now, &route, RequestMeta{ID: "r2", LastEventID: "2", StreamID: "r1"})
+			convey.So(reason, convey.ShouldEqual, want)
+		}
+	})
+}
