Decode workspaces, their keys and quotas, and public routes

The configuration's tenants were not decoded, so a request with any key or none was forwarded. This adds the domain types and their decoding, the bounds of revocation and quotas in the settings, and the design page of what follows; nothing uses them yet.

--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -46,4 +46,9 @@
 	RetrySlack  float64       // retries per service and window that are allowed in addition to the ratio
 
 	VersionWithin time.Duration // until an announced version of an adapter serves requests
+
+	RevokeWithin time.Duration // until a key that was taken away is refused by all processes, zero for no such bound
+	QuotaWindow  time.Duration // sliding window in which the use of a quota is counted
+	QuotaOver    float64       // share of a quota that may be exceeded in a window
+	QuotaSlack   float64       // units that may be exceeded in a window in addition
 }
--- a/pkg/routing/configuration.go
+++ b/pkg/routing/configuration.go
@@ -40,6 +40,7 @@
 	Host        string
 	Prefix      string // begins and ends with a slash
 	Kind        Kind
+	Public      bool          // callers need no key
 	Resumable   bool          // a broken stream may be resumed at another target after its last event
 	Timeout     time.Duration // until the final answer
 	Objective   time.Duration // until the answer, or a stream's first event
@@ -113,7 +114,8 @@
 	Services map[string]Service
 	Limits   Limits
 
-	hosts map[string][]*Route // by host in lower case
+	hosts      map[string][]*Route // by host in lower case
+	workspaces Workspaces
 }
 
 // New returns the configuration of the given routes and services. It retains the
