--- a/internal/gateway/crash_probe_test.go
+++ b/internal/gateway/crash_probe_test.go
@@ -75,7 +75,7 @@
 	ft.mu.Unlock()
 	ft.resetConns()
 	time.Sleep(d)
-	ln, err := net.Listen("tcp4", ft.addr)
+	ln, err := listenAgain(ft.addr)
 	if err != nil {
 		t.Error(err)
 		return
--- a/internal/gateway/crashing_segment_test.go
+++ b/internal/gateway/crashing_segment_test.go
@@ -93,12 +93,15 @@
 	if ft.fleet.stopped {
 		return
 	}
-	ln, err := net.Listen("tcp4", ft.addr)
+	ln, err := listenAgain(ft.addr)
 	if err != nil {
 		ft.fleet.t.Error(err)
 		return
 	}
 	ft.mu.Lock()
+	if ft.starts == 0 {
+		reservePort(ft.fleet.t, ln)
+	}
 	ft.starts++
 	ft.ln, ft.addr, ft.conns, ft.started = ln, ln.Addr().String(), map[net.Conn]bool{}, time.Now()
 	r := ft.replica()
