Identify callers by their keys and confirm the age of the configuration

Requests with any key or none were executed, and targets received the keys. A deployment with workspaces now rejects requests without a known key, sends targets the workspace's name instead, and looks each key up again before each attempt. Keys are accepted only while the configuration is confirmed as the newest.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -15,6 +15,9 @@
 	// responseTimeout limits the time of a call beyond the time for which the
 	// store may hold a watch.
 	responseTimeout = time.Second
+	// slowResponseTimeout replaces it in an Observer's period after a failed or slow call,
+	// so that a slow store is not taken for one that is away.
+	slowResponseTimeout = 2 * time.Second
 	// listTimeout limits a list with all its pages, each of which the source limits. It is
 	// the longest time for which the users' store keeps a watch waiting, after which the
 	// history since the first page may be gone.
@@ -23,6 +26,10 @@
 	// limits the number of calls during an outage. Outages last at least one
 	// second, and the delay prolongs them by only a fraction of that.
 	meanRetryDelay = 300 * time.Millisecond
+	// pollWait is the time for which the store may hold a watch of an Observer's period. A
+	// longer one adds to the age of what the response shows and saves no calls; zero may
+	// mean the store's default.
+	pollWait = 50 * time.Millisecond
 	// settlePeriod is the time after an outage of the store within which objects
 	// that expired during the outage may be written again.
 	settlePeriod = 2 * time.Second
@@ -55,6 +62,25 @@
 	Apply(now time.Time, changed []objects.Object, settled time.Time)
 }
 
+// Observer is told of all valid responses of the store.
+type Observer interface {
+	// Responded is called after the objects of a response were passed to the Sink, from
+	// its goroutine.
+	Responded(r Response)
+	// Period returns the time from the beginning of one watch to that of the next, within
+	// which the Observer needs to hear of the store again. If it is zero, the Follower's own
+	// intervals apply.
+	Period() time.Duration
+}
+
+// Response is a valid response of the store.
+type Response struct {
+	SentAt     time.Duration // when the call was made, on the clock passed to Observe
+	List       bool          // a list, otherwise a watch after the position of the response before
+	History    uint64        // as stated in the response, zero if it is not
+	Incomplete bool          // a change may be missing
+}
+
 // Follower passes the objects of one kind and their changes to a Sink.
 type Follower struct {
 	source       Source
@@ -64,6 +90,11 @@
 	watchPause   time.Duration
 	log          event.Log
 
+	observer Observer // nil for none
+	clock    func() time.Duration
+	failures int  // calls without a valid response since the last one with
+	slow     bool // the last call failed or took long
+
 	position     Position
 	listed       bool
 	lastResponse time.Time                 // time of the store's last response
@@ -96,12 +127,23 @@
 // one watch. Age is safe for concurrent use.
 func (f *Follower) Age(now time.Time) time.Duration { return now.Sub(*f.ageStart.Load()) }
 
+// Observe has an Observer told of the responses. It is called before Run.
+func (f *Follower) Observe(o Observer, clock func() time.Duration) { f.observer, f.clock = o, clock }
+
 // Run reads objects and passes them to the sink until ctx is done.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		started := time.Now()
+		err := f.poll(ctx)
 		pause := f.watchPause
-		if err := f.poll(ctx); err != nil {
+		switch period := f.period(); {
+		case err != nil:
 			pause = f.recordFailure(err)
+			if period > 0 && f.failures == 1 {
+				pause = 0 // a single lost response costs its timeout only
+			}
+		case period > 0:
+			pause = period - time.Since(started)
 		}
 		select {
 		case <-time.After(pause):
@@ -115,12 +157,22 @@
 	if !f.listed {
 		return f.list(ctx)
 	}
-	watchCtx, cancel := context.WithTimeout(ctx, f.watchTimeout+responseTimeout)
-	changed, position, err := f.source.Watch(watchCtx, f.kind, f.position, f.watchTimeout)
+	wait, timeout := f.watchTimeout, responseTimeout
+	if f.period() > 0 {
+		wait = min(wait, pollWait)
+		if f.slow {
+			timeout = slowResponseTimeout
+		}
+	}
+	sentAt, started := f.now(), time.Now()
+	watchCtx, cancel := context.WithTimeout(ctx, wait+timeout)
+	changed, position, err := f.source.Watch(watchCtx, f.kind, f.position, wait)
 	cancel()
+	f.slow = err != nil || time.Since(started) > wait+responseTimeout/2
 	if err != nil {
 		return err
 	}
+	response := Response{SentAt: sentAt, History: position.History, Incomplete: position.Incomplete}
 	if !position.Follows(f.position) {
 		return f.list(ctx) // changes may have been written at versions below that of the watch
 	}
@@ -133,10 +185,37 @@
 	if len(changed) > 0 {
 		f.sink.Apply(now, changed, settled)
 	}
+	f.notifyObserver(response)
+	if response.Incomplete && f.period() > 0 {
+		f.listed = false // the missing change may never be in another watch
+	}
 	return nil
 }
 
+// period returns the Observer's period, zero if there is none.
+func (f *Follower) period() time.Duration {
+	if f.observer == nil {
+		return 0
+	}
+	return f.observer.Period()
+}
+
+// now returns the time on the Observer's clock.
+func (f *Follower) now() time.Duration {
+	if f.observer == nil {
+		return 0
+	}
+	return f.clock()
+}
+
+func (f *Follower) notifyObserver(r Response) {
+	if f.observer != nil {
+		f.observer.Responded(r)
+	}
+}
+
 func (f *Follower) list(ctx context.Context) error {
+	sentAt := f.now()
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	all, position, err := f.source.List(ctx, f.kind)
@@ -144,9 +223,15 @@
 		return err
 	}
 	now := time.Now()
+	outdated := position.History == f.position.History && position.Version < f.position.Version
 	restored := f.recordListed(position)
 	settled := f.recordResponse(now, restored)
 	f.sink.Replace(now, all, settled, restored)
+	if outdated && f.period() > 0 { // of a copy that lacks changes which this process has seen
+		f.listed = false
+		return nil
+	}
+	f.notifyObserver(Response{SentAt: sentAt, List: true, History: position.History, Incomplete: position.Incomplete})
 	return nil
 }
 
@@ -173,6 +258,7 @@
 	} else if restored || !f.lastResponse.IsZero() && now.Sub(f.lastResponse) > maxResponseGap {
 		f.recoveredAt = now
 	}
+	f.failures = 0
 	f.lastResponse = now
 	f.ageStart.Store(&now)
 	if f.recoveredAt.IsZero() {
@@ -189,6 +275,7 @@
 		f.listed = false
 		return 0
 	}
+	f.failures++
 	if !f.unavailable {
 		f.unavailable = true
 		f.log.Event(event.StoreUnavailable).Str("kind", string(f.kind)).Err(err).Send()
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -20,6 +20,8 @@
 	history uint64
 	delay   time.Duration
 	err     error
+
+	incomplete bool
 }
 
 // scriptedStore is a Source that returns its responses in order. Calls after the
@@ -42,7 +44,7 @@
 	*queue = (*queue)[1:]
 	s.mu.Unlock()
 	time.Sleep(r.delay)
-	return r.objects, Position{r.history, r.version}, r.err
+	return r.objects, Position{History: r.history, Version: r.version, Incomplete: r.incomplete}, r.err
 }
 
 func (s *scriptedStore) List(ctx context.Context, _ objects.ObjectKind) ([]objects.Object, Position, error) {
--- a/internal/follow/position.go
+++ b/internal/follow/position.go
@@ -9,6 +9,9 @@
 	// which it gives out versions again.
 	History uint64
 	Version objects.Version // newest change
+	// Incomplete is set if the response may lack a change: an object in it could not be
+	// read, or its version is below the position from which the store was asked.
+	Incomplete bool
 }
 
 // Follows reports whether p may be a later state than q in the same history. A history
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -30,6 +30,8 @@
 		Remaining:   c.remaining(now),
 		Urgency:     c.route.Urgency,
 		LastEventID: c.lastEventID,
+		Identified:  c.identified,
+		Workspace:   c.workspaceName(),
 	})
 	g.Log.Event(event.AttemptSent).
 		Str("request", c.meta.ID).
--- a/internal/gateway/attempt_loop.go
+++ b/internal/gateway/attempt_loop.go
@@ -131,6 +131,9 @@
 // admit registers an attempt that is about to be sent. It returns the reason if the
 // call may not be sent now.
 func (g *Gateway) admit(now time.Time, c *call) (*segmentRun, string) {
+	if reason := g.identifyAgain(c); reason != "" {
+		return nil, reason
+	}
 	run, verdict := g.CrashTracker.segments.begin(now, c, c.heldFor >= maxHeldTime)
 	reason := ""
 	switch {
@@ -306,7 +309,7 @@
 		}
 	}
 	switch reason {
-	case "no_target", reasonQuarantined, "overloaded":
+	case "no_target", reasonQuarantined, "overloaded", reasonUnconfirmed:
 		after = longRetryAfter
 	case reasonOriginUnknown, reasonVersionGone:
 		after = 0 // waiting does not help
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -13,16 +13,17 @@
 
 // call is one request of a caller and the state of its attempts.
 type call struct {
-	meta      RequestMeta
-	route     *routing.Route
-	revision  int64              // configuration revision that applies to the call
-	workspace *routing.Workspace // that the caller belongs to, nil without one
-	service   string
-	model     string
-	adapter   orders.Adapter
-	header    http.Header // as sent by the caller
-	request   upstream.Request
-	body      []byte
+	meta       RequestMeta
+	route      *routing.Route
+	revision   int64              // configuration revision that applies to the call
+	workspace  *routing.Workspace // that the caller belongs to, nil without one
+	identified bool               // callers of the deployment identify themselves
+	service    string
+	model      string
+	adapter    orders.Adapter
+	header     http.Header // as sent by the caller
+	request    upstream.Request
+	body       []byte
 
 	segments     []quarantine.Fingerprint // shared segments of the prompt
 	placementKey uint64                   // key of rendezvous hashing: the adapter or, without one, the last shared segment of the prompt
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,6 +36,7 @@
 	Fleet         *Fleet
 	Client        *upstream.Client
 	Configuration *atomic.Pointer[routing.Configuration] // configuration in force, nil until the first one
+	Confirmations *confirmations                         // of the configuration in force
 	RetryBudget   *retryBudget
 	CrashTracker  *crashTracker
 	Log           event.Log
@@ -69,6 +70,7 @@
 	g.inProgress.Add(1)
 	defer g.inProgress.Add(-1)
 	meta := g.HeaderCodec.ParseRequest(r.Header)
+	latest := g.latestConfirmation()
 	cfg := g.Configuration.Load()
 	if cfg == nil || !g.Fleet.Listed() {
 		g.reject(w, meta.ID, 503, "no_configuration", longRetryAfter)
@@ -79,6 +81,14 @@
 		g.reject(w, meta.ID, 404, "no_route", 0)
 		return
 	}
+	var workspace *routing.Workspace
+	if cfg.HasWorkspaces() && !route.Public {
+		var reason string
+		if workspace, reason = g.identify(latest, cfg, r.Host, rawPath(r), keyOf(meta)); reason != "" {
+			g.rejectUnidentified(w, r, meta, reason)
+			return
+		}
+	}
 	if !g.admission.acquire() {
 		g.rejectUnread(w, r, meta.ID, 503, "no_room", shortRetryAfter)
 		return
@@ -105,6 +115,7 @@
 	}
 	c := newCall(now, meta, route, service, r, body)
 	c.revision, c.softwareVersion = cfg.Version, version
+	c.workspace, c.identified = workspace, cfg.HasWorkspaces()
 	c.memory = lease{admission: g.admission, use: response}
 	c.request.Reserve = c.memory.reserve
 	defer c.memory.shrink(0)
@@ -124,8 +135,11 @@
 }
 
 // rawPath returns the path as sent by the caller, without the query.
-func rawPath(r *http.Request) string {
-	path, _, _ := strings.Cut(r.RequestURI, "?")
+func rawPath(r *http.Request) string { return pathOf(r.RequestURI) }
+
+// pathOf returns a request's URI without the query.
+func pathOf(uri string) string {
+	path, _, _ := strings.Cut(uri, "?")
 	return path
 }
 
--- a/internal/gateway/header_codec.go
+++ b/internal/gateway/header_codec.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/borageusher/borageusher/pkg/routing"
 )
 
 // RequestMeta is the metadata in the headers of a request.
@@ -16,6 +18,9 @@
 	MaxResponseTokens int    // upper bound
 	LastEventID       string // id of the event after which a stream resumes, empty for none
 	StreamID          string // id of the request that brought the first event of that stream, empty if not named
+
+	Key    routing.KeyDigest // of the caller's key, if HasKey is set
+	HasKey bool              // the request has exactly one key
 }
 
 // AttemptMeta is the metadata that is sent to a target with a request.
@@ -24,6 +29,8 @@
 	Remaining   time.Duration // until the call's deadline
 	Urgency     int           // 0 is the most urgent
 	LastEventID string        // id of the event after which a stream resumes, empty for none
+	Identified  bool          // callers identify themselves by keys, which targets must not get
+	Workspace   string        // that the caller belongs to, if Identified is set; empty on public routes
 }
 
 // ResponseMeta is the metadata in the headers of a response.
--- a/internal/gateway/main.go
+++ b/internal/gateway/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/borageusher/borageusher/internal/boottime"
 	"github.com/borageusher/borageusher/internal/daemon"
 	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/internal/follow"
@@ -78,8 +79,9 @@
 	current atomic.Pointer[routing.Configuration]
 	callers *callerConns
 
-	readiness *readiness
-	followers map[string]*follow.Follower // by object kind, as in the metrics
+	confirmations *confirmations
+	readiness     *readiness
+	followers     map[string]*follow.Follower // by object kind, as in the metrics
 
 	stopWithin atomic.Int64 // nanoseconds
 }
@@ -110,7 +112,8 @@
 		log:   log,
 		fleet: NewFleet(node.Zone, node.Region, node.Regions, log),
 
-		readiness: &readiness{log: log, scope: scope},
+		confirmations: newConfirmations(node.Bounds, boottime.Now, log),
+		readiness:     &readiness{log: log, scope: scope},
 	}
 	p.callers = newCallerConns(p.idleTimeout, log, scope)
 	p.stopWithin.Store(int64(node.Bounds.StopTimeout))
@@ -139,6 +142,7 @@
 		Fleet:         p.fleet,
 		Client:        client,
 		Configuration: &p.current,
+		Confirmations: p.confirmations,
 		CrashTracker:  p.crashes,
 		RetryBudget:   newRetryBudget(b.RetryRatio, b.RetrySlack, b.RetryWindow, time.Now()),
 		Log:           log,
@@ -147,12 +151,15 @@
 	})
 	p.callers.admission = p.gateway.admission
 	store := platform.NewStore(scope)
-	cfg := &configurationSink{decoder: platform.Decoder, name: platform.ConfigurationName, current: &p.current, fleet: p.fleet, log: log}
+	cfg := &configurationSink{
+		decoder: platform.Decoder, name: platform.ConfigurationName, current: &p.current, fleet: p.fleet, log: log, confirmations: p.confirmations,
+	}
 	p.followers = map[string]*follow.Follower{
 		"configuration": follow.New(store, platform.Configurations, cfg, watchIntervals(b.ApplyWithin, watchPauseShare), log),
 		"targets":       follow.New(store, platform.Replicas, &replicaSink{platform.Decoder, p.fleet, log}, watchIntervals(b.DrainWithin, replicaPauseShare), log),
 		"versions":      follow.New(store, platform.Versions, &versionSink{platform.Decoder, p.fleet, log}, watchIntervals(b.VersionWithin, watchPauseShare), log),
 	}
+	p.followers["configuration"].Observe(cfg, boottime.Now)
 	for _, f := range p.followers {
 		go f.Run(ctx)
 	}
@@ -183,6 +190,7 @@
 		case next := <-changes:
 			b := next.Bounds
 			p.gateway.RetryBudget.setLimits(b.RetryRatio, b.RetrySlack)
+			p.confirmations.setBounds(b)
 			p.stopWithin.Store(int64(b.StopTimeout))
 		case now := <-usage.C:
 			p.fleet.reportUsage()
@@ -203,6 +211,7 @@
 	scope.Gauge("requests_in_progress").Update(float64(p.gateway.inProgress.Load()))
 	scope.Gauge("targets").Update(float64(p.fleet.targetCount()))
 	scope.Gauge("entries").Update(float64(p.fleet.entrydCount()))
+	p.confirmations.report(p.current.Load(), scope)
 	if cfg := p.current.Load(); cfg != nil {
 		scope.Gauge("configuration_version").Update(float64(cfg.Version))
 		for name := range cfg.Services {
--- a/internal/gateway/store_sinks.go
+++ b/internal/gateway/store_sinks.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/borageusher/borageusher/internal/event"
+	"github.com/borageusher/borageusher/internal/follow"
 	"github.com/borageusher/borageusher/internal/objects"
+	"github.com/borageusher/borageusher/pkg/confirmation"
 	"github.com/borageusher/borageusher/pkg/orders"
 	"github.com/borageusher/borageusher/pkg/routing"
 	"github.com/borageusher/borageusher/pkg/target"
@@ -30,10 +32,14 @@
 	fleet   *Fleet
 	log     event.Log
 	value   []byte // of the configuration in force
+
+	confirmations *confirmations
+	shown         confirmation.Shown // by the objects that were received since the last call of Responded
 }
 
 // Replace implements follow.Sink.
 func (s *configurationSink) Replace(now time.Time, all []objects.Object, settled time.Time, _ bool) {
+	s.shown = confirmation.Other // unless the configuration is among them
 	s.Apply(now, all, settled)
 }
 
@@ -42,7 +48,11 @@
 // gives it out again.
 func (s *configurationSink) Apply(_ time.Time, changed []objects.Object, _ time.Time) {
 	for _, o := range changed {
-		if o.Deleted || o.Name != s.name {
+		if o.Name != s.name {
+			continue
+		}
+		s.shown = confirmation.Other
+		if o.Deleted {
 			continue
 		}
 		cfg, err := s.decoder.Configuration(o.Value)
@@ -51,16 +61,39 @@
 			continue
 		}
 		before := s.current.Load()
-		if before != nil && (cfg.Version < before.Version || (cfg.Version == before.Version && bytes.Equal(o.Value, s.value))) {
+		if before != nil && cfg.Version < before.Version {
+			s.log.Event(event.ConfigurationOutdated).Int64("revision", cfg.Version).Int64("in_force", before.Version).Send()
+			continue
+		}
+		s.shown = confirmation.InForce
+		if before != nil && cfg.Version == before.Version && bytes.Equal(o.Value, s.value) {
 			continue
 		}
 		s.value = bytes.Clone(o.Value)
+		if before != nil && s.confirmations != nil {
+			s.confirmations.recordReplaced(before)
+		}
 		s.current.Store(cfg)
 		s.fleet.setConfiguration(cfg)
 		s.log.Event(event.RevisionInForce).Int64("revision", cfg.Version).Uint64("object_version", uint64(o.Version)).Send()
 	}
 }
 
+// Responded implements follow.Observer.
+func (s *configurationSink) Responded(r follow.Response) {
+	shown := s.shown
+	s.shown = confirmation.Unchanged
+	if r.Incomplete && !r.List { // the object that could not be read may be the configuration
+		shown = confirmation.Other
+	}
+	s.confirmations.observe(confirmation.Response{SentAt: r.SentAt, List: r.List, History: r.History, Shown: shown})
+}
+
+// Period implements follow.Observer.
+func (s *configurationSink) Period() time.Duration {
+	return s.confirmations.period(s.current.Load())
+}
+
 // replicaSink applies the targets that are listed in the store to the fleet, one
 // object per target.
 type replicaSink struct {
