--- a/internal/gateway/test_gateway_test.go
+++ b/internal/gateway/test_gateway_test.go
@@ -38,6 +38,9 @@
 	if s := h.Get("Segments"); s != "" {
 		m.PromptSegments = strings.Split(s, ",")
 	}
+	if key := h.Get("Key"); key != "" {
+		m.Key, m.HasKey = routing.DigestOf(key), true
+	}
 	return m
 }
 
@@ -49,6 +52,9 @@
 	if a.LastEventID != "" {
 		out["Last-Event"] = []string{a.LastEventID}
 	}
+	if a.Workspace != "" {
+		out["Workspace"] = []string{a.Workspace}
+	}
 	return out
 }
 
