Close gaps in the tests of keys that changed code passed

Of 22 deliberate faults in the new code, five passed the tests: a rejection without reading the body, a list whose result was inherited by the next one, watches of two histories, no list after an incomplete watch, and a key in a request without a Connection header.

--- a/internal/follow/observer_test.go
+++ b/internal/follow/observer_test.go
@@ -163,12 +163,13 @@
 				{version: 9, history: 2, delay: 10 * time.Millisecond},
 				{version: 8, history: 2}, // outdated
 				{version: 12, history: 2},
+				{version: 13, history: 2},
 			},
 			watches: []response{
 				{version: 6, history: 1, delay: 200 * time.Millisecond},
 				{version: 7, history: 2},                    // a list follows
 				{err: gone},                                 // another one, which is outdated
-				{version: 13, history: 2, incomplete: true}, // nothing follows: no more lists
+				{version: 13, history: 2, incomplete: true}, // another one
 			},
 		}
 		o := observe(s, testPeriod, 30*time.Second)
@@ -178,6 +179,7 @@
 			{SentAt: 4 * time.Second, List: true, History: 2},
 			{SentAt: 8 * time.Second, List: true, History: 2},
 			{SentAt: 10 * time.Second, History: 2, Incomplete: true},
+			{SentAt: 12 * time.Second, List: true, History: 2},
 		}
 		if len(o.responses) != len(want) {
 			t.Fatalf("%+v", o.responses)
--- a/internal/gateway/confirmations.go
+++ b/internal/gateway/confirmations.go
@@ -109,8 +109,8 @@
 	return kept
 }
 
-// expireReplaced drops the configurations that no process has in force any more. It may
-// drop one that is replaced at the same time, for which a key gets 401 a little early.
+// expireReplaced drops the configurations that no process has in force any more. It is
+// called from another goroutine than recordReplaced, which then wins.
 func (c *confirmations) expireReplaced() {
 	before := c.replaced.Load()
 	if kept := c.unexpired(); len(kept) < len(*before) {
--- a/internal/gateway/identification_test.go
+++ b/internal/gateway/identification_test.go
@@ -131,6 +131,17 @@
 			k.sink.Replace(time.Now(), nil, time.Time{}, false)
 			k.sink.Responded(follow.Response{SentAt: time.Duration(k.clock.Load()), List: true})
 		}, "/safe/x", "red-1", 503, reasonUnconfirmed, ""},
+		{"a list without the configuration after one that was dropped", func(k *keyedGateway) {
+			k.pass(5 * time.Second)
+			k.sink.Replace(time.Now(), []objects.Object{{Name: "main", Value: []byte("5 red:red-1 blue:blue-1")}}, time.Time{}, false)
+			k.sink.Replace(time.Now(), nil, time.Time{}, false)
+			k.sink.Responded(follow.Response{SentAt: time.Duration(k.clock.Load()), List: true})
+		}, "/safe/x", "red-1", 503, reasonUnconfirmed, ""},
+		{"watches of two histories", func(k *keyedGateway) {
+			k.sink.Responded(follow.Response{SentAt: time.Duration(k.clock.Load()) + 1, History: 2})
+			k.pass(5 * time.Second)
+			k.sink.Responded(follow.Response{SentAt: time.Duration(k.clock.Load())})
+		}, "/safe/x", "red-1", 503, reasonUnconfirmed, ""},
 		{"a key just withdrawn", func(k *keyedGateway) { k.list("6 blue:blue-1") }, "/safe/x", "red-1", 503, reasonKeyWithdrawn, ""},
 		{"a key withdrawn before others", func(k *keyedGateway) {
 			for v := range 3 {
@@ -247,23 +258,29 @@
 }
 
 // TestUnidentifiedUpload guards against a rejection that is lost because the connection is
-// reset while the body is sent, and against bodies that are kept before the key is known.
+// reset while the body is sent, and against one that waits for the body.
 func TestUnidentifiedUpload(t *testing.T) {
-	k := newKeyedGateway(t)
+	k := newKeyedGateway(t, newFakeTarget(t, "t1", respond(200, "good", signed)))
 	k.list("5 red:red-1")
 	c, err := net.Dial("tcp4", k.server.Listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer func() { _ = c.Close() }()
-	body := strings.Repeat("x", 512<<10)
-	_, _ = fmt.Fprintf(c, "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nKey: green-1\r\nContent-Length: %d\r\n\r\n", len(body))
-	resp, err := http.ReadResponse(bufio.NewReader(c), nil) // before the body is sent
-	if err != nil || resp.StatusCode != 401 {
-		t.Fatalf("%v, %v", resp, err)
-	}
-	if _, err := io.WriteString(c, body); err != nil {
-		t.Error(err)
+	br, body := bufio.NewReader(c), strings.Repeat("x", 512<<10)
+	for _, request := range []struct {
+		key, early, late string // parts of the body that are sent before and after the response
+		status           int
+	}{{"green-1", "", body, 401}, {"red-1", body, "", 200}} {
+		_, _ = fmt.Fprintf(c, "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nKey: %s\r\nContent-Length: %d\r\n\r\n%s", request.key, len(body), request.early)
+		_ = c.SetReadDeadline(time.Now().Add(3 * time.Second))
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil || resp.StatusCode != request.status {
+			t.Fatalf("%v, %v", resp, err)
+		}
+		if _, err := io.WriteString(c, request.late); err != nil {
+			t.Error(err)
+		}
 	}
 }
 
