List again after a response that states no history, and after each outdated list

A single response without the store's history ended the confirmations for good, because the tracker waits for a list that the follower had no reason to make. An outdated copy that listed twice was taken for the newest state. Two tests show both.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -176,6 +176,9 @@
 	if !position.Follows(f.position) {
 		return f.list(ctx) // changes may have been written at versions below that of the watch
 	}
+	if position.History != f.position.History {
+		response.Incomplete = true // one of the two is not stated
+	}
 	if position.History == 0 {
 		position.History = f.position.History // it may be stated again later
 	}
@@ -186,7 +189,7 @@
 		f.sink.Apply(now, changed, settled)
 	}
 	f.notifyObserver(response)
-	if response.Incomplete && f.period() > 0 {
+	if response.Incomplete && f.observer != nil {
 		f.listed = false // the missing change may never be in another watch
 	}
 	return nil
@@ -223,11 +226,15 @@
 		return err
 	}
 	now := time.Now()
-	outdated := position.History == f.position.History && position.Version < f.position.Version
+	before := f.position
+	outdated := position.History == before.History && position.Version < before.Version
 	restored := f.recordListed(position)
 	settled := f.recordResponse(now, restored)
 	f.sink.Replace(now, all, settled, restored)
 	if outdated && f.period() > 0 { // of a copy that lacks changes which this process has seen
+		if before.History != 0 { // else the store may have been restored
+			f.position = before
+		}
 		f.listed = false
 		return nil
 	}
--- a/internal/follow/observer_test.go
+++ b/internal/follow/observer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -162,6 +163,7 @@
 				{version: 5, history: 1, delay: 100 * time.Millisecond},
 				{version: 9, history: 2, delay: 10 * time.Millisecond},
 				{version: 8, history: 2}, // outdated
+				{version: 8, history: 2}, // still
 				{version: 12, history: 2},
 				{version: 13, history: 2},
 			},
@@ -177,17 +179,39 @@
 			{SentAt: 0, List: true, History: 1},
 			{SentAt: 2 * time.Second, History: 1},
 			{SentAt: 4 * time.Second, List: true, History: 2},
-			{SentAt: 8 * time.Second, List: true, History: 2},
-			{SentAt: 10 * time.Second, History: 2, Incomplete: true},
-			{SentAt: 12 * time.Second, List: true, History: 2},
+			{SentAt: 10 * time.Second, List: true, History: 2},
+			{SentAt: 12 * time.Second, History: 2, Incomplete: true},
+			{SentAt: 14 * time.Second, List: true, History: 2},
 		}
-		if len(o.responses) != len(want) {
-			t.Fatalf("%+v", o.responses)
-		}
-		for i, r := range o.responses {
-			if r != want[i] {
-				t.Errorf("%d: %+v", i, r)
-			}
+		if !slices.Equal(o.responses, want) {
+			t.Errorf("%+v", o.responses)
 		}
 	})
 }
+
+// TestHistoryNotStated guards against a single response without a history, after which
+// changes may be missed, or nothing is confirmed any more.
+func TestHistoryNotStated(t *testing.T) {
+	for _, unstated := range []string{"watch", "list"} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &scriptedStore{
+				lists:   []response{{version: 5, history: 1}, {version: 6, history: 1}},
+				watches: []response{{version: 6, history: 1}, {version: 7, history: 1}},
+			}
+			if unstated == "watch" {
+				s.watches[0].history = 0
+			} else {
+				s.lists[0].history = 0
+			}
+			want := []Response{
+				{SentAt: 0, List: true, History: s.lists[0].history},
+				{SentAt: 2 * time.Second, History: s.watches[0].history, Incomplete: true},
+				{SentAt: 4 * time.Second, List: true, History: 1},
+				{SentAt: 6 * time.Second, History: 1},
+			}
+			if o := observe(s, testPeriod, 10*time.Second); !slices.Equal(o.responses, want) {
+				t.Errorf("%s: %+v", unstated, o.responses)
+			}
+		})
+	}
+}
