Take a body as complete only if the request was written

A background write that fails takes the error of a reset connection, after which a read of a body without a length sees a clean end. The end of such a body now ends the write and is an error unless the whole request had been written. Responses with a length or chunks are complete as before, also early ones.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -130,6 +130,9 @@
 		UntilClose: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
 		Earlier:    len(conn.sent) - 1,
 	}
+	if out.UntilClose {
+		out.Body = &untilCloseReader{resp.Body, conn}
+	}
 	conn.expires = time.Now().Add(reusePeriod(resp.Header))
 	if resp.Close {
 		out.Header.Set("Connection", "close")
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -116,6 +117,38 @@
 	}
 }
 
+// wroteBody ends the write of the request's body if it is still going on, and reports
+// whether the whole body had been written. It waits only for the write to return.
+func (c *conn) wroteBody() bool {
+	if c.bodyDone == nil {
+		return true
+	}
+	_ = c.SetWriteDeadline(time.Unix(1, 0)) // in the past; on an error the connection is closed, which ends the write too
+	<-c.bodyDone
+	select {
+	case <-c.bodyWritten:
+		return true
+	default:
+		return false
+	}
+}
+
+// untilCloseReader reads a body that ends with its connection. A background write that
+// fails takes the error of a reset connection, after which a read sees its end, so the
+// body is complete only if the request has been written.
+type untilCloseReader struct {
+	io.Reader
+	conn *conn
+}
+
+func (r *untilCloseReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if err == io.EOF && !r.conn.wroteBody() {
+		return n, errEndedEarly
+	}
+	return n, err
+}
+
 // reusable reports whether another request may be sent after the response resp,
 // which was read completely.
 func (c *conn) reusable(resp *Response) bool {
--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -41,6 +41,7 @@
 	errHeadTooLong = errors.Newf("response header exceeds %d bytes", maxHeadBytes)
 	errHeadMemory  = errors.New("response header exceeds the memory for responses")
 	errHeadTooSlow = errors.Newf("response header incomplete %s after its first byte", headTimeout)
+	errEndedEarly  = errors.New("the connection ended before the request was written")
 	errNoID        = errors.New("response without a request id")
 	errSkipFailed  = errors.Newf("the body of a response to another request did not end within %d bytes and %s", maxDiscardedBytes, discardTimeout)
 )
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -56,7 +56,7 @@
 type Response struct {
 	Status int
 	Header http.Header
-	Body   io.Reader // returns io.EOF only after the complete body
+	Body   io.Reader // returns io.EOF only after the complete body, and if UntilClose only if the request was written
 	Length int64     // of the body in bytes, -1 if unknown
 
 	UntilClose bool // the body has neither a length nor chunks, and ends with its connection
