Reject responses with invalid statuses

Any status below 200 was skipped as informational and its body parsed as the next response; statuses above 599 were returned. A status outside 100 to 599, 101, which no request asks for, and an informational response with a body now end the attempt as broken, so that the request counts as possibly run.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -10,6 +10,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // maxInlineBodyBytes is the size of the largest request body that is written
@@ -100,7 +102,10 @@
 		if err != nil {
 			return nil, &Error{Op: "read response", Kind: Broken, Err: err}
 		}
-		if resp.StatusCode < 200 {
+		switch classifyHead(resp) {
+		case invalidHead:
+			return nil, &Error{Op: "read response", Kind: Broken, Err: errors.Wrapf(errInvalidHead, "status %03d", resp.StatusCode)}
+		case informationalHead:
 			continue
 		}
 		id := c.identify(resp.Header)
--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -41,11 +41,38 @@
 	errHeadTooLong = errors.Newf("response header exceeds %d bytes", maxHeadBytes)
 	errHeadMemory  = errors.New("response header exceeds the memory for responses")
 	errHeadTooSlow = errors.Newf("response header incomplete %s after its first byte", headTimeout)
+	errInvalidHead = errors.New("not a status of a response, or an informational response with a body")
 	errEndedEarly  = errors.New("the connection ended before the request was written")
 	errNoID        = errors.New("response without a request id")
 	errSkipFailed  = errors.Newf("the body of a response to another request did not end within %d bytes and %s", maxDiscardedBytes, discardTimeout)
 )
 
+// headKind classifies the head of a response.
+type headKind uint8
+
+const (
+	finalHead         headKind = iota
+	informationalHead          // the final response follows
+	invalidHead                // what follows can't be interpreted
+)
+
+// classifyHead classifies the head of a response by its status. net/http parses any
+// number of three characters. 101 (Switching Protocols) is invalid because no request
+// asks for it. An informational response has no body, so that one with a body is
+// invalid: the body would be parsed as the next response.
+func classifyHead(resp *http.Response) headKind {
+	switch status := resp.StatusCode; {
+	case status < 100 || status > 599 || status == http.StatusSwitchingProtocols:
+		return invalidHead
+	case status >= 200:
+		return finalHead
+	}
+	if n := resp.Header.Get("Content-Length"); len(resp.TransferEncoding) > 0 || (n != "" && n != "0") {
+		return invalidHead
+	}
+	return informationalHead
+}
+
 // HeadMeter estimates the memory that the heads of messages take, while they arrive. The
 // zero value is outside of a head.
 type HeadMeter struct {
