Return no invalid or truncated response from clients of net/http

The clients of engines, of the store and of the object API now come from internal/checkedhttp. It returns an error for a status outside 200 to 599 and for an informational response with a body, does not follow redirections, and ends a body that ends with its connection with an error unless the request was written. An order that gets a status below 400 other than an acceptance may take effect (Uncertain, NoResponse).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/borageusher/borageusher/internal/checkedhttp"
 	"github.com/borageusher/borageusher/internal/objects"
 	"github.com/borageusher/borageusher/internal/peer"
 	"github.com/borageusher/borageusher/internal/settings"
@@ -103,7 +104,7 @@
 // are limited to the process's share of the call budget.
 func NewStore(c settings.Common, scope tally.Scope) *objects.Client {
 	budget := objects.NewBudget(c.StoreReadsPerSecond, c.StoreWritesPerSecond, c.Processes)
-	return objects.NewMetered(c.Platform, &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: objects.MaxHeaderBytes}}, budget, scope)
+	return objects.NewMetered(c.Platform, checkedhttp.New(&http.Transport{MaxResponseHeaderBytes: objects.MaxHeaderBytes}), budget, scope)
 }
 
 func loadCertPool(path string) (*x509.CertPool, error) {
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -9,6 +9,7 @@
 	"net/http/httptrace"
 	"net/netip"
 
+	"github.com/borageusher/borageusher/internal/checkedhttp"
 	"github.com/borageusher/borageusher/pkg/adapter"
 )
 
@@ -57,8 +58,8 @@
 	return &Client{
 		baseURL: "http://" + addr.String(),
 		epoch:   epoch,
-		http:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}},
-		runs:    &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}},
+		http:    checkedhttp.New(&http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}),
+		runs:    checkedhttp.New(&http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}),
 	}
 }
 
@@ -106,6 +107,9 @@
 	case http.StatusServiceUnavailable:
 		return &Error{Op: order, Kind: Unavailable, Status: resp.StatusCode}
 	}
+	if resp.StatusCode < 400 { // neither an acceptance nor a rejection
+		return &Error{Op: order, Kind: Uncertain, Status: resp.StatusCode}
+	}
 	return &Error{Op: order, Kind: Refused, Status: resp.StatusCode}
 }
 
--- a/internal/engine/invalid_response_test.go
+++ b/internal/engine/invalid_response_test.go
@@ -23,7 +23,7 @@
 			for _, rest := range []string{"\r\n", "Content-Length: 0\r\n\r\n", "\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"} {
 				c := newRawClient(t, func(int, *http.Request) (string, bool) { return "HTTP/1.1 " + status + " X\r\n" + rest, true })
 				ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
-				_, err := c.Run(ctx, rawRequest) //nolint:bodyclose // an error is expected
+				_, err := c.Run(ctx, rawRequest)
 				convey.So(IsKind(err, Uncertain), convey.ShouldBeTrue)
 				_, err = c.State(ctx)
 				convey.So(IsKind(err, Uncertain), convey.ShouldBeTrue)
@@ -38,7 +38,7 @@
 		c := newRawClient(t, func(int, *http.Request) (string, bool) {
 			return fmt.Sprintf("HTTP/1.1 103 X\r\nContent-Length: %d\r\n\r\n%s", len(own), own), true
 		})
-		_, err := c.Run(context.Background(), rawRequest) //nolint:bodyclose // an error is expected
+		_, err := c.Run(context.Background(), rawRequest)
 		convey.So(IsKind(err, Uncertain), convey.ShouldBeTrue)
 	})
 	convey.Convey("A redirection is not followed: an order's outcome is uncertain and a request's response is passed on", t, func() {
--- a/internal/operator/main.go
+++ b/internal/operator/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/borageusher/borageusher/internal/checkedhttp"
 	"github.com/borageusher/borageusher/internal/objects"
 )
 
@@ -127,7 +128,7 @@
 	if err != nil {
 		return nil, &Error{Op: "read flags", Kind: BadFlag, Err: err}
 	}
-	return objects.New(addr, &http.Client{}).WithPurpose(objects.ForOperator), nil
+	return objects.New(addr, checkedhttp.New(&http.Transport{MaxResponseHeaderBytes: objects.MaxHeaderBytes})).WithPurpose(objects.ForOperator), nil
 }
 
 // fail prints err and returns the exit code for it.
