Count a request whose first write failed as not written

A write of no bytes left the count of a request's bytes as if its head had ended, so that a response to a request without a body could count as complete. The end of the head is now a field of its own.

--- a/internal/checkedhttp/client_test.go
+++ b/internal/checkedhttp/client_test.go
@@ -15,11 +15,12 @@
 		c := &conn{}
 		for size := 1; size <= len(text); size++ {
 			c.begin(4) // also after an earlier request
+			c.count(nil)
 			count := 0
 			for part := range slices.Chunk(text, size) {
 				c.count(part)
 				count += len(part)
-				convey.So(c.tail == nil && c.bodyLeft <= 0, convey.ShouldEqual, count == len(text))
+				convey.So(c.written(), convey.ShouldEqual, count == len(text))
 			}
 		}
 	})
--- a/internal/checkedhttp/conn.go
+++ b/internal/checkedhttp/conn.go
@@ -16,7 +16,8 @@
 	net.Conn
 
 	mu       sync.Mutex // is held during a write
-	tail     []byte     // last bytes of the head, nil after its end
+	inHead   bool       // the end of the head was not written
+	tail     []byte     // last bytes of the head
 	bodyLeft int64      // bytes of the body that were not written
 }
 
@@ -24,7 +25,7 @@
 func (c *conn) begin(length int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.tail, c.bodyLeft = []byte{}, length
+	c.inHead, c.tail, c.bodyLeft = true, nil, length
 }
 
 // Write implements net.Conn.
@@ -38,13 +39,13 @@
 
 // count records that p was written.
 func (c *conn) count(p []byte) {
-	if c.tail == nil {
+	if !c.inHead {
 		c.bodyLeft -= int64(len(p))
 		return
 	}
 	head := slices.Concat(c.tail, p)
 	if i := bytes.Index(head, headEnd); i >= 0 {
-		c.tail = nil
+		c.inHead, c.tail = false, nil
 		c.bodyLeft -= int64(len(head) - i - len(headEnd))
 		return
 	}
@@ -57,5 +58,8 @@
 	_ = c.SetWriteDeadline(time.Unix(1, 0)) // in the past; if it fails, the connection is closed, which ends the write too
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.tail == nil && c.bodyLeft <= 0
+	return c.written()
 }
+
+// written reports whether the whole request was written. The caller holds c.mu.
+func (c *conn) written() bool { return !c.inHead && c.bodyLeft <= 0 }
