Don't relay status 425, which callers take as proof of no run

425 (Too Early) says that the request was not processed, and callers send it again. It is now treated like 408, 429 and 503: without proof the request may have run and gets 502.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -329,7 +329,8 @@
 // has not run.
 func impliesNotRun(status int) bool {
 	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooEarly, http.StatusTooManyRequests,
+		http.StatusServiceUnavailable:
 		return true
 	}
 	return false
