--- a/pkg/quota/failure_test.go
+++ b/pkg/quota/failure_test.go
@@ -77,6 +77,8 @@
 }
 
 // The configuration reaches the processes within a second, the issuer through any of them.
+// The small workspace's quota becomes that of a large request in three seconds, so that its
+// use is measured over a minute.
 func TestQuotaLowered(t *testing.T) {
 	forLimits(t, func(r *replay) {
 		r.run(10 * time.Second)
@@ -86,8 +88,8 @@
 			r.run(40 * time.Millisecond)
 		}
 		r.limit, r.old = lower, r.now
-		r.run(20 * time.Second)
-		r.checkShare(22*time.Second, 30*time.Second, 0.95)
+		r.run(72 * time.Second)
+		r.checkShare(22*time.Second, 82*time.Second, 0.95)
 	})
 }
 
