Enforce quotas of workspaces at entryds

The rate and burst of a workspace were not enforced: the callers of one could send any number of requests. Entryds request the credit of their workspaces from a targetd that a hash selects, in messages of their own that name all workspaces of an issuer, and only while there is demand. A request over the quota gets 429 before its first attempt, with the time at which there is credit; one whose issuer does not answer gets 503. Credit of a request that never ran is refunded once.

Tests of pkg/quota, internal/credit, internal/peer, internal/enginecontroller and the quota tests of internal/gateway pass.

--- a/internal/enginecontroller/conns.go
+++ b/internal/enginecontroller/conns.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/borageusher/borageusher/internal/credit"
 	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/internal/peer"
 )
@@ -13,6 +14,7 @@
 // it ends.
 func (ec *Controller) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	peer.AnnounceOrigins(w.Header())
+	peer.AnnounceCredit(w.Header())
 	c, err := peer.Accept(w, r, ec.Self, ec.Key)
 	if err != nil {
 		ec.Log.Event(event.PeerRefused).Err(err).Send()
@@ -111,6 +113,10 @@
 	case peer.OriginRequest:
 		_, _ = c.Send(ec.origins.answer(time.Now(), m)) // after an error the entryd reconnects
 		return
+	case peer.CreditRequest:
+		answer := ec.credit.Request(credit.Now(), c.Remote().Name, ec.entrydCount(), m)
+		_, _ = c.Send(answer) // after an error the entryd reconnects
+		return
 	case peer.PromptOffer:
 		ec.pacer.offer(time.Now(), c, m)
 		return
--- a/internal/enginecontroller/controller.go
+++ b/internal/enginecontroller/controller.go
@@ -8,10 +8,12 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/borageusher/borageusher/internal/credit"
 	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/internal/peer"
 	"github.com/borageusher/borageusher/internal/permits"
 	"github.com/borageusher/borageusher/pkg/orders"
+	"github.com/borageusher/borageusher/pkg/quota"
 )
 
 // Polling intervals of the engine's report, which costs nothing on the engine's
@@ -57,6 +59,7 @@
 	Engine Engine
 	Log    event.Log
 	Scope  tally.Scope
+	Quota  quota.Bounds // by which quotas may be exceeded
 }
 
 // Controller is the sole controller of one engine.
@@ -71,6 +74,7 @@
 
 	segments segmentReports
 	permits  *permits.Issuer
+	credit   *credit.Issuers
 	origins  *originTable
 
 	// Owned by the loop.
@@ -102,6 +106,7 @@
 		planner: orders.NewPlanner(),
 		pacer:   newPacer(opts.Log),
 		permits: permits.New(),
+		credit:  credit.NewIssuers(credit.Now(), opts.Quota, opts.Log, opts.Scope),
 		origins: newOriginTable(),
 
 		specs: map[int64]peer.EngineSpec{},
--- a/internal/enginecontroller/controller_test.go
+++ b/internal/enginecontroller/controller_test.go
@@ -101,6 +101,7 @@
 	segments     []peer.Message // reports on segments
 	limits       []peer.RateLimit
 	permits      []peer.PermitAnswer
+	credit       []peer.CreditAnswer
 	paced        bool
 	pacings      int                            // Pacing messages
 	answers      map[uint64][]peer.PromptAnswer // by offer
@@ -174,6 +175,8 @@
 				e.limits = append(e.limits, m)
 			case peer.PermitAnswer:
 				e.permits = append(e.permits, m)
+			case peer.CreditAnswer:
+				e.credit = append(e.credit, m)
 			}
 		})
 	}()
--- a/internal/enginecontroller/main.go
+++ b/internal/enginecontroller/main.go
@@ -11,6 +11,7 @@
 	"github.com/borageusher/borageusher/internal/metrics"
 	"github.com/borageusher/borageusher/internal/peer"
 	"github.com/borageusher/borageusher/internal/settings"
+	"github.com/borageusher/borageusher/pkg/quota"
 )
 
 // headerTimeout bounds the time to read the request headers of a new peer
@@ -38,6 +39,7 @@
 		Engine: engine,
 		Log:    log,
 		Scope:  scope,
+		Quota:  quota.Bounds{Window: node.Bounds.QuotaWindow, Over: node.Bounds.QuotaOver, Slack: node.Bounds.QuotaSlack},
 	})
 	listener, err := net.Listen("tcp4", node.Peers.String())
 	if err != nil {
--- a/internal/enginecontroller/permits_test.go
+++ b/internal/enginecontroller/permits_test.go
@@ -78,3 +78,29 @@
 		})
 	})
 }
+
+// Two entryds must not get the credit of one workspace twice.
+func TestCredit(t *testing.T) {
+	convey.Convey("Given a targetd with two entryds that regard it as the issuer of a workspace", t, func() {
+		addr := startController(t, &fakeEngine{report: orders.Report{Started: 7}})
+		a, b := connect(t, addr, "e1"), connect(t, addr, "e2")
+		convey.So(a.conn.IssuesCredit(), convey.ShouldBeTrue)
+		convey.So(eventually(func() bool { return b.state().ConnectedEntries == 2 || a.state().ConnectedEntries == 2 }), convey.ShouldBeTrue)
+		time.Sleep(300 * time.Millisecond) // so that some credit is due
+		for _, e := range []*fakeEntryd{a, b} {
+			e.send(t, peer.CreditRequest{ID: 5, First: true, Entryds: 2, Workspaces: []peer.CreditDemand{
+				{Workspace: "w", PerSecond: 1000, Burst: 1000, Version: 1, Ask: 800, Need: 50, Demand: 2000},
+			}})
+			convey.So(eventually(func() bool {
+				e.mu.Lock()
+				defer e.mu.Unlock()
+				return len(e.credit) == 1
+			}), convey.ShouldBeTrue)
+			convey.So(e.credit[0].ID, convey.ShouldEqual, 5)
+			convey.So(e.credit[0].Grants, convey.ShouldHaveLength, 1)
+		}
+		granted := a.credit[0].Grants[0].Units + b.credit[0].Grants[0].Units
+		convey.So(granted, convey.ShouldBeLessThan, 400) // an issuer that has just begun has no burst
+		convey.So(b.credit[0].Grants[0].Short, convey.ShouldBeTrue)
+	})
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -55,6 +55,11 @@
 	TargetLimited     Code = 363
 	TargetUnlimited   Code = 364
 	StreamTakenUp     Code = 365
+	QuotaIssuerBegan  Code = 375
+	QuotaChanged      Code = 376
+	QuotaIssuerChosen Code = 377
+	OverQuota         Code = 378
+	QuotaUnanswered   Code = 379
 	RequestQueued     Code = 400
 	RequestNotRun     Code = 401
 	RequestStarted    Code = 402
@@ -154,6 +159,11 @@
 	{TargetLimited, "target_limited", zerolog.WarnLevel, "The target takes only `rate` requests a second from all entryds together, according to `source`: a response, or the targetd that heard of it."},
 	{TargetUnlimited, "target_unlimited", zerolog.InfoLevel, "The target no longer limits the rate of requests, according to `source`; the limit stood `for` that time."},
 	{StreamTakenUp, "stream_taken_up", zerolog.InfoLevel, "A caller takes up the `stream` that began with the request of that id, after event `last_event`. It began at `version` of `service`; that many targetds were `asked`. If it is not continued, `reason` says why."},
+	{QuotaIssuerBegan, "quota_issuer_began", zerolog.InfoLevel, "This targetd issues the credit of the quota of `workspace`, at the request of the entryd `from`; while `starting`, at a part of the `rate`. It is the `first` choice or replaces one that can't be reached. That many `entryds` are known."},
+	{QuotaChanged, "quota_changed", zerolog.InfoLevel, "The `rate` and `burst` of the quota of `workspace` changed with a configuration; a rate of zero is no limit."},
+	{QuotaIssuerChosen, "quota_issuer_chosen", zerolog.InfoLevel, "The entryd requests the credit for a `group` of workspaces from the targetd of `target` (empty: none is connected) instead of that of `before`; it is the `first` choice or replaces one that can't be reached."},
+	{OverQuota, "over_quota", zerolog.InfoLevel, "That many `requests` of `workspace` were rejected with 429 since the last such line, because its quota is used up; `credit` is what is left at this entryd, `wait` the time until there is credit again."},
+	{QuotaUnanswered, "quota_unanswered", zerolog.WarnLevel, "That many `requests` of `workspace` were rejected with 503 since the last such line, because the issuer of its credit did not answer in time."},
 	{RequestQueued, "request_queued", zerolog.DebugLevel, "The target queued an attempt."},
 	{RequestNotRun, "request_not_run", zerolog.InfoLevel, "The target refused an attempt that it had not started."},
 	{RequestStarted, "request_started", zerolog.DebugLevel, "The request was sent to the engine or service."},
--- a/internal/gateway/attempt_loop.go
+++ b/internal/gateway/attempt_loop.go
@@ -305,13 +305,17 @@
 			status = http.StatusGatewayTimeout
 		}
 	}
+	limit := c.remaining(time.Now()) / retryAfterDivisor
 	switch reason {
+	case reasonOverQuota:
+		status = http.StatusTooManyRequests
+		limit = c.retryAfter // earlier there is no credit
 	case "no_target", reasonQuarantined, "overloaded":
 		after = longRetryAfter
 	case reasonOriginUnknown, reasonVersionGone:
 		after = 0 // waiting does not help
 	}
-	after = min(max(after, c.retryAfter), c.remaining(time.Now())/retryAfterDivisor)
+	after = min(max(after, c.retryAfter), limit)
 	g.setConnection(w.Header())
 	g.HeaderCodec.SetRejection(w.Header(), c.meta.ID, after)
 	w.Header()["Content-Type"] = nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/borageusher/borageusher/internal/credit"
 	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/internal/settings"
 	"github.com/borageusher/borageusher/internal/upstream"
@@ -38,6 +39,7 @@
 	Configuration *atomic.Pointer[routing.Configuration] // configuration in force, nil until the first one
 	RetryBudget   *retryBudget
 	CrashTracker  *crashTracker
+	Credit        *credit.Accounts // of workspaces with a quota, nil to enforce none
 	Log           event.Log
 	Scope         tally.Scope
 	Limits        settings.Limits // of the VM
@@ -120,6 +122,12 @@
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	defer context.AfterFunc(g.ending, cancel)()
+	charge, reason := g.spendCredit(ctx, c)
+	if reason != "" {
+		g.respondFailure(r.Context(), w, c, reason)
+		return
+	}
+	defer g.refundCredit(c, charge)
 	g.runAttempts(ctx, r.Context(), w, c)
 }
 
--- a/internal/gateway/main.go
+++ b/internal/gateway/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/borageusher/borageusher/internal/credit"
 	"github.com/borageusher/borageusher/internal/daemon"
 	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/internal/follow"
@@ -18,6 +19,7 @@
 	"github.com/borageusher/borageusher/internal/peer"
 	"github.com/borageusher/borageusher/internal/settings"
 	"github.com/borageusher/borageusher/internal/upstream"
+	"github.com/borageusher/borageusher/pkg/quota"
 	"github.com/borageusher/borageusher/pkg/routing"
 )
 
@@ -131,6 +133,15 @@
 	p.crashes = newCrashTracker(p.fleet.broadcast, log)
 	conns.onEngineDown, conns.onCrashReport = p.crashes.recordEngineDown, p.crashes.applyReport
 	conns.onSegmentCrash, conns.onSegmentAnswers = p.crashes.applySegmentCrash, p.crashes.segments.applyAnswers
+	accounts := credit.NewAccounts(credit.AccountOptions{
+		Fleet:         p.fleet,
+		Bounds:        quota.Bounds{Window: node.Bounds.QuotaWindow, Over: node.Bounds.QuotaOver, Slack: node.Bounds.QuotaSlack},
+		Configuration: &p.current,
+		Now:           credit.Now,
+		Log:           log,
+		Scope:         scope,
+	})
+	conns.credit = accounts
 	p.fleet.onTarget = conns.connect
 	client := upstream.New(platform.HeaderCodec.RequestID)
 	b := node.Bounds
@@ -140,6 +151,7 @@
 		Client:        client,
 		Configuration: &p.current,
 		CrashTracker:  p.crashes,
+		Credit:        accounts,
 		RetryBudget:   newRetryBudget(b.RetryRatio, b.RetrySlack, b.RetryWindow, time.Now()),
 		Log:           log,
 		Scope:         scope,
--- a/internal/gateway/targetd_conns.go
+++ b/internal/gateway/targetd_conns.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/borageusher/borageusher/internal/credit"
 	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/internal/peer"
 	"github.com/borageusher/borageusher/pkg/orders"
@@ -32,6 +33,7 @@
 	onCrashReport    func(time.Time, peer.CrashReport)
 	onSegmentCrash   func(time.Time, peer.SegmentCrash)
 	onSegmentAnswers func(time.Time, peer.SegmentAnswers)
+	credit           *credit.Accounts // nil to request no credit
 }
 
 // connect starts to maintain the connection to the targetd of t, unless it is
@@ -81,6 +83,7 @@
 	f.moveHolders(nil)
 	f.sendEngineSpec(t)
 	f.mu.Unlock()
+	tc.checkIssuers()
 	err := c.Run(ctx, func() peer.Heartbeat { return peer.Heartbeat{Active: true} }, func(m peer.Message) {
 		now := time.Now()
 		f.recordMessage(now, t)
@@ -101,6 +104,8 @@
 			f.applyPermitAnswer(t, m)
 		case peer.OriginAnswer:
 			f.applyOriginAnswer(now, c, m)
+		case peer.CreditAnswer:
+			tc.applyCredit(m)
 		case peer.CrashReport:
 			tc.onCrashReport(now, m)
 		case peer.SegmentCrash:
@@ -119,9 +124,24 @@
 	t.endPermitRequests()
 	f.notifyAll()
 	f.mu.Unlock()
+	tc.checkIssuers()
 	return err
 }
 
+// applyCredit passes the credit that a targetd granted on.
+func (tc *targetdConns) applyCredit(m peer.CreditAnswer) {
+	if tc.credit != nil {
+		tc.credit.Apply(m)
+	}
+}
+
+// checkIssuers chooses the issuers of credit again after a targetd was connected or lost.
+func (tc *targetdConns) checkIssuers() {
+	if tc.credit != nil {
+		tc.credit.CheckIssuers()
+	}
+}
+
 // recordMessage records the receipt of a message from a targetd.
 func (f *Fleet) recordMessage(now time.Time, t *targetState) {
 	f.mu.Lock()
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -42,6 +42,8 @@
 	typeStreamOrigin   messageType = 65
 	typeOriginRequest  messageType = 66
 	typeOriginAnswer   messageType = 67
+	typeCreditRequest  messageType = 68
+	typeCreditAnswer   messageType = 69
 
 	typeStateRequest  messageType = 40
 	typeStateAnswer   messageType = 41
@@ -86,6 +88,8 @@
 func (StreamOrigin) messageType() messageType   { return typeStreamOrigin }
 func (OriginRequest) messageType() messageType  { return typeOriginRequest }
 func (OriginAnswer) messageType() messageType   { return typeOriginAnswer }
+func (CreditRequest) messageType() messageType  { return typeCreditRequest }
+func (CreditAnswer) messageType() messageType   { return typeCreditAnswer }
 
 // Encode returns the wire format of m: one byte for its type, followed by its
 // fields as a CBOR array.
@@ -199,6 +203,10 @@
 		return &originRequestWire{}
 	case typeOriginAnswer:
 		return &originAnswerWire{}
+	case typeCreditRequest:
+		return &creditRequestWire{}
+	case typeCreditAnswer:
+		return &creditAnswerWire{}
 	}
 	return nil
 }
@@ -280,6 +288,10 @@
 		return &originRequestWire{Stream: m.Stream}
 	case OriginAnswer:
 		return &originAnswerWire{Stream: m.Stream, Service: m.Service, Version: m.Version, WithinMS: m.Within.Milliseconds()}
+	case CreditRequest:
+		return creditRequestToWire(m)
+	case CreditAnswer:
+		return creditAnswerToWire(m)
 	case CrashReport:
 		return &crashReportWire{Engine: m.Engine, Fingerprints: m.Fingerprints}
 	case SegmentCrash:
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -33,6 +33,7 @@
 	remote Identity
 
 	keepsOrigins bool // see KeepsOrigins
+	issuesCredit bool // see IssuesCredit
 
 	out *outQueue
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -74,6 +74,10 @@
 		OriginRequest{Stream: 1 << 63},
 		OriginAnswer{Stream: 1 << 63, Service: "s", Version: "v1.1", Within: 12 * time.Second},
 		OriginAnswer{Stream: 7},
+		CreditRequest{ID: 7, First: true, Age: time.Minute, Entryds: 21, Workspaces: []CreditDemand{
+			{Workspace: "w", PerSecond: 412485, Burst: 29000.5, Version: 9, Held: -300, Ask: 2000, Need: 700, Demand: 9000, Returned: 1},
+		}},
+		CreditAnswer{ID: 7, Grants: []CreditGrant{{Units: 2000}, {Short: true, Wait: 300 * time.Millisecond}}},
 	}
 }
 
--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -8,15 +8,15 @@
 
 // Times of an account.
 const (
-	// horizon is the time for which an account wants to hold credit: the interval of its
-	// requests and a round trip between regions, each with some margin.
-	horizon = 250 * time.Millisecond
-	// interval is the time between two requests of an account that needs no credit at once.
-	interval = 100 * time.Millisecond
-	// urgentInterval is the same while requests of callers wait for credit, and
-	// shortInterval while credit is short, as there is little to get.
-	urgentInterval = 25 * time.Millisecond
-	shortInterval  = 50 * time.Millisecond
+	// minInterval and maxInterval bound the time between two requests of an account that
+	// needs no credit at once. It grows with the number of processes, so that the messages
+	// of all of them do not.
+	minInterval         = 100 * time.Millisecond
+	maxInterval         = 400 * time.Millisecond
+	intervalPerAccount  = 2 * time.Millisecond
+	answerTime          = 150 * time.Millisecond // for an answer: a round trip between regions, with some margin
+	urgentInterval      = 25 * time.Millisecond  // while requests of callers wait for credit
+	shortIntervalFactor = 0.5                    // of the interval, while they wait and credit is short
 	// idleInterval is the same for an account without demand that has to repay credit.
 	idleInterval = 500 * time.Millisecond
 	// renewTime is the time before the end of the lease in which an account renews it.
@@ -144,7 +144,7 @@
 		if since := a.issuerLost.Add(ownDelay); from.Before(since) {
 			from = since
 		}
-		limit := max(a.bounds.held(a.limit), a.limit.over(horizon)) / float64(a.accounts)
+		limit := max(a.bounds.held(a.limit), a.limit.over(a.horizon())) / float64(a.accounts)
 		if a.balance < limit {
 			a.balance = min(a.balance+a.ownRate()*now.Sub(from).Seconds(), limit)
 		}
@@ -217,6 +217,20 @@
 	return out
 }
 
+// NextDecision returns the time at which Decide is to be called again without an answer of
+// the issuer, and false if no request waits.
+func (a *Account) NextDecision(now time.Time) (at time.Time, ok bool) {
+	for _, w := range a.waiting {
+		if at.IsZero() || w.Until.Before(at) {
+			at = w.Until
+		}
+	}
+	if len(a.waiting) > 0 && !a.issuer {
+		at = earliest(at, now.Add(urgentInterval))
+	}
+	return at, len(a.waiting) > 0
+}
+
 // inTime reports whether a request that lacks credit may get it in time, behind others
 // whose cost is given.
 func (a *Account) inTime(now time.Time, w Waiter, ahead, missing float64) bool {
@@ -232,7 +246,7 @@
 	case w.Until.Before(a.emptyTill):
 		return false
 	}
-	return ahead == 0 || missing+ahead <= a.grant
+	return ahead <= a.grant // regardless of its own cost, so that large requests wait as others do
 }
 
 // short reports whether the issuer said recently that credit is short.
@@ -279,13 +293,21 @@
 	return true
 }
 
+// interval returns the time between two requests to the issuer.
+func (a *Account) interval() time.Duration {
+	return min(max(minInterval, time.Duration(a.accounts)*intervalPerAccount), maxInterval)
+}
+
+// horizon returns the time for which the account wants to hold credit.
+func (a *Account) horizon() time.Duration { return a.interval() + answerTime }
+
 // target returns the credit that the account wants to hold.
 func (a *Account) target(now time.Time) float64 {
 	if now.Sub(a.arrivedAt) > idleTime {
 		return 0
 	}
 	least := min(a.largest, a.bounds.held(a.limit)/float64(2*a.accounts))
-	return max(a.demand.value(now)*horizon.Seconds(), least)
+	return max(a.demand.value(now)*a.horizon().Seconds(), least)
 }
 
 // NextRequest returns the time at which Request is to be called again, and false if there
@@ -299,7 +321,7 @@
 	case a.awaited:
 		return a.sentAt.Add(answerTimeout), true
 	case len(a.waiting) > 0 && a.short(now):
-		return a.sentAt.Add(shortInterval), true
+		return a.sentAt.Add(time.Duration(shortIntervalFactor * float64(a.interval()))), true
 	case len(a.waiting) > 0:
 		return a.sentAt.Add(urgentInterval), true
 	case target == 0 && a.balance == 0:
@@ -308,7 +330,7 @@
 		}
 		return time.Time{}, false
 	case target == 0 && a.balance > 0, target > 0 && (a.balance < target*3/4 || a.balance > 2*target):
-		return a.sentAt.Add(interval), true
+		return a.sentAt.Add(a.interval()), true
 	case target == 0:
 		return a.sentAt.Add(idleInterval), true
 	}
--- a/pkg/quota/issuer.go
+++ b/pkg/quota/issuer.go
@@ -19,14 +19,18 @@
 	// for more than its share: the longest interval between the requests of an account
 	// whose demand is not met.
 	reserveTime = 100 * time.Millisecond
-	// maxEntitledTime bounds the share of the rate that an account may claim later.
-	maxEntitledTime = 300 * time.Millisecond
+	// maxEntitledTime bounds the share of the rate that an account may claim later: the
+	// longest interval between its requests, with some margin.
+	maxEntitledTime = 600 * time.Millisecond
 	// minBurstTime is the time of which a bucket holds the rate at least. Accounts ask at
 	// intervals, between which credit would be lost otherwise.
 	minBurstTime = 100 * time.Millisecond
 	// deputyTime is how long the request of an account counts that has another issuer but
 	// can't reach it; such accounts send one at least twice a second.
 	deputyTime = 1200 * time.Millisecond
+	// versionTime is how long a version of the limit counts that no sender states any more:
+	// longer than a new configuration takes to reach all processes.
+	versionTime = 5 * time.Second
 	// maxServiceGap is the time without requests after which an issuer may have been
 	// replaced by another one.
 	maxServiceGap = time.Second
@@ -65,6 +69,7 @@
 type Issuer struct {
 	bounds     Bounds
 	limit      Limit
+	limitAt    time.Time // last time at which a sender stated its version
 	level      float64   // units that may be granted, negative after a grant in advance
 	at         time.Time // time for which level holds
 	startUntil time.Time
@@ -88,7 +93,7 @@
 
 // NewIssuer returns the issuer of a workspace. It may have been asked since the given time.
 func NewIssuer(since time.Time, b Bounds, l Limit) *Issuer {
-	return &Issuer{bounds: b, limit: l, at: since, startUntil: since.Add(startTime), share: 1, accounts: map[string]*holding{}}
+	return &Issuer{bounds: b, limit: l, limitAt: since, at: since, startUntil: since.Add(startTime), share: 1, accounts: map[string]*holding{}}
 }
 
 // ServedAt returns the time of the last request, zero before the first.
@@ -107,9 +112,7 @@
 // issuer begins again, because another process was the issuer in between.
 func (i *Issuer) Request(now time.Time, s Sender, l Limit, r Request, m Membership) (a Answer, began bool) {
 	i.accrue(now)
-	if l.Version > i.limit.Version {
-		i.setLimit(l)
-	}
+	i.applyLimit(now, l)
 	if !i.servedAt.IsZero() && now.Sub(i.servedAt) > max(maxServiceGap, s.Age) {
 		i.level, i.startUntil, began = min(i.level, 0), now.Add(startTime-min(s.Age, startTime)), true
 	}
@@ -121,6 +124,19 @@
 	return i.grant(now, h, r), began
 }
 
+// applyLimit applies what a sender states of the limit. Versions may be given out again
+// after the store was restored, so that a version counts that nobody states any more only
+// for versionTime.
+func (i *Issuer) applyLimit(now time.Time, l Limit) {
+	switch {
+	case l.Version == i.limit.Version:
+		i.limitAt = now
+	case l.Version > i.limit.Version || now.Sub(i.limitAt) > versionTime:
+		i.setLimit(l)
+		i.limitAt = now
+	}
+}
+
 // setLimit replaces the limit. Grants in advance are scaled, as they would take long to
 // repay at a lower rate.
 func (i *Issuer) setLimit(l Limit) {
