--- a/internal/credit/credit_test.go
+++ b/internal/credit/credit_test.go
@@ -92,9 +92,7 @@
 	}
 	e := &testEntryd{fleet: &fakeFleet{entryds: 2}, cfg: &atomic.Pointer[routing.Configuration]{}, conn: conn}
 	e.cfg.Store(configurationOf(1, map[string]routing.Quota{"w": q, "free": {}}))
-	e.accounts = NewAccounts(AccountOptions{
-		Fleet: e.fleet, Bounds: testBounds, Configuration: e.cfg, Log: event.Discard(), Scope: tally.NoopScope, Now: Now,
-	})
+	e.accounts = newTestAccounts(e)
 	e.fleet.set(Issuer{Conn: conn, Name: "t1", First: true})
 	e.accounts.mu.Lock()
 	e.accounts.applyConfiguration(Now())
@@ -117,6 +115,12 @@
 	return e
 }
 
+func newTestAccounts(e *testEntryd) *Accounts {
+	return NewAccounts(AccountOptions{
+		Fleet: e.fleet, Bounds: testBounds, Configuration: e.cfg, Log: event.Discard(), Scope: tally.NoopScope, Now: Now,
+	})
+}
+
 // admit asks for a request of the workspace w.
 func (e *testEntryd) admit(units float64) Verdict {
 	return e.accounts.Admit(context.Background(), &routing.Workspace{Name: "w"}, Cost{Units: units, Wait: 200 * time.Millisecond})
--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -54,7 +54,7 @@
 type Decision struct {
 	ID         uint64
 	Admitted   bool
-	Unanswered bool          // the issuer did not answer in time, so that nothing is known of the quota
+	Unanswered bool          // no issuer answered in time, so that nothing is known of the quota
 	Wait       time.Duration // if not admitted, until the account will have credit
 }
 
@@ -209,7 +209,7 @@
 			kept = append(kept, w)
 			ahead += w.Cost
 		default:
-			unanswered := !now.Before(w.Until) && a.issuer && !a.short(now)
+			unanswered := !now.Before(w.Until) && !a.own(now) && !a.short(now)
 			out = append(out, Decision{ID: w.ID, Unanswered: unanswered, Wait: a.wait(now, missing+ahead)})
 		}
 	}
