--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -60,6 +60,11 @@
 	ConfirmationRenewed   Code = 371
 	ConfigurationOutdated Code = 372
 
+	QuotaIssuerBegan  Code = 375
+	QuotaChanged      Code = 376
+	QuotaIssuerChosen Code = 377
+	OverQuota         Code = 378
+	QuotaUnanswered   Code = 379
 	RequestQueued     Code = 400
 	RequestNotRun     Code = 401
 	RequestStarted    Code = 402
@@ -162,6 +167,11 @@
 	{ConfirmationExpired, "confirmation_expired", zerolog.WarnLevel, "The configuration was last confirmed as the store's newest `age` ago, which is too long, or never if `confirmed` is false: requests that need a key are rejected, those on public routes are served."},
 	{ConfirmationRenewed, "confirmation_renewed", zerolog.InfoLevel, "The configuration is confirmed again; keys were rejected `for` that time."},
 	{ConfigurationOutdated, "configuration_outdated", zerolog.WarnLevel, "The store has an older `revision` than the one `in_force`, which stays in force but is not confirmed."},
+	{QuotaIssuerBegan, "quota_issuer_began", zerolog.InfoLevel, "This targetd issues the credit of the quota of `workspace`, at the request of the entryd `from`; while `starting`, at a part of the `rate`. It is the `first` choice or replaces one that can't be reached. That many `entryds` are known."},
+	{QuotaChanged, "quota_changed", zerolog.InfoLevel, "The `rate` and `burst` of the quota of `workspace` changed with a configuration; a rate of zero is no limit."},
+	{QuotaIssuerChosen, "quota_issuer_chosen", zerolog.InfoLevel, "The entryd requests the credit for a `group` of workspaces from the targetd of `target` (empty: none is connected) instead of that of `before`; it is the `first` choice or replaces one that can't be reached."},
+	{OverQuota, "over_quota", zerolog.InfoLevel, "That many `requests` of `workspace` were rejected with 429 since the last such line, because its quota is used up; `credit` is what is left at this entryd, `wait` the time until there is credit again."},
+	{QuotaUnanswered, "quota_unanswered", zerolog.WarnLevel, "That many `requests` of `workspace` were rejected with 503 since the last such line, because the issuer of its credit did not answer in time."},
 	{RequestQueued, "request_queued", zerolog.DebugLevel, "The target queued an attempt."},
 	{RequestNotRun, "request_not_run", zerolog.InfoLevel, "The target refused an attempt that it had not started."},
 	{RequestStarted, "request_started", zerolog.DebugLevel, "The request was sent to the engine or service."},
