--- a/internal/gateway/holders.go
+++ b/internal/gateway/holders.go
@@ -41,13 +41,3 @@
 	}
 	return s.targets[c.Index], c.First
 }
-
-// spread returns the holders of copies for a key, in order of preference, with spares in
-// each availability zone.
-func (s *holderSet) spread(key uint64, copies, spares int) []*targetState {
-	var out []*targetState
-	for _, i := range s.set.Spread(key, copies, spares) {
-		out = append(out, s.targets[i])
-	}
-	return out
-}
--- a/internal/gateway/stream_origins.go
+++ b/internal/gateway/stream_origins.go
@@ -174,8 +174,8 @@
 // The caller holds mu.
 func (f *Fleet) askHolders(now time.Time, q *originQuery) {
 	keepers, newKeepers := f.holders((*targetState).keepsOrigins), f.holders((*targetState).keepsNewOrigins)
-	ask := keepers.spread(uint64(q.key), originCopies, originSpares)
-	for _, t := range append(ask, newKeepers.spread(uint64(q.key), originCopies, originSpares)...) {
+	ask := keepers.originHolders(q.key, originSpares)
+	for _, t := range append(ask, newKeepers.originHolders(q.key, originSpares)...) {
 		if _, ok := q.asked[t.conn]; !ok {
 			_, err := t.conn.Send(peer.OriginRequest{Stream: uint64(q.key)})
 			q.asked[t.conn] = err != nil
@@ -184,7 +184,7 @@
 	q.expected = nil
 	if expects := func(t *targetState) bool { return t.expectsOriginConn(now) }; len(f.holders(expects).targets) > 0 {
 		both := f.holders(func(t *targetState) bool { return t.keepsOrigins() || expects(t) })
-		q.expected = both.spread(uint64(q.key), originCopies, originSpares)
+		q.expected = both.originHolders(q.key, originSpares)
 	}
 }
 
@@ -205,6 +205,16 @@
 	return t.connecting(now) || (!t.originsLostAt.IsZero() && now.Sub(t.originsLostAt) < connectGrace)
 }
 
+// originHolders returns those that keep the origin of a stream, in order of preference, and
+// in each availability zone as many spares.
+func (s *holderSet) originHolders(k streams.Key, spares int) []*targetState {
+	var out []*targetState
+	for _, i := range s.set.Spread(uint64(k), originCopies, spares) {
+		out = append(out, s.targets[i])
+	}
+	return out
+}
+
 // recordOrigin records at which version the call's stream began, for the requests that may
 // take it up.
 func (f *Fleet) recordOrigin(now time.Time, c *call) {
@@ -226,7 +236,7 @@
 // sendOrigin sends the origin of a stream to the keepers that have not got it yet. The
 // caller holds the fleet's mu.
 func sendOrigin(now time.Time, k streams.Key, s *ownStream, keepers holderSet) {
-	holders := keepers.spread(uint64(k), originCopies, 0)
+	holders := keepers.originHolders(k, 0)
 	m := peer.StreamOrigin{Stream: uint64(k), Service: s.origin.Service, Version: s.origin.Version, Within: s.until.Sub(now)}
 	for _, t := range holders[:min(len(holders), originCopies)] {
 		if slices.Contains(s.sentTo, t.conn) {
