--- a/pkg/quota/replay_test.go
+++ b/pkg/quota/replay_test.go
@@ -17,6 +17,9 @@
 // step is the resolution of a replay.
 const step = 2 * time.Millisecond
 
+// maxCreditWait is how long requests wait for credit.
+const maxCreditWait = 150 * time.Millisecond
+
 // replay is a fleet of accounts and issuers that exchange messages with latency.
 type replay struct {
 	t       *testing.T
@@ -42,6 +45,7 @@
 	at      time.Time
 	units   float64
 	urgency int
+	waited  bool
 }
 
 type letter struct {
@@ -178,7 +182,7 @@
 		budget -= c
 		r.nextID++
 		u := n.urgency(r.rng)
-		w := Waiter{ID: r.nextID, Urgency: u, Cost: c, Until: r.now.Add(150 * time.Millisecond)}
+		w := Waiter{ID: r.nextID, Urgency: u, Cost: c, Until: r.now.Add(maxCreditWait)}
 		n.waiters[w.ID] = w
 		r.offered = append(r.offered, c)
 		n.offered += c
@@ -198,7 +202,7 @@
 			c := &Charge{Cost: w.Cost, At: r.now}
 			r.mail = append(r.mail, letter{r.now.Add(500 * time.Millisecond), func(now time.Time) { n.account.Refund(now, c) }})
 		default:
-			r.spent = append(r.spent, spending{r.now, w.Cost, w.Urgency})
+			r.spent = append(r.spent, spending{r.now, w.Cost, w.Urgency, r.now.Add(maxCreditWait).After(w.Until)})
 			n.got += w.Cost
 		}
 	}
@@ -298,6 +302,23 @@
 	}
 }
 
+// checkWaits fails the test if more than a share of the admitted requests waited for an
+// answer.
+func (r *replay) checkWaits(most float64) {
+	r.t.Helper()
+	waited := 0
+	for _, s := range r.spent {
+		if s.waited {
+			waited++
+		}
+	}
+	share := float64(waited) / float64(len(r.spent))
+	r.t.Logf("%.4f of the admitted requests waited for credit", share)
+	if share > most {
+		r.t.Errorf("%.4f of the admitted requests waited for credit, allowed are %.4f", share, most)
+	}
+}
+
 // An account whose demand is within the quota must get all of it: rejections below the
 // quota are lost service.
 func TestWithinQuota(t *testing.T) {
@@ -315,6 +336,25 @@
 			if got < 0.95*offered {
 				t.Errorf("%.3f of a demand within the quota was admitted", got/offered)
 			}
+			r.checkWaits(0.1) // "do not wait for a round trip"
+		})
+	}
+}
+
+// The callers move between processes each second, as behind a load balancer that follows
+// other load. Credit that stays where they were would be lost to the others.
+func TestMovingDemand(t *testing.T) {
+	for name, l := range map[string]Limit{"large": largeLimit, "small": smallLimit} {
+		t.Run(name, func(t *testing.T) {
+			r := newReplay(t, l, 21, mixedCost)
+			for range 24 {
+				weights := uneven(21)
+				r.rng.Shuffle(len(weights), func(i, j int) { weights[i], weights[j] = weights[j], weights[i] })
+				r.setDemand(2*l.PerSecond, weights...)
+				r.run(time.Second)
+			}
+			r.checkWindows()
+			r.checkShare(4*time.Second, 24*time.Second, 0.95)
 		})
 	}
 }
