Choose among a bounded number of targets

Cause: a choice looked at all targets of a service under the Fleet's lock, five times a second for each waiting request.

Change: an index by service, model, adapter and distance finds the targets that matter: those that hold or load the adapter or had it recently, the first 8 in its rendezvous order, which are cached for 256 keys, and a few random ones. Services of up to 24 targets are looked at as a whole, as before; so is the pool of a model if no target of the sample can be chosen. The estimates are made in buffers that are reused.

--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -15,6 +15,7 @@
 	defer f.mu.Unlock()
 	a := c.adapter
 	t.waiting[a]++
+	f.reindex(t, a)
 	t.waitingTokens += c.promptTokens()
 	f.requestLoad(now, t, a, t.waiting[a])
 	return func() {
@@ -23,6 +24,7 @@
 		t.waitingTokens -= c.promptTokens()
 		if t.waiting[a]--; t.waiting[a] <= 0 {
 			delete(t.waiting, a)
+			f.reindex(t, a)
 		}
 	}
 }
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -26,7 +26,10 @@
 	log     event.Log
 
 	mu             sync.Mutex
-	targets        map[string]*targetState // by the target's id
+	targets        map[string]*targetState  // by the target's id
+	services       map[string]*serviceIndex // of the same targets
+	sampler        sampler
+	maxFullChoice  int // number of targets up to which a choice looks at all
 	cfg            *routing.Configuration
 	versions       map[orders.Adapter]int64
 	latencies      map[string]*latencyStats         // by service
@@ -49,21 +52,23 @@
 // given availability zone and region; regions maps zones to regions.
 func NewFleet(zone, region string, regions map[string]string, log event.Log) *Fleet {
 	return &Fleet{
-		zone:        zone,
-		region:      region,
-		regions:     regions,
-		log:         log,
-		targets:     map[string]*targetState{},
-		versions:    map[orders.Adapter]int64{},
-		latencies:   map[string]*latencyStats{},
-		changes:     map[orders.Adapter]chan struct{}{},
-		notices:     map[target.Incarnation]*targetNotice{},
-		unconfirmed: map[string]unconfirmedEntry{},
-		superseded:  map[string]target.Replica{},
-		limits:      map[string]*rateLimit{},
-		permits:     permits.New(),
-		origins:     newStreamOrigins(),
-		epoch:       time.Now(),
+		zone:          zone,
+		region:        region,
+		regions:       regions,
+		log:           log,
+		targets:       map[string]*targetState{},
+		services:      map[string]*serviceIndex{},
+		maxFullChoice: maxFullChoice,
+		versions:      map[orders.Adapter]int64{},
+		latencies:     map[string]*latencyStats{},
+		changes:       map[orders.Adapter]chan struct{}{},
+		notices:       map[target.Incarnation]*targetNotice{},
+		unconfirmed:   map[string]unconfirmedEntry{},
+		superseded:    map[string]target.Replica{},
+		limits:        map[string]*rateLimit{},
+		permits:       permits.New(),
+		origins:       newStreamOrigins(),
+		epoch:         time.Now(),
 	}
 }
 
@@ -129,6 +134,7 @@
 		t = newTargetState(now, r, f.noticeOf(r.Incarnation()), f.limitOf(r.Incarnation().String()))
 		t.distance = f.distance(r.Zone)
 		f.targets[r.ID] = t
+		f.indexOf(r.Service).all.add(t)
 		t.notice.goneAt = time.Time{}
 		f.logState(r, "added")
 		if f.onTarget != nil {
@@ -138,6 +144,7 @@
 	}
 	if t.replica.State != r.State {
 		f.logState(r, r.State.String())
+		f.indexOf(r.Service).forget()
 	}
 	t.replica = r
 	t.goneAt = time.Time{}
@@ -176,6 +183,7 @@
 // holds mu.
 func (f *Fleet) drop(now time.Time, t *targetState) {
 	delete(f.targets, t.replica.ID)
+	f.indexOf(t.replica.Service).remove(t)
 	f.noticeOf(t.replica.Incarnation()).goneAt = now
 	t.replica.State = target.Gone
 	if t.closeConn != nil {
@@ -313,6 +321,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(t.resident, a)
+	f.reindex(t, a)
 }
 
 // entrydCount returns the highest number of entryds that a targetd
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -20,14 +20,14 @@
 func engineFleet(now time.Time, n int) *Fleet {
 	f := NewFleet("a", "north", map[string]string{"a": "north"}, event.Discard())
 	f.cfg = routing.New(1, nil, []routing.Service{{Name: "llm", Engine: &routing.Engine{AdapterSlots: 4}}}, routing.Limits{})
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	for i := range n {
 		id := fmt.Sprintf("i-%d", i)
+		f.mu.Lock()
 		f.upsert(now, target.Replica{ID: id, Service: "llm", Addr: testAddr(i), Zone: "a", Slots: 4, State: target.Live})
 		f.targets[id].conn = &peer.Conn{}
 		f.targets[id].lastMessageAt = now
-		f.targets[id].applyState(now, peer.EngineState{Reachable: true, Models: []string{"m"}})
+		f.mu.Unlock()
+		f.applyEngineState(now, f.targets[id], peer.EngineState{Reachable: true, Models: []string{"m"}})
 	}
 	return f
 }
--- a/internal/gateway/recent_adapters.go
+++ b/internal/gateway/recent_adapters.go
@@ -24,8 +24,9 @@
 	version int64
 }
 
-// record updates the set with the adapters that the engine holds now.
-func (r *recentAdapters) record(now time.Time, holds map[orders.Adapter]int64) {
+// record updates the set with the adapters that the engine holds now. It returns those
+// that are not in the set any more.
+func (r *recentAdapters) record(now time.Time, holds map[orders.Adapter]int64) (evicted []orders.Adapter) {
 	if r.lastSeen == nil {
 		r.lastSeen = map[orders.Adapter]residency{}
 	}
@@ -33,27 +34,29 @@
 		r.lastSeen[a] = residency{now, version}
 	}
 	if len(r.lastSeen) <= 2*maxRecentAdapters {
-		return
+		return nil
 	}
-	r.evict(maxRecentAdapters + len(holds))
+	return r.evict(maxRecentAdapters + len(holds))
 }
 
-// evict removes all but the keep most recently resident adapters. More remain if
-// several were last resident at the same time.
-func (r *recentAdapters) evict(keep int) {
+// evict removes all but the keep most recently resident adapters and returns those that it
+// removed. More remain if several were last resident at the same time.
+func (r *recentAdapters) evict(keep int) (evicted []orders.Adapter) {
 	times := make([]time.Time, 0, len(r.lastSeen))
 	for _, s := range r.lastSeen {
 		times = append(times, s.seenAt)
 	}
 	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
 	if keep >= len(times) {
-		return
+		return nil
 	}
 	for a, s := range r.lastSeen {
 		if s.seenAt.Before(times[keep]) {
 			delete(r.lastSeen, a)
+			evicted = append(evicted, a)
 		}
 	}
+	return evicted
 }
 
 // hasVersion reports whether the engine held the adapter recently in at least
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/borageusher/borageusher/pkg/assignment"
+	"github.com/borageusher/borageusher/pkg/orders"
 	"github.com/borageusher/borageusher/pkg/target"
 )
 
@@ -49,17 +50,24 @@
 	return f.chooseAmong(now, c, true)
 }
 
-// chooseAmong chooses among all targets, or only among those that hold the
-// adapter. If the adapter should have a further copy, it requests the load. The
-// caller holds mu.
+// chooseAmong chooses among the targets, or only among those that hold the
+// adapter. If there are many, it looks at a sample and only at all if no target of the
+// sample can be chosen. If the adapter should have a further copy, it requests the load.
+// The caller holds mu.
 func (f *Fleet) chooseAmong(now time.Time, c *call, residentOnly bool) (selection, bool) {
-	targets, candidates := f.candidates(now, c, true, residentOnly)
 	req := assignment.Request{
 		Key:       c.placementKey,
 		Objective: f.slackOf(c),
 		Bytes:     len(c.body),
 	}
+	complete := f.collect(c, true, residentOnly)
+	targets, candidates := f.candidates(now, c, true, residentOnly)
 	choice, ok := assignment.Choose(req, candidates)
+	if !ok && !complete {
+		f.collect(c, false, residentOnly)
+		targets, candidates = f.candidates(now, c, true, residentOnly)
+		choice, ok = assignment.Choose(req, candidates)
+	}
 	if !ok {
 		targets, candidates = f.candidates(now, c, false, residentOnly)
 		if choice, ok = assignment.Choose(req, candidates); !ok {
@@ -121,20 +129,16 @@
 	return false
 }
 
-// candidates returns the targets of the call's service, shuffled so that targets
-// of equal cost share the load. If cautious is set, targets that are avoided,
+// candidates returns the collected targets, shuffled so that targets of equal cost
+// share the load, and the estimates for them. Both are valid until the next call. If cautious is set, targets that are avoided,
 // whose targetds are silent, or that refused the call are not usable. If
 // residentOnly is set, no target can load the adapter. The caller holds mu.
 func (f *Fleet) candidates(now time.Time, c *call, cautious, residentOnly bool) ([]*targetState, []assignment.Candidate) {
-	var targets []*targetState
-	for _, t := range f.targets {
-		if t.replica.Service == c.service {
-			targets = append(targets, t)
-		}
-	}
+	targets := f.sampler.targets
 	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
 	latency, tokenTime, ownTime := f.latencyOf(c.service), f.tokenTime(c.service), f.ownTime(c)
-	out := make([]assignment.Candidate, 0, len(targets))
+	out := f.sampler.candidates[:0]
+	version := f.version(c.adapter)
 	for _, t := range targets {
 		readFactor, workFactor := t.speed.factors(now)
 		ownFactor := workFactor
@@ -162,13 +166,14 @@
 		if c.model != "" {
 			tokenTimeHere := scale(tokenTime, readFactor)
 			a.Backlog = time.Duration(t.estimatedBacklog(now, tokenTimeHere)+t.waitingTokens) * tokenTimeHere
-			a.Resident = t.hasVersion(c.adapter, f.version(c.adapter))
-			a.InHostMemory = t.recent.hasVersion(c.adapter, f.version(c.adapter))
+			a.Resident = t.hasVersion(c.adapter, version)
+			a.InHostMemory = t.recent.hasVersion(c.adapter, version)
 			a.LoadDelay = t.expectedLoadTime(c.adapter, a.InHostMemory, a.SojournTime)
 			a.CanLoad = !residentOnly && c.adapter.Name != "" && t.canLoad(now, c.adapter)
 		}
 		out = append(out, a)
 	}
+	f.sampler.candidates = out
 	coalesceLoads(c, targets, out, time.Duration(c.promptTokens())*tokenTime)
 	return targets, out
 }
@@ -182,28 +187,33 @@
 // other requests.
 func coalesceLoads(c *call, targets []*targetState, candidates []assignment.Candidate, readTime time.Duration) {
 	bound := time.Duration(loadBatchShare * float64(c.route.Objective))
-	loadTargets := map[int]bool{}
+	var only *targetState // where a request that already waits stays
+	found := false
 	for i, t := range targets {
 		a := &candidates[i]
-		if !a.Usable || !a.CanLoad || (!t.loading[c.adapter] && t.waiting[c.adapter] == 0) {
+		if !a.Usable || !a.CanLoad || !t.expects(c.adapter) {
 			continue
 		}
 		if t == c.waitTarget && a.LoadDelay <= c.route.Objective {
-			loadTargets = map[int]bool{i: true}
-			break
-		}
-		if time.Duration(t.waiting[c.adapter])*readTime < bound {
-			loadTargets[i] = true
+			only = t
 		}
+		found = found || time.Duration(t.waiting[c.adapter])*readTime < bound
 	}
-	if len(loadTargets) == 0 {
+	if !found && only == nil {
 		return
 	}
-	for i := range candidates {
-		candidates[i].CanLoad = candidates[i].CanLoad && loadTargets[i]
+	for i, t := range targets {
+		if only != nil {
+			candidates[i].CanLoad = candidates[i].CanLoad && t == only
+			continue
+		}
+		candidates[i].CanLoad = candidates[i].CanLoad && candidates[i].Usable && t.expects(c.adapter) && time.Duration(t.waiting[c.adapter])*readTime < bound
 	}
 }
 
+// expects reports whether the target loads an adapter or was asked to.
+func (t *targetState) expects(a orders.Adapter) bool { return t.loading[a] || t.waiting[a] > 0 }
+
 // latencyOf returns the latency statistics over all targets of a service. The
 // caller holds mu.
 func (f *Fleet) latencyOf(service string) *latencyStats {
--- a/internal/gateway/target_notice.go
+++ b/internal/gateway/target_notice.go
@@ -61,6 +61,7 @@
 		return
 	}
 	n.leaving, n.at = true, now
+	f.indexOf(t.replica.Service).forget()
 	f.origins.holdersMoved = true
 	f.log.Event(event.TargetDeparting).
 		Str("target", t.replica.ID).
--- a/internal/gateway/target_state.go
+++ b/internal/gateway/target_state.go
@@ -95,6 +95,7 @@
 	running         map[orders.Adapter]int       // requests at the target by adapter
 	useCounts       map[orders.Adapter]int       // requests by adapter since the last usage report
 	waiting         map[orders.Adapter]int       // requests that wait for an adapter at the target
+	sampledIn       uint64                       // last round of the sampler that collected it
 	waitingTokens   int                          // tokens of the prompts of those requests
 	loadRequestedAt map[orders.Adapter]time.Time // last load request sent to the targetd
 }
@@ -178,8 +179,8 @@
 
 // applyState replaces the engine's state. It returns the adapters that became
 // resident or were updated, and whether anything else that affects selection
-// changed.
-func (t *targetState) applyState(now time.Time, s peer.EngineState) (arrived []orders.Adapter, changed bool) {
+// changed, and the adapters that no longer count as recent.
+func (t *targetState) applyState(now time.Time, s peer.EngineState) (arrived []orders.Adapter, changed bool, evicted []orders.Adapter) {
 	changed = t.stateAt.IsZero() || t.state.Reachable != s.Reachable || t.state.Departing != s.Departing || t.state.Started != s.Started || len(t.state.Models) != len(s.Models)
 	resident := make(map[orders.Adapter]int64, len(s.Resident))
 	for _, a := range s.Resident {
@@ -195,8 +196,7 @@
 	}
 	t.state, t.stateAt, t.stateOfConn = s, now, true
 	t.resident, t.loading = resident, loading
-	t.recent.record(now, resident)
-	return arrived, changed
+	return arrived, changed, t.recent.record(now, resident)
 }
 
 // hasVersion reports whether the engine holds the adapter in at least the given
--- a/internal/gateway/targetd_conns.go
+++ b/internal/gateway/targetd_conns.go
@@ -145,7 +145,7 @@
 	defer f.mu.Unlock()
 	f.observeLoadTimes(now, t, s)
 	crashed = t.engineCrashed(s)
-	arrived, changed := t.applyState(now, s)
+	arrived, changed := f.applyState(now, t, s)
 	f.observeStart(now, t, s)
 	if s.Departing && s.Started == t.replica.Incarnation().Started {
 		f.recordLeaving(now, t, "targetd")
@@ -159,6 +159,42 @@
 	return crashed
 }
 
+// applyState does what targetState.applyState does, and updates the index. The caller
+// holds mu.
+func (f *Fleet) applyState(now time.Time, t *targetState, s peer.EngineState) (arrived []orders.Adapter, changed bool) {
+	models, resident, loading := t.state.Models, t.resident, t.loading
+	arrived, changed, evicted := t.applyState(now, s)
+	if f.targets[t.replica.ID] != t {
+		return arrived, changed
+	}
+	x := f.indexOf(t.replica.Service)
+	x.setModels(t, models, s.Models)
+	for a := range resident {
+		if _, ok := t.resident[a]; !ok {
+			x.update(t, a)
+		}
+	}
+	for a := range t.resident {
+		if _, ok := resident[a]; !ok {
+			x.update(t, a)
+		}
+	}
+	for a := range loading {
+		if !t.loading[a] {
+			x.update(t, a)
+		}
+	}
+	for a := range t.loading {
+		if !loading[a] {
+			x.update(t, a)
+		}
+	}
+	for _, a := range evicted {
+		x.update(t, a)
+	}
+	return arrived, changed
+}
+
 // observeLoadTimes records how long the adapters that became resident took to
 // load since they were requested. The caller holds mu.
 func (f *Fleet) observeLoadTimes(now time.Time, t *targetState, s peer.EngineState) {
