Prefer targets that have the beginning of a prompt cached

Cause: requests whose prompts begin with the same segments were spread over all holders of the adapter, each of which read the segments again. The tokens of the segments in Borageusher-Prompt-Prefix were dropped.

Change: pkg/promptcache estimates which prefixes an engine still has, from what was sent there, its capacity for tokens and those of its running requests. The time saved reduces the cost of a holder; it counts only as far as response times confirm it.

--- a/internal/gateway/active_attempt.go
+++ b/internal/gateway/active_attempt.go
@@ -41,6 +41,7 @@
 	late          bool // its stream was reported as late; used by the goroutine that relays it
 	offer         *offer
 	promptTokens  int
+	sent          sentPrompt
 	events        int       // of its response; used by the goroutine that relays it
 	firstEventAt  time.Time // like events
 
@@ -128,7 +129,8 @@
 	}
 	// The prompts that a targetd states as ahead are partly read already, so that they
 	// would bias the trend.
-	if a.offer == nil || ahead == 0 {
+	whole := f.endPrompt(now, t, a, ahead+a.promptTokens, delay)
+	if whole && (a.offer == nil || ahead == 0) {
 		f.observeReading(now, t, ahead+a.promptTokens, delay)
 	}
 	f.endOfferLocked(a.offer)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -49,6 +49,8 @@
 	version := g.Fleet.softwareVersion(now, sel.target)
 	active := g.Fleet.beginAttempt(now, sel.target, c, o, cancel)
 	defer g.Fleet.endAttempt(sel.target, c.adapter, active)
+	g.Scope.Counter("prompt_tokens").Inc(int64(active.promptTokens))
+	g.Scope.Counter("prompt_tokens_cached").Inc(int64(active.sent.cached))
 	defer func() { c.memory.shrink(c.fallbackHeld) }()
 	resp, err := g.Client.Do(attemptCtx, sel.replica.Addr, &req)
 	if err != nil {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -7,6 +7,7 @@
 	"github.com/borageusher/borageusher/internal/upstream"
 	"github.com/borageusher/borageusher/pkg/orders"
 	"github.com/borageusher/borageusher/pkg/placement"
+	"github.com/borageusher/borageusher/pkg/promptcache"
 	"github.com/borageusher/borageusher/pkg/quarantine"
 	"github.com/borageusher/borageusher/pkg/routing"
 )
@@ -24,10 +25,13 @@
 	request   upstream.Request
 	body      []byte
 
-	segments     []quarantine.Fingerprint // shared segments of the prompt
-	placementKey uint64                   // key of rendezvous hashing: the adapter or, without one, the last shared segment of the prompt
-	start        time.Time
-	deadline     time.Time
+	segments       []quarantine.Fingerprint // shared segments of the prompt
+	promptSegments []promptcache.Segment    // the same segments, nil if their tokens are not known
+	prompt         promptcache.Prompt       // of those segments; guarded by the fleet's mu, as is promptVersion
+	promptVersion  int64                    // version of the adapter that prompt is for
+	placementKey   uint64                   // key of rendezvous hashing: the adapter or, without one, the last shared segment of the prompt
+	start          time.Time
+	deadline       time.Time
 
 	tried           map[string]bool // targets that may have run it, by id
 	refused         map[string]bool // targets that proved not to have run it or could not be reached, by id
@@ -97,6 +101,7 @@
 		HasBody: r.ContentLength != 0 || r.Method == http.MethodPost || r.Method == http.MethodPut,
 	}
 	c.segments = segmentFingerprints(service, m.PromptSegments)
+	c.promptSegments = promptSegments(m)
 	c.placementKey = placement.Hash(m.Model + "/" + m.Adapter)
 	if m.Adapter == "" && len(m.PromptSegments) > 0 {
 		c.placementKey = placement.Hash(m.Model + "//" + m.PromptSegments[len(m.PromptSegments)-1])
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -56,7 +56,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	a := c.adapter
-	active := &activeAttempt{callStart: c.start, callerTimeout: callerTimeout(c.route.Objective), cancel: cancel, offer: o, promptTokens: c.promptTokens()}
+	active := &activeAttempt{callStart: c.start, callerTimeout: callerTimeout(c.route.Objective), cancel: cancel, offer: o, promptTokens: c.promptTokens(), sent: f.beginPrompt(now, t, c)}
 	f.recordActivity(now, active)
 	t.attempts[active] = struct{}{}
 	t.inFlight++
--- a/internal/gateway/header_codec.go
+++ b/internal/gateway/header_codec.go
@@ -7,15 +7,16 @@
 
 // RequestMeta is the metadata in the headers of a request.
 type RequestMeta struct {
-	ID                string
-	Deadline          time.Duration // time from now, zero if not set
-	Model             string        // empty for plain services
-	Adapter           string        // empty for the base model
-	PromptSegments    []string      // ids of the prompt's segments that other prompts share
-	PromptTokens      int
-	MaxResponseTokens int    // upper bound
-	LastEventID       string // id of the event after which a stream resumes, empty for none
-	StreamID          string // id of the request that brought the first event of that stream, empty if not named
+	ID                  string
+	Deadline            time.Duration // time from now, zero if not set
+	Model               string        // empty for plain services
+	Adapter             string        // empty for the base model
+	PromptSegments      []string      // ids of the prompt's segments that other prompts share
+	PromptTokens        int
+	PromptSegmentTokens []int  // of PromptSegments, zero where they are not known
+	MaxResponseTokens   int    // upper bound
+	LastEventID         string // id of the event after which a stream resumes, empty for none
+	StreamID            string // id of the request that brought the first event of that stream, empty if not named
 }
 
 // AttemptMeta is the metadata that is sent to a target with a request.
--- a/internal/gateway/latency_stats.go
+++ b/internal/gateway/latency_stats.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/borageusher/borageusher/pkg/assignment"
+	"github.com/borageusher/borageusher/pkg/promptcache"
 	"github.com/borageusher/borageusher/pkg/retry"
 )
 
@@ -15,6 +16,9 @@
 	plainTime  retry.Mean       // time to the end of a response without a model at a target with a free slot
 	eventGap   retry.Mean       // time between two events of a stream
 	slowness   retry.Mean       // factor that the targets of the responses reported, in seconds
+
+	requestTokens float64          // mean tokens of a prompt and its longest possible response
+	cacheGain     promptcache.Gain // of cached prefixes of prompts
 }
 
 // observe records the times of one response, from a target that reported the given
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -60,12 +60,12 @@
 		Objective: f.slackOf(c),
 		Bytes:     len(c.body),
 	}
-	complete := f.collect(c, true, residentOnly)
+	complete := f.collect(now, c, true, residentOnly)
 	targets, candidates := f.candidates(now, c, true, residentOnly)
 	choice, ok := assignment.Choose(req, candidates)
 	if !ok && !complete {
 		f.fullChoices++
-		f.collect(c, false, residentOnly)
+		f.collect(now, c, false, residentOnly)
 		targets, candidates = f.candidates(now, c, true, residentOnly)
 		choice, ok = assignment.Choose(req, candidates)
 	}
@@ -139,6 +139,7 @@
 	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
 	latency, tokenTime, ownTime := f.latencyOf(c.service), f.tokenTime(c.service), f.ownTime(c)
 	firstEvent, duration := latency.atNormalSpeed(latency.firstEvent), latency.atNormalSpeed(latency.duration)
+	prompt, cacheTokens := f.promptOf(c), f.cacheTokens(c.service)
 	out := f.sampler.candidates[:0]
 	version := f.version(c.adapter)
 	for _, t := range targets {
@@ -169,6 +170,10 @@
 			tokenTimeHere := scale(tokenTime, readFactor)
 			a.Backlog = time.Duration(t.estimatedBacklog(now, tokenTimeHere)+t.waitingTokens) * tokenTimeHere
 			a.Resident = t.hasVersion(c.adapter, version)
+			if a.Resident && tokenTime > 0 {
+				held := t.heldTokens(now, prompt, cacheTokens, latency.requestTokens)
+				a.CacheSaving = scale(time.Duration(held)*tokenTimeHere, latency.cacheGain.Value())
+			}
 			a.InHostMemory = t.recent.hasVersion(c.adapter, version)
 			a.LoadDelay = t.expectedLoadTime(c.adapter, a.InHostMemory, a.SojournTime)
 			a.CanLoad = !residentOnly && c.adapter.Name != "" && t.canLoad(now, c.adapter)
--- a/internal/gateway/target_index.go
+++ b/internal/gateway/target_index.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"github.com/borageusher/borageusher/pkg/assignment"
 	"github.com/borageusher/borageusher/pkg/orders"
@@ -55,7 +56,8 @@
 	targets    []*targetState
 	hashes     []uint64 // of the targets, for homesOf
 	byDistance [3][]*targetState
-	homes      map[uint64]*homeEntry // by the key modulo homeCacheSize
+	homes      map[uint64]*homeEntry   // by the key modulo homeCacheSize
+	prompts    map[uint64]*promptEntry // the same
 }
 
 // homeEntry holds the first targets in the rendezvous order of a key.
@@ -82,7 +84,7 @@
 	}
 	p.targets = without(p.targets, t)
 	p.byDistance[t.distance] = without(p.byDistance[t.distance], t)
-	p.homes = nil
+	p.homes, p.prompts = nil, nil
 }
 
 // without returns the slice without t, in another order.
@@ -320,7 +322,7 @@
 // of them if there are many and sample is set. It reports whether all were collected that
 // could be chosen; if residentOnly is set, these are the holders of the adapter. The
 // caller holds mu.
-func (f *Fleet) collect(c *call, sample, residentOnly bool) (complete bool) {
+func (f *Fleet) collect(now time.Time, c *call, sample, residentOnly bool) (complete bool) {
 	s := &f.sampler
 	s.begin()
 	x := f.services[c.service]
@@ -341,6 +343,7 @@
 	}
 	s.add(c.waitTarget)
 	if c.adapter.Name == "" {
+		f.addReaders(now, p, c)
 		s.addNear(p, equalSample)
 		return false
 	}
--- a/internal/gateway/target_state.go
+++ b/internal/gateway/target_state.go
@@ -8,6 +8,7 @@
 	"github.com/borageusher/borageusher/pkg/assignment"
 	"github.com/borageusher/borageusher/pkg/orders"
 	"github.com/borageusher/borageusher/pkg/placement"
+	"github.com/borageusher/borageusher/pkg/promptcache"
 	"github.com/borageusher/borageusher/pkg/retry"
 	"github.com/borageusher/borageusher/pkg/target"
 )
@@ -85,6 +86,7 @@
 	backlogAt       time.Time
 	unreadAtBacklog int // unreadTokens at backlogAt
 	speed           targetSpeed
+	cache           promptcache.Cache
 	loadTime        retry.Mean // observed time to load an adapter
 	avoidUntil      time.Time
 	refusedConnAt   time.Time // last time at which it refused a connection
--- a/internal/gateway/targetd_conns.go
+++ b/internal/gateway/targetd_conns.go
@@ -163,15 +163,20 @@
 // holds mu.
 func (f *Fleet) applyState(now time.Time, t *targetState, s peer.EngineState) (arrived []orders.Adapter, changed bool) {
 	models, resident, loading := t.state.Models, t.resident, t.loading
+	if s.Started != t.state.Started {
+		t.cache.Reset()
+	}
 	arrived, changed, evicted := t.applyState(now, s)
 	if f.targets[t.replica.ID] != t {
 		return arrived, changed
 	}
 	x := f.indexOf(t.replica.Service)
 	x.setModels(t, models, s.Models)
-	for a := range resident {
+	for a, version := range resident {
 		if _, ok := t.resident[a]; !ok {
 			x.update(t, a)
+			t.cache.Drop(promptRoot(a, version))
+			t.cache.Drop(promptRoot(a, f.version(a)))
 		}
 	}
 	for a := range t.resident {
--- a/pkg/assignment/choose.go
+++ b/pkg/assignment/choose.go
@@ -72,6 +72,7 @@
 	TimeToFirstEvent time.Duration // mean time until a request's first event at the target
 	SojournTime      time.Duration // mean time of a request at the target
 	ExtraTime        time.Duration // by which this request itself takes longer there than at a mean target; negative if it takes less
+	CacheSaving      time.Duration // time that the target saves because it need not read a cached prefix of the prompt
 	Resident         bool          // the target holds the adapter
 	LoadDelay        time.Duration // time until a missing adapter is loaded
 	CanLoad          bool          // the target can load adapters now
@@ -192,9 +193,9 @@
 }
 
 // cost returns the sum of the expected wait, the network cost, Penalty, a part of ExtraTime, and the
-// value of one of the requests that a limited target takes.
+// value of one of the requests that a limited target takes, less CacheSaving.
 func (c *Candidate) cost(req Request) time.Duration {
-	cost := c.expectedWait() + c.weightedExtra(req) + c.networkCost(req) + c.Penalty
+	cost := c.expectedWait() + c.weightedExtra(req) + c.networkCost(req) + c.Penalty - c.CacheSaving
 	if c.RateLimited {
 		cost += req.objectiveFraction(permitFraction)
 	}
