--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -15,6 +15,7 @@
 	defer f.mu.Unlock()
 	a := c.adapter
 	t.waiting[a]++
+	f.reindex(t, a)
 	t.waitingTokens += c.promptTokens()
 	f.requestLoad(now, t, a, t.waiting[a])
 	return func() {
@@ -23,6 +24,7 @@
 		t.waitingTokens -= c.promptTokens()
 		if t.waiting[a]--; t.waiting[a] <= 0 {
 			delete(t.waiting, a)
+			f.reindex(t, a)
 		}
 	}
 }
@@ -54,7 +56,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	a := c.adapter
-	active := &activeAttempt{callStart: c.start, callerTimeout: callerTimeout(c.route.Objective), cancel: cancel, offer: o, promptTokens: c.promptTokens()}
+	active := &activeAttempt{callStart: c.start, callerTimeout: callerTimeout(c.route.Objective), cancel: cancel, offer: o, promptTokens: c.promptTokens(), sent: f.beginPrompt(now, t, c)}
 	f.recordActivity(now, active)
 	t.attempts[active] = struct{}{}
 	t.inFlight++
--- a/internal/gateway/target_notice.go
+++ b/internal/gateway/target_notice.go
@@ -62,6 +62,7 @@
 	}
 	n.leaving, n.at = true, now
 	f.membership.Change()
+	f.indexOf(t.replica.Service).forget()
 	f.log.Event(event.TargetDeparting).
 		Str("target", t.replica.ID).
 		Str("service", t.replica.Service).
--- a/internal/gateway/target_state.go
+++ b/internal/gateway/target_state.go
@@ -8,6 +8,7 @@
 	"github.com/borageusher/borageusher/pkg/assignment"
 	"github.com/borageusher/borageusher/pkg/orders"
 	"github.com/borageusher/borageusher/pkg/placement"
+	"github.com/borageusher/borageusher/pkg/promptcache"
 	"github.com/borageusher/borageusher/pkg/retry"
 	"github.com/borageusher/borageusher/pkg/target"
 )
@@ -84,7 +85,8 @@
 	backlog         int // tokens of prompts that the engine had to read at backlogAt
 	backlogAt       time.Time
 	unreadAtBacklog int // unreadTokens at backlogAt
-	latency         latencyStats
+	speed           targetSpeed
+	cache           promptcache.Cache
 	loadTime        retry.Mean // observed time to load an adapter
 	avoidUntil      time.Time
 	refusedConnAt   time.Time // last time at which it refused a connection
@@ -95,6 +97,7 @@
 	running         map[orders.Adapter]int       // requests at the target by adapter
 	useCounts       map[orders.Adapter]int       // requests by adapter since the last usage report
 	waiting         map[orders.Adapter]int       // requests that wait for an adapter at the target
+	sampledIn       uint64                       // last round of the sampler that collected it
 	waitingTokens   int                          // tokens of the prompts of those requests
 	loadRequestedAt map[orders.Adapter]time.Time // last load request sent to the targetd
 }
@@ -104,6 +107,7 @@
 		added:           now,
 		replica:         r,
 		incarnation:     r.Incarnation().String(),
+		speed:           newTargetSpeed(),
 		hash:            placement.Hash(r.Addr.String()),
 		vmHash:          placement.Hash(r.Addr.Addr().String()),
 		notice:          n,
@@ -177,8 +181,8 @@
 
 // applyState replaces the engine's state. It returns the adapters that became
 // resident or were updated, and whether anything else that affects selection
-// changed.
-func (t *targetState) applyState(now time.Time, s peer.EngineState) (arrived []orders.Adapter, changed bool) {
+// changed, and the adapters that no longer count as recent.
+func (t *targetState) applyState(now time.Time, s peer.EngineState) (arrived []orders.Adapter, changed bool, evicted []orders.Adapter) {
 	changed = t.stateAt.IsZero() || t.state.Reachable != s.Reachable || t.state.Departing != s.Departing || t.state.Started != s.Started || len(t.state.Models) != len(s.Models)
 	resident := make(map[orders.Adapter]int64, len(s.Resident))
 	for _, a := range s.Resident {
@@ -194,8 +198,7 @@
 	}
 	t.state, t.stateAt, t.stateOfConn = s, now, true
 	t.resident, t.loading = resident, loading
-	t.recent.record(now, resident)
-	return arrived, changed
+	return arrived, changed, t.recent.record(now, resident)
 }
 
 // hasVersion reports whether the engine holds the adapter in at least the given
