Choose issuers before the first request, and tell 429 from a lost answer

TestIssuerChosenBeforeFirstRequest and TestAnsweredButOverQuota failed before; the tests of pkg/quota and internal/credit pass.

--- a/internal/credit/accounts.go
+++ b/internal/credit/accounts.go
@@ -223,11 +223,14 @@
 	a.schedule(now)
 }
 
-// CheckIssuers chooses the issuers again after a targetd was connected or lost.
+// CheckIssuers chooses the issuers again after a targetd was connected or lost, or a
+// configuration came into force. An issuer that the entryd has chosen long before its first
+// request need not begin at a part of the rate.
 func (a *Accounts) CheckIssuers() {
 	now := a.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.applyConfiguration(now)
 	if len(a.accounts) == 0 {
 		return
 	}
--- a/internal/credit/credit_test.go
+++ b/internal/credit/credit_test.go
@@ -256,3 +256,23 @@
 		convey.So(m.observe(now.Add(memberTime+2), 11), convey.ShouldEqual, 11)
 	})
 }
+
+// Issuers issued a part of the rate after a start of all processes, because the entryds
+// chose them only at the first request of a caller.
+func TestIssuerChosenBeforeFirstRequest(t *testing.T) {
+	e := &testEntryd{fleet: &fakeFleet{entryds: 2}, cfg: &atomic.Pointer[routing.Configuration]{}}
+	e.accounts = newTestAccounts(e)
+	e.fleet.set(Issuer{Conn: &peer.Conn{}, Name: "t1", First: true})
+	e.cfg.Store(configurationOf(1, map[string]routing.Quota{"w": {PerSecond: 1000, Burst: 1000}}))
+	before := Now()
+	e.accounts.CheckIssuers()
+	e.accounts.mu.Lock()
+	defer e.accounts.mu.Unlock()
+	if len(e.accounts.accounts) != 1 {
+		t.Fatalf("%d accounts, want 1", len(e.accounts.accounts))
+	}
+	now := before.Add(time.Minute)
+	if age := e.accounts.groups[0].term.Age(now); age > time.Minute || age < 59*time.Second {
+		t.Errorf("the issuer was chosen %s ago, want a minute", age)
+	}
+}
--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -80,6 +80,7 @@
 	ownAt      time.Time // up to which the account's own part was added
 	sentAt     time.Time // last request
 	awaited    bool      // that request has no answer yet
+	answeredAt time.Time // last answer, zero before the first
 
 	arrivedAt time.Time // last request of a caller
 	demand    meter
@@ -209,7 +210,7 @@
 			kept = append(kept, w)
 			ahead += w.Cost
 		default:
-			unanswered := !now.Before(w.Until) && !a.own(now) && !a.short(now)
+			unanswered := !now.Before(w.Until) && !a.own(now) && !a.answered(now)
 			out = append(out, Decision{ID: w.ID, Unanswered: unanswered, Wait: a.wait(now, missing+ahead)})
 		}
 	}
@@ -249,6 +250,12 @@
 	return ahead <= a.grant // regardless of its own cost, so that large requests wait as others do
 }
 
+// answered reports whether the issuer answered recently, so that a request without credit
+// is over the quota.
+func (a *Account) answered(now time.Time) bool {
+	return !a.answeredAt.IsZero() && now.Sub(a.answeredAt) < answerTimeout
+}
+
 // short reports whether the issuer said recently that credit is short.
 func (a *Account) short(now time.Time) bool {
 	return !a.shortAt.IsZero() && now.Sub(a.shortAt) < shortTime
@@ -378,7 +385,7 @@
 		return // the request counts as lost
 	}
 	a.settle(now)
-	a.awaited = false
+	a.awaited, a.answeredAt = false, now
 	a.balance += m.Granted
 	a.leaseUntil = a.sentAt.Add(leaseTime)
 	a.granted.add(now, m.Granted)
--- a/pkg/quota/failure_test.go
+++ b/pkg/quota/failure_test.go
@@ -276,6 +276,24 @@
 	}
 }
 
+// Callers of a workspace over its quota were told that the issuer had not answered, although
+// it had granted all that there was, and returned after too short a time.
+func TestAnsweredButOverQuota(t *testing.T) {
+	a, is := NewAccount(epoch, pageBounds), NewIssuer(epoch, pageBounds, smallLimit)
+	a.SetLimit(smallLimit, 21)
+	a.SetIssuer(epoch, true, true)
+	a.Add(epoch, Waiter{ID: 1, Cost: 9300, Until: epoch.Add(100 * time.Millisecond)})
+	a.Decide(epoch)
+	q, _ := a.Request(epoch)
+	answer, _ := is.Request(epoch, Sender{Name: "e1", First: true, Age: time.Minute}, smallLimit, q, Membership{Connected: 21, Known: 21})
+	answer.Short = false // there may be credit for what was asked, but not for the request
+	a.Apply(epoch, answer)
+	d := a.Decide(epoch.Add(100 * time.Millisecond))
+	if len(d) != 1 || d[0].Admitted || d[0].Unanswered || d[0].Wait <= 0 {
+		t.Fatalf("decisions %+v after %+v, want one over the quota", d, answer)
+	}
+}
+
 // A refund that is applied twice, or long after the units were spent, would exceed the
 // quota.
 func TestRefund(t *testing.T) {
