Confirm the configuration through two targetds of each availability zone

Each entryd called the store every 2 s, so the calls grew with the entryds: 176 a second at 353. Two targetds of each zone, chosen by rendezvous hashing, now follow the configuration while entryds ask them over the connections that exist, and entryds call the store only when an answer names a newer configuration or none is young enough.

--- a/internal/enginecontroller/conns.go
+++ b/internal/enginecontroller/conns.go
@@ -13,6 +13,9 @@
 // it ends.
 func (ec *Controller) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	peer.AnnounceOrigins(w.Header())
+	if ec.Configuration.Period > 0 {
+		peer.AnnounceConfirmations(w.Header())
+	}
 	c, err := peer.Accept(w, r, ec.Self, ec.Key)
 	if err != nil {
 		ec.Log.Event(event.PeerRefused).Err(err).Send()
@@ -111,6 +114,11 @@
 	case peer.OriginRequest:
 		_, _ = c.Send(ec.origins.answer(time.Now(), m)) // after an error the entryd reconnects
 		return
+	case peer.ConfirmationRequest:
+		if ec.Configuration.Period > 0 {
+			_, _ = c.Send(ec.configuration.answer(context.WithoutCancel(ctx), m)) // after an error the entryd reconnects
+		}
+		return
 	case peer.PromptOffer:
 		ec.pacer.offer(time.Now(), c, m)
 		return
--- a/internal/enginecontroller/controller.go
+++ b/internal/enginecontroller/controller.go
@@ -57,6 +57,8 @@
 	Engine Engine
 	Log    event.Log
 	Scope  tally.Scope
+
+	Configuration Configuration
 }
 
 // Controller is the sole controller of one engine.
@@ -73,6 +75,8 @@
 	permits  *permits.Issuer
 	origins  *originTable
 
+	configuration *configurationWatch
+
 	// Owned by the loop.
 	stepRequested    bool // a message arrived that may lead to an order
 	planner          *orders.Planner
@@ -104,6 +108,8 @@
 		permits: permits.New(),
 		origins: newOriginTable(),
 
+		configuration: &configurationWatch{Configuration: opts.Configuration, log: opts.Log},
+
 		specs: map[int64]peer.EngineSpec{},
 	}
 }
--- a/internal/enginecontroller/main.go
+++ b/internal/enginecontroller/main.go
@@ -6,9 +6,14 @@
 	"net/http"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
+	"github.com/borageusher/borageusher/internal/boottime"
 	"github.com/borageusher/borageusher/internal/daemon"
 	"github.com/borageusher/borageusher/internal/event"
+	"github.com/borageusher/borageusher/internal/follow"
 	"github.com/borageusher/borageusher/internal/metrics"
+	"github.com/borageusher/borageusher/internal/objects"
 	"github.com/borageusher/borageusher/internal/peer"
 	"github.com/borageusher/borageusher/internal/settings"
 )
@@ -18,9 +23,10 @@
 const headerTimeout = 2 * time.Second
 
 // Main runs a controller for the given engine, with its peer and metrics endpoints,
-// until the process receives a termination signal. The error is non-nil only if
+// until the process receives a termination signal. newStore returns the store's client for
+// the configuration of the given kind and name. The error is non-nil only if
 // the address node.Peers cannot be listened on.
-func Main(ctx context.Context, node settings.Node, engine Engine, log event.Log) error {
+func Main(ctx context.Context, node settings.Node, engine Engine, newStore func(tally.Scope) follow.Source, kind objects.ObjectKind, name string, log event.Log) error {
 	signals := daemon.Signals()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -38,6 +44,14 @@
 		Engine: engine,
 		Log:    log,
 		Scope:  scope,
+
+		Configuration: Configuration{
+			Store:  newStore(scope),
+			Kind:   kind,
+			Name:   name,
+			Period: node.Bounds.ConfirmationPeriod(),
+			Clock:  boottime.Now,
+		},
 	})
 	listener, err := net.Listen("tcp4", node.Peers.String())
 	if err != nil {
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -15,8 +15,8 @@
 	// responseTimeout limits the time of a call beyond the time for which the
 	// store may hold a watch.
 	responseTimeout = time.Second
-	// slowResponseTimeout replaces it in an Observer's period after a failed or slow call,
-	// so that a slow store is not taken for one that is away.
+	// slowResponseTimeout replaces it after a failed or slow call of a watch that an
+	// Observer needs, so that a slow store is not taken for one that is away.
 	slowResponseTimeout = 2 * time.Second
 	// listTimeout limits a list with all its pages, each of which the source limits. It is
 	// the longest time for which the users' store keeps a watch waiting, after which the
@@ -26,7 +26,7 @@
 	// limits the number of calls during an outage. Outages last at least one
 	// second, and the delay prolongs them by only a fraction of that.
 	meanRetryDelay = 300 * time.Millisecond
-	// pollWait is the time for which the store may hold a watch of an Observer's period. A
+	// pollWait is the time for which the store may hold a watch that an Observer needs. A
 	// longer one adds to the age of what the response shows and saves no calls; zero may
 	// mean the store's default.
 	pollWait = 50 * time.Millisecond
@@ -67,10 +67,11 @@
 	// Responded is called after the objects of a response were passed to the Sink, from
 	// its goroutine.
 	Responded(r Response)
-	// Period returns the time from the beginning of one watch to that of the next, within
-	// which the Observer needs to hear of the store again. If it is zero, the Follower's own
-	// intervals apply.
-	Period() time.Duration
+	// Due returns the time until the next call has to begin, given the time since the last
+	// one began, and false if the Follower's own intervals apply.
+	Due(sinceCall time.Duration) (time.Duration, bool)
+	// Changed returns a channel that signals when Due becomes less.
+	Changed() <-chan struct{}
 }
 
 // Response is a valid response of the store.
@@ -136,14 +137,15 @@
 		started := time.Now()
 		err := f.poll(ctx)
 		pause := f.watchPause
-		switch period := f.period(); {
+		switch due := f.observed(); {
 		case err != nil:
 			pause = f.recordFailure(err)
-			if period > 0 && f.failures == 1 {
+			if due && f.failures == 1 {
 				pause = 0 // a single lost response costs its timeout only
 			}
-		case period > 0:
-			pause = period - time.Since(started)
+		case due:
+			f.awaitDue(ctx, started)
+			continue
 		}
 		select {
 		case <-time.After(pause):
@@ -152,13 +154,29 @@
 	}
 }
 
+// awaitDue waits until the Observer needs a call. The last one began at started.
+func (f *Follower) awaitDue(ctx context.Context, started time.Time) {
+	for {
+		due, ok := f.observer.Due(time.Since(started))
+		if !ok || due <= 0 {
+			return
+		}
+		select {
+		case <-time.After(due):
+		case <-f.observer.Changed():
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // poll lists or watches once and passes the result to the sink.
 func (f *Follower) poll(ctx context.Context) error {
 	if !f.listed {
 		return f.list(ctx)
 	}
 	wait, timeout := f.watchTimeout, responseTimeout
-	if f.period() > 0 {
+	if f.observed() {
 		wait = min(wait, pollWait)
 		if f.slow {
 			timeout = slowResponseTimeout
@@ -195,12 +213,13 @@
 	return nil
 }
 
-// period returns the Observer's period, zero if there is none.
-func (f *Follower) period() time.Duration {
+// observed reports whether the Observer decides when calls begin.
+func (f *Follower) observed() bool {
 	if f.observer == nil {
-		return 0
+		return false
 	}
-	return f.observer.Period()
+	_, ok := f.observer.Due(0)
+	return ok
 }
 
 // now returns the time on the Observer's clock.
@@ -231,7 +250,7 @@
 	restored := f.recordListed(position)
 	settled := f.recordResponse(now, restored)
 	f.sink.Replace(now, all, settled, restored)
-	if outdated && f.period() > 0 { // of a copy that lacks changes which this process has seen
+	if outdated && f.observed() { // of a copy that lacks changes which this process has seen
 		if before.History != 0 { // else the store may have been restored
 			f.position = before
 		}
--- a/internal/follow/observer_test.go
+++ b/internal/follow/observer_test.go
@@ -57,6 +57,7 @@
 	confirmed time.Duration // SentAt of the last response
 	greatest  time.Duration
 	responses []Response
+	changed   chan struct{}
 }
 
 func (o *ageObserver) now() time.Duration { return time.Since(o.start) }
@@ -68,7 +69,11 @@
 	o.responses, o.confirmed = append(o.responses, r), r.SentAt
 }
 
-func (o *ageObserver) Period() time.Duration { return o.period }
+func (o *ageObserver) Due(sinceCall time.Duration) (time.Duration, bool) {
+	return o.period - sinceCall, o.period > 0
+}
+
+func (o *ageObserver) Changed() <-chan struct{} { return o.changed }
 
 // observe follows a store for a time on the test's clock.
 func observe(s Source, period, during time.Duration) *ageObserver {
--- a/internal/gateway/confirmations.go
+++ b/internal/gateway/confirmations.go
@@ -1,29 +1,37 @@
 package gateway
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 
 	"github.com/borageusher/borageusher/internal/event"
+	"github.com/borageusher/borageusher/internal/peer"
 	"github.com/borageusher/borageusher/internal/settings"
 	"github.com/borageusher/borageusher/pkg/confirmation"
 	"github.com/borageusher/borageusher/pkg/routing"
+	"github.com/borageusher/borageusher/pkg/streams"
 )
 
-// Shares of the bounds on the age of a confirmation that are used as the time between two
-// calls of the store. In steady state the age is at most that time and one round trip.
+// looseApplyPeriodShare is the share of the time in which a configuration must be in force
+// that is used as the time between two calls of the store if there is no bound on
+// revocation. The store gets as many calls as from a follower with its usual intervals.
+const looseApplyPeriodShare = 0.7
+
+// Confirmations by targetds, in the times between two of their calls of the store.
 const (
-	// revokePeriodShare keeps the age below 2.1 s with a bound of 5 s: a lost response
-	// costs 1 s more, a second one 2 s more.
-	revokePeriodShare = 0.4
-	// applyPeriodShare leaves time for a lost response within the time in which a
-	// configuration must be in force.
-	applyPeriodShare = 0.5
-	// looseApplyPeriodShare applies without a bound on revocation. The store gets as many
-	// calls as from a follower with its usual intervals.
-	looseApplyPeriodShare = 0.7
+	// askShare is the time between two questions to a targetd.
+	askShare = 0.25
+	// ownCallPeriods is the age at which the entryd makes its own call although targetds
+	// answer. Theirs are at most one period and one question old.
+	ownCallPeriods = 1.5
+	// askedTargetds is the number of targetds in the availability zone that are asked in turn, so
+	// that the loss of one is not noticed.
+	askedTargetds = 2
+	// maxQuestions bounds the questions without an answer that are remembered.
+	maxQuestions = 16
 )
 
 // maxReplaced limits the replaced configurations that are kept, since each may take some
@@ -44,7 +52,15 @@
 	revokeWithin atomic.Int64         // nanoseconds, zero for no bound
 	log          event.Log
 
-	tracker  confirmation.Tracker
+	mu         sync.Mutex
+	tracker    confirmation.Tracker
+	newer      bool                     // a targetd knows of a newer configuration
+	questions  map[uint64]time.Duration // when those without an answer were sent, by id
+	lastID     uint64
+	askedAt    time.Duration // last time at which a targetd was asked, zero if none was
+	answeredAt time.Duration // last time at which an answer confirmed the configuration, zero if none did
+	changed    chan struct{}
+
 	latest   atomic.Pointer[confirmation.Confirmation]
 	replaced atomic.Pointer[[]replacedConfiguration]
 
@@ -52,7 +68,7 @@
 }
 
 func newConfirmations(b settings.Bounds, clock func() time.Duration, log event.Log) *confirmations {
-	c := &confirmations{clock: clock, log: log}
+	c := &confirmations{clock: clock, log: log, questions: map[uint64]time.Duration{}, changed: make(chan struct{}, 1)}
 	c.latest.Store(&confirmation.Confirmation{})
 	c.replaced.Store(&[]replacedConfiguration{})
 	c.setBounds(b)
@@ -120,7 +136,10 @@
 
 // observe records a response of the store that has been applied.
 func (c *confirmations) observe(r confirmation.Response) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.tracker.Observe(r)
+	c.newer = false
 	latest := c.tracker.Latest()
 	c.latest.Store(&latest)
 }
@@ -131,11 +150,73 @@
 	if cfg == nil || !cfg.HasWorkspaces() {
 		return 0
 	}
-	apply, revoke := float64(c.applyWithin.Load()), float64(c.revokeWithin.Load())
-	if revoke == 0 {
-		return time.Duration(looseApplyPeriodShare * apply)
+	b := settings.Bounds{ApplyWithin: time.Duration(c.applyWithin.Load()), RevokeWithin: time.Duration(c.revokeWithin.Load())}
+	if b.RevokeWithin == 0 {
+		return time.Duration(looseApplyPeriodShare * float64(b.ApplyWithin))
+	}
+	return b.ConfirmationPeriod()
+}
+
+// due returns the time until this process has to call the store itself, given the time
+// since its last call, and false if the configuration in force needs no confirmations.
+func (c *confirmations) due(cfg *routing.Configuration, sinceCall time.Duration) (time.Duration, bool) {
+	period := c.period(cfg)
+	if period == 0 {
+		return 0, false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	own, now := period-sinceCall, c.clock()
+	if c.newer {
+		return scaled(period, askShare) - sinceCall, true
+	}
+	atMost := scaled(period, ownCallPeriods)
+	age, confirmed := c.tracker.Latest().Age(now)
+	if !confirmed || c.answeredAt == 0 || now-c.answeredAt >= atMost {
+		return own, true
+	}
+	return max(own, atMost-age), true
+}
+
+func scaled(d time.Duration, by float64) time.Duration { return time.Duration(by * float64(d)) }
+
+// nextQuestion returns the next question to a targetd, and false if none is due. Only
+// deployments with a bound on revocation need as many confirmations.
+func (c *confirmations) nextQuestion(cfg *routing.Configuration) (peer.ConfirmationRequest, bool) {
+	interval := scaled(c.period(cfg), askShare)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock()
+	if interval == 0 || c.revokeWithin.Load() == 0 || (c.askedAt != 0 && now-c.askedAt < interval-usageInterval/5) { // the ticks are not exact
+		return peer.ConfirmationRequest{}, false
+	}
+	c.lastID++
+	delete(c.questions, c.lastID-maxQuestions)
+	c.questions[c.lastID], c.askedAt = now, now
+	return peer.ConfirmationRequest{ID: c.lastID}, true
+}
+
+// applyAnswer records the answer of a targetd to a question.
+func (c *confirmations) applyAnswer(m peer.ConfirmationAnswer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	askedAt, ok := c.questions[m.ID]
+	if !ok {
+		return
+	}
+	delete(c.questions, m.ID)
+	before := c.tracker.Latest()
+	if c.tracker.ObserveAnswer(confirmation.Answer{AskedAt: askedAt, Age: m.Age, History: m.History, Version: m.Version}) {
+		c.newer = true
+		select {
+		case c.changed <- struct{}{}:
+		default:
+		}
+	}
+	if latest := c.tracker.Latest(); latest != before {
+		c.answeredAt = c.clock()
+		c.latest.Store(&latest)
 	}
-	return time.Duration(min(revokePeriodShare*revoke, applyPeriodShare*apply))
 }
 
 // report updates the metric of the age, and logs when keys begin or cease to be rejected
@@ -159,3 +240,39 @@
 		c.expiredAt = 0
 	}
 }
+
+// confirmerKey is hashed with the addresses of targetds to select those that confirm the
+// configuration, so that all entryds of an availability zone ask the same ones.
+const confirmerKey = streams.Key(0x6b657973)
+
+// confirmers returns the connections to the targetds of the availability zone that confirm
+// the configuration.
+func (f *Fleet) confirmers() []*peer.Conn {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var processes []streams.Process
+	var conns []*peer.Conn
+	for _, t := range f.connectedVMs() {
+		if t.conn.Confirms() && t.replica.Zone == f.zone {
+			processes = append(processes, streams.Process{Hash: t.vmHash, Zone: f.zone})
+			conns = append(conns, t.conn)
+		}
+	}
+	var out []*peer.Conn
+	for _, i := range streams.Holders(confirmerKey, processes, askedTargetds) {
+		out = append(out, conns[i])
+	}
+	return out
+}
+
+// askConfirmer asks the targetds of the availability zone in turn how old the
+// configuration is, if that is due.
+func (f *Fleet) askConfirmer(c *confirmations, cfg *routing.Configuration) {
+	m, due := c.nextQuestion(cfg)
+	if !due {
+		return
+	}
+	if conns := f.confirmers(); len(conns) > 0 {
+		_, _ = conns[m.ID%uint64(len(conns))].Send(m) // without an answer the entryd calls the store itself
+	}
+}
--- a/internal/gateway/main.go
+++ b/internal/gateway/main.go
@@ -134,6 +134,7 @@
 	p.crashes = newCrashTracker(p.fleet.broadcast, log)
 	conns.onEngineDown, conns.onCrashReport = p.crashes.recordEngineDown, p.crashes.applyReport
 	conns.onSegmentCrash, conns.onSegmentAnswers = p.crashes.applySegmentCrash, p.crashes.segments.applyAnswers
+	conns.onConfirmation = p.confirmations.applyAnswer
 	p.fleet.onTarget = conns.connect
 	client := upstream.New(platform.HeaderCodec.RequestID)
 	b := node.Bounds
@@ -194,6 +195,7 @@
 			p.stopWithin.Store(int64(b.StopTimeout))
 		case now := <-usage.C:
 			p.fleet.reportUsage()
+			p.fleet.askConfirmer(p.confirmations, p.current.Load())
 			p.fleet.cancelStalled(now)
 			p.fleet.sendMovedOrigins(now)
 		case now := <-sweep.C:
--- a/internal/gateway/rate_limit_test.go
+++ b/internal/gateway/rate_limit_test.go
@@ -126,6 +126,7 @@
 		t.Fatal(err)
 	}
 	tc := &targetdConns{ctx: ctx, fleet: tg.fleet, log: event.Discard(), onEngineDown: func(time.Time, string) {}}
+	tc.onConfirmation = func(m peer.ConfirmationAnswer) { tg.gateway.Confirmations.applyAnswer(m) }
 	ts := tg.fleet.targets[id]
 	go func() { _ = tc.serve(ctx, ts, id, c) }() // ends with the test
 	_, _ = c.Send(peer.EngineSpec{Instance: id, Started: 1, AdapterSlots: 4})
--- a/internal/gateway/store_sinks.go
+++ b/internal/gateway/store_sinks.go
@@ -34,12 +34,12 @@
 	value   []byte // of the configuration in force
 
 	confirmations *confirmations
-	shown         confirmation.Shown // by the objects that were received since the last call of Responded
+	shown         confirmation.Response // by the objects that were received since the last call of Responded
 }
 
 // Replace implements follow.Sink.
 func (s *configurationSink) Replace(now time.Time, all []objects.Object, settled time.Time, _ bool) {
-	s.shown = confirmation.Other // unless the configuration is among them
+	s.shown = confirmation.Response{Shown: confirmation.Other} // unless the configuration is among them
 	s.Apply(now, all, settled)
 }
 
@@ -51,7 +51,7 @@
 		if o.Name != s.name {
 			continue
 		}
-		s.shown = confirmation.Other
+		s.shown = confirmation.Response{Shown: confirmation.Other, Version: uint64(o.Version)}
 		if o.Deleted {
 			continue
 		}
@@ -65,7 +65,7 @@
 			s.log.Event(event.ConfigurationOutdated).Int64("revision", cfg.Version).Int64("in_force", before.Version).Send()
 			continue
 		}
-		s.shown = confirmation.InForce
+		s.shown.Shown = confirmation.InForce
 		if before != nil && cfg.Version == before.Version && bytes.Equal(o.Value, s.value) {
 			continue
 		}
@@ -82,18 +82,22 @@
 // Responded implements follow.Observer.
 func (s *configurationSink) Responded(r follow.Response) {
 	shown := s.shown
-	s.shown = confirmation.Unchanged
+	s.shown = confirmation.Response{}
 	if r.Incomplete && !r.List { // the object that could not be read may be the configuration
-		shown = confirmation.Other
+		shown.Shown = confirmation.Other
 	}
-	s.confirmations.observe(confirmation.Response{SentAt: r.SentAt, List: r.List, History: r.History, Shown: shown})
+	shown.SentAt, shown.List, shown.History = r.SentAt, r.List, r.History
+	s.confirmations.observe(shown)
 }
 
-// Period implements follow.Observer.
-func (s *configurationSink) Period() time.Duration {
-	return s.confirmations.period(s.current.Load())
+// Due implements follow.Observer.
+func (s *configurationSink) Due(sinceCall time.Duration) (time.Duration, bool) {
+	return s.confirmations.due(s.current.Load(), sinceCall)
 }
 
+// Changed implements follow.Observer.
+func (s *configurationSink) Changed() <-chan struct{} { return s.confirmations.changed }
+
 // replicaSink applies the targets that are listed in the store to the fleet, one
 // object per target.
 type replicaSink struct {
--- a/internal/gateway/targetd_conns.go
+++ b/internal/gateway/targetd_conns.go
@@ -32,6 +32,7 @@
 	onCrashReport    func(time.Time, peer.CrashReport)
 	onSegmentCrash   func(time.Time, peer.SegmentCrash)
 	onSegmentAnswers func(time.Time, peer.SegmentAnswers)
+	onConfirmation   func(peer.ConfirmationAnswer)
 }
 
 // connect starts to maintain the connection to the targetd of t, unless it is
@@ -101,6 +102,8 @@
 			f.applyPermitAnswer(t, m)
 		case peer.OriginAnswer:
 			f.applyOriginAnswer(now, c, m)
+		case peer.ConfirmationAnswer:
+			tc.onConfirmation(m)
 		case peer.CrashReport:
 			tc.onCrashReport(now, m)
 		case peer.SegmentCrash:
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -43,6 +43,9 @@
 	typeOriginRequest  messageType = 66
 	typeOriginAnswer   messageType = 67
 
+	typeConfirmationRequest messageType = 80
+	typeConfirmationAnswer  messageType = 81
+
 	typeStateRequest  messageType = 40
 	typeStateAnswer   messageType = 41
 	typeSectionAnswer messageType = 42
@@ -87,6 +90,9 @@
 func (OriginRequest) messageType() messageType  { return typeOriginRequest }
 func (OriginAnswer) messageType() messageType   { return typeOriginAnswer }
 
+func (ConfirmationRequest) messageType() messageType { return typeConfirmationRequest }
+func (ConfirmationAnswer) messageType() messageType  { return typeConfirmationAnswer }
+
 // Encode returns the wire format of m: one byte for its type, followed by its
 // fields as a CBOR array.
 func Encode(m Message) []byte {
@@ -199,6 +205,10 @@
 		return &originRequestWire{}
 	case typeOriginAnswer:
 		return &originAnswerWire{}
+	case typeConfirmationRequest:
+		return &confirmationRequestWire{}
+	case typeConfirmationAnswer:
+		return &confirmationAnswerWire{}
 	}
 	return nil
 }
@@ -280,6 +290,10 @@
 		return &originRequestWire{Stream: m.Stream}
 	case OriginAnswer:
 		return &originAnswerWire{Stream: m.Stream, Service: m.Service, Version: m.Version, WithinMS: m.Within.Milliseconds()}
+	case ConfirmationRequest:
+		return &confirmationRequestWire{ID: m.ID}
+	case ConfirmationAnswer:
+		return confirmationAnswerToWire(m)
 	case CrashReport:
 		return &crashReportWire{Engine: m.Engine, Fingerprints: m.Fingerprints}
 	case SegmentCrash:
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -33,6 +33,7 @@
 	remote Identity
 
 	keepsOrigins bool // see KeepsOrigins
+	confirms     bool // see Confirms
 
 	out *outQueue
 
--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -46,6 +46,7 @@
 	}
 	c := newConn(ws)
 	c.keepsOrigins = resp.Header.Get(keepsOriginsHeader) != ""
+	c.confirms = resp.Header.Get(confirmsHeader) != ""
 	if err := c.handshakeDialling(ctx, d.Self, d.Key); err != nil {
 		c.Close()
 		return nil, err
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -74,6 +74,9 @@
 		OriginRequest{Stream: 1 << 63},
 		OriginAnswer{Stream: 1 << 63, Service: "s", Version: "v1.1", Within: 12 * time.Second},
 		OriginAnswer{Stream: 7},
+		ConfirmationRequest{ID: 9},
+		ConfirmationAnswer{ID: 9, History: 4, Version: 1 << 40, Age: 1200 * time.Millisecond},
+		ConfirmationAnswer{ID: 9},
 	}
 }
 
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -52,3 +52,21 @@
 	QuotaOver    float64       // share of a quota that may be exceeded in a window
 	QuotaSlack   float64       // units that may be exceeded in a window in addition
 }
+
+// Shares of the bounds on the age of a configuration that are used as the time between two
+// calls of the store. In steady state the age is at most that time and one round trip.
+const (
+	// revokePeriodShare keeps the age below 2.1 s with a bound of 5 s: a lost response
+	// costs 1 s more, a second one 2 s more.
+	revokePeriodShare = 0.4
+	// applyPeriodShare leaves time for a lost response within the time in which a
+	// configuration must be in force.
+	applyPeriodShare = 0.5
+)
+
+// ConfirmationPeriod returns the time between two calls of the store by which a process
+// knows the age of the configuration well within RevokeWithin, zero if there is no such
+// bound.
+func (b Bounds) ConfirmationPeriod() time.Duration {
+	return time.Duration(min(revokePeriodShare*float64(b.RevokeWithin), applyPeriodShare*float64(b.ApplyWithin)))
+}
--- a/pkg/confirmation/tracker.go
+++ b/pkg/confirmation/tracker.go
@@ -18,6 +18,15 @@
 	List    bool          // it holds all objects, not the changes after a position
 	History uint64        // sequence of changes that the store states, zero if it states none
 	Shown   Shown
+	Version uint64 // of the configuration that it shows, in that history
+}
+
+// Answer is what another process knows of the store's newest configuration.
+type Answer struct {
+	AskedAt time.Duration // when the question was sent, on this process's clock
+	Age     time.Duration // of the other process's confirmation, when it answered
+	History uint64
+	Version uint64
 }
 
 // Confirmation is the time at which a configuration is known to have been the newest. The
@@ -45,6 +54,7 @@
 	seen    bool          // whether there was any response
 	newest  time.Duration // SentAt of the response that was sent last
 	history uint64        // of the last list
+	version uint64        // of the configuration shown last
 	current bool          // the store's newest configuration is that in force, as of newest
 }
 
@@ -58,17 +68,51 @@
 	}
 	switch {
 	case r.List:
-		t.history, t.current = r.History, r.Shown == InForce
+		t.history, t.version, t.current = r.History, r.Version, r.Shown == InForce
 	case !t.seen || r.History != t.history:
 		t.current = false // until the next list
 	case r.Shown != Unchanged:
-		t.current = r.Shown == InForce
+		t.version, t.current = r.Version, r.Shown == InForce
 	}
 	t.seen, t.newest = true, r.SentAt
 	if t.current {
-		t.latest = Confirmation{sentAt: r.SentAt, valid: true}
+		t.confirm(r.SentAt)
+	}
+}
+
+// ObserveAnswer records the answer of another process that follows the store. The process
+// asked sent its call to the store at most Age before it answered, so after AskedAt less
+// Age: the answer confirms the configuration as of then if it names the one in force. It
+// reports whether the answer names a newer one. Histories are numbered in ascending order;
+// an answer without a history or a version says nothing.
+func (t *Tracker) ObserveAnswer(a Answer) (newer bool) {
+	switch {
+	case !t.seen || a.History == 0 || a.Version == 0 || a.Age < 0:
+		return false
+	case a.History != t.history:
+		return a.History > t.history
+	case a.Version != t.version:
+		return a.Version > t.version
+	}
+	if t.current {
+		t.confirm(a.AskedAt - a.Age)
+	}
+	return false
+}
+
+// confirm records a confirmation as of a time, unless there is a later one.
+func (t *Tracker) confirm(at time.Duration) {
+	if !t.latest.valid || at > t.latest.sentAt {
+		t.latest = Confirmation{sentAt: at, valid: true}
 	}
 }
 
 // Latest returns the latest confirmation.
 func (t *Tracker) Latest() Confirmation { return t.latest }
+
+// Answer returns what the process can tell another one that asks now, and false if it
+// knows nothing. AskedAt is not set.
+func (t *Tracker) Answer(now time.Duration) (Answer, bool) {
+	age, ok := t.latest.Age(now)
+	return Answer{Age: age, History: t.history, Version: t.version}, ok && t.current
+}
--- a/pkg/confirmation/tracker_test.go
+++ b/pkg/confirmation/tracker_test.go
@@ -92,3 +92,79 @@
 		t.Error("a late response counts from its arrival")
 	}
 }
+
+// TestAnswers guards against answers of other processes that confirm a configuration which
+// is not the newest, or that count from their arrival.
+func TestAnswers(t *testing.T) {
+	list := Response{SentAt: 1 * second, List: true, History: 3, Shown: InForce, Version: 7}
+	other := list
+	other.Shown = Other
+	watch := func(sentAt time.Duration, shown Shown, version uint64) Response {
+		return Response{SentAt: sentAt, History: 3, Shown: shown, Version: version}
+	}
+	tests := []struct {
+		name      string
+		responses []Response
+		answer    Answer
+		sentAt    time.Duration // of the confirmation, negative for none
+		newer     bool
+	}{
+		{"the same configuration", []Response{list}, Answer{AskedAt: 5 * second, Age: 2 * second, History: 3, Version: 7}, 3 * second, false},
+		{"of a time before the own response", []Response{list}, Answer{AskedAt: 5 * second, Age: 4500 * time.Millisecond, History: 3, Version: 7}, 1 * second, false},
+		{"a newer one", []Response{list}, Answer{AskedAt: 5 * second, History: 3, Version: 8}, 1 * second, true},
+		{"an older one", []Response{list}, Answer{AskedAt: 5 * second, History: 3, Version: 6}, 1 * second, false},
+		{"a later history", []Response{list}, Answer{AskedAt: 5 * second, History: 4, Version: 7}, 1 * second, true},
+		{"an earlier history", []Response{list}, Answer{AskedAt: 5 * second, History: 2, Version: 9}, 1 * second, false},
+		{"no history", []Response{list}, Answer{AskedAt: 5 * second, Version: 7}, 1 * second, false},
+		{"no version", []Response{list}, Answer{AskedAt: 5 * second, History: 3}, 1 * second, false},
+		{"an age from the future", []Response{list}, Answer{AskedAt: 5 * second, Age: -second, History: 3, Version: 7}, 1 * second, false},
+		{"before any response", nil, Answer{AskedAt: 5 * second, History: 3, Version: 7}, -1, false},
+		{"the one that this process can't put in force", []Response{other}, Answer{AskedAt: 5 * second, History: 3, Version: 7}, -1, false},
+		{"the former one after a watch", []Response{list, watch(2*second, InForce, 8)}, Answer{AskedAt: 5 * second, History: 3, Version: 7}, 2 * second, false},
+		{"the one that a watch brought", []Response{list, watch(2*second, InForce, 8)}, Answer{AskedAt: 5 * second, Age: second, History: 3, Version: 8}, 4 * second, false},
+		{"the one that a watch kept", []Response{list, watch(2*second, Unchanged, 0)}, Answer{AskedAt: 5 * second, Age: second, History: 3, Version: 7}, 4 * second, false},
+		{"one that a watch brought and can't be read", []Response{list, watch(2*second, Other, 8)}, Answer{AskedAt: 5 * second, History: 3, Version: 8}, 1 * second, false},
+	}
+	for _, test := range tests {
+		var tracker Tracker
+		for _, r := range test.responses {
+			tracker.Observe(r)
+		}
+		newer := tracker.ObserveAnswer(test.answer)
+		age, ok := tracker.Latest().Age(10 * second)
+		if newer != test.newer || ok != (test.sentAt >= 0) || (ok && age != 10*second-test.sentAt) {
+			t.Errorf("%s: age %s, %t, newer %t", test.name, age, ok, newer)
+		}
+	}
+}
+
+// TestLateResponseAfterAnswer guards against a newer configuration that is taken for the
+// former one because an answer that was asked for later arrived before it.
+func TestLateResponseAfterAnswer(t *testing.T) {
+	var tracker Tracker
+	tracker.Observe(Response{SentAt: 1 * second, List: true, History: 3, Shown: InForce, Version: 7})
+	tracker.ObserveAnswer(Answer{AskedAt: 3 * second, History: 3, Version: 7})
+	tracker.Observe(Response{SentAt: 2 * second, History: 3, Shown: InForce, Version: 8})
+	if age, _ := tracker.Latest().Age(10 * second); age != 7*second {
+		t.Errorf("age %s", age)
+	}
+	if tracker.ObserveAnswer(Answer{AskedAt: 5 * second, History: 3, Version: 8}); !tracker.Latest().Within(5*second, 1) {
+		t.Error("the answer for the newer configuration confirms nothing")
+	}
+}
+
+// TestAnswer guards against a process that tells others what it does not know.
+func TestAnswer(t *testing.T) {
+	var tracker Tracker
+	if _, ok := tracker.Answer(second); ok {
+		t.Error("an answer before the first response")
+	}
+	tracker.Observe(Response{SentAt: 1 * second, List: true, History: 3, Shown: InForce, Version: 7})
+	if a, ok := tracker.Answer(3 * second); !ok || a != (Answer{Age: 2 * second, History: 3, Version: 7}) {
+		t.Errorf("%+v, %t", a, ok)
+	}
+	tracker.Observe(Response{SentAt: 2 * second, History: 4})
+	if _, ok := tracker.Answer(3 * second); ok {
+		t.Error("an answer after a watch of another history")
+	}
+}
