--- a/internal/gateway/confirmers_test.go
+++ b/internal/gateway/confirmers_test.go
@@ -111,7 +111,8 @@
 	g := newConfirmedGateway(t)
 	time.Sleep(time.Second)
 	before := g.own.calls.Load()
-	if age := g.greatestAge(3 * time.Second); age > 1200*time.Millisecond {
+	age := g.greatestAge(3 * time.Second)
+	if t.Logf("steady state: age %s at a period of 0.8 s", age); age > 1200*time.Millisecond {
 		t.Errorf("steady state: age %s", age)
 	}
 	if calls := g.own.calls.Load() - before; calls != 0 {
@@ -231,3 +232,49 @@
 		t.Errorf("%d questions", len(c.questions))
 	}
 }
+
+// TestDue guards against calls of the store that are late when targetds no longer confirm
+// the configuration or know a newer one, and against calls that are not needed.
+func TestDue(t *testing.T) {
+	k := newKeyedGateway(t)
+	c := k.gateway.Confirmations
+	due := func(sinceCall time.Duration) time.Duration {
+		d, ok := c.due(k.gateway.Configuration.Load(), sinceCall)
+		if !ok {
+			t.Error("nothing is due")
+		}
+		return d
+	}
+	check := func(what string, got, want time.Duration) {
+		t.Helper()
+		if got != want {
+			t.Errorf("%s: %s, not %s", what, got, want)
+		}
+	}
+	answer := func(version uint64, age time.Duration) {
+		m, _ := c.nextQuestion(k.gateway.Configuration.Load())
+		c.applyAnswer(peer.ConfirmationAnswer{ID: m.ID, History: 1, Version: version, Age: age})
+	}
+	k.sink.Replace(time.Now(), []objects.Object{{Name: "main", Version: 7, Value: []byte("5 red:red-1")}}, time.Time{}, false)
+	k.sink.Responded(follow.Response{SentAt: time.Duration(k.clock.Load()), List: true, History: 1})
+	check("without answers", due(0), 2*time.Second)
+	k.pass(time.Second)
+	answer(7, 0)
+	check("after an answer", due(time.Second), 3*time.Second)
+	k.pass(time.Second)
+	answer(7, 500*time.Millisecond)
+	check("after one of some age", due(2*time.Second), 2500*time.Millisecond)
+	k.pass(2400 * time.Millisecond)
+	check("near the age", due(4400*time.Millisecond), 100*time.Millisecond)
+	k.sink.Responded(follow.Response{SentAt: time.Duration(k.clock.Load()), History: 1})
+	check("after the own call", due(0), 3*time.Second)
+	k.pass(time.Second)
+	check("when the answers have stopped", due(time.Second), time.Second)
+	answer(8, 0)
+	check("when a targetd knows a newer one", due(time.Second), -500*time.Millisecond)
+	select {
+	case <-c.changed:
+	default:
+		t.Error("the follower is not told")
+	}
+}
