--- a/internal/enginecontroller/conns.go
+++ b/internal/enginecontroller/conns.go
@@ -15,6 +15,9 @@
 func (ec *Controller) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	peer.AnnounceOrigins(w.Header())
 	peer.AnnounceCredit(w.Header())
+	if ec.Configuration.Period > 0 {
+		peer.AnnounceConfirmations(w.Header())
+	}
 	c, err := peer.Accept(w, r, ec.Self, ec.Key)
 	if err != nil {
 		ec.Log.Event(event.PeerRefused).Err(err).Send()
@@ -117,6 +120,11 @@
 		answer := ec.credit.Request(credit.Now(), c.Remote().Name, ec.entrydCount(), m)
 		_, _ = c.Send(answer) // after an error the entryd reconnects
 		return
+	case peer.ConfirmationRequest:
+		if ec.Configuration.Period > 0 {
+			_, _ = c.Send(ec.configuration.answer(context.WithoutCancel(ctx), m)) // after an error the entryd reconnects
+		}
+		return
 	case peer.PromptOffer:
 		ec.pacer.offer(time.Now(), c, m)
 		return
--- a/internal/enginecontroller/controller.go
+++ b/internal/enginecontroller/controller.go
@@ -60,6 +60,8 @@
 	Log    event.Log
 	Scope  tally.Scope
 	Quota  quota.Bounds // by which quotas may be exceeded
+
+	Configuration Configuration
 }
 
 // Controller is the sole controller of one engine.
@@ -77,6 +79,8 @@
 	credit   *credit.Issuers
 	origins  *originTable
 
+	configuration *configurationWatch
+
 	// Owned by the loop.
 	stepRequested    bool // a message arrived that may lead to an order
 	planner          *orders.Planner
@@ -109,6 +113,8 @@
 		credit:  credit.NewIssuers(credit.Now(), opts.Quota, opts.Log, opts.Scope),
 		origins: newOriginTable(),
 
+		configuration: &configurationWatch{Configuration: opts.Configuration, log: opts.Log},
+
 		specs: map[int64]peer.EngineSpec{},
 	}
 }
--- a/internal/gateway/targetd_conns.go
+++ b/internal/gateway/targetd_conns.go
@@ -34,6 +34,7 @@
 	onSegmentCrash   func(time.Time, peer.SegmentCrash)
 	onSegmentAnswers func(time.Time, peer.SegmentAnswers)
 	credit           *credit.Accounts // nil to request no credit
+	onConfirmation   func(peer.ConfirmationAnswer)
 }
 
 // connect starts to maintain the connection to the targetd of t, unless it is
@@ -106,6 +107,8 @@
 			f.applyOriginAnswer(now, c, m)
 		case peer.CreditAnswer:
 			tc.applyCredit(m)
+		case peer.ConfirmationAnswer:
+			tc.onConfirmation(m)
 		case peer.CrashReport:
 			tc.onCrashReport(now, m)
 		case peer.SegmentCrash:
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -45,6 +45,9 @@
 	typeCreditRequest  messageType = 68
 	typeCreditAnswer   messageType = 69
 
+	typeConfirmationRequest messageType = 80
+	typeConfirmationAnswer  messageType = 81
+
 	typeStateRequest  messageType = 40
 	typeStateAnswer   messageType = 41
 	typeSectionAnswer messageType = 42
@@ -91,6 +94,9 @@
 func (CreditRequest) messageType() messageType  { return typeCreditRequest }
 func (CreditAnswer) messageType() messageType   { return typeCreditAnswer }
 
+func (ConfirmationRequest) messageType() messageType { return typeConfirmationRequest }
+func (ConfirmationAnswer) messageType() messageType  { return typeConfirmationAnswer }
+
 // Encode returns the wire format of m: one byte for its type, followed by its
 // fields as a CBOR array.
 func Encode(m Message) []byte {
@@ -207,6 +213,10 @@
 		return &creditRequestWire{}
 	case typeCreditAnswer:
 		return &creditAnswerWire{}
+	case typeConfirmationRequest:
+		return &confirmationRequestWire{}
+	case typeConfirmationAnswer:
+		return &confirmationAnswerWire{}
 	}
 	return nil
 }
@@ -292,6 +302,10 @@
 		return creditRequestToWire(m)
 	case CreditAnswer:
 		return creditAnswerToWire(m)
+	case ConfirmationRequest:
+		return &confirmationRequestWire{ID: m.ID}
+	case ConfirmationAnswer:
+		return confirmationAnswerToWire(m)
 	case CrashReport:
 		return &crashReportWire{Engine: m.Engine, Fingerprints: m.Fingerprints}
 	case SegmentCrash:
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -34,6 +34,7 @@
 
 	keepsOrigins bool // see KeepsOrigins
 	issuesCredit bool // see IssuesCredit
+	confirms     bool // see Confirms
 
 	out *outQueue
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -78,6 +78,9 @@
 			{Workspace: "w", PerSecond: 412485, Burst: 29000.5, Version: 9, Held: -300, Ask: 2000, Need: 700, Demand: 9000, Returned: 1},
 		}},
 		CreditAnswer{ID: 7, Grants: []CreditGrant{{Units: 2000}, {Short: true, Wait: 300 * time.Millisecond}}},
+		ConfirmationRequest{ID: 9},
+		ConfirmationAnswer{ID: 9, History: 4, Version: 1 << 40, Age: 1200 * time.Millisecond},
+		ConfirmationAnswer{ID: 9},
 	}
 }
 
