Learn what cached prompts save only where nothing else was ahead

Cause: the tokens that a targetd states as ahead are partly read already, so that the expected time was too long and the gain of cached prompts too high.

Change: such prompts teach neither the time per token nor the gain. Dropped targets are not remembered as readers of prompts.

--- a/internal/gateway/active_attempt.go
+++ b/internal/gateway/active_attempt.go
@@ -129,8 +129,12 @@
 	}
 	// The prompts that a targetd states as ahead are partly read already, so that they
 	// would bias the trend.
-	whole := f.endPrompt(now, t, a, ahead+a.promptTokens, delay)
-	if whole && (a.offer == nil || ahead == 0) {
+	unbiased := a.offer == nil || ahead == 0
+	f.recordPrompt(now, t, a)
+	switch {
+	case unbiased && a.cachedPart() >= minCachedShare:
+		f.observeCacheGain(now, t, a, ahead+a.promptTokens, delay)
+	case unbiased:
 		f.observeReading(now, t, ahead+a.promptTokens, delay)
 	}
 	f.endOfferLocked(a.offer)
--- a/internal/gateway/prompt_cache.go
+++ b/internal/gateway/prompt_cache.go
@@ -93,23 +93,31 @@
 	return sentPrompt{p, c.model, c.placementKey, t.heldTokens(now, p, f.cacheTokens(c.service), latency.requestTokens)}
 }
 
-// endPrompt records that a target has read the prompt of an attempt. It reports whether the
-// time until then is that of the whole prompt. The caller holds mu.
-func (f *Fleet) endPrompt(now time.Time, t *targetState, a *activeAttempt, tokens int, took time.Duration) (whole bool) {
-	latency := f.latencyOf(t.replica.Service)
-	if a.sent.prompt.Shared() > 0 && f.cacheTokens(t.replica.Service) > 0 {
-		t.cache.Record(now, a.sent.prompt, a.promptTokens, float64(t.inFlight)/float64(max(1, t.estimatedLoad(now))))
-		if pool := f.indexOf(t.replica.Service).pool(a.sent.model); pool != nil {
-			pool.remember(a.sent.key, t)
-		}
+// recordPrompt records that a target has read the prompt of an attempt. The caller holds
+// mu.
+func (f *Fleet) recordPrompt(now time.Time, t *targetState, a *activeAttempt) {
+	if a.sent.prompt.Shared() == 0 || f.cacheTokens(t.replica.Service) == 0 {
+		return
 	}
-	if float64(a.sent.cached) < minCachedShare*float64(a.promptTokens) {
-		return true
+	t.cache.Record(now, a.sent.prompt, a.promptTokens, float64(t.inFlight)/float64(max(1, t.estimatedLoad(now))))
+	if pool := f.indexOf(t.replica.Service).pool(a.sent.model); pool != nil && f.targets[t.replica.ID] == t {
+		pool.remember(a.sent.key, t)
 	}
+}
+
+// cachedPart returns the part of the attempt's prompt that its target was expected to have
+// cached.
+func (a *activeAttempt) cachedPart() float64 {
+	return float64(a.sent.cached) / float64(max(1, a.promptTokens))
+}
+
+// observeCacheGain records the time to the first event of a prompt of which a part was
+// expected to be cached. tokens includes that part. The caller holds mu.
+func (f *Fleet) observeCacheGain(now time.Time, t *targetState, a *activeAttempt, tokens int, took time.Duration) {
+	latency := f.latencyOf(t.replica.Service)
 	read, _ := t.speed.factors(now)
 	saving := scale(time.Duration(a.sent.cached)*latency.readTime.Slope(), read)
 	latency.cacheGain.Observe(took, scale(latency.readTime.At(tokens), read), saving)
-	return false
 }
 
 // promptEntry holds the targets that read a prompt last, the latest first.
--- a/pkg/assignment/doc.go
+++ b/pkg/assignment/doc.go
@@ -4,7 +4,9 @@
 // The cost of a choice is measured as time. It is the sum of the expected wait, due
 // to the target's load and to a missing adapter, of the network delay, and of the
 // price of the bytes transferred between zones and regions, converted to the delay of
-// an answer that costs as much.
+// an answer that costs as much. The time by which the request itself takes longer at a
+// slow target adds to the cost in part, and the time saved by a cached prefix of its
+// prompt reduces it.
 //
 // A holder is a target on which the adapter is resident. A missing adapter is loaded
 // at its home: of the usable targets that are about as fast as the fastest one, the
