--- a/internal/gateway/confirmations.go
+++ b/internal/gateway/confirmations.go
@@ -243,7 +243,7 @@
 
 // confirmerKey is hashed with the addresses of targetds to select those that confirm the
 // configuration, so that all entryds of an availability zone ask the same ones.
-const confirmerKey = streams.Key(0x6b657973)
+const confirmerKey uint64 = 0x6b657973
 
 // confirmers returns the connections to the targetds of the availability zone that confirm
 // the configuration.
