Let calls wait while all engines of a service start again

After a loss of power of all VMs, 600 calls were rejected with "no_target" and a Retry-After of up to 2 s within half a second, although the engines could be reached 0.5 s later: their targetds had reported them as unreachable, for which no call waited.

--- a/internal/gateway/target_state.go
+++ b/internal/gateway/target_state.go
@@ -59,6 +59,7 @@
 	state           peer.EngineState
 	stateAt         time.Time                // zero until the first report
 	stateOfConn     bool                     // state was received on conn
+	unreachableAt   time.Time                // since when the targetd reports its engine as unreachable, if it does
 	resident        map[orders.Adapter]int64 // version of each adapter that the engine holds
 	loading         map[orders.Adapter]bool  // adapters that the engine is loading
 	recent          recentAdapters           // adapters that it held recently
@@ -155,6 +156,21 @@
 	return t.stateAt.IsZero() && now.Sub(t.added) < connectGrace
 }
 
+// restartGrace is the time after an engine became unreachable in which it is expected to
+// start again. It is as long as for a discovered target, because what is not known is the
+// same: when the engine can be reached.
+const restartGrace = connectGrace
+
+// restarting reports whether the targetd has reported recently that its engine is
+// unreachable, without having announced that it leaves.
+func (t *targetState) restarting(now time.Time) bool {
+	if t.conn == nil || t.stateAt.IsZero() || t.state.Reachable || t.state.Departing {
+		return false
+	}
+	listed := t.replica.State == target.Live && !t.notice.leaving && t.goneAt.IsZero()
+	return listed && now.Sub(t.unreachableAt) < restartGrace
+}
+
 // estimatedLoad returns the estimated number of requests that run or wait at the
 // target: the reported load plus the requests sent since, or only this gateway's
 // requests if the report is outdated.
@@ -184,6 +200,9 @@
 // changed, and the adapters that no longer count as recent.
 func (t *targetState) applyState(now time.Time, s peer.EngineState) (arrived []orders.Adapter, changed bool, evicted []orders.Adapter) {
 	changed = t.stateAt.IsZero() || t.state.Reachable != s.Reachable || t.state.Departing != s.Departing || t.state.Started != s.Started || len(t.state.Models) != len(s.Models)
+	if !s.Reachable && (t.stateAt.IsZero() || t.state.Reachable) {
+		t.unreachableAt = now
+	}
 	resident := make(map[orders.Adapter]int64, len(s.Resident))
 	for _, a := range s.Resident {
 		key := orders.Adapter{Model: a.Model, Name: a.Adapter}
