Decide on requests under load by forecast, class and share

A request whose caller would leave is rejected by its own patience alone: an urgent class whose callers wait for less is rejected while a less urgent one of the same service fills the engines, and long prompts starve behind short ones. pkg/overload lowers the limit of the others while requests of a class are rejected, and states when there will be capacity. The urgency of a request combines those of its workspace and its route.

--- /dev/null
+++ b/pkg/overload/overload_test.go
@@ -0,0 +1,182 @@
+package overload
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+)
+
+var start = time.Unix(1000, 0)
+
+// request returns a request of a class with an objective of 500 ms, whose callers wait 2 s.
+func request(class string, urgency int) Request {
+	return Request{Class: class, Urgency: urgency, Objective: 500 * time.Millisecond, ClassPatience: 2 * time.Second, Patience: 2 * time.Second}
+}
+
+func TestDecide(t *testing.T) {
+	convey.Convey("Given a service without rejections", t, func() {
+		c := New()
+		decide := func(r Request, wait time.Duration) Decision {
+			return c.Decide(start, "s", r, Forecast{At: start, Wait: wait, Work: 100 * time.Millisecond}, 0)
+		}
+		short := request("short", 1)
+		convey.Convey("a request is admitted as long as its caller waits", func() {
+			convey.So(decide(short, 1900*time.Millisecond).Admitted(), convey.ShouldBeTrue)
+			d := decide(short, 2500*time.Millisecond)
+			convey.So(d.Reason, convey.ShouldEqual, Overloaded)
+			convey.So(d.RetryAfter, convey.ShouldEqual, 600*time.Millisecond)
+		})
+		convey.Convey("a target with capacity is used whatever the forecast", func() {
+			f := Forecast{At: start, Wait: time.Minute, Free: true}
+			convey.So(c.Decide(start, "s", short, f, 0).Admitted(), convey.ShouldBeTrue)
+		})
+		convey.Convey("an older forecast counts with what is left of it", func() {
+			f := Forecast{At: start, Wait: 2500 * time.Millisecond}
+			convey.So(c.Decide(start.Add(time.Second), "s", short, f, 0).Admitted(), convey.ShouldBeTrue)
+		})
+		convey.Convey("callers that were rejected at once return at different times", func() {
+			f := Forecast{At: start, Wait: 4 * time.Second}
+			first, last := c.Decide(start, "s", short, f, 0), c.Decide(start, "s", short, f, 0.999)
+			convey.So(last.RetryAfter-first.RetryAfter, convey.ShouldBeGreaterThan, 900*time.Millisecond)
+		})
+		convey.Convey("a workspace above its share is rejected before others are late", func() {
+			above := short
+			above.AboveShare = true
+			convey.So(decide(above, 200*time.Millisecond).Admitted(), convey.ShouldBeTrue)
+			convey.So(decide(above, 300*time.Millisecond).Reason, convey.ShouldEqual, AboveShare)
+			convey.Convey("and its rejections limit nobody else", func() {
+				convey.So(decide(above, 5*time.Second).Admitted(), convey.ShouldBeFalse)
+				convey.So(decide(short, 1900*time.Millisecond).Admitted(), convey.ShouldBeTrue)
+			})
+		})
+		convey.Convey("after a rejection a less urgent class that waits longer is rejected as well", func() {
+			patient := request("patient", 2)
+			patient.Objective, patient.ClassPatience, patient.Patience = 4*time.Second, 16*time.Second, 16*time.Second
+			convey.So(decide(patient, 3*time.Second).Admitted(), convey.ShouldBeTrue)
+			convey.So(decide(short, 3*time.Second).Admitted(), convey.ShouldBeFalse)
+			convey.So(decide(patient, 1500*time.Millisecond).Reason, convey.ShouldEqual, LessUrgent)
+			convey.Convey("unless its workspace is starved or it was admitted before", func() {
+				starved, queued := patient, patient
+				starved.Starved, queued.Queued = true, true
+				convey.So(decide(starved, 3*time.Second).Admitted(), convey.ShouldBeTrue)
+				convey.So(decide(queued, 3*time.Second).Admitted(), convey.ShouldBeTrue)
+			})
+			convey.Convey("for a bounded time, and not a more urgent one", func() {
+				convey.So(decide(request("urgent", 0), 1900*time.Millisecond).Admitted(), convey.ShouldBeTrue)
+				later := start.Add(pressureValidity)
+				f := Forecast{At: later, Wait: 3 * time.Second}
+				convey.So(c.Decide(later, "s", patient, f, 0).Admitted(), convey.ShouldBeTrue)
+			})
+			convey.Convey("and not at another service", func() {
+				f := Forecast{At: start, Wait: 3 * time.Second}
+				convey.So(c.Decide(start, "other", patient, f, 0).Admitted(), convey.ShouldBeTrue)
+			})
+		})
+		convey.Convey("a prompt that can't be read in time does not stop the others", func() {
+			f := Forecast{At: start, Wait: time.Second, Work: time.Minute}
+			convey.So(c.Decide(start, "s", short, f, 0).Admitted(), convey.ShouldBeFalse)
+			convey.So(decide(short, 300*time.Millisecond).Admitted(), convey.ShouldBeTrue)
+		})
+	})
+}
+
+// kind is a kind of requests of the replayed workload.
+type kind struct {
+	Request
+	perSecond float64
+	work      time.Duration // time of an engine
+
+	calls, served, late, timedOut int
+}
+
+// returning is a request that was rejected.
+type returning struct {
+	kind  *kind
+	left  time.Duration // until its caller leaves
+	tries int
+}
+
+// replay runs a minute of the package's workload against one engine that works off its
+// queue in the order of arrival. Callers honour Retry-After up to a third of the time that
+// they have left.
+func replay(seed uint64, kinds []*kind) (idle float64) {
+	const step = 5 * time.Millisecond
+	r := rand.New(rand.NewPCG(seed, 2))
+	c := New()
+	queue := map[time.Time][]returning{}
+	backlog, idleSteps, steps := time.Duration(0), 0, 0
+	for now := start; now.Before(start.Add(time.Minute)); now = now.Add(step) {
+		steps++
+		if backlog == 0 {
+			idleSteps++
+		}
+		backlog = max(0, backlog-step)
+		arrived := queue[now]
+		delete(queue, now)
+		for _, k := range kinds {
+			if r.Float64() < k.perSecond*step.Seconds() {
+				k.calls++
+				arrived = append(arrived, returning{kind: k, left: k.ClassPatience})
+			}
+		}
+		r.Shuffle(len(arrived), func(i, j int) { arrived[i], arrived[j] = arrived[j], arrived[i] })
+		for _, a := range arrived {
+			k := a.kind
+			req := k.Request
+			req.Patience = a.left
+			d := c.Decide(now, "s", req, Forecast{At: now, Wait: backlog, Work: k.work, Free: backlog == 0}, r.Float64())
+			after := min(d.RetryAfter, a.left/3).Truncate(step) + step
+			switch {
+			case d.Admitted():
+				if backlog+k.work > a.left {
+					k.timedOut++
+				}
+				if k.ClassPatience-a.left+backlog+k.work > k.Objective {
+					k.late++
+				}
+				k.served++
+				backlog += k.work
+			case a.left-after > 100*time.Millisecond:
+				queue[now.Add(after)] = append(queue[now.Add(after)], returning{kind: k, left: a.left - after, tries: a.tries + 1})
+			}
+		}
+	}
+	return float64(idleSteps) / float64(steps)
+}
+
+// The workload of the package, at twice the capacity of an engine. Guards against an urgent
+// class that is served less often because its callers wait less, long prompts that starve
+// behind short ones, and an engine that idles because too much is rejected.
+func TestOverload(t *testing.T) {
+	for seed := range uint64(5) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			batch := request("batch", 2)
+			batch.Objective, batch.ClassPatience = 2*time.Second, 8*time.Second
+			short := &kind{Request: request("chat", 0), perSecond: 10, work: 60 * time.Millisecond}
+			long := &kind{Request: request("chat", 0), perSecond: 0.7, work: 850 * time.Millisecond}
+			patient := &kind{Request: batch, perSecond: 12, work: 60 * time.Millisecond}
+			kinds := []*kind{short, long, patient}
+			idle := replay(seed, kinds)
+			rate := func(k *kind) float64 { return float64(k.served) / float64(k.calls) }
+			chat := float64(short.served+long.served) / float64(short.calls+long.calls)
+			t.Logf("served: short %.3f, long %.3f, less urgent %.3f; late %d, %d, %d; idle %.3f", rate(short), rate(long), rate(patient), short.late, long.late, patient.late, idle)
+			if chat < rate(patient) {
+				t.Errorf("the urgent class was served at %.3f, the less urgent one at %.3f", chat, rate(patient))
+			}
+			if rate(long) < chat/2 {
+				t.Errorf("long prompts were served at %.3f, their class at %.3f", rate(long), chat)
+			}
+			if idle > 0.02 {
+				t.Errorf("the engine idled for %.3f of the time", idle)
+			}
+			for _, k := range kinds {
+				if k.timedOut > 0 {
+					t.Errorf("%d callers of %s left before they were served", k.timedOut, k.Class)
+				}
+			}
+		})
+	}
+}
--- a/pkg/routing/configuration.go
+++ b/pkg/routing/configuration.go
@@ -116,6 +116,7 @@
 
 	hosts      map[string][]*Route // by host in lower case
 	workspaces Workspaces
+	urgencies  urgencies
 }
 
 // New returns the configuration of the given routes and services. It retains the
--- a/pkg/routing/workspace.go
+++ b/pkg/routing/workspace.go
@@ -68,7 +68,10 @@
 }
 
 // SetWorkspaces sets the workspaces of a configuration that is not in use yet.
-func (c *Configuration) SetWorkspaces(ws Workspaces) { c.workspaces = ws }
+func (c *Configuration) SetWorkspaces(ws Workspaces) {
+	c.workspaces = ws
+	c.urgencies = newUrgencies(c.hosts, ws.names)
+}
 
 // HasWorkspaces reports whether callers have to identify themselves.
 func (c *Configuration) HasWorkspaces() bool { return len(c.workspaces.names) > 0 }
