Reject requests by share, class and forecast

A workspace that sends many times its load took the room of an entryd and the engines' time from the others; overload, missing targets and quarantine stated fixed times to return after. Near its limit an entryd now admits only workspaces below their share of the requests in progress. The urgency of a request at its target follows from its workspace, its route and, under contention, the workspace's share. Requests are rejected by pkg/overload with the time until there is capacity, a waiting prompt also once its forecast exceeds what its caller waits. A target with a free slot and no prompt ahead is always used: before, the memory of slow responses kept it from getting requests. The number of entryds that divides the retry budget stays known when the targets that stated it are gone.

TestOverloaded and TestAdmissionControl call the new functions and check the same limits.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -55,6 +55,8 @@
 	TargetLimited     Code = 363
 	TargetUnlimited   Code = 364
 	StreamTakenUp     Code = 365
+	RequestShed       Code = 380
+	ShareExceeded     Code = 381
 	RequestQueued     Code = 400
 	RequestNotRun     Code = 401
 	RequestStarted    Code = 402
@@ -154,6 +156,8 @@
 	{TargetLimited, "target_limited", zerolog.WarnLevel, "The target takes only `rate` requests a second from all entryds together, according to `source`: a response, or the targetd that heard of it."},
 	{TargetUnlimited, "target_unlimited", zerolog.InfoLevel, "The target no longer limits the rate of requests, according to `source`; the limit stood `for` that time."},
 	{StreamTakenUp, "stream_taken_up", zerolog.InfoLevel, "A caller takes up the `stream` that began with the request of that id, after event `last_event`. It began at `version` of `service`; that many targetds were `asked`. If it is not continued, `reason` says why."},
+	{RequestShed, "request_shed", zerolog.InfoLevel, "Admission decision: the request is rejected because its forecast `wait` at the best `target` exceeds a `limit`; `reason` says which, `standing` is that of its workspace's share."},
+	{ShareExceeded, "share_exceeded", zerolog.InfoLevel, "Requests of the workspace are rejected because it has `used` its `fair` part of the engine time of this process's requests; at most once a second."},
 	{RequestQueued, "request_queued", zerolog.DebugLevel, "The target queued an attempt."},
 	{RequestNotRun, "request_not_run", zerolog.InfoLevel, "The target refused an attempt that it had not started."},
 	{RequestStarted, "request_started", zerolog.DebugLevel, "The request was sent to the engine or service."},
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "sync"
+import (
+	"sync"
+
+	"github.com/borageusher/borageusher/pkg/fairshare"
+)
 
 // Shares of a VM's limits that requests may use.
 const (
@@ -58,12 +62,13 @@
 	lingering int
 	shared    int64
 	used      [memoryUses]int64
+	shares    roomShares
 }
 
 // newAdmissionControl derives the limits from a VM's limits on descriptors and
 // memory in bytes. Zero means no limit.
 func newAdmissionControl(descriptors int, memory int64) *admissionControl {
-	a := &admissionControl{}
+	a := &admissionControl{shares: roomShares{room: fairshare.NewRoom()}}
 	if descriptors > 0 {
 		a.maxRequests = max(1, (descriptors-reservedDescriptors)/requestDescriptors)
 	}
@@ -81,25 +86,6 @@
 	return a
 }
 
-// acquire admits a request and reports whether it is within the limit. The caller must
-// call release after an admitted request.
-func (a *admissionControl) acquire() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.maxRequests > 0 && a.requests >= a.maxRequests {
-		return false
-	}
-	a.requests++
-	return true
-}
-
-// release ends an admitted request.
-func (a *admissionControl) release() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.requests--
-}
-
 // acquireLinger reports whether a rejected request may read the rest of its body. The
 // caller must call releaseLinger after one that may.
 func (a *admissionControl) acquireLinger() bool {
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -9,16 +9,34 @@
 	"time"
 
 	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/borageusher/borageusher/pkg/routing"
 )
 
+// enter admits a request of the workspace of that name, of a deployment without workspaces
+// if it is empty.
+func enter(ac *admissionControl, workspace string) *place {
+	cfg := routing.New(1, nil, nil, routing.Limits{})
+	var w *routing.Workspace
+	if workspace != "" {
+		w = &routing.Workspace{Name: workspace}
+		var ws routing.Workspaces
+		ws.Add(*w, nil)
+		cfg.SetWorkspaces(ws)
+	}
+	p, _ := ac.enter(time.Now(), cfg, w)
+	return p
+}
+
 func TestAdmissionControl(t *testing.T) {
 	convey.Convey("Requests stay within the limits on descriptors and memory", t, func() {
 		ac := newAdmissionControl(reservedDescriptors+2*requestDescriptors, 0)
-		convey.So(ac.acquire(), convey.ShouldBeTrue)
-		convey.So(ac.acquire(), convey.ShouldBeTrue)
-		convey.So(ac.acquire(), convey.ShouldBeFalse)
-		ac.release()
-		convey.So(ac.acquire(), convey.ShouldBeTrue)
+		convey.So(enter(ac, ""), convey.ShouldNotBeNil)
+		first := enter(ac, "")
+		convey.So(first, convey.ShouldNotBeNil)
+		convey.So(enter(ac, ""), convey.ShouldBeNil)
+		first.leave(time.Now())
+		convey.So(enter(ac, ""), convey.ShouldNotBeNil)
 	})
 	convey.Convey("The sum of all limits, twice for the garbage collector, fits into the memory beside the process", t, func() {
 		for _, megabytes := range []int64{96, 144, 160, 184, 284, 424, 536, 4096} {
@@ -35,7 +53,7 @@
 		ac := newAdmissionControl(0, 0)
 		l := &lease{admission: ac}
 		for range 10000 {
-			convey.So(ac.acquire(), convey.ShouldBeTrue)
+			convey.So(enter(ac, ""), convey.ShouldNotBeNil)
 			convey.So(l.resize(longBody, 1<<40), convey.ShouldBeTrue)
 		}
 	})
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -28,7 +28,7 @@
 	req.Header = g.HeaderCodec.TargetHeader(c.header, AttemptMeta{
 		Instance:    sel.replica.ID,
 		Remaining:   c.remaining(now),
-		Urgency:     c.route.Urgency,
+		Urgency:     g.urgencyAt(now, c, sel),
 		LastEventID: c.lastEventID,
 	})
 	g.Log.Event(event.AttemptSent).
@@ -50,8 +50,12 @@
 	active := g.Fleet.beginAttempt(now, sel.target, c, o, cancel)
 	defer g.Fleet.endAttempt(sel.target, c.adapter, active)
 	defer func() { c.memory.shrink(c.fallbackHeld) }()
+	g.recordUse(now, c)
 	resp, err := g.Client.Do(attemptCtx, sel.replica.Addr, &req)
 	if err != nil {
+		if !upstream.WasSent(err) {
+			g.withdrawUse(time.Now(), c, now)
+		}
 		return g.handleNoResponse(ctx, c, sel, run, err, now)
 	}
 	defer resp.Close()
@@ -71,6 +75,7 @@
 		resp.Discard() // only the status counts
 	}
 	if refusal && !resp.Followed() {
+		g.withdrawUse(time.Now(), c, now)
 		return g.handleRefusal(c, sel, resp, meta)
 	}
 	c.possibleRuns++
--- a/internal/gateway/attempt_loop.go
+++ b/internal/gateway/attempt_loop.go
@@ -201,11 +201,9 @@
 			if pause, reason = g.awaitUsable(now, c, waitUntil); reason != "" {
 				return selection{}, reason
 			}
-		case ok && sel.resident && g.Fleet.overloaded(c, sel):
-			return selection{}, "overloaded"
 		case ok && sel.resident:
-			return sel, ""
-		case ok && (now.After(waitUntil) || (c.waitTarget == nil && now.Add(sel.wait).After(waitUntil))):
+			return sel, g.rejects(now, c, sel, false)
+		case ok && (now.After(waitUntil) || (c.waitTarget == nil && now.Add(sel.wait).After(waitUntil)) || c.leavesBefore(now, sel)):
 			return g.chooseWithoutWaiting(now, c, sel.wait)
 		}
 		if ok && g.Fleet.needsPermit(now, c, sel.target) { // before the adapter takes a slot
@@ -268,13 +266,22 @@
 // adapter to load: a busy target that holds it. If there is none, the caller
 // gets a Retry-After of the expected load time.
 func (g *Gateway) chooseWithoutWaiting(now time.Time, c *call, expectedWait time.Duration) (selection, string) {
-	if sel, ok := g.Fleet.chooseResident(now, c); ok && !g.Fleet.overloaded(c, sel) {
+	if sel, ok := g.Fleet.chooseResident(now, c); ok && g.rejects(now, c, sel, false) == "" {
 		return sel, ""
 	}
-	c.retryAfter = expectedWait
+	if after := spread(expectedWait); c.retryAfter == 0 || after < c.retryAfter { // else a holder has capacity sooner
+		c.retryAfter = after
+	}
 	return selection{}, "adapter_not_loaded"
 }
 
+// leavesBefore reports whether a call that waits for its adapter is expected to wait at the
+// selected target for longer than its caller.
+func (c *call) leavesBefore(now time.Time, sel selection) bool {
+	_, left := c.patience(now)
+	return c.waitTarget != nil && c.model != "" && !c.headerSent && sel.wait > left
+}
+
 // respondFailure ends a call for which no attempt succeeded. If the response has
 // been started or the caller has disconnected, it closes the connection. Otherwise
 // it sends the fallback if there is one, or an empty response: with status 503 if no
@@ -298,27 +305,38 @@
 		g.recordOutcome(c, c.fallback.status, "failure_passed_on")
 		return
 	}
-	status, after := http.StatusServiceUnavailable, shortRetryAfter
+	status := http.StatusServiceUnavailable
 	if c.possibleRuns > 0 {
-		status, after = http.StatusBadGateway, 0
+		status = http.StatusBadGateway
 		if reason == "timeout" || reason == "deadline" {
 			status = http.StatusGatewayTimeout
 		}
 	}
-	switch reason {
-	case "no_target", reasonQuarantined, "overloaded":
-		after = longRetryAfter
-	case reasonOriginUnknown, reasonVersionGone:
-		after = 0 // waiting does not help
-	}
-	after = min(max(after, c.retryAfter), c.remaining(time.Now())/retryAfterDivisor)
+	after := bounded(c.retryAfterOf(reason), c.remaining(time.Now())/retryAfterDivisor)
 	g.setConnection(w.Header())
 	g.HeaderCodec.SetRejection(w.Header(), c.meta.ID, after)
 	w.Header()["Content-Type"] = nil
 	w.WriteHeader(status)
+	g.countRejection(c.workspace, reason)
 	g.recordOutcome(c, status, reason)
 }
 
+// retryAfterOf returns the time after which the caller of a failed call may retry: the
+// forecast time until there is capacity if there is one.
+func (c *call) retryAfterOf(reason string) time.Duration {
+	switch {
+	case reason == reasonOriginUnknown || reason == reasonVersionGone:
+		return 0 // waiting does not help
+	case c.retryAfter > 0:
+		return max(c.retryAfter, shortRetryAfter)
+	case reason == "no_target" || reason == reasonQuarantined:
+		return spread(longRetryAfter)
+	case c.possibleRuns > 0:
+		return 0
+	}
+	return spread(shortRetryAfter)
+}
+
 // abort ends a call whose connection ended.
 func (g *Gateway) abort(callerCtx context.Context, c *call) {
 	reason := "caller_left"
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -107,9 +107,9 @@
 func (g *Gateway) rejectBody(w http.ResponseWriter, r *http.Request, meta RequestMeta, err error) {
 	switch {
 	case errors.Is(err, errNoMemory):
-		after := longRetryAfter
+		after := spread(longRetryAfter)
 		if meta.Deadline > 0 {
-			after = min(after, meta.Deadline/retryAfterDivisor)
+			after = bounded(after, meta.Deadline/retryAfterDivisor)
 		}
 		g.rejectUnread(w, r, meta.ID, 503, "no_room", after)
 	case errors.Is(err, errBodyTooLong):
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -24,6 +24,10 @@
 	request   upstream.Request
 	body      []byte
 
+	urgency           int           // 0 is the most urgent; that of the route without workspaces
+	urgencyAboveShare int           // while its workspace is above its share of contended capacity
+	engineTime        time.Duration // expected time of an engine
+
 	segments     []quarantine.Fingerprint // shared segments of the prompt
 	placementKey uint64                   // key of rendezvous hashing: the adapter or, without one, the last shared segment of the prompt
 	start        time.Time
@@ -85,8 +89,11 @@
 		body:     body,
 		start:    now,
 		deadline: now.Add(within),
-		tried:    map[string]bool{},
-		refused:  map[string]bool{},
+
+		urgency: route.Urgency, urgencyAboveShare: route.Urgency,
+
+		tried:   map[string]bool{},
+		refused: map[string]bool{},
 	}
 	c.request = upstream.Request{
 		ID:      m.ID,
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -25,24 +25,25 @@
 	regions map[string]string
 	log     event.Log
 
-	mu             sync.Mutex
-	targets        map[string]*targetState // by the target's id
-	cfg            *routing.Configuration
-	versions       map[orders.Adapter]int64
-	latencies      map[string]*latencyStats         // by service
-	changes        map[orders.Adapter]chan struct{} // closed when the adapter becomes resident somewhere or the targets change
-	targetsListed  bool                             // the targets were listed at least once
-	versionsListed bool                             // the announced versions were listed at least once
-	epoch          time.Time                        // time base of the attempts' lastActivity
-	lastScan       time.Time                        // last run of cancelStalled
-	notices        map[target.Incarnation]*targetNotice
-	unconfirmed    map[string]unconfirmedEntry // by id
-	superseded     map[string]target.Replica   // entries that are not used while a later start has their address, by id
-	limits         map[string]*rateLimit       // by incarnation of the target
-	permits        *permits.Issuer             // used while no targetd is connected
-	lastPermit     uint64                      // id of the last permit request
-	origins        streamOrigins
-	onTarget       func(*targetState) // called with mu held for added targets, and for all on a new configuration
+	mu              sync.Mutex
+	targets         map[string]*targetState // by the target's id
+	cfg             *routing.Configuration
+	versions        map[orders.Adapter]int64
+	latencies       map[string]*latencyStats         // by service
+	changes         map[orders.Adapter]chan struct{} // closed when the adapter becomes resident somewhere or the targets change
+	targetsListed   bool                             // the targets were listed at least once
+	versionsListed  bool                             // the announced versions were listed at least once
+	epoch           time.Time                        // time base of the attempts' lastActivity
+	lastScan        time.Time                        // last run of cancelStalled
+	notices         map[target.Incarnation]*targetNotice
+	unconfirmed     map[string]unconfirmedEntry // by id
+	superseded      map[string]target.Replica   // entries that are not used while a later start has their address, by id
+	limits          map[string]*rateLimit       // by incarnation of the target
+	permits         *permits.Issuer             // used while no targetd is connected
+	lastPermit      uint64                      // id of the last permit request
+	lastEntrydCount int                         // last known number of entryds
+	origins         streamOrigins
+	onTarget        func(*targetState) // called with mu held for added targets, and for all on a new configuration
 }
 
 // NewFleet returns a fleet without targets. Distances are computed from the
@@ -315,8 +316,8 @@
 	delete(t.resident, a)
 }
 
-// entrydCount returns the highest number of entryds that a targetd
-// reports, zero while none does.
+// entrydCount returns the highest number of entryds that a targetd reports, the last one
+// known if none does any more, and zero if none ever did.
 func (f *Fleet) entrydCount() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -329,7 +330,10 @@
 	for _, t := range f.targets {
 		highest = max(highest, t.state.ConnectedEntries)
 	}
-	return highest
+	if highest > 0 {
+		f.lastEntrydCount = highest
+	}
+	return f.lastEntrydCount
 }
 
 func (f *Fleet) targetCount() int {
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/smartystreets/goconvey/convey"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/internal/peer"
@@ -195,6 +196,8 @@
 		f := engineFleet(now, 1)
 		c := callFor("a1")
 		c.meta.PromptTokens = 1000
+		c.start, c.deadline = now, now.Add(time.Minute)
+		g := New(Options{Fleet: f, Log: event.Discard(), Scope: tally.NoopScope})
 		for range 100 {
 			for tokens := range 20 {
 				f.latencyOf("llm").readTime.Observe(1000*tokens, 200*time.Millisecond+time.Duration(tokens)*40*time.Millisecond)
@@ -209,10 +212,11 @@
 			engine.observeBacklog(now, 1000*test.ahead)
 			p, ok := f.choose(now, c)
 			convey.So(ok, convey.ShouldBeTrue)
-			convey.So(f.overloaded(c, p), convey.ShouldEqual, test.want)
+			convey.So(g.rejects(now, c, p, false) == "overloaded", convey.ShouldEqual, test.want)
 		}
+		convey.So(c.retryAfter, convey.ShouldBeBetween, 0, time.Second) // the backlog is little above the limit
 		c.headerSent = true
 		p, _ := f.choose(now, c)
-		convey.So(f.overloaded(c, p), convey.ShouldBeFalse) // a started stream can't be rejected
+		convey.So(g.rejects(now, c, p, false), convey.ShouldBeEmpty) // a started stream can't be rejected
 	})
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,11 +19,12 @@
 
 // Values of Retry-After.
 const (
-	// shortRetryAfter applies to rejections whose cause is expected to end soon.
+	// shortRetryAfter applies to rejections whose cause is expected to end soon, and is the
+	// least time stated.
 	shortRetryAfter = 200 * time.Millisecond
-	// longRetryAfter applies before the first configuration, to a service without
-	// targets or with overloaded ones, and to quarantined requests. It is about the
-	// time in which a target starts.
+	// longRetryAfter applies where nothing tells when there will be capacity: before the
+	// first configuration, to a service without targets, to bodies without memory and to
+	// quarantined requests. It is about the time in which a target starts.
 	longRetryAfter = 2 * time.Second
 )
 
@@ -50,6 +51,7 @@
 	closing    atomic.Bool  // requests are rejected
 	inProgress atomic.Int64 // requests
 	admission  *admissionControl
+	order      *requestOrder
 
 	endsAt   atomic.Pointer[time.Time] // when the calls in progress are to end, nil unless stopping
 	ending   context.Context           // done at that time
@@ -58,7 +60,7 @@
 
 // New returns a gateway.
 func New(opts Options) *Gateway {
-	g := &Gateway{Options: opts, admission: newAdmissionControl(opts.Limits.Descriptors, opts.Limits.Memory)}
+	g := &Gateway{Options: opts, admission: newAdmissionControl(opts.Limits.Descriptors, opts.Limits.Memory), order: newRequestOrder()}
 	g.ending, g.endCalls = context.WithCancel(context.Background())
 	return g
 }
@@ -71,7 +73,7 @@
 	meta := g.HeaderCodec.ParseRequest(r.Header)
 	cfg := g.Configuration.Load()
 	if cfg == nil || !g.Fleet.Listed() {
-		g.reject(w, meta.ID, 503, "no_configuration", longRetryAfter)
+		g.reject(w, meta.ID, 503, "no_configuration", spread(longRetryAfter))
 		return
 	}
 	route, ok := cfg.Match(r.Host, rawPath(r))
@@ -79,11 +81,17 @@
 		g.reject(w, meta.ID, 404, "no_route", 0)
 		return
 	}
-	if !g.admission.acquire() {
-		g.rejectUnread(w, r, meta.ID, 503, "no_room", shortRetryAfter)
+	var workspace *routing.Workspace
+	place, untilRoom := g.admission.enter(now, cfg, workspace)
+	if place == nil {
+		if meta.Deadline > 0 {
+			untilRoom = bounded(untilRoom, meta.Deadline/retryAfterDivisor)
+		}
+		g.countRejection(workspace, "no_room")
+		g.rejectUnread(w, r, meta.ID, 503, "no_room", untilRoom)
 		return
 	}
-	defer g.admission.release()
+	defer func() { place.leave(time.Now()) }()
 	bodyMemory := &lease{admission: g.admission}
 	defer bodyMemory.shrink(0)
 	body, err := g.readBody(r, cfg.Limits.BodyBytes, bodyMemory)
@@ -93,7 +101,7 @@
 		return
 	}
 	if g.closing.Load() { // after the body was read, so that the connection isn't reset
-		g.reject(w, meta.ID, 503, "stopping", shortRetryAfter)
+		g.reject(w, meta.ID, 503, "stopping", spread(shortRetryAfter))
 		return
 	}
 	service, version, reason := route.Pick(rand.Float64()), "", ""
@@ -105,10 +113,12 @@
 	}
 	c := newCall(now, meta, route, service, r, body)
 	c.revision, c.softwareVersion = cfg.Version, version
+	c.setOrder(cfg, workspace)
 	c.memory = lease{admission: g.admission, use: response}
 	c.request.Reserve = c.memory.reserve
 	defer c.memory.shrink(0)
 	g.RetryBudget.recordRequest(now, service)
+	g.recordOffer(now, c)
 	if reason != "" {
 		g.respondFailure(r.Context(), w, c, reason)
 		return
@@ -161,6 +171,7 @@
 	e := g.Log.Event(code).
 		Str("request", c.meta.ID).
 		Str("route", c.route.Name).
+		Str("workspace", c.workspaceLabel()).
 		Str("service", c.service).
 		Str("adapter", c.adapter.Name).
 		Int64("revision", c.revision).
--- a/internal/gateway/main.go
+++ b/internal/gateway/main.go
@@ -203,6 +203,7 @@
 	scope.Gauge("requests_in_progress").Update(float64(p.gateway.inProgress.Load()))
 	scope.Gauge("targets").Update(float64(p.fleet.targetCount()))
 	scope.Gauge("entries").Update(float64(p.fleet.entrydCount()))
+	p.gateway.order.updateGauges(now, scope)
 	if cfg := p.current.Load(); cfg != nil {
 		scope.Gauge("configuration_version").Update(float64(cfg.Version))
 		for name := range cfg.Services {
--- /dev/null
+++ b/internal/gateway/order.go
@@ -0,0 +1,259 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/borageusher/borageusher/internal/event"
+	"github.com/borageusher/borageusher/pkg/fairshare"
+	"github.com/borageusher/borageusher/pkg/overload"
+	"github.com/borageusher/borageusher/pkg/routing"
+)
+
+const (
+	// contendedWait is the wait at the best target from which there is contention, as a
+	// share of the objective. It equals assignment.copyThreshold: below it requests start
+	// well within the objective.
+	contendedWait = 0.3
+	// shareLogInterval is the least time between two log lines on one workspace's share.
+	shareLogInterval = time.Second
+	// minEngineTime is the engine time of a request of which nothing is known yet, so that
+	// the requests of a new process count equally.
+	minEngineTime = time.Millisecond
+	// lengthWeight is the weight of one observation of a response's length.
+	lengthWeight = 0.05
+)
+
+// requestOrder decides which requests are served first and which are rejected under load.
+// It is safe for concurrent use.
+type requestOrder struct {
+	mu       sync.Mutex
+	shares   *fairshare.Shares
+	overload *overload.Controller
+	lengths  map[string]float64   // mean of the maximum response tokens, by service
+	loggedAt map[string]time.Time // last log line on the share, by workspace
+}
+
+func newRequestOrder() *requestOrder {
+	return &requestOrder{shares: fairshare.New(), overload: overload.New(), lengths: map[string]float64{}, loggedAt: map[string]time.Time{}}
+}
+
+// setOrder sets the call's workspace and the urgencies that follow from it.
+func (c *call) setOrder(cfg *routing.Configuration, w *routing.Workspace) {
+	c.workspace = w
+	c.urgency, c.urgencyAboveShare = cfg.Urgency(w, c.route, false), cfg.Urgency(w, c.route, true)
+}
+
+// relativeLength returns the longest response of a call relative to the mean of its
+// service, one if it is not known.
+func (o *requestOrder) relativeLength(c *call) float64 {
+	n := float64(c.meta.MaxResponseTokens)
+	if n == 0 {
+		return 1
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	mean := o.lengths[c.service]
+	if mean == 0 {
+		mean = n
+	}
+	o.lengths[c.service] = mean + lengthWeight*(n-mean)
+	return n / mean
+}
+
+// recordOffer records the engine time for which a call asks.
+func (g *Gateway) recordOffer(now time.Time, c *call) {
+	if c.workspace == nil {
+		return
+	}
+	c.engineTime = max(minEngineTime, g.Fleet.engineTime(c, g.order.relativeLength(c)))
+	g.order.mu.Lock()
+	defer g.order.mu.Unlock()
+	g.order.shares.Offer(now, c.workspace.Name, c.engineTime)
+}
+
+// recordUse records that a call is sent to a target.
+func (g *Gateway) recordUse(now time.Time, c *call) {
+	if c.workspace == nil {
+		return
+	}
+	g.order.mu.Lock()
+	defer g.order.mu.Unlock()
+	g.order.shares.Use(now, c.workspace.Name, c.engineTime)
+}
+
+// withdrawUse takes back what recordUse recorded at a time, for an attempt that did not run.
+func (g *Gateway) withdrawUse(now time.Time, c *call, usedAt time.Time) {
+	if c.workspace == nil {
+		return
+	}
+	g.order.mu.Lock()
+	defer g.order.mu.Unlock()
+	g.order.shares.Withdraw(now, c.workspace.Name, c.engineTime, usedAt)
+}
+
+// standing returns the standing of the call's workspace.
+func (g *Gateway) standing(now time.Time, c *call) fairshare.Standing {
+	if c.workspace == nil {
+		return fairshare.Within
+	}
+	g.order.mu.Lock()
+	defer g.order.mu.Unlock()
+	return g.order.shares.Standing(now, c.workspace.Name)
+}
+
+// contended reports whether requests contend for the selected target: it has no free slot,
+// or the call waits there for a part of its objective.
+func (c *call) contended(sel selection) bool {
+	return (sel.replica.Slots > 0 && sel.load >= sel.replica.Slots) || float64(sel.wait) >= contendedWait*float64(c.route.Objective)
+}
+
+// urgencyAt returns the urgency with which a call is sent to the selected target.
+func (g *Gateway) urgencyAt(now time.Time, c *call, sel selection) int {
+	if c.urgency != c.urgencyAboveShare && c.contended(sel) && g.standing(now, c) == fairshare.Above {
+		return c.urgencyAboveShare
+	}
+	return c.urgency
+}
+
+// patience returns the time for which the caller waits for a response to begin, of the
+// class and what is left of it for the call.
+func (c *call) patience(now time.Time) (class, left time.Duration) {
+	class = c.deadline.Sub(c.start)
+	if c.model != "" {
+		class = min(class, callerTimeout(c.route.Objective))
+	}
+	return class, class - now.Sub(c.start)
+}
+
+// rejects returns the reason to reject a call for which the selected target is the best
+// one, empty if it is to be sent there. It sets the call's Retry-After. A call that was
+// admitted before, continues a stream or was sent to a target is rejected only if its caller
+// would leave. Started streams are never rejected, nor are requests without a model unless
+// the deployment has workspaces.
+func (g *Gateway) rejects(now time.Time, c *call, sel selection, admitted bool) string {
+	if c.headerSent || (c.model == "" && c.workspace == nil) {
+		return ""
+	}
+	standing := g.standing(now, c)
+	class, left := c.patience(now)
+	r := overload.Request{
+		Class:         c.route.Name,
+		Urgency:       c.urgency,
+		Objective:     c.route.Objective,
+		ClassPatience: class,
+		Patience:      left,
+		AboveShare:    standing == fairshare.Above,
+		Starved:       standing == fairshare.Starved,
+		Queued:        admitted || c.takesUp() || c.possibleRuns > 0,
+	}
+	if c.workspace != nil {
+		r.Class += "/" + c.workspace.Name
+	}
+	f := g.Fleet.forecast(now, c, sel)
+	g.order.mu.Lock()
+	d := g.order.overload.Decide(now, c.service, r, f, rand.Float64())
+	g.order.mu.Unlock()
+	if d.Admitted() {
+		return ""
+	}
+	c.retryAfter = d.RetryAfter
+	g.logShed(now, c, sel, d, standing)
+	return d.Reason.String()
+}
+
+// forecast returns the forecast of a call at the selected target. A target has capacity if
+// a slot is free and no prompt is ahead, however long requests took there before.
+func (f *Fleet) forecast(now time.Time, c *call, sel selection) overload.Forecast {
+	out := overload.Forecast{At: now, Wait: sel.wait, Free: sel.resident && sel.load < sel.replica.Slots && sel.backlog == 0}
+	if c.model == "" {
+		return out
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	latency := f.latencyOf(c.service)
+	out.Work = latency.readTime.Intercept() + time.Duration(c.promptTokens())*latency.readTime.Slope()
+	return out
+}
+
+// engineTime returns the time of an engine that a call takes: that to read its prompt, and
+// its slot's part of the time in which its response is generated.
+func (f *Fleet) engineTime(c *call, relativeLength float64) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	latency := f.latencyOf(c.service)
+	generate := latency.duration.Value()
+	if c.model != "" {
+		generate = max(0, generate-latency.firstEvent.Value())
+	}
+	slots := 1
+	for _, t := range f.targets {
+		if t.replica.Service == c.service {
+			slots = max(1, t.replica.Slots)
+			break
+		}
+	}
+	read := time.Duration(c.promptTokens()) * f.tokenTime(c.service)
+	return read + time.Duration(relativeLength*float64(generate)/float64(slots))
+}
+
+// logShed logs the decision to reject a call, and the share of a workspace above it.
+func (g *Gateway) logShed(now time.Time, c *call, sel selection, d overload.Decision, standing fairshare.Standing) {
+	name := c.workspaceLabel()
+	g.Log.Event(event.RequestShed).
+		Str("request", c.meta.ID).
+		Str("workspace", name).
+		Str("reason", d.Reason.String()).
+		Str("target", sel.replica.ID).
+		Int("urgency", c.urgency).
+		Str("standing", standing.String()).
+		Dur("wait", d.Wait).
+		Dur("limit", d.Limit).
+		Dur("retry_after", d.RetryAfter).
+		Send()
+	if d.Reason != overload.AboveShare {
+		return
+	}
+	g.order.mu.Lock()
+	used, fair := g.order.shares.Share(now, name)
+	due := now.Sub(g.order.loggedAt[name]) >= shareLogInterval
+	if due {
+		g.order.loggedAt[name] = now
+	}
+	g.order.mu.Unlock()
+	if due {
+		g.Log.Event(event.ShareExceeded).Str("workspace", name).Float64("used", used).Float64("fair", fair).Send()
+	}
+}
+
+// workspaceLabel returns the name of the call's workspace in logs and metrics, empty
+// without one.
+func (c *call) workspaceLabel() string { return workspaceLabel(c.workspace) }
+
+func workspaceLabel(w *routing.Workspace) string {
+	if w == nil {
+		return ""
+	}
+	return w.Name
+}
+
+// countRejection counts a rejected request of a workspace.
+func (g *Gateway) countRejection(w *routing.Workspace, reason string) {
+	if w != nil {
+		g.Scope.Tagged(map[string]string{"workspace": w.Name, "reason": reason}).Counter("rejections").Inc(1)
+	}
+}
+
+// updateGauges updates the gauges of the workspaces' shares.
+func (o *requestOrder) updateGauges(now time.Time, scope tally.Scope) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.shares.Each(now, func(workspace string, used, fair float64) {
+		s := scope.Tagged(map[string]string{"workspace": workspace})
+		s.Gauge("share_used").Update(used)
+		s.Gauge("share_fair").Update(fair)
+	})
+}
--- a/internal/gateway/pacing.go
+++ b/internal/gateway/pacing.go
@@ -42,7 +42,7 @@
 // empty, it has failed.
 func (g *Gateway) pace(ctx context.Context, c *call, sel selection) (o *offer, again bool, reason string) {
 	start := time.Now()
-	o = g.Fleet.offerPrompt(start, sel.target, c)
+	o = g.Fleet.offerPrompt(start, sel.target, c, g.urgencyAt(start, c, sel))
 	if o == nil {
 		return nil, false, ""
 	}
@@ -98,18 +98,67 @@
 		c.reselections++
 		c.recordDecision("leaves", sel)
 		return first, answered, true, ""
-	case ok && next.target == sel.target && g.Fleet.overloaded(c, next):
-		c.retryAfter = next.wait
-		return first, answered, false, "overloaded"
-	case first.Admitted:
+	case ok && next.target == sel.target:
+		if reason = g.rejects(now, c, next, false); reason != "" {
+			return first, answered, false, reason
+		}
+	}
+	if first.Admitted {
 		return first, answered, false, ""
 	}
 	limit := min(waitForecastFactor*next.wait+paceTimeout, callerTimeout(c.route.Objective)-now.Sub(c.start))
-	answer, state = awaitAnswer(ctx, o, limit)
+	answer, state, reason = g.awaitTurn(ctx, c, sel, o, first, next.wait, limit)
 	if state != answered {
 		answer = first
 	}
-	return answer, state, false, ""
+	return answer, state, false, reason
+}
+
+// awaitTurn waits for the admission of a prompt for at most limit. wait is its forecast
+// when it was offered with first as the answer. If the forecast gets so much worse that the
+// caller would leave first, it returns the reason to reject the call.
+func (g *Gateway) awaitTurn(
+	ctx context.Context, c *call, sel selection, o *offer, first peer.PromptAnswer, wait, limit time.Duration,
+) (answer peer.PromptAnswer, state answerState, reason string) {
+	start := time.Now()
+	read := g.Fleet.readTimeOf(c.service, first.Ahead)
+	for {
+		left := limit - time.Since(start)
+		answer, state = awaitAnswer(ctx, o, min(left, waitPollInterval))
+		if state != unanswered || o.stopped() || left <= waitPollInterval {
+			return answer, state, ""
+		}
+		now := time.Now()
+		// Newcomers wait behind the prompt, so their forecast is used only if its own has passed.
+		current := wait + g.Fleet.readTimeOf(c.service, first.Ahead) - read - now.Sub(start)
+		next, ok := g.Fleet.chooseResident(now, c)
+		if !ok || next.target != sel.target {
+			continue
+		}
+		if current > 0 {
+			next.wait = current
+		}
+		if reason = g.rejects(now, c, next, true); reason != "" {
+			return answer, state, reason
+		}
+	}
+}
+
+// stopped reports whether the call has to choose another target.
+func (o *offer) stopped() bool {
+	select {
+	case <-o.stop:
+		return true
+	default:
+		return false
+	}
+}
+
+// readTimeOf returns the time in which an engine of the service reads prompts.
+func (f *Fleet) readTimeOf(service string, tokens int) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Duration(tokens) * f.tokenTime(service)
 }
 
 // remainsChosen reports whether the selected target may still be sent the call after
@@ -150,9 +199,9 @@
 	}
 }
 
-// offerPrompt offers a call's prompt to the targetd of t. It returns nil if that does
-// not pace prompts.
-func (f *Fleet) offerPrompt(now time.Time, t *targetState, c *call) *offer {
+// offerPrompt offers a call's prompt to the targetd of t with an urgency. It returns nil if
+// that does not pace prompts.
+func (f *Fleet) offerPrompt(now time.Time, t *targetState, c *call, urgency int) *offer {
 	if c.model == "" {
 		return nil
 	}
@@ -180,7 +229,7 @@
 		Tokens:    c.promptTokens(),
 		TokenTime: f.tokenTime(c.service),
 		Gap:       gap,
-		Urgency:   c.route.Urgency,
+		Urgency:   urgency,
 	})
 	if err != nil {
 		return nil // the connection has ended
--- a/internal/gateway/permit.go
+++ b/internal/gateway/permit.go
@@ -128,7 +128,7 @@
 	p := &permitRequest{target: t, limit: t.limit, id: f.lastPermit, answers: make(chan peer.PermitAnswer, 1), stop: t.turnedAway}
 	p.limit.requested++
 	p.limit.askedAt = now
-	m := peer.PermitRequest{ID: p.id, Limit: t.statedLimit(now), Urgency: c.route.Urgency, Within: within}
+	m := peer.PermitRequest{ID: p.id, Limit: t.statedLimit(now), Urgency: c.urgency, Within: within}
 	if p.issuer = f.issuerOf(now, t); p.issuer != nil {
 		p.conn = p.issuer.conn
 		if _, err := p.conn.Send(m); err == nil {
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -90,20 +90,6 @@
 	return max(time.Duration(minSlackShare*float64(c.route.Objective)), c.route.Objective-read)
 }
 
-// overloaded reports whether the expected time to the first event at the best
-// target exceeds the time for which the caller of a stream waits. Requests without
-// a model and started streams are never overloaded.
-func (f *Fleet) overloaded(c *call, sel selection) bool {
-	if c.model == "" || c.headerSent {
-		return false
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	latency := f.latencyOf(c.service)
-	read := time.Duration(c.promptTokens()) * latency.readTime.Slope()
-	return sel.wait+latency.readTime.Intercept()+read > callerTimeout(c.route.Objective)
-}
-
 // awaitsTargets reports whether live targets of the call's service may become
 // usable soon: they were discovered recently and their engine state was not
 // received yet.
--- a/internal/gateway/test_gateway_test.go
+++ b/internal/gateway/test_gateway_test.go
@@ -42,7 +42,7 @@
 }
 
 func (testHeaderCodec) TargetHeader(h http.Header, a AttemptMeta) http.Header {
-	out := http.Header{"Id": h["Id"], "Instance": {a.Instance}, "Left": {strconv.FormatInt(a.Remaining.Milliseconds(), 10)}}
+	out := http.Header{"Id": h["Id"], "Instance": {a.Instance}, "Left": {strconv.FormatInt(a.Remaining.Milliseconds(), 10)}, "Urgency": {strconv.Itoa(a.Urgency)}}
 	if last := h.Get("Last-Event"); last != "" {
 		out["Last-Event"] = []string{last}
 	}
--- a/pkg/fairshare/room.go
+++ b/pkg/fairshare/room.go
@@ -32,6 +32,9 @@
 	return r.held[workspace] < r.level(max(0, open-others))
 }
 
+// Total returns the number of requests in progress.
+func (r *Room) Total() int { return r.total }
+
 // Add counts a request of the workspace.
 func (r *Room) Add(workspace string) {
 	r.total++
--- a/pkg/fairshare/shares.go
+++ b/pkg/fairshare/shares.go
@@ -59,13 +59,16 @@
 	served   float64 // requests
 }
 
+// weight returns the weight of what was recorded a time ago.
+func weight(ago time.Duration) float64 { return math.Exp2(-float64(ago) / float64(halfLife)) }
+
 // decay decays the sums to now.
 func (u *sums) decay(now time.Time) {
 	elapsed := now.Sub(u.at)
 	if elapsed <= 0 {
 		return
 	}
-	f := math.Exp2(-float64(elapsed) / float64(halfLife))
+	f := weight(elapsed)
 	u.asked *= f
 	u.used *= f
 	u.requests *= f
@@ -118,7 +121,7 @@
 // Withdraw takes back a Use at an earlier time, of a request that the engine did not run.
 func (s *Shares) Withdraw(now time.Time, workspace string, engineTime time.Duration, usedAt time.Time) {
 	u := s.sumsOf(now, workspace)
-	f := math.Exp2(-float64(max(0, now.Sub(usedAt))) / float64(halfLife))
+	f := weight(max(0, now.Sub(usedAt)))
 	u.used = max(0, u.used-f*engineTime.Seconds())
 	u.served = max(0, u.served-f)
 }
@@ -131,10 +134,11 @@
 		return Within
 	}
 	u.decay(now)
+	since := weight(now.Sub(s.levelAt))
 	switch {
-	case u.used < s.level:
+	case u.used < since*s.level:
 		return Within
-	case u.served < starvedRatio*s.fraction*u.requests && u.used < starvedShares*s.total/float64(len(s.demands)):
+	case u.served < starvedRatio*s.fraction*u.requests && u.used < starvedShares*since*s.total/float64(len(s.demands)):
 		return Starved
 	}
 	return Above
@@ -148,7 +152,16 @@
 	if u == nil || s.total == 0 {
 		return 0, 1
 	}
-	return u.used / s.total, min(1, s.level/s.total)
+	u.decay(now)
+	return u.used / (weight(now.Sub(s.levelAt)) * s.total), min(1, s.level/s.total)
+}
+
+// Each calls f with the result of Share for each workspace with recent requests.
+func (s *Shares) Each(now time.Time, f func(workspace string, used, fair float64)) {
+	for name := range s.workspaces {
+		used, fair := s.Share(now, name)
+		f(name, used, fair)
+	}
 }
 
 // update computes the level if it is outdated.
--- a/pkg/fairshare/shares_test.go
+++ b/pkg/fairshare/shares_test.go
@@ -149,6 +149,9 @@
 		used, fair := s.Share(start, "large")
 		convey.So(used, convey.ShouldAlmostEqual, 50.0/60, 1e-6)
 		convey.So(fair, convey.ShouldAlmostEqual, 50.0/60, 1e-6)
+		convey.Convey("a standing does not change between two computations of the level", func() {
+			convey.So(s.Standing(start.Add(levelValidity/2), "large"), convey.ShouldEqual, Above)
+		})
 		convey.Convey("use that is withdrawn does not count", func() {
 			later := start.Add(time.Second)
 			s.Withdraw(later, "large", time.Second, start)
