--- a/internal/gateway/attempt_loop.go
+++ b/internal/gateway/attempt_loop.go
@@ -192,6 +192,7 @@
 	for {
 		now := time.Now()
 		sel, ok := g.Fleet.choose(now, c)
+		g.offerLoad(now, c, sel)
 		pause := waitPollInterval
 		switch {
 		case ctx.Err() != nil:
@@ -205,6 +206,9 @@
 			return sel, g.rejects(now, c, sel, false)
 		case ok && (now.After(waitUntil) || (c.waitTarget == nil && now.Add(sel.wait).After(waitUntil)) || c.leavesBefore(now, sel)):
 			return g.chooseWithoutWaiting(now, c, sel.wait)
+		case g.lacksLoadShare(now, c, sel):
+			c.retryAfter = spread(sel.wait)
+			return selection{}, reasonLoadShare
 		}
 		if ok && g.Fleet.needsPermit(now, c, sel.target) { // before the adapter takes a slot
 			if _, reason := g.awaitPermit(ctx, c, sel); reason != "" {
@@ -218,6 +222,7 @@
 		case sel.target != c.waitTarget:
 			removeWaiter()
 			g.Scope.Counter("waits_for_adapters").Inc(1)
+			g.recordLoad(now, c)
 			removeWaiter, c.waitTarget = g.Fleet.addWaiter(now, sel.target, c), sel.target
 			c.recordDecision("waits", sel)
 			g.Log.Event(event.RequestWaiting).
@@ -278,8 +283,7 @@
 // leavesBefore reports whether a call that waits for its adapter is expected to wait at the
 // selected target for longer than its caller.
 func (c *call) leavesBefore(now time.Time, sel selection) bool {
-	_, left := c.patience(now)
-	return c.waitTarget != nil && c.model != "" && !c.headerSent && sel.wait > left
+	return c.waitTarget != nil && c.model != "" && !c.headerSent && sel.wait > c.patience(now)
 }
 
 // respondFailure ends a call for which no attempt succeeded. If the response has
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -27,6 +27,8 @@
 	urgency           int           // 0 is the most urgent; that of the route without workspaces
 	urgencyAboveShare int           // while its workspace is above its share of contended capacity
 	engineTime        time.Duration // expected time of an engine
+	needsLoad         bool          // its adapter had to be loaded for it
+	usesLoad          bool          // and it waited for the load
 
 	segments     []quarantine.Fingerprint // shared segments of the prompt
 	placementKey uint64                   // key of rendezvous hashing: the adapter or, without one, the last shared segment of the prompt
--- a/internal/gateway/order.go
+++ b/internal/gateway/order.go
@@ -31,14 +31,15 @@
 // It is safe for concurrent use.
 type requestOrder struct {
 	mu       sync.Mutex
-	shares   *fairshare.Shares
+	shares   *fairshare.Shares // of engine time
+	loads    *fairshare.Shares // of adapter loads
 	overload *overload.Controller
 	lengths  map[string]float64   // mean of the maximum response tokens, by service
 	loggedAt map[string]time.Time // last log line on the share, by workspace
 }
 
 func newRequestOrder() *requestOrder {
-	return &requestOrder{shares: fairshare.New(), overload: overload.New(), lengths: map[string]float64{}, loggedAt: map[string]time.Time{}}
+	return &requestOrder{shares: fairshare.New(), loads: fairshare.New(), overload: overload.New(), lengths: map[string]float64{}, loggedAt: map[string]time.Time{}}
 }
 
 // setOrder sets the call's workspace and the urgencies that follow from it.
@@ -119,14 +120,13 @@
 	return c.urgency
 }
 
-// patience returns the time for which the caller waits for a response to begin, of the
-// class and what is left of it for the call.
-func (c *call) patience(now time.Time) (class, left time.Duration) {
-	class = c.deadline.Sub(c.start)
+// patience returns the time for which the caller still waits for a response to begin.
+func (c *call) patience(now time.Time) time.Duration {
+	left := c.remaining(now)
 	if c.model != "" {
-		class = min(class, callerTimeout(c.route.Objective))
+		left = min(left, callerTimeout(c.route.Objective)-now.Sub(c.start))
 	}
-	return class, class - now.Sub(c.start)
+	return left
 }
 
 // rejects returns the reason to reject a call for which the selected target is the best
@@ -139,13 +139,12 @@
 		return ""
 	}
 	standing := g.standing(now, c)
-	class, left := c.patience(now)
 	r := overload.Request{
 		Class:         c.route.Name,
 		Urgency:       c.urgency,
 		Objective:     c.route.Objective,
-		ClassPatience: class,
-		Patience:      left,
+		ClassPatience: callerTimeout(c.route.Objective), // whatever deadline the caller states
+		Patience:      c.patience(now),
 		AboveShare:    standing == fairshare.Above,
 		Starved:       standing == fairshare.Starved,
 		Queued:        admitted || c.takesUp() || c.possibleRuns > 0,
@@ -165,6 +164,48 @@
 	return d.Reason.String()
 }
 
+// reasonLoadShare is the reason of a call whose adapter is not loaded because its workspace
+// uses more than its share of the loads.
+const reasonLoadShare = "load_share"
+
+// loadWork is what each load counts as in the shares of loads, which have no other unit.
+const loadWork = time.Second
+
+// offerLoad records that a call needs a load at the selected target, unless that was asked
+// to load the adapter before.
+func (g *Gateway) offerLoad(now time.Time, c *call, sel selection) {
+	if c.workspace == nil || c.needsLoad || !sel.newLoad {
+		return
+	}
+	c.needsLoad = true
+	g.order.mu.Lock()
+	defer g.order.mu.Unlock()
+	g.order.loads.Offer(now, c.workspace.Name, loadWork)
+}
+
+// lacksLoadShare reports whether a call needs a load that is to be left to others: loads
+// wait for each other at the selected target, and the call's workspace uses more than its
+// share of them.
+func (g *Gateway) lacksLoadShare(now time.Time, c *call, sel selection) bool {
+	if !c.needsLoad || c.usesLoad || !sel.loadsWait {
+		return false
+	}
+	g.order.mu.Lock()
+	defer g.order.mu.Unlock()
+	return g.order.loads.Standing(now, c.workspace.Name) == fairshare.Above
+}
+
+// recordLoad records that a call waits for a load.
+func (g *Gateway) recordLoad(now time.Time, c *call) {
+	if !c.needsLoad || c.usesLoad {
+		return
+	}
+	c.usesLoad = true
+	g.order.mu.Lock()
+	defer g.order.mu.Unlock()
+	g.order.loads.Use(now, c.workspace.Name, loadWork)
+}
+
 // forecast returns the forecast of a call at the selected target. A target has capacity if
 // a slot is free and no prompt is ahead, however long requests took there before.
 func (f *Fleet) forecast(now time.Time, c *call, sel selection) overload.Forecast {
--- a/internal/gateway/order_test.go
+++ b/internal/gateway/order_test.go
@@ -12,6 +12,7 @@
 	"github.com/smartystreets/goconvey/convey"
 
 	"github.com/borageusher/borageusher/internal/peer"
+	"github.com/borageusher/borageusher/pkg/fairshare"
 	"github.com/borageusher/borageusher/pkg/orders"
 	"github.com/borageusher/borageusher/pkg/routing"
 )
@@ -39,19 +40,18 @@
 	return c
 }
 
-// exhaustShare makes the gateway reject most requests of the workspace busy.
-func (tg *testGateway) exhaustShare() {
+// exhaust records shares of which the workspace busy has got half of what it asked for.
+func (tg *testGateway) exhaust(shares *fairshare.Shares) {
 	now := time.Now()
-	o := tg.gateway.order
 	for range 100 {
-		o.shares.Offer(now, "busy", time.Second)
+		shares.Offer(now, "busy", time.Second)
 	}
 	for range 50 {
-		o.shares.Use(now, "busy", time.Second)
+		shares.Use(now, "busy", time.Second)
 	}
 	for range 10 {
-		o.shares.Offer(now, "calm", time.Second)
-		o.shares.Use(now, "calm", time.Second)
+		shares.Offer(now, "calm", time.Second)
+		shares.Use(now, "calm", time.Second)
 	}
 }
 
@@ -70,7 +70,7 @@
 		ft := newFakeTarget(t, "t1", sendEvents(1, 2, true))
 		tg := newTestGateway(t, ft)
 		cfg := sharedConfiguration()
-		tg.exhaustShare()
+		tg.exhaust(tg.gateway.order.shares)
 		send := func(workspace string) (int, http.Header) {
 			w := httptest.NewRecorder()
 			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
@@ -125,6 +125,31 @@
 	})
 }
 
+// A workspace that asks for many adapters must not fill the loads at an engine for others.
+func TestLoadShare(t *testing.T) {
+	tg := newTestGateway(t, newFakeTarget(t, "t1", sendEvents(1, 2, true)))
+	newFakePacer(t, tg, "t1", func(c *peer.Conn, m peer.PromptOffer) { _, _ = c.Send(peer.PromptAnswer{ID: m.ID, Admitted: true}) })
+	cfg := sharedConfiguration()
+	tg.exhaust(tg.gateway.order.loads)
+	for _, test := range []struct {
+		workspace string
+		missing   int // adapters for which others wait
+		want      string
+	}{{"busy", 0, "timeout"}, {"busy", 5, reasonLoadShare}, {"calm", 5, "timeout"}} {
+		tg.fleet.mu.Lock()
+		tg.fleet.targets["t1"].missingAdapters = test.missing
+		tg.fleet.mu.Unlock()
+		c := callOf(cfg, test.workspace, "/patient/x", "m")
+		c.adapter.Name = "a1"
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+		_, reason := tg.gateway.awaitTarget(ctx, c)
+		cancel()
+		if reason != test.want || (reason == reasonLoadShare) != (c.retryAfter > 0) {
+			t.Errorf("%s, %d missing adapters: reason %q, retry after %s, expected %q", test.workspace, test.missing, reason, c.retryAfter, test.want)
+		}
+	}
+}
+
 // A target whose responses took long under an earlier load must not be given up: while it
 // gets no requests, nothing shows that it is fast again.
 func TestFreeTargetIsUsed(t *testing.T) {
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -21,14 +21,16 @@
 // selection is a target selected for an attempt, with the estimates behind the
 // decision.
 type selection struct {
-	target   *targetState
-	replica  target.Replica
-	resident bool            // the target holds the adapter
-	wait     time.Duration   // expected time until the attempt can start
-	load     int             // estimated requests at the target
-	backlog  int             // estimated tokens of prompts that the target has to read
-	stateAge time.Duration   // age of the engine state, zero if none is known
-	changed  <-chan struct{} // closed when the selection may change, nil if the adapter is resident
+	target    *targetState
+	replica   target.Replica
+	resident  bool            // the target holds the adapter
+	wait      time.Duration   // expected time until the attempt can start
+	load      int             // estimated requests at the target
+	backlog   int             // estimated tokens of prompts that the target has to read
+	stateAge  time.Duration   // age of the engine state, zero if none is known
+	newLoad   bool            // the target was not asked to load the adapter yet
+	loadsWait bool            // more adapters wait to be loaded there than are loaded at once
+	changed   <-chan struct{} // closed when the selection may change, nil if the adapter is resident
 }
 
 // choose returns the target for the next attempt of a call, and false if none is
@@ -72,6 +74,7 @@
 	sel := selection{target: t, replica: t.replica, resident: choice.Resident, wait: choice.Wait, load: t.estimatedLoad(now), backlog: t.estimatedBacklog(now, f.tokenTime(c.service))}
 	if !sel.resident {
 		sel.changed = f.changeSignal(c.adapter)
+		sel.newLoad, sel.loadsWait = !t.loading[c.adapter] && t.waiting[c.adapter] == 0, t.missingAdapters > maxConcurrentLoads
 	}
 	if !t.stateAt.IsZero() {
 		sel.stateAge = now.Sub(t.stateAt)
--- a/pkg/overload/overload_test.go
+++ b/pkg/overload/overload_test.go
@@ -75,6 +75,12 @@
 				convey.So(c.Decide(start, "other", patient, f, 0).Admitted(), convey.ShouldBeTrue)
 			})
 		})
+		convey.Convey("a caller that leaves early limits the others of its class to no less than the objective", func() {
+			hasty := short
+			hasty.Patience = 50 * time.Millisecond
+			convey.So(decide(hasty, 200*time.Millisecond).Admitted(), convey.ShouldBeFalse)
+			convey.So(decide(short, 350*time.Millisecond).Admitted(), convey.ShouldBeTrue)
+		})
 		convey.Convey("a prompt that can't be read in time does not stop the others", func() {
 			f := Forecast{At: start, Wait: time.Second, Work: time.Minute}
 			convey.So(c.Decide(start, "s", short, f, 0).Admitted(), convey.ShouldBeFalse)
