Tell who is above its share before anything is rejected

While all get what they ask for, the division has no level, so that a backlog first grew until all were rejected and then took seconds to fall. A workspace with 1.5 times an equal part and the level of nine tenths of the capacity is now above its share at once.

--- a/pkg/fairshare/doc.go
+++ b/pkg/fairshare/doc.go
@@ -10,7 +10,8 @@
 // The engine time that workspaces ask for (Offer) and get (Use) is summed with
 // exponential decay. The division is max-min fair: what all got is divided so that
 // workspaces that ask for little get all of it, and the others equal parts, the level.
-// Whoever got the level is above its share. A workspace that asks for nothing lends its
+// Whoever got the level is above its share, and before anything is rejected whoever got
+// much more than an equal part. A workspace that asks for nothing lends its
 // part; when it returns it is below the level with its first request, and the others are
 // above it as soon as they get less than they ask for. Asking for more, or more often,
 // does not change the level of the others.
--- a/pkg/fairshare/shares.go
+++ b/pkg/fairshare/shares.go
@@ -22,6 +22,12 @@
 	// can be starved. It suffices for 16 times the usual load beside 15 others, and bounds
 	// what a workspace gets by repeating rejected requests, which all count as not served.
 	starvedShares = 2
+	// earlyCapacity and earlyShares tell who is above its share before anything was rejected:
+	// a workspace that has got the level of this part of what all got, and this multiple of
+	// an equal share. Otherwise the backlog would first grow until all are rejected, and
+	// take seconds to fall.
+	earlyCapacity = 0.9
+	earlyShares   = 1.5
 	// forgottenBelow is the number of requests below which a workspace is forgotten: some
 	// 40 s after the last of ten requests.
 	forgottenBelow = 0.01
@@ -86,13 +92,16 @@
 
 	levelAt  time.Time // when the following were computed
 	level    float64   // seconds of engine time, infinite while all get what they ask for
+	early    float64   // use from which a workspace is above its share although all get what they ask for
 	total    float64   // used by all
 	fraction float64   // of the requests of all that were served
 	demands  []float64 // reused
 }
 
 // New returns shares without use.
-func New() *Shares { return &Shares{workspaces: map[string]*sums{}, level: math.Inf(1)} }
+func New() *Shares {
+	return &Shares{workspaces: map[string]*sums{}, level: math.Inf(1), early: math.Inf(1)}
+}
 
 func (s *Shares) sumsOf(now time.Time, workspace string) *sums {
 	u := s.workspaces[workspace]
@@ -136,7 +145,7 @@
 	u.decay(now)
 	since := weight(now.Sub(s.levelAt))
 	switch {
-	case u.used < since*s.level:
+	case u.used < since*min(s.level, s.early):
 		return Within
 	case u.served < starvedRatio*s.fraction*u.requests && u.used < starvedShares*since*s.total/float64(len(s.demands)):
 		return Starved
@@ -189,6 +198,7 @@
 	}
 	slices.Sort(s.demands)
 	s.level = divide(s.total, s.demands)
+	s.early = max(divide(earlyCapacity*s.total, s.demands), earlyShares*s.total/float64(max(1, len(s.demands))))
 }
 
 // roundingError is the relative difference up to which sums of the same amounts count as
