Tell rejected callers to return one after the other

The time to return now follows those that were told to return before, at the rate at which the class is admitted.

--- a/pkg/overload/overload.go
+++ b/pkg/overload/overload.go
@@ -25,10 +25,18 @@
 	// a share of the time that callers of its class wait: one objective. A prompt that can't
 	// be read before its caller leaves must not stop the others.
 	minClassLimit = 0.25
+	// rateWindow is the time constant of the rate at which requests are admitted.
+	rateWindow = 2 * time.Second
+	// maxPromise bounds the time until a rejected caller returns because of others that
+	// return before it, as a share of the time that callers of its class wait. They honour
+	// a third of what they have left.
+	maxPromise = 0.33
+	// classRetention is how long a class without requests is remembered.
+	classRetention = time.Minute
 	// retrySpread and minRetrySpread are the random part of Retry-After: relative to the
 	// time until there is capacity, and at least.
-	retrySpread    = 0.5
-	minRetrySpread = 250 * time.Millisecond
+	retrySpread    = 0.25
+	minRetrySpread = 100 * time.Millisecond
 )
 
 // Reason is the reason of a decision.
@@ -96,46 +104,94 @@
 // Admitted reports whether the request is admitted.
 func (d Decision) Admitted() bool { return d.Reason == Admitted }
 
-// pressure is that of a class of which requests were rejected.
-type pressure struct {
-	urgency int
-	limit   time.Duration // least limit of the wait of its rejected requests
-	at      time.Time     // of the last rejection at that limit
+// class is the state of a class.
+type class struct {
+	urgency    int
+	limit      time.Duration // least limit of the wait of recently rejected requests
+	rejectedAt time.Time     // when one was rejected at that limit
+	admitted   float64       // decayed number of admitted requests
+	admittedAt time.Time     // to which it is decayed
+	promisedAt time.Time     // last time at which a rejected caller was told to return
 }
 
-// valid reports whether the pressure still limits others.
-func (p pressure) valid(now time.Time) bool { return now.Sub(p.at) < pressureValidity }
+// rejects reports whether requests were rejected recently, so that others are limited.
+func (c *class) rejects(now time.Time) bool { return now.Sub(c.rejectedAt) < pressureValidity }
+
+// idle reports whether nothing is left to know of the class.
+func (c *class) idle(now time.Time) bool {
+	return now.Sub(c.rejectedAt) > classRetention && now.Sub(c.admittedAt) > classRetention
+}
+
+// decay decays the number of admitted requests to now.
+func (c *class) decay(now time.Time) {
+	if elapsed := now.Sub(c.admittedAt); elapsed > 0 {
+		c.admitted *= math.Exp(-float64(elapsed) / float64(rateWindow))
+		c.admittedAt = now
+	}
+}
+
+// promise returns the time after which a rejected caller should return: when its backlog
+// has fallen, and after those that were told to return before, which are admitted at the
+// rate at which requests of the class are. It is at most a part of the callers' patience.
+func (c *class) promise(now time.Time, after, patience time.Duration) time.Duration {
+	c.decay(now)
+	interval := time.Duration(float64(rateWindow) / max(1, c.admitted))
+	at := now.Add(after)
+	if next := c.promisedAt.Add(interval); next.After(at) {
+		at = next
+	}
+	if latest := now.Add(max(after, time.Duration(maxPromise*float64(patience)))); at.After(latest) {
+		at = latest
+	}
+	c.promisedAt = at
+	return at.Sub(now)
+}
 
 // Controller decides for the requests of one process. It is not safe for concurrent use.
 type Controller struct {
-	services map[string]map[string]pressure // by service and class
+	services map[string]map[string]*class // by service and class
 }
 
 // New returns a controller without state.
-func New() *Controller { return &Controller{services: map[string]map[string]pressure{}} }
+func New() *Controller { return &Controller{services: map[string]map[string]*class{}} }
+
+// classOf returns the state of a request's class.
+func (c *Controller) classOf(service string, r Request) *class {
+	classes := c.services[service]
+	if classes == nil {
+		classes = map[string]*class{}
+		c.services[service] = classes
+	}
+	k := classes[r.Class]
+	if k == nil {
+		k = &class{}
+		classes[r.Class] = k
+	}
+	k.urgency = r.Urgency
+	return k
+}
 
 // Decide decides on a request to a service. draw is a random number from [0,1).
 func (c *Controller) Decide(now time.Time, service string, r Request, f Forecast, draw float64) Decision {
-	wait := f.waitAt(now)
+	wait, k := f.waitAt(now), c.classOf(service, r)
 	own := r.Patience - f.Work
 	d := Decision{Reason: Overloaded, Wait: wait, Limit: own}
-	if f.Free {
-		d.Reason = Admitted
-		return d
-	}
-	if !r.Queued && !r.Starved {
+	if !r.Queued && !r.Starved && !f.Free {
 		c.lower(now, service, r, &d)
 	}
-	if wait <= d.Limit {
+	if f.Free || wait <= d.Limit {
 		d.Reason = Admitted
+		if !r.Queued {
+			k.decay(now)
+			k.admitted++
+		}
 		return d
 	}
 	if wait > own && !r.AboveShare {
-		c.record(now, service, r, f)
+		k.record(now, r, f)
 	}
-	after := wait - max(0, d.Limit)
-	spread := max(minRetrySpread, time.Duration(retrySpread*float64(after)))
-	d.RetryAfter = after + time.Duration(draw*float64(spread))
+	after := k.promise(now, wait-max(0, d.Limit), r.ClassPatience)
+	d.RetryAfter = after + time.Duration(draw*max(float64(minRetrySpread), retrySpread*float64(after)))
 	return d
 }
 
@@ -149,29 +205,24 @@
 	if r.AboveShare {
 		limit(AboveShare, time.Duration(aboveShareLimit*float64(r.Objective)))
 	}
-	classes := c.services[service]
-	for class, p := range classes {
+	for name, k := range c.services[service] {
 		switch {
-		case !p.valid(now):
-			delete(classes, class)
-		case class == r.Class:
-			limit(ClassLimit, time.Duration(returnedLimit*float64(p.limit)))
-		case p.urgency < r.Urgency:
-			steps := min(maxUrgencySteps, r.Urgency-p.urgency)
-			limit(LessUrgent, time.Duration(math.Pow(lessUrgentLimit, float64(steps))*float64(p.limit)))
+		case name != r.Class && k.idle(now):
+			delete(c.services[service], name)
+		case !k.rejects(now):
+		case name == r.Class:
+			limit(ClassLimit, time.Duration(returnedLimit*float64(k.limit)))
+		case k.urgency < r.Urgency:
+			steps := min(maxUrgencySteps, r.Urgency-k.urgency)
+			limit(LessUrgent, time.Duration(math.Pow(lessUrgentLimit, float64(steps))*float64(k.limit)))
 		}
 	}
 }
 
 // record records that a request was rejected because its caller would have left.
-func (c *Controller) record(now time.Time, service string, r Request, f Forecast) {
-	classes := c.services[service]
-	if classes == nil {
-		classes = map[string]pressure{}
-		c.services[service] = classes
-	}
+func (c *class) record(now time.Time, r Request, f Forecast) {
 	limit := max(r.Patience-f.Work, time.Duration(minClassLimit*float64(r.ClassPatience)))
-	if p := classes[r.Class]; !p.valid(now) || limit <= p.limit {
-		classes[r.Class] = pressure{urgency: r.Urgency, limit: limit, at: now}
+	if !c.rejects(now) || limit <= c.limit {
+		c.limit, c.rejectedAt = limit, now
 	}
 }
