Keep more urgent classes on time while requests are rejected

A less urgent class filled the backlog up to a part of what rejected more urgent callers waited, so that these were served late, and the limit ended after two seconds although it was still needed. The limit is now a part of the more urgent objective and stays as long as it rejects requests.

--- a/pkg/fairshare/shares_test.go
+++ b/pkg/fairshare/shares_test.go
@@ -227,3 +227,20 @@
 		})
 	})
 }
+
+func BenchmarkShares(b *testing.B) {
+	s := New()
+	names := make([]string, 16)
+	for i := range names {
+		names[i] = fmt.Sprint("w", i)
+	}
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		i++
+		now := start.Add(time.Duration(i) * 20 * time.Millisecond)
+		s.Offer(now, names[i%16], time.Second)
+		s.Standing(now, names[i%16])
+		s.Use(now, names[i%16], time.Second)
+	}
+}
--- a/pkg/overload/doc.go
+++ b/pkg/overload/doc.go
@@ -13,17 +13,18 @@
 //   - what its caller waits, less the time to read the prompt itself;
 //   - for workspaces above their share, a part of the objective, so that the others are
 //     still served on time;
-//   - while requests of a class are rejected because of the first limit, a part of theirs,
-//     for the same class and for less urgent ones. So a more urgent class is rejected no
+//   - while requests of a class are rejected because of the first limit, a part of theirs
+//     for the same class, and a part of theirs or of their objective for less urgent ones. So a more urgent class is rejected no
 //     more often than a less urgent one, whatever their callers wait, and long prompts and
 //     callers that have waited before are served as well as the others of their class.
 //
 // Each limit bounds the backlog, which the targets still work off: no target idles
 // because of them. Starved workspaces have only the first limit.
 //
-// Retry-After is the time until the backlog has fallen to the limit. Nothing tells how
-// long a caller that returns has waited, so it has the same limits as newcomers; a random
-// part spreads the callers so that they don't meet.
+// Retry-After is the time until the backlog has fallen to the limit, after the callers of
+// the class that were told to return before. Nothing tells how long a caller that returns
+// has waited, so it has the same limits as newcomers; a random part spreads the callers so
+// that they don't meet.
 //
 // # Usage
 //
--- a/pkg/overload/overload.go
+++ b/pkg/overload/overload.go
@@ -10,7 +10,8 @@
 	// admitted, as a share of the objective. The other half is for reading the prompt.
 	aboveShareLimit = 0.5
 	// lessUrgentLimit is the limit of a class as a share of that of the next more urgent
-	// one. The difference exceeds the error of forecasts at different targets.
+	// one, or of the objective of that if it is less, so that the more urgent class is on
+	// time behind it. The difference exceeds the error of forecasts at different targets.
 	lessUrgentLimit = 0.75
 	// maxUrgencySteps bounds the steps for which lessUrgentLimit is applied.
 	maxUrgencySteps = 3
@@ -107,6 +108,7 @@
 // class is the state of a class.
 type class struct {
 	urgency    int
+	objective  time.Duration // of its last request
 	limit      time.Duration // least limit of the wait of recently rejected requests
 	rejectedAt time.Time     // when one was rejected at that limit
 	admitted   float64       // decayed number of admitted requests
@@ -167,7 +169,7 @@
 		k = &class{}
 		classes[r.Class] = k
 	}
-	k.urgency = r.Urgency
+	k.urgency, k.objective = r.Urgency, r.Objective
 	return k
 }
 
@@ -214,7 +216,10 @@
 			limit(ClassLimit, time.Duration(returnedLimit*float64(k.limit)))
 		case k.urgency < r.Urgency:
 			steps := min(maxUrgencySteps, r.Urgency-k.urgency)
-			limit(LessUrgent, time.Duration(math.Pow(lessUrgentLimit, float64(steps))*float64(k.limit)))
+			limit(LessUrgent, time.Duration(math.Pow(lessUrgentLimit, float64(steps))*float64(min(k.limit, k.objective))))
+			if d.Reason == LessUrgent && d.Wait > d.Limit {
+				k.rejectedAt = now // without this limit the class would be rejected again
+			}
 		}
 	}
 }
--- a/pkg/overload/overload_test.go
+++ b/pkg/overload/overload_test.go
@@ -208,3 +208,19 @@
 		})
 	}
 }
+
+// 16 workspaces with five routes each.
+func BenchmarkDecide(b *testing.B) {
+	c := New()
+	var requests []Request
+	for i := range 80 {
+		requests = append(requests, request(fmt.Sprint(i), i%5))
+	}
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		i++
+		now := start.Add(time.Duration(i) * time.Millisecond)
+		c.Decide(now, "s", requests[i%80], Forecast{At: now, Wait: time.Duration(i%3) * time.Second}, 0.5)
+	}
+}
