--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -30,6 +30,8 @@
 		Remaining:   c.remaining(now),
 		Urgency:     g.urgencyAt(now, c, sel),
 		LastEventID: c.lastEventID,
+		Identified:  c.identified,
+		Workspace:   c.workspaceName(),
 	})
 	g.Log.Event(event.AttemptSent).
 		Str("request", c.meta.ID).
@@ -49,6 +51,8 @@
 	version := g.Fleet.softwareVersion(now, sel.target)
 	active := g.Fleet.beginAttempt(now, sel.target, c, o, cancel)
 	defer g.Fleet.endAttempt(sel.target, c.adapter, active)
+	g.Scope.Counter("prompt_tokens").Inc(int64(active.promptTokens))
+	g.Scope.Counter("prompt_tokens_cached").Inc(int64(active.sent.cached))
 	defer func() { c.memory.shrink(c.fallbackHeld) }()
 	g.recordUse(now, c)
 	resp, err := g.Client.Do(attemptCtx, sel.replica.Addr, &req)
@@ -86,6 +90,10 @@
 	}
 	if !isEventStream(resp) || !meta.Signed || meta.Reencoded || meta.NotRun {
 		out, err := g.relayBuffered(w, c, resp, meta)
+		if out == delivered && resp.Status < 300 && c.model == "" { // failures may be fast
+			end := time.Now()
+			g.Fleet.observePlain(end, sel.target, sel.load, end.Sub(now))
+		}
 		return g.recordResult(ctx, c, sel, run, out, err, now)
 	}
 	onBegin := func(at time.Time) { g.Fleet.recordEventBegin(at, active) }
@@ -100,12 +108,14 @@
 			g.Fleet.recordOrigin(at, c)
 		}
 		if first {
-			g.Fleet.recordFirstEvent(sel.target, active, sel.backlog, at.Sub(now))
+			active.firstEventAt = at
+			g.Fleet.recordFirstEvent(at, sel.target, active, sel.backlog, at.Sub(now))
 		} else {
 			g.Fleet.recordGap(at, active, c.route.MaxEventGap)
 			// A target that crashes while it writes may have sent one event.
 			g.CrashTracker.segments.recordAnswer(at, run)
 		}
+		active.events++
 		g.Fleet.recordActivity(at, active)
 		return nil
 	}
@@ -114,6 +124,9 @@
 		g.logFailedAttempt(c, sel, out, nil, err)
 		return out
 	}
+	if out == delivered {
+		g.Fleet.observeEvents(time.Now(), sel.target, active.events, c.lastEventAt.Sub(active.firstEventAt))
+	}
 	if active.unfinished.Load() && out == broken {
 		err = errEventTooSlow
 	}
@@ -162,7 +175,7 @@
 		if c.firstEvent.After(start) {
 			first = c.firstEvent
 		}
-		g.Fleet.observeLatency(sel.target, first.Sub(start), now.Sub(start))
+		g.Fleet.observeLatency(now, sel.target, first.Sub(start), now.Sub(start))
 	case broken, failed:
 		if ctx.Err() != nil {
 			g.recordSilence(now, c, sel, start)
@@ -334,7 +347,8 @@
 // has not run.
 func impliesNotRun(status int) bool {
 	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooEarly, http.StatusTooManyRequests,
+		http.StatusServiceUnavailable:
 		return true
 	}
 	return false
--- a/internal/gateway/attempt_loop.go
+++ b/internal/gateway/attempt_loop.go
@@ -131,6 +131,9 @@
 // admit registers an attempt that is about to be sent. It returns the reason if the
 // call may not be sent now.
 func (g *Gateway) admit(now time.Time, c *call) (*segmentRun, string) {
+	if reason := g.identifyAgain(c); reason != "" {
+		return nil, reason
+	}
 	run, verdict := g.CrashTracker.segments.begin(now, c, c.heldFor >= maxHeldTime)
 	reason := ""
 	switch {
@@ -317,6 +320,9 @@
 		}
 	}
 	after := bounded(c.retryAfterOf(reason), c.remaining(time.Now())/retryAfterDivisor)
+	if reason == reasonOverQuota {
+		status, after = http.StatusTooManyRequests, c.retryAfter // earlier there is no credit
+	}
 	g.setConnection(w.Header())
 	g.HeaderCodec.SetRejection(w.Header(), c.meta.ID, after)
 	w.Header()["Content-Type"] = nil
@@ -333,7 +339,7 @@
 		return 0 // waiting does not help
 	case c.retryAfter > 0:
 		return max(c.retryAfter, shortRetryAfter)
-	case reason == "no_target" || reason == reasonQuarantined:
+	case reason == "no_target" || reason == reasonQuarantined || reason == reasonUnconfirmed:
 		return spread(longRetryAfter)
 	case c.possibleRuns > 0:
 		return 0
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -7,22 +7,24 @@
 	"github.com/borageusher/borageusher/internal/upstream"
 	"github.com/borageusher/borageusher/pkg/orders"
 	"github.com/borageusher/borageusher/pkg/placement"
+	"github.com/borageusher/borageusher/pkg/promptcache"
 	"github.com/borageusher/borageusher/pkg/quarantine"
 	"github.com/borageusher/borageusher/pkg/routing"
 )
 
 // call is one request of a caller and the state of its attempts.
 type call struct {
-	meta      RequestMeta
-	route     *routing.Route
-	revision  int64              // configuration revision that applies to the call
-	workspace *routing.Workspace // that the caller belongs to, nil without one
-	service   string
-	model     string
-	adapter   orders.Adapter
-	header    http.Header // as sent by the caller
-	request   upstream.Request
-	body      []byte
+	meta       RequestMeta
+	route      *routing.Route
+	revision   int64              // configuration revision that applies to the call
+	workspace  *routing.Workspace // that the caller belongs to, nil without one
+	identified bool               // callers of the deployment identify themselves
+	service    string
+	model      string
+	adapter    orders.Adapter
+	header     http.Header // as sent by the caller
+	request    upstream.Request
+	body       []byte
 
 	urgency           int           // 0 is the most urgent; that of the route without workspaces
 	urgencyAboveShare int           // while its workspace is above its share of contended capacity
@@ -30,10 +32,13 @@
 	needsLoad         bool          // its adapter had to be loaded for it
 	usesLoad          bool          // and it waited for the load
 
-	segments     []quarantine.Fingerprint // shared segments of the prompt
-	placementKey uint64                   // key of rendezvous hashing: the adapter or, without one, the last shared segment of the prompt
-	start        time.Time
-	deadline     time.Time
+	segments       []quarantine.Fingerprint // shared segments of the prompt
+	promptSegments []promptcache.Segment    // the same segments, nil if their tokens are not known
+	prompt         promptcache.Prompt       // of those segments; guarded by the fleet's mu, as is promptVersion
+	promptVersion  int64                    // version of the adapter that prompt is for
+	placementKey   uint64                   // key of rendezvous hashing: the adapter or, without one, the last shared segment of the prompt
+	start          time.Time
+	deadline       time.Time
 
 	tried           map[string]bool // targets that may have run it, by id
 	refused         map[string]bool // targets that proved not to have run it or could not be reached, by id
@@ -106,6 +111,7 @@
 		HasBody: r.ContentLength != 0 || r.Method == http.MethodPost || r.Method == http.MethodPut,
 	}
 	c.segments = segmentFingerprints(service, m.PromptSegments)
+	c.promptSegments = promptSegments(m)
 	c.placementKey = placement.Hash(m.Model + "/" + m.Adapter)
 	if m.Adapter == "" && len(m.PromptSegments) > 0 {
 		c.placementKey = placement.Hash(m.Model + "//" + m.PromptSegments[len(m.PromptSegments)-1])
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -8,6 +8,7 @@
 	"github.com/borageusher/borageusher/internal/peer"
 	"github.com/borageusher/borageusher/internal/permits"
 	"github.com/borageusher/borageusher/pkg/assignment"
+	"github.com/borageusher/borageusher/pkg/holder"
 	"github.com/borageusher/borageusher/pkg/orders"
 	"github.com/borageusher/borageusher/pkg/routing"
 	"github.com/borageusher/borageusher/pkg/target"
@@ -26,7 +27,12 @@
 	log     event.Log
 
 	mu              sync.Mutex
-	targets         map[string]*targetState // by the target's id
+	targets         map[string]*targetState  // by the target's id
+	services        map[string]*serviceIndex // of the same targets
+	sampler         sampler
+	slowTargets     int   // as of the last sweep
+	fullChoices     int64 // since the last call of choiceStats
+	maxFullChoice   int   // number of targets up to which a choice looks at all
 	cfg             *routing.Configuration
 	versions        map[orders.Adapter]int64
 	latencies       map[string]*latencyStats         // by service
@@ -43,6 +49,7 @@
 	lastPermit      uint64                      // id of the last permit request
 	lastEntrydCount int                         // last known number of entryds
 	origins         streamOrigins
+	membership      holder.Membership  // of the targetds
 	onTarget        func(*targetState) // called with mu held for added targets, and for all on a new configuration
 }
 
@@ -50,21 +57,23 @@
 // given availability zone and region; regions maps zones to regions.
 func NewFleet(zone, region string, regions map[string]string, log event.Log) *Fleet {
 	return &Fleet{
-		zone:        zone,
-		region:      region,
-		regions:     regions,
-		log:         log,
-		targets:     map[string]*targetState{},
-		versions:    map[orders.Adapter]int64{},
-		latencies:   map[string]*latencyStats{},
-		changes:     map[orders.Adapter]chan struct{}{},
-		notices:     map[target.Incarnation]*targetNotice{},
-		unconfirmed: map[string]unconfirmedEntry{},
-		superseded:  map[string]target.Replica{},
-		limits:      map[string]*rateLimit{},
-		permits:     permits.New(),
-		origins:     newStreamOrigins(),
-		epoch:       time.Now(),
+		zone:          zone,
+		region:        region,
+		regions:       regions,
+		log:           log,
+		targets:       map[string]*targetState{},
+		services:      map[string]*serviceIndex{},
+		maxFullChoice: maxFullChoice,
+		versions:      map[orders.Adapter]int64{},
+		latencies:     map[string]*latencyStats{},
+		changes:       map[orders.Adapter]chan struct{}{},
+		notices:       map[target.Incarnation]*targetNotice{},
+		unconfirmed:   map[string]unconfirmedEntry{},
+		superseded:    map[string]target.Replica{},
+		limits:        map[string]*rateLimit{},
+		permits:       permits.New(),
+		origins:       newStreamOrigins(),
+		epoch:         time.Now(),
 	}
 }
 
@@ -130,6 +139,7 @@
 		t = newTargetState(now, r, f.noticeOf(r.Incarnation()), f.limitOf(r.Incarnation().String()))
 		t.distance = f.distance(r.Zone)
 		f.targets[r.ID] = t
+		f.indexOf(r.Service).all.add(t)
 		t.notice.goneAt = time.Time{}
 		f.logState(r, "added")
 		if f.onTarget != nil {
@@ -139,6 +149,7 @@
 	}
 	if t.replica.State != r.State {
 		f.logState(r, r.State.String())
+		f.indexOf(r.Service).forget()
 	}
 	t.replica = r
 	t.goneAt = time.Time{}
@@ -177,6 +188,7 @@
 // holds mu.
 func (f *Fleet) drop(now time.Time, t *targetState) {
 	delete(f.targets, t.replica.ID)
+	f.indexOf(t.replica.Service).remove(t)
 	f.noticeOf(t.replica.Incarnation()).goneAt = now
 	t.replica.State = target.Gone
 	if t.closeConn != nil {
@@ -198,6 +210,7 @@
 		}
 	}
 	f.reinstate(now)
+	f.logSpeeds(now)
 	f.expireNotices(now)
 	f.expireLimits(now)
 	f.expireOrigins(now)
@@ -280,16 +293,16 @@
 	if l.Slots > 0 {
 		t.observeLoad(now, l)
 	}
+	t.speed.reported.Observe(now, l.Slowness)
 	t.connectFailures = 0
 }
 
 // observeLatency records the time to the first event of a response and to its
 // end.
-func (f *Fleet) observeLatency(t *targetState, firstEvent, duration time.Duration) {
+func (f *Fleet) observeLatency(now time.Time, t *targetState, firstEvent, duration time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	t.latency.observe(firstEvent, duration)
-	f.latencyOf(t.replica.Service).observe(firstEvent, duration)
+	f.latencyOf(t.replica.Service).observe(firstEvent, duration, t.speed.reported.Factor(now))
 }
 
 // recordConnectFailure records a failed connection to a target, which is then
@@ -314,6 +327,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(t.resident, a)
+	f.reindex(t, a)
 }
 
 // entrydCount returns the highest number of entryds that a targetd reports, the last one
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/borageusher/borageusher/internal/credit"
 	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/internal/settings"
 	"github.com/borageusher/borageusher/internal/upstream"
@@ -37,8 +38,10 @@
 	Fleet         *Fleet
 	Client        *upstream.Client
 	Configuration *atomic.Pointer[routing.Configuration] // configuration in force, nil until the first one
+	Confirmations *confirmations                         // of the configuration in force
 	RetryBudget   *retryBudget
 	CrashTracker  *crashTracker
+	Credit        *credit.Accounts // of workspaces with a quota, nil to enforce none
 	Log           event.Log
 	Scope         tally.Scope
 	Limits        settings.Limits // of the VM
@@ -71,6 +74,7 @@
 	g.inProgress.Add(1)
 	defer g.inProgress.Add(-1)
 	meta := g.HeaderCodec.ParseRequest(r.Header)
+	latest := g.latestConfirmation()
 	cfg := g.Configuration.Load()
 	if cfg == nil || !g.Fleet.Listed() {
 		g.reject(w, meta.ID, 503, "no_configuration", spread(longRetryAfter))
@@ -82,6 +86,13 @@
 		return
 	}
 	var workspace *routing.Workspace
+	if cfg.HasWorkspaces() && !route.Public {
+		var reason string
+		if workspace, reason = g.identify(latest, cfg, r.Host, rawPath(r), keyOf(meta)); reason != "" {
+			g.rejectUnidentified(w, r, meta, reason)
+			return
+		}
+	}
 	place, untilRoom := g.admission.enter(now, cfg, workspace)
 	if place == nil {
 		if meta.Deadline > 0 {
@@ -114,11 +125,11 @@
 	c := newCall(now, meta, route, service, r, body)
 	c.revision, c.softwareVersion = cfg.Version, version
 	c.setOrder(cfg, workspace)
+	c.identified = cfg.HasWorkspaces()
 	c.memory = lease{admission: g.admission, use: response}
 	c.request.Reserve = c.memory.reserve
 	defer c.memory.shrink(0)
 	g.RetryBudget.recordRequest(now, service)
-	g.recordOffer(now, c)
 	if reason != "" {
 		g.respondFailure(r.Context(), w, c, reason)
 		return
@@ -130,12 +141,22 @@
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	defer context.AfterFunc(g.ending, cancel)()
+	charge, reason := g.spendCredit(ctx, c)
+	if reason != "" {
+		g.respondFailure(r.Context(), w, c, reason)
+		return
+	}
+	defer g.refundCredit(c, charge)
+	g.recordOffer(time.Now(), c) // what exceeds the quota is no demand
 	g.runAttempts(ctx, r.Context(), w, c)
 }
 
 // rawPath returns the path as sent by the caller, without the query.
-func rawPath(r *http.Request) string {
-	path, _, _ := strings.Cut(r.RequestURI, "?")
+func rawPath(r *http.Request) string { return pathOf(r.RequestURI) }
+
+// pathOf returns a request's URI without the query.
+func pathOf(uri string) string {
+	path, _, _ := strings.Cut(uri, "?")
 	return path
 }
 
@@ -171,7 +192,7 @@
 	e := g.Log.Event(code).
 		Str("request", c.meta.ID).
 		Str("route", c.route.Name).
-		Str("workspace", c.workspaceLabel()).
+		Str("workspace", c.workspaceName()).
 		Str("service", c.service).
 		Str("adapter", c.adapter.Name).
 		Int64("revision", c.revision).
--- a/internal/gateway/header_codec.go
+++ b/internal/gateway/header_codec.go
@@ -3,19 +3,25 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/borageusher/borageusher/pkg/routing"
 )
 
 // RequestMeta is the metadata in the headers of a request.
 type RequestMeta struct {
-	ID                string
-	Deadline          time.Duration // time from now, zero if not set
-	Model             string        // empty for plain services
-	Adapter           string        // empty for the base model
-	PromptSegments    []string      // ids of the prompt's segments that other prompts share
-	PromptTokens      int
-	MaxResponseTokens int    // upper bound
-	LastEventID       string // id of the event after which a stream resumes, empty for none
-	StreamID          string // id of the request that brought the first event of that stream, empty if not named
+	ID                  string
+	Deadline            time.Duration // time from now, zero if not set
+	Model               string        // empty for plain services
+	Adapter             string        // empty for the base model
+	PromptSegments      []string      // ids of the prompt's segments that other prompts share
+	PromptTokens        int
+	PromptSegmentTokens []int  // of PromptSegments, zero where they are not known
+	MaxResponseTokens   int    // upper bound
+	LastEventID         string // id of the event after which a stream resumes, empty for none
+	StreamID            string // id of the request that brought the first event of that stream, empty if not named
+
+	Key    routing.KeyDigest // of the caller's key, if HasKey is set
+	HasKey bool              // the request has exactly one key
 }
 
 // AttemptMeta is the metadata that is sent to a target with a request.
@@ -24,6 +30,8 @@
 	Remaining   time.Duration // until the call's deadline
 	Urgency     int           // 0 is the most urgent
 	LastEventID string        // id of the event after which a stream resumes, empty for none
+	Identified  bool          // callers identify themselves by keys, which targets must not get
+	Workspace   string        // that the caller belongs to, if Identified is set; empty on public routes
 }
 
 // ResponseMeta is the metadata in the headers of a response.
@@ -50,9 +58,10 @@
 // Load is a target's load in requests. Slots is zero if the target does not
 // report its load.
 type Load struct {
-	Running int
-	Waiting int
-	Slots   int
+	Running  int
+	Waiting  int
+	Slots    int
+	Slowness float64 // factor by which work takes longer than normally at this moment, zero if it is not reported
 }
 
 // HeaderCodec converts between a platform's headers and the gateway's metadata.
--- a/internal/gateway/order.go
+++ b/internal/gateway/order.go
@@ -216,7 +216,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	latency := f.latencyOf(c.service)
-	out.Work = latency.readTime.Intercept() + time.Duration(c.promptTokens())*latency.readTime.Slope()
+	out.Work = sel.extra + latency.readTime.Intercept() + time.Duration(c.promptTokens())*latency.readTime.Slope()
 	return out
 }
 
@@ -243,7 +243,7 @@
 
 // logShed logs the decision to reject a call, and the share of a workspace above it.
 func (g *Gateway) logShed(now time.Time, c *call, sel selection, d overload.Decision, standing fairshare.Standing) {
-	name := c.workspaceLabel()
+	name := c.workspaceName()
 	g.Log.Event(event.RequestShed).
 		Str("request", c.meta.ID).
 		Str("workspace", name).
@@ -270,17 +270,6 @@
 	}
 }
 
-// workspaceLabel returns the name of the call's workspace in logs and metrics, empty
-// without one.
-func (c *call) workspaceLabel() string { return workspaceLabel(c.workspace) }
-
-func workspaceLabel(w *routing.Workspace) string {
-	if w == nil {
-		return ""
-	}
-	return w.Name
-}
-
 // countRejection counts a rejected request of a workspace.
 func (g *Gateway) countRejection(w *routing.Workspace, reason string) {
 	if w != nil {
--- a/internal/gateway/order_test.go
+++ b/internal/gateway/order_test.go
@@ -68,15 +68,12 @@
 func TestWorkspaceOrder(t *testing.T) {
 	convey.Convey("Given a workspace above its share and one below", t, func() {
 		ft := newFakeTarget(t, "t1", sendEvents(1, 2, true))
-		tg := newTestGateway(t, ft)
-		cfg := sharedConfiguration()
+		tg := newKeyedGateway(t, ft)
+		tg.list("4 busy:busy-key calm:calm-key")
 		tg.exhaust(tg.gateway.order.shares)
 		send := func(workspace string) (int, http.Header) {
-			w := httptest.NewRecorder()
-			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-			defer cancel()
-			tg.gateway.runAttempts(ctx, ctx, w, callOf(cfg, workspace, "/once/x", "m"))
-			return w.Code, w.Header()
+			got := tg.call(t, "/once/x", "Model", "m", "Key", workspace+"-key")
+			return got.status, got.header
 		}
 		urgencies := func() (out []string) {
 			for _, r := range ft.requests() {
@@ -158,7 +155,7 @@
 	tg.setBacklog("t1", 0)
 	tg.fleet.mu.Lock()
 	for range 100 {
-		tg.fleet.latencyOf("s").observe(time.Minute, time.Minute)
+		tg.fleet.latencyOf("s").observe(time.Minute, time.Minute, 1)
 	}
 	tg.fleet.targets["t1"].observeLoad(time.Now(), Load{Running: 3, Slots: 4})
 	tg.fleet.mu.Unlock()
--- a/internal/gateway/target_notice.go
+++ b/internal/gateway/target_notice.go
@@ -61,7 +61,8 @@
 		return
 	}
 	n.leaving, n.at = true, now
-	f.origins.holdersMoved = true
+	f.membership.Change()
+	f.indexOf(t.replica.Service).forget()
 	f.log.Event(event.TargetDeparting).
 		Str("target", t.replica.ID).
 		Str("service", t.replica.Service).
--- a/internal/gateway/targetd_conns.go
+++ b/internal/gateway/targetd_conns.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/borageusher/borageusher/internal/credit"
 	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/internal/peer"
 	"github.com/borageusher/borageusher/pkg/orders"
@@ -32,6 +33,7 @@
 	onCrashReport    func(time.Time, peer.CrashReport)
 	onSegmentCrash   func(time.Time, peer.SegmentCrash)
 	onSegmentAnswers func(time.Time, peer.SegmentAnswers)
+	credit           *credit.Accounts // nil to request no credit
 }
 
 // connect starts to maintain the connection to the targetd of t, unless it is
@@ -81,6 +83,7 @@
 	f.moveHolders(nil)
 	f.sendEngineSpec(t)
 	f.mu.Unlock()
+	tc.checkIssuers()
 	err := c.Run(ctx, func() peer.Heartbeat { return peer.Heartbeat{Active: true} }, func(m peer.Message) {
 		now := time.Now()
 		f.recordMessage(now, t)
@@ -101,6 +104,8 @@
 			f.applyPermitAnswer(t, m)
 		case peer.OriginAnswer:
 			f.applyOriginAnswer(now, c, m)
+		case peer.CreditAnswer:
+			tc.applyCredit(m)
 		case peer.CrashReport:
 			tc.onCrashReport(now, m)
 		case peer.SegmentCrash:
@@ -119,9 +124,24 @@
 	t.endPermitRequests()
 	f.notifyAll()
 	f.mu.Unlock()
+	tc.checkIssuers()
 	return err
 }
 
+// applyCredit passes the credit that a targetd granted on.
+func (tc *targetdConns) applyCredit(m peer.CreditAnswer) {
+	if tc.credit != nil {
+		tc.credit.Apply(m)
+	}
+}
+
+// checkIssuers chooses the issuers of credit again after a targetd was connected or lost.
+func (tc *targetdConns) checkIssuers() {
+	if tc.credit != nil {
+		tc.credit.CheckIssuers()
+	}
+}
+
 // recordMessage records the receipt of a message from a targetd.
 func (f *Fleet) recordMessage(now time.Time, t *targetState) {
 	f.mu.Lock()
@@ -145,7 +165,7 @@
 	defer f.mu.Unlock()
 	f.observeLoadTimes(now, t, s)
 	crashed = t.engineCrashed(s)
-	arrived, changed := t.applyState(now, s)
+	arrived, changed := f.applyState(now, t, s)
 	f.observeStart(now, t, s)
 	if s.Departing && s.Started == t.replica.Incarnation().Started {
 		f.recordLeaving(now, t, "targetd")
@@ -159,6 +179,47 @@
 	return crashed
 }
 
+// applyState does what targetState.applyState does, and updates the index. The caller
+// holds mu.
+func (f *Fleet) applyState(now time.Time, t *targetState, s peer.EngineState) (arrived []orders.Adapter, changed bool) {
+	models, resident, loading := t.state.Models, t.resident, t.loading
+	if s.Started != t.state.Started {
+		t.cache.Reset()
+	}
+	arrived, changed, evicted := t.applyState(now, s)
+	if f.targets[t.replica.ID] != t {
+		return arrived, changed
+	}
+	x := f.indexOf(t.replica.Service)
+	x.setModels(t, models, s.Models)
+	for a, version := range resident {
+		if _, ok := t.resident[a]; !ok {
+			x.update(t, a)
+			t.cache.Drop(promptRoot(a, version))
+			t.cache.Drop(promptRoot(a, f.version(a)))
+		}
+	}
+	for a := range t.resident {
+		if _, ok := resident[a]; !ok {
+			x.update(t, a)
+		}
+	}
+	for a := range loading {
+		if !t.loading[a] {
+			x.update(t, a)
+		}
+	}
+	for a := range t.loading {
+		if !loading[a] {
+			x.update(t, a)
+		}
+	}
+	for _, a := range evicted {
+		x.update(t, a)
+	}
+	return arrived, changed
+}
+
 // observeLoadTimes records how long the adapters that became resident took to
 // load since they were requested. The caller holds mu.
 func (f *Fleet) observeLoadTimes(now time.Time, t *targetState, s peer.EngineState) {
--- /dev/null
+++ b/internal/gateway/workspace_quota.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/borageusher/borageusher/internal/credit"
+	"github.com/borageusher/borageusher/pkg/holder"
+	"github.com/borageusher/borageusher/pkg/target"
+)
+
+// creditWaitShare is the share of the objective that a call waits for credit that is
+// expected, so that its answer can still be on time. It is a round trip between regions at
+// the shortest objective on the users' data sheets, 500 ms, with some margin.
+const creditWaitShare = 0.25
+
+// Reasons for which a call of a workspace gets no credit.
+const (
+	reasonOverQuota       = "over_quota"
+	reasonQuotaUnanswered = "quota_unanswered" // the issuer of the credit did not answer in time
+)
+
+// spendCredit charges a call to the quota of its workspace, before its first attempt. It
+// returns the reason if the call may not run.
+func (g *Gateway) spendCredit(ctx context.Context, c *call) (charge credit.Charge, reason string) {
+	if g.Credit == nil || c.workspace == nil || c.workspace.Quota.PerSecond <= 0 {
+		return credit.Charge{}, ""
+	}
+	start := time.Now()
+	v := g.Credit.Admit(ctx, c.workspace, credit.Cost{
+		Units:   c.workspace.Quota.Cost(c.meta.PromptTokens, c.meta.MaxResponseTokens),
+		Urgency: c.route.Urgency,
+		Wait:    min(time.Duration(creditWaitShare*float64(c.route.Objective)), c.remaining(start)/2),
+	})
+	g.Scope.Histogram("credit_wait_seconds", latencyBuckets).RecordDuration(time.Since(start))
+	c.retryAfter = v.RetryAfter
+	switch {
+	case v.Admitted:
+		return v.Charge, ""
+	case ctx.Err() != nil:
+		return credit.Charge{}, "timeout"
+	case v.Unanswered:
+		return credit.Charge{}, reasonQuotaUnanswered
+	}
+	return credit.Charge{}, reasonOverQuota
+}
+
+// refundCredit gives back the credit of a call that did not run and never will.
+func (g *Gateway) refundCredit(c *call, charge credit.Charge) {
+	if c.possibleRuns == 0 && g.Credit != nil {
+		g.Credit.Refund(charge)
+	}
+}
+
+// CreditIssuers implements credit.Fleet.
+func (f *Fleet) CreditIssuers(now time.Time, keys []uint64) []credit.Issuer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	listed := func(t *targetState) bool {
+		return t.closeConn != nil && t.replica.State == target.Live && !t.notice.leaving && !t.state.Departing
+	}
+	s := f.holdersAs(listed, func(t *targetState, p *holder.Process) {
+		p.Absent = t.conn == nil || !t.conn.IssuesCredit() || t.targetdSilent(now)
+	})
+	out := make([]credit.Issuer, len(keys))
+	for i, key := range keys {
+		if t, first := s.best(key); t != nil {
+			out[i] = credit.Issuer{Conn: t.conn, Name: t.replica.ID, First: first}
+		}
+	}
+	return out
+}
+
+// EntrydCount implements credit.Fleet.
+func (f *Fleet) EntrydCount() int { return f.entrydCount() }
