--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -65,6 +65,8 @@
 	QuotaIssuerChosen Code = 377
 	OverQuota         Code = 378
 	QuotaUnanswered   Code = 379
+	RequestShed       Code = 380
+	ShareExceeded     Code = 381
 	TargetSlow        Code = 385
 	TargetNotSlow     Code = 386
 	RequestQueued     Code = 400
@@ -174,6 +176,8 @@
 	{QuotaIssuerChosen, "quota_issuer_chosen", zerolog.InfoLevel, "The entryd requests the credit for a `group` of workspaces from the targetd of `target` (empty: none is connected) instead of that of `before`; it is the `first` choice or replaces one that can't be reached."},
 	{OverQuota, "over_quota", zerolog.InfoLevel, "That many `requests` of `workspace` were rejected with 429 since the last such line, because its quota is used up; `credit` is what is left at this entryd, `wait` the time until there is credit again."},
 	{QuotaUnanswered, "quota_unanswered", zerolog.WarnLevel, "That many `requests` of `workspace` were rejected with 503 since the last such line, because the issuer of its credit did not answer in time."},
+	{RequestShed, "request_shed", zerolog.InfoLevel, "Admission decision: the request is rejected because its forecast `wait` at the best `target` exceeds a `limit`; `reason` says which, `standing` is that of its workspace's share."},
+	{ShareExceeded, "share_exceeded", zerolog.InfoLevel, "Requests of the workspace are rejected because it has `used` its `fair` part of the engine time of this process's requests; at most once a second."},
 	{TargetSlow, "target_slow", zerolog.InfoLevel, "Work takes longer at the target than normally, by the product of the factor that it `reported` and the factor that is learned for reading prompts (`read`) or for other work (`work`). It gets fewer requests."},
 	{TargetNotSlow, "target_not_slow", zerolog.InfoLevel, "The target is not slow any more, or not observed."},
 	{RequestQueued, "request_queued", zerolog.DebugLevel, "The target queued an attempt."},
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -26,6 +26,12 @@
 	request    upstream.Request
 	body       []byte
 
+	urgency           int           // 0 is the most urgent; that of the route without workspaces
+	urgencyAboveShare int           // while its workspace is above its share of contended capacity
+	engineTime        time.Duration // expected time of an engine
+	needsLoad         bool          // its adapter had to be loaded for it
+	usesLoad          bool          // and it waited for the load
+
 	segments       []quarantine.Fingerprint // shared segments of the prompt
 	promptSegments []promptcache.Segment    // the same segments, nil if their tokens are not known
 	prompt         promptcache.Prompt       // of those segments; guarded by the fleet's mu, as is promptVersion
@@ -90,8 +96,11 @@
 		body:     body,
 		start:    now,
 		deadline: now.Add(within),
-		tried:    map[string]bool{},
-		refused:  map[string]bool{},
+
+		urgency: route.Urgency, urgencyAboveShare: route.Urgency,
+
+		tried:   map[string]bool{},
+		refused: map[string]bool{},
 	}
 	c.request = upstream.Request{
 		ID:      m.ID,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,11 +20,12 @@
 
 // Values of Retry-After.
 const (
-	// shortRetryAfter applies to rejections whose cause is expected to end soon.
+	// shortRetryAfter applies to rejections whose cause is expected to end soon, and is the
+	// least time stated.
 	shortRetryAfter = 200 * time.Millisecond
-	// longRetryAfter applies before the first configuration, to a service without
-	// targets or with overloaded ones, and to quarantined requests. It is about the
-	// time in which a target starts.
+	// longRetryAfter applies where nothing tells when there will be capacity: before the
+	// first configuration, to a service without targets, to bodies without memory and to
+	// quarantined requests. It is about the time in which a target starts.
 	longRetryAfter = 2 * time.Second
 )
 
@@ -53,6 +54,7 @@
 	closing    atomic.Bool  // requests are rejected
 	inProgress atomic.Int64 // requests
 	admission  *admissionControl
+	order      *requestOrder
 
 	endsAt   atomic.Pointer[time.Time] // when the calls in progress are to end, nil unless stopping
 	ending   context.Context           // done at that time
@@ -61,7 +63,7 @@
 
 // New returns a gateway.
 func New(opts Options) *Gateway {
-	g := &Gateway{Options: opts, admission: newAdmissionControl(opts.Limits.Descriptors, opts.Limits.Memory)}
+	g := &Gateway{Options: opts, admission: newAdmissionControl(opts.Limits.Descriptors, opts.Limits.Memory), order: newRequestOrder()}
 	g.ending, g.endCalls = context.WithCancel(context.Background())
 	return g
 }
@@ -75,7 +77,7 @@
 	latest := g.latestConfirmation()
 	cfg := g.Configuration.Load()
 	if cfg == nil || !g.Fleet.Listed() {
-		g.reject(w, meta.ID, 503, "no_configuration", longRetryAfter)
+		g.reject(w, meta.ID, 503, "no_configuration", spread(longRetryAfter))
 		return
 	}
 	route, ok := cfg.Match(r.Host, rawPath(r))
@@ -91,11 +93,16 @@
 			return
 		}
 	}
-	if !g.admission.acquire() {
-		g.rejectUnread(w, r, meta.ID, 503, "no_room", shortRetryAfter)
+	place, untilRoom := g.admission.enter(now, cfg, workspace)
+	if place == nil {
+		if meta.Deadline > 0 {
+			untilRoom = bounded(untilRoom, meta.Deadline/retryAfterDivisor)
+		}
+		g.countRejection(workspace, "no_room")
+		g.rejectUnread(w, r, meta.ID, 503, "no_room", untilRoom)
 		return
 	}
-	defer g.admission.release()
+	defer func() { place.leave(time.Now()) }()
 	bodyMemory := &lease{admission: g.admission}
 	defer bodyMemory.shrink(0)
 	body, err := g.readBody(r, cfg.Limits.BodyBytes, bodyMemory)
@@ -105,7 +112,7 @@
 		return
 	}
 	if g.closing.Load() { // after the body was read, so that the connection isn't reset
-		g.reject(w, meta.ID, 503, "stopping", shortRetryAfter)
+		g.reject(w, meta.ID, 503, "stopping", spread(shortRetryAfter))
 		return
 	}
 	service, version, reason := route.Pick(rand.Float64()), "", ""
@@ -117,7 +124,8 @@
 	}
 	c := newCall(now, meta, route, service, r, body)
 	c.revision, c.softwareVersion = cfg.Version, version
-	c.workspace, c.identified = workspace, cfg.HasWorkspaces()
+	c.setOrder(cfg, workspace)
+	c.identified = cfg.HasWorkspaces()
 	c.memory = lease{admission: g.admission, use: response}
 	c.request.Reserve = c.memory.reserve
 	defer c.memory.shrink(0)
@@ -139,6 +147,7 @@
 		return
 	}
 	defer g.refundCredit(c, charge)
+	g.recordOffer(time.Now(), c) // what exceeds the quota is no demand
 	g.runAttempts(ctx, r.Context(), w, c)
 }
 
@@ -183,6 +192,7 @@
 	e := g.Log.Event(code).
 		Str("request", c.meta.ID).
 		Str("route", c.route.Name).
+		Str("workspace", c.workspaceName()).
 		Str("service", c.service).
 		Str("adapter", c.adapter.Name).
 		Int64("revision", c.revision).
--- a/internal/gateway/identification.go
+++ b/internal/gateway/identification.go
@@ -95,7 +95,7 @@
 	latest := g.latestConfirmation()
 	cfg := g.Configuration.Load()
 	if !cfg.HasWorkspaces() {
-		c.workspace = nil
+		c.setOrder(cfg, nil)
 		return ""
 	}
 	c.identified = true
@@ -105,7 +105,7 @@
 		public = route.Public
 	}
 	if public {
-		c.workspace = nil
+		c.setOrder(cfg, nil)
 		return ""
 	}
 	w, reason := g.identify(latest, cfg, c.request.Host, path, keyOf(c.meta))
@@ -116,7 +116,7 @@
 		g.countUnidentified(reason)
 		return reason
 	}
-	c.workspace = w
+	c.setOrder(cfg, w)
 	return ""
 }
 
--- a/internal/gateway/main.go
+++ b/internal/gateway/main.go
@@ -225,6 +225,7 @@
 	scope.Gauge("requests_in_progress").Update(float64(p.gateway.inProgress.Load()))
 	scope.Gauge("targets").Update(float64(p.fleet.targetCount()))
 	scope.Gauge("entries").Update(float64(p.fleet.entrydCount()))
+	p.gateway.order.updateGauges(now, scope)
 	p.confirmations.report(p.current.Load(), scope)
 	slow, full := p.fleet.choiceStats()
 	scope.Gauge("slow_targets").Update(float64(slow))
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -22,15 +22,17 @@
 // selection is a target selected for an attempt, with the estimates behind the
 // decision.
 type selection struct {
-	target   *targetState
-	replica  target.Replica
-	resident bool            // the target holds the adapter
-	wait     time.Duration   // expected time until the attempt can start
-	extra    time.Duration   // by which the call itself takes longer than at a mean target
-	load     int             // estimated requests at the target
-	backlog  int             // estimated tokens of prompts that the target has to read
-	stateAge time.Duration   // age of the engine state, zero if none is known
-	changed  <-chan struct{} // closed when the selection may change, nil if the adapter is resident
+	target    *targetState
+	replica   target.Replica
+	resident  bool            // the target holds the adapter
+	wait      time.Duration   // expected time until the attempt can start
+	extra     time.Duration   // by which the call itself takes longer than at a mean target
+	load      int             // estimated requests at the target
+	backlog   int             // estimated tokens of prompts that the target has to read
+	stateAge  time.Duration   // age of the engine state, zero if none is known
+	newLoad   bool            // the target was not asked to load the adapter yet
+	loadsWait bool            // more adapters wait to be loaded there than are loaded at once
+	changed   <-chan struct{} // closed when the selection may change, nil if the adapter is resident
 }
 
 // choose returns the target for the next attempt of a call, and false if none is
@@ -82,6 +84,7 @@
 	sel := selection{target: t, replica: t.replica, resident: choice.Resident, wait: choice.Wait, extra: candidates[choice.Index].ExtraTime, load: t.estimatedLoad(now), backlog: t.estimatedBacklog(now, f.tokenTimeAt(now, t))}
 	if !sel.resident {
 		sel.changed = f.changeSignal(c.adapter)
+		sel.newLoad, sel.loadsWait = !t.loading[c.adapter] && t.waiting[c.adapter] == 0, t.missingAdapters > maxConcurrentLoads
 	}
 	if !t.stateAt.IsZero() {
 		sel.stateAge = now.Sub(t.stateAt)
@@ -100,20 +103,6 @@
 	return max(time.Duration(minSlackShare*float64(c.route.Objective)), c.route.Objective-read)
 }
 
-// overloaded reports whether the expected time to the first event at the best
-// target exceeds the time for which the caller of a stream waits. Requests without
-// a model and started streams are never overloaded.
-func (f *Fleet) overloaded(c *call, sel selection) bool {
-	if c.model == "" || c.headerSent {
-		return false
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	latency := f.latencyOf(c.service)
-	read := time.Duration(c.promptTokens()) * latency.readTime.Slope()
-	return sel.wait+sel.extra+latency.readTime.Intercept()+read > callerTimeout(c.route.Objective)
-}
-
 // awaitsTargets reports whether live targets of the call's service may become
 // usable soon: they were discovered recently and their engine state was not
 // received yet, or their engines became unreachable recently. When all engines of a
