Give a deputy the part of the burst that it has of the rate

Cause: an issuer that is not the first choice, or that sees a part of the entryds, granted its share of the rate but filled its bucket to the whole burst. After some seconds with little demand two issuers had a burst each.

Change: the capacity of the bucket is multiplied by the issuer's share.

--- a/pkg/quota/failure_test.go
+++ b/pkg/quota/failure_test.go
@@ -181,6 +181,22 @@
 	})
 }
 
+// A process that can't reach the issuer is the only one to use the next one, and has little
+// demand for a while. The next issuer must not have saved up a second burst by the time at
+// which all processes ask for more than the quota.
+func TestDeputyAfterIdleTime(t *testing.T) {
+	forLimits(t, func(r *replay) {
+		next := r.addIssuer(r.now)
+		r.nodes[0].first = false
+		r.moveTo(r.nodes[0], next)
+		r.setDemand(r.limit.PerSecond/100, uneven(21)...)
+		r.run(20 * time.Second)
+		r.setDemand(3*r.limit.PerSecond, uneven(21)...)
+		r.run(10 * time.Second)
+		r.checkShare(21*time.Second, 30*time.Second, 0.95)
+	})
+}
+
 // The quota must not go to small requests only: the largest are served at least half as
 // often as all.
 func TestSizesUnderShortage(t *testing.T) {
--- a/pkg/quota/issuer.go
+++ b/pkg/quota/issuer.go
@@ -159,8 +159,11 @@
 	return r
 }
 
-// capacity returns the highest level.
-func (i *Issuer) capacity() float64 { return max(i.limit.Burst, i.limit.over(minBurstTime)) }
+// capacity returns the highest level. An issuer that grants a part of the rate has the same
+// part of the burst, because another one may grant the rest.
+func (i *Issuer) capacity() float64 {
+	return i.share * max(i.limit.Burst, i.limit.over(minBurstTime))
+}
 
 // accrue adds the units for the time since the last call.
 func (i *Issuer) accrue(now time.Time) {
