Report a request as over the quota only after an answer to it

Cause: an account without credit took any answer of the last second for the statement that the quota is used up. In the second after the loss of an issuer, requests within the quota got 429 instead of 503.

TestUnansweredAfterAnswer failed before the change: decisions [{ID:2 Admitted:false Unanswered:false Wait:7.154914526s}], want an unanswered one.

Change: it needs the statement that credit is short, or an answer to what was asked for since the request was added.

--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -48,6 +48,8 @@
 	Urgency int    // 0 is the most urgent
 	Cost    float64
 	Until   time.Time // time until which it can wait
+
+	addedAt time.Time
 }
 
 // Decision is the answer to a Waiter.
@@ -80,7 +82,7 @@
 	ownAt      time.Time // up to which the account's own part was added
 	sentAt     time.Time // last request
 	awaited    bool      // that request has no answer yet
-	answeredAt time.Time // last answer, zero before the first
+	answered   time.Time // when the last answered request was sent, zero before the first
 
 	arrivedAt time.Time // last request of a caller
 	demand    meter
@@ -164,7 +166,7 @@
 
 // Add adds a request, which the next Decide may answer.
 func (a *Account) Add(now time.Time, w Waiter) {
-	a.arrivedAt = now
+	a.arrivedAt, w.addedAt = now, now
 	a.demand.add(now, w.Cost)
 	m := a.byUrgency[w.Urgency]
 	if m == nil {
@@ -210,7 +212,7 @@
 			kept = append(kept, w)
 			ahead += w.Cost
 		default:
-			unanswered := !now.Before(w.Until) && !a.own(now) && !a.answered(now)
+			unanswered := !now.Before(w.Until) && !a.own(now) && !a.knownShort(now, w)
 			out = append(out, Decision{ID: w.ID, Unanswered: unanswered, Wait: a.wait(now, missing+ahead)})
 		}
 	}
@@ -250,10 +252,11 @@
 	return ahead <= a.grant // regardless of its own cost, so that large requests wait as others do
 }
 
-// answered reports whether the issuer answered recently, so that a request without credit
-// is over the quota.
-func (a *Account) answered(now time.Time) bool {
-	return !a.answeredAt.IsZero() && now.Sub(a.answeredAt) < answerTimeout
+// knownShort reports whether a request without credit is over the quota: the issuer said
+// recently that credit is short, or answered what was asked for since the request was added.
+// An answer to an earlier request says nothing, because the issuer may be lost since.
+func (a *Account) knownShort(now time.Time, w Waiter) bool {
+	return a.short(now) || (!a.answered.IsZero() && !a.answered.Before(w.addedAt))
 }
 
 // short reports whether the issuer said recently that credit is short.
@@ -385,7 +388,7 @@
 		return // the request counts as lost
 	}
 	a.settle(now)
-	a.awaited, a.answeredAt = false, now
+	a.awaited, a.answered = false, a.sentAt
 	a.balance += m.Granted
 	a.leaseUntil = a.sentAt.Add(leaseTime)
 	a.granted.add(now, m.Granted)
--- a/pkg/quota/failure_test.go
+++ b/pkg/quota/failure_test.go
@@ -292,6 +292,32 @@
 	}
 }
 
+// An answer to an earlier request says nothing of a later one. In the second after the loss
+// of the issuer, requests within the quota must not be reported as over it.
+func TestUnansweredAfterAnswer(t *testing.T) {
+	a, is := NewAccount(epoch, pageBounds), NewIssuer(epoch.Add(-time.Minute), pageBounds, smallLimit)
+	a.SetLimit(smallLimit, 21)
+	a.SetIssuer(epoch, true, true)
+	a.Add(epoch, Waiter{ID: 1, Cost: 700, Until: epoch.Add(100 * time.Millisecond)})
+	a.Decide(epoch)
+	q, _ := a.Request(epoch)
+	answer, _ := is.Request(epoch, Sender{Name: "e1", First: true, Age: time.Minute}, smallLimit, q, Membership{Connected: 21, Known: 21})
+	if answer.Short {
+		t.Fatalf("answer %+v, want enough credit", answer)
+	}
+	a.Apply(epoch, answer)
+	now := epoch.Add(500 * time.Millisecond) // the issuer was lost in the meantime
+	a.Add(now, Waiter{ID: 2, Cost: 9300, Until: now.Add(100 * time.Millisecond)})
+	a.Decide(now)
+	if _, ok := a.Request(now); !ok {
+		t.Fatal("no request for the waiting one")
+	}
+	d := a.Decide(now.Add(100 * time.Millisecond))
+	if len(d) != 1 || d[0].Admitted || !d[0].Unanswered {
+		t.Fatalf("decisions %+v, want an unanswered one", d)
+	}
+}
+
 // Callers of a workspace over its quota were told that the issuer had not answered, although
 // it had granted all that there was, and returned after too short a time.
 func TestAnsweredButOverQuota(t *testing.T) {
