Enforce the limits of a configuration whose version was given out before

Cause: a configuration with the version in force replaces it if its content differs, because a restored store gives versions out again. The accounts and the issuers compared only the version, so the former quota stayed.

TestVersionGivenOutAgain failed before the change in both packages: limit {PerSecond:29000 Burst:29000 Version:1}, want {PerSecond:2900 Burst:2900 Version:1} (issuer); limit {PerSecond:20000 Burst:20000 Version:1}, want 1000 units a second (account).

Change: accounts apply each configuration that comes into force. An issuer replaces a limit that no process stated for versionTime also by one of the same version.

Result: both tests pass, as do the others of pkg/quota and internal/credit.

--- a/internal/credit/accounts.go
+++ b/internal/credit/accounts.go
@@ -71,7 +71,7 @@
 	mu         sync.Mutex
 	accounts   map[string]*account // by workspace
 	groups     [issuerGroups]group
-	version    int64 // of the configuration whose limits are applied
+	applied    *routing.Configuration // whose limits are enforced, nil before the first
 	entryds    members
 	checkedAt  time.Time
 	lastWaiter uint64
@@ -258,10 +258,10 @@
 // applyConfiguration applies the limits of the configuration in force. The caller holds mu.
 func (a *Accounts) applyConfiguration(now time.Time) {
 	cfg := a.Configuration.Load()
-	if cfg == nil || cfg.Version == a.version {
+	if cfg == a.applied { // not by the version, which a restored store gives out again
 		return
 	}
-	a.version = cfg.Version
+	a.applied = cfg
 	limited := map[string]bool{}
 	for _, w := range cfg.LimitedWorkspaces() {
 		limited[w.Name] = true
--- a/internal/credit/credit_test.go
+++ b/internal/credit/credit_test.go
@@ -276,3 +276,18 @@
 		t.Errorf("the issuer was chosen %s ago, want a minute", age)
 	}
 }
+
+// A store that lost a configuration gives its version out again. The limits of the later
+// one with that version must be enforced, and reach the issuer.
+func TestVersionGivenOutAgain(t *testing.T) {
+	var requests atomic.Int32
+	e := startEntryd(t, "e1", startTargetd(t, &requests), routing.Quota{PerSecond: 20_000, Burst: 20_000})
+	e.admit(900)
+	e.cfg.Store(configurationOf(1, map[string]routing.Quota{"w": {PerSecond: 1000, Burst: 1000}}))
+	e.admit(900)
+	e.accounts.mu.Lock()
+	defer e.accounts.mu.Unlock()
+	if l := e.accounts.accounts["w"].Limit(); l.PerSecond != 1000 || l.Burst != 1000 {
+		t.Errorf("limit %+v, want 1000 units a second", l)
+	}
+}
--- a/pkg/quota/failure_test.go
+++ b/pkg/quota/failure_test.go
@@ -93,6 +93,27 @@
 	})
 }
 
+// A store that lost a configuration gives its version out again. Once no process states the
+// former limit of that version, the issuer must not grant by it.
+func TestVersionGivenOutAgain(t *testing.T) {
+	is := NewIssuer(epoch, pageBounds, smallLimit)
+	lower := Limit{PerSecond: smallLimit.PerSecond / 10, Burst: smallLimit.Burst / 10, Version: smallLimit.Version}
+	m := Membership{Connected: 2, Known: 2}
+	for at := time.Duration(0); at < 2*versionTime; at += 100 * time.Millisecond {
+		now := epoch.Add(at)
+		is.Request(now, Sender{Name: "e1", First: true, Age: at}, lower, Request{}, m)
+		if at < 2*time.Second { // this process has not read the configuration yet
+			is.Request(now, Sender{Name: "e2", First: true, Age: at}, smallLimit, Request{}, m)
+			if is.limit != smallLimit {
+				t.Fatalf("the limit changed to %+v while another process stated the former one", is.limit)
+			}
+		}
+	}
+	if is.limit != lower {
+		t.Errorf("limit %+v, want %+v", is.limit, lower)
+	}
+}
+
 // All processes start at once, and the first requests arrive before any connection.
 func TestAllStartAtOnce(t *testing.T) {
 	forLimits(t, func(r *replay) {
--- a/pkg/quota/issuer.go
+++ b/pkg/quota/issuer.go
@@ -30,8 +30,9 @@
 	// deputyTime is how long the request of an account counts that has another issuer but
 	// can't reach it; such accounts send one at least twice a second.
 	deputyTime = 1200 * time.Millisecond
-	// versionTime is how long a version of the limit counts that no sender states any more:
-	// longer than a new configuration takes to reach all processes.
+	// versionTime is how long a limit counts that no sender states any more, against others
+	// of the same or a lower version: longer than a new configuration takes to reach all
+	// processes.
 	versionTime = 5 * time.Second
 )
 
@@ -68,7 +69,7 @@
 type Issuer struct {
 	bounds     Bounds
 	limit      Limit
-	limitAt    time.Time // last time at which a sender stated its version
+	limitAt    time.Time // last time at which a sender stated it
 	level      float64   // units that may be granted, negative after a grant in advance
 	at         time.Time // time for which level holds
 	startUntil time.Time
@@ -124,11 +125,11 @@
 }
 
 // applyLimit applies what a sender states of the limit. Versions may be given out again
-// after the store was restored, so that a version counts that nobody states any more only
+// after the store was restored, so that a limit counts that nobody states any more only
 // for versionTime.
 func (i *Issuer) applyLimit(now time.Time, l Limit) {
 	switch {
-	case l.Version == i.limit.Version:
+	case l == i.limit:
 		i.limitAt = now
 	case l.Version > i.limit.Version || now.Sub(i.limitAt) > versionTime:
 		i.setLimit(l)
