Judge the silence of issuers by the clock that records messages

Cause: the clock of the credit starts with the wall clock and does not follow changes of it. The fleet compared it with the times of messages. After the wall clock was set back by more than the timeout, all targetds counted as silent, so that no entryd had an issuer; set forward, none did.

Change: the fleet reads its own clock.

--- a/internal/credit/accounts.go
+++ b/internal/credit/accounts.go
@@ -48,7 +48,7 @@
 // Fleet knows the processes that issue credit.
 type Fleet interface {
 	// CreditIssuers returns the issuer for each key.
-	CreditIssuers(now time.Time, keys []uint64) []Issuer
+	CreditIssuers(keys []uint64) []Issuer
 	// EntrydCount returns the highest number of entryds that a targetd reports.
 	EntrydCount() int
 }
@@ -329,7 +329,7 @@
 // check chooses the issuers again. The caller holds mu.
 func (a *Accounts) check(now time.Time) {
 	a.checkedAt = now
-	for i, next := range a.Fleet.CreditIssuers(now, groupKeys()) {
+	for i, next := range a.Fleet.CreditIssuers(groupKeys()) {
 		g := &a.groups[i]
 		var session any // nil without a connection
 		if next.Conn != nil {
--- a/internal/credit/credit_test.go
+++ b/internal/credit/credit_test.go
@@ -29,7 +29,7 @@
 	entryds int
 }
 
-func (f *fakeFleet) CreditIssuers(_ time.Time, keys []uint64) []Issuer {
+func (f *fakeFleet) CreditIssuers(keys []uint64) []Issuer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return slices.Repeat([]Issuer{f.issuer}, len(keys))
--- a/internal/gateway/workspace_quota.go
+++ b/internal/gateway/workspace_quota.go
@@ -52,8 +52,10 @@
 	}
 }
 
-// CreditIssuers implements credit.Fleet.
-func (f *Fleet) CreditIssuers(now time.Time, keys []uint64) []credit.Issuer {
+// CreditIssuers implements credit.Fleet. It reads the clock by which the fleet records
+// messages: that of the credit does not follow changes of the wall clock.
+func (f *Fleet) CreditIssuers(keys []uint64) []credit.Issuer {
+	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	listed := func(t *targetState) bool {
--- a/internal/gateway/workspace_quota_test.go
+++ b/internal/gateway/workspace_quota_test.go
@@ -108,30 +108,29 @@
 				connectTargetd(t.Context(), t, tg, id, addr, "e1")
 			}
 		}
-		now := time.Now()
 		convey.Convey("they choose the same issuer, which is the first choice", func() {
 			seen := map[string]bool{}
 			for key := range uint64(50) {
-				i := one.fleet.CreditIssuers(now, []uint64{key})[0]
+				i := one.fleet.CreditIssuers([]uint64{key})[0]
 				convey.So(i.Conn, convey.ShouldNotBeNil)
 				convey.So(i.First, convey.ShouldBeTrue)
-				convey.So(two.fleet.CreditIssuers(now, []uint64{key})[0].Name, convey.ShouldEqual, i.Name)
+				convey.So(two.fleet.CreditIssuers([]uint64{key})[0].Name, convey.ShouldEqual, i.Name)
 				seen[i.Name] = true
 			}
 			convey.So(len(seen), convey.ShouldEqual, len(ids))
 		})
 		convey.Convey("the next one replaces a lost one, and is not the first choice as long as that is listed", func() {
-			i := one.fleet.CreditIssuers(now, []uint64{1})[0]
+			i := one.fleet.CreditIssuers([]uint64{1})[0]
 			one.fleet.mu.Lock()
 			one.fleet.targets[i.Name].conn = nil
 			one.fleet.mu.Unlock()
-			next := one.fleet.CreditIssuers(now, []uint64{1})[0]
+			next := one.fleet.CreditIssuers([]uint64{1})[0]
 			convey.So(next.Name, convey.ShouldNotEqual, i.Name)
 			convey.So(next.First, convey.ShouldBeFalse)
 			one.fleet.mu.Lock()
 			one.fleet.targets[i.Name].notice.leaving = true
 			one.fleet.mu.Unlock()
-			convey.So(one.fleet.CreditIssuers(now, []uint64{1})[0].First, convey.ShouldBeTrue)
+			convey.So(one.fleet.CreditIssuers([]uint64{1})[0].First, convey.ShouldBeTrue)
 		})
 	})
 }
