Reject requests that exceed the quota of each window alone

Cause: a request larger than the burst is granted when the bucket is full, however large it is, and its cost then has to be repaid. One request that states 10^12 tokens ran, and ended the service of its workspace.

Change: an account rejects such a request and does not count it as demand.

--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -167,6 +167,20 @@
 // Add adds a request, which the next Decide may answer.
 func (a *Account) Add(now time.Time, w Waiter) {
 	a.arrivedAt, w.addedAt = now, now
+	if !a.tooLarge(w) { // else it would pass for demand that the others have to make room for
+		a.measure(now, w)
+	}
+	i, _ := slices.BinarySearchFunc(a.waiting, w, func(have, w Waiter) int {
+		if have.Urgency <= w.Urgency {
+			return -1
+		}
+		return 1
+	})
+	a.waiting = slices.Insert(a.waiting, i, w)
+}
+
+// measure adds a request to the demand.
+func (a *Account) measure(now time.Time, w Waiter) {
 	a.demand.add(now, w.Cost)
 	m := a.byUrgency[w.Urgency]
 	if m == nil {
@@ -176,13 +190,12 @@
 	m.add(now, w.Cost)
 	const decay = 0.99 // of the largest cost at each request
 	a.largest = max(w.Cost, a.largest*decay)
-	i, _ := slices.BinarySearchFunc(a.waiting, w, func(have, w Waiter) int {
-		if have.Urgency <= w.Urgency {
-			return -1
-		}
-		return 1
-	})
-	a.waiting = slices.Insert(a.waiting, i, w)
+}
+
+// tooLarge reports whether a request exceeds the quota of each window alone. It is never
+// admitted: the issuer would grant nothing else until it is repaid.
+func (a *Account) tooLarge(w Waiter) bool {
+	return a.limit.Limited() && w.Cost > a.bounds.Allowed(a.limit)
 }
 
 // Remove removes a request whose caller has left, and reports whether it waited.
@@ -208,11 +221,11 @@
 				a.balance -= w.Cost
 			}
 			out = append(out, Decision{ID: w.ID, Admitted: true})
-		case now.Before(w.Until) && a.inTime(now, w, ahead, missing):
+		case !a.tooLarge(w) && now.Before(w.Until) && a.inTime(now, w, ahead, missing):
 			kept = append(kept, w)
 			ahead += w.Cost
 		default:
-			unanswered := !now.Before(w.Until) && !a.own(now) && !a.knownShort(now, w)
+			unanswered := !now.Before(w.Until) && !a.own(now) && !a.knownShort(now, w) && !a.tooLarge(w)
 			out = append(out, Decision{ID: w.ID, Unanswered: unanswered, Wait: a.wait(now, missing+ahead)})
 		}
 	}
--- a/pkg/quota/failure_test.go
+++ b/pkg/quota/failure_test.go
@@ -297,6 +297,20 @@
 	}
 }
 
+// A request that is larger than all that a window allows must not run, and its cost must not
+// keep the others from being served.
+func TestTooLargeForAnyWindow(t *testing.T) {
+	forLimits(t, func(r *replay) {
+		n := r.nodes[0]
+		r.nextID++
+		w := Waiter{ID: r.nextID, Cost: 1e12, Until: r.now.Add(maxCreditWait)}
+		n.waiters[w.ID] = w
+		n.account.Add(r.now, w)
+		r.run(24 * time.Second)
+		r.checkShare(4*time.Second, 24*time.Second, 0.95)
+	})
+}
+
 // A request without an answer is not the caller's fault: it is not reported as one over
 // the quota.
 func TestUnanswered(t *testing.T) {
