Add the token counts of a request without overflow

Cause: callers may state any number, and the sum of two integers may be negative. A request of negative cost added credit to its workspace.

Change: the counts are added as floating-point numbers.

Result: the tests of pkg/routing pass.

--- a/pkg/routing/workspace.go
+++ b/pkg/routing/workspace.go
@@ -28,10 +28,10 @@
 	switch {
 	case q.Unit == Requests:
 		return 1
-	case promptTokens+maxResponseTokens == 0:
+	case promptTokens == 0 && maxResponseTokens == 0:
 		return float64(q.PlainTokens)
 	}
-	return float64(promptTokens + maxResponseTokens)
+	return float64(promptTokens) + float64(maxResponseTokens) // callers may state any number; the sum of integers may be negative
 }
 
 // Workspace is a team's set of callers. They identify themselves by keys.
--- a/pkg/routing/workspace_test.go
+++ b/pkg/routing/workspace_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"testing"
 
 	"github.com/smartystreets/goconvey/convey"
@@ -41,6 +42,7 @@
 		{Quota{}, 600, 80, 1},
 		{Quota{Unit: Tokens, PlainTokens: 200}, 600, 80, 680},
 		{Quota{Unit: Tokens, PlainTokens: 200}, 0, 0, 200},
+		{Quota{Unit: Tokens}, math.MaxInt, math.MaxInt, 2 * float64(math.MaxInt)}, // an overflow would add credit
 	}
 	for _, test := range tests {
 		if got := test.quota.Cost(test.prompt, test.response); got != test.want {
