Answer unknown keys with 503 while a newer configuration is known

Cause: a targetd's answer that names a newer configuration only led to a call of the store. Until its response, or for as long as the store was silent to this entryd, a key of the newer configuration got 401.

TestUnknownKeyWhileNewerIsKnown failed before the change: an unknown key: status 401, want 503.

Change: keys are not denied between such an answer and the next response of the store.

Result: the test passes, as do TestDue, TestKeys, TestConfirmers, TestKeyBeforeAttempt and TestFlood with the race detector.

--- a/internal/gateway/confirmations.go
+++ b/internal/gateway/confirmations.go
@@ -54,7 +54,6 @@
 
 	mu         sync.Mutex
 	tracker    confirmation.Tracker
-	newer      bool                     // a targetd knows of a newer configuration
 	questions  map[uint64]time.Duration // when those without an answer were sent, by id
 	lastID     uint64
 	askedAt    time.Duration // last time at which a targetd was asked, zero if none was
@@ -62,6 +61,7 @@
 	changed    chan struct{}
 
 	latest   atomic.Pointer[confirmation.Confirmation]
+	newer    atomic.Bool // a targetd knows of a newer configuration
 	replaced atomic.Pointer[[]replacedConfiguration]
 
 	expiredAt time.Duration // beginning of the time without a valid confirmation, zero if there is one
@@ -89,9 +89,9 @@
 }
 
 // mayDeny reports whether a key that this configuration does not hold is unknown, and not
-// one of a newer configuration that should be in force.
+// one of a newer configuration that should be in force or is known to be in the store.
 func (c *confirmations) mayDeny(latest confirmation.Confirmation) bool {
-	return latest.Within(c.clock(), time.Duration(c.applyWithin.Load()))
+	return !c.newer.Load() && latest.Within(c.clock(), time.Duration(c.applyWithin.Load()))
 }
 
 // mayStillAllow reports whether a configuration that was replaced so recently that another
@@ -139,7 +139,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.tracker.Observe(r)
-	c.newer = false
+	c.newer.Store(false)
 	latest := c.tracker.Latest()
 	c.latest.Store(&latest)
 }
@@ -167,7 +167,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	own, now := period-sinceCall, c.clock()
-	if c.newer {
+	if c.newer.Load() {
 		return scaled(period, askShare) - sinceCall, true
 	}
 	atMost := scaled(period, ownCallPeriods)
@@ -207,7 +207,7 @@
 	delete(c.questions, m.ID)
 	before := c.tracker.Latest()
 	if c.tracker.ObserveAnswer(confirmation.Answer{AskedAt: askedAt, Age: m.Age, History: m.History, Version: m.Version}) {
-		c.newer = true
+		c.newer.Store(true)
 		select {
 		case c.changed <- struct{}{}:
 		default:
--- a/internal/gateway/confirmers_test.go
+++ b/internal/gateway/confirmers_test.go
@@ -278,3 +278,27 @@
 		t.Error("the follower is not told")
 	}
 }
+
+// TestUnknownKeyWhileNewerIsKnown guards against a 401 for a key of a configuration that a
+// targetd has seen in the store and this process has not read yet.
+func TestUnknownKeyWhileNewerIsKnown(t *testing.T) {
+	k := newKeyedGateway(t, newFakeTarget(t, "t1", respond(200, "good", signed)))
+	c := k.gateway.Confirmations
+	k.sink.Replace(time.Now(), []objects.Object{{Name: "main", Version: 7, Value: []byte("5 red:red-1")}}, time.Time{}, false)
+	k.sink.Responded(follow.Response{SentAt: time.Duration(k.clock.Load()), List: true, History: 1})
+	check := func(what, key string, status int) {
+		t.Helper()
+		if r := k.call(t, "/safe/x", "Key", key); r.status != status {
+			t.Errorf("%s: status %d, want %d", what, r.status, status)
+		}
+	}
+	check("before the answer", "green-1", 401)
+	k.pass(time.Second)
+	m, _ := c.nextQuestion(k.gateway.Configuration.Load())
+	c.applyAnswer(peer.ConfirmationAnswer{ID: m.ID, History: 1, Version: 8})
+	check("an unknown key", "green-1", 503)
+	check("a known key", "red-1", 200)
+	k.sink.Apply(time.Now(), []objects.Object{{Name: "main", Version: 8, Value: []byte("6 red:red-1 blue:blue-1")}}, time.Time{})
+	k.sink.Responded(follow.Response{SentAt: time.Duration(k.clock.Load()), History: 1})
+	check("after the newer one", "green-1", 401)
+}
