Pause between lists that fail because the history is gone

Cause: the loss of the history led to the next call at once, also when the call that failed was a list. A store that answers lists so got calls without a pause.

TestHistoryGoneRetries failed before the change: 60001 calls in a minute, with 1 ms a call.

Change: only the first list after such a failure is made at once.

Result: 201 calls in a minute; the tests of internal/follow pass, and those of platform that match Store or History.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -294,9 +294,10 @@
 }
 
 // recordFailure records a failed call and returns the delay before the next
-// one. After the loss of the history, the next call lists all objects.
+// one. After the loss of the history, the next call lists all objects, at once unless a
+// list failed so.
 func (f *Follower) recordFailure(err error) time.Duration {
-	if objects.IsKind(err, objects.HistoryGone) {
+	if f.listed && objects.IsKind(err, objects.HistoryGone) {
 		f.log.Event(event.HistoryGone).Str("kind", string(f.kind)).Uint64("version", uint64(f.position.Version)).Send()
 		f.listed = false
 		return 0
--- a/internal/follow/observer_test.go
+++ b/internal/follow/observer_test.go
@@ -158,6 +158,19 @@
 	})
 }
 
+// TestHistoryGoneRetries guards against a store that gets calls without a pause while it
+// answers lists that the history is gone.
+func TestHistoryGoneRetries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &delayedStore{respond: func(int) (time.Duration, error) {
+			return time.Millisecond, &objects.Error{Op: "test", Kind: objects.HistoryGone}
+		}}
+		if observe(s, testPeriod, time.Minute); s.calls > 300 {
+			t.Errorf("%d calls in a minute", s.calls)
+		}
+	})
+}
+
 // TestResponses guards against responses that are reported as of their arrival, and
 // against failed, missing and outdated ones that are reported at all.
 func TestResponses(t *testing.T) {
