Tolerate missing entryds only on the side that has most of them

Cause: each issuer granted half of the tolerated excess in addition to the part of its entryds. With an issuer in each of six separated zones these additions were 30 % of the rate.

Change: only an issuer with the majority of the entryds adds it.

All tests of pkg/quota and internal/credit pass.

--- a/pkg/quota/failure_test.go
+++ b/pkg/quota/failure_test.go
@@ -183,6 +183,27 @@
 	})
 }
 
+// Each availability zone is cut off from the others and finds an issuer. What the issuers
+// tolerate of missing processes must not add up beyond the bounds.
+func TestPartitionOfAllZones(t *testing.T) {
+	const zones = 6
+	forLimits(t, func(r *replay) {
+		r.run(10 * time.Second)
+		r.partitioned = true
+		issuers := []int{0}
+		for range zones - 1 {
+			issuers = append(issuers, r.addIssuer(r.now))
+		}
+		for i, n := range r.nodes {
+			if zone := i % zones; zone > 0 {
+				r.moveTo(n, issuers[zone])
+			}
+		}
+		r.run(20 * time.Second)
+		r.checkShare(13*time.Second, 30*time.Second, 0.95)
+	})
+}
+
 // One link is lost: a process that can't reach the issuer asks the next one, which must
 // not grant the whole quota again. All of them do after the loss of the issuer itself.
 func TestDeputy(t *testing.T) {
--- a/pkg/quota/issuer.go
+++ b/pkg/quota/issuer.go
@@ -217,10 +217,14 @@
 			}
 		}
 	}
-	// Both sides of a partition of the network tolerate some missing processes, so that
-	// the loss of few does not reduce the quota.
 	known := float64(max(1, m.Known))
-	return min(1, (float64(present)+known*i.bounds.Over/2)/known)
+	share := float64(present) / known
+	if share > 0.5 {
+		// The loss of few processes does not reduce the quota. Only one side of a partition
+		// of the network has the majority, so that what is tolerated does not add up.
+		share += i.bounds.Over / 2
+	}
+	return min(1, share)
 }
 
 // expire drops the accounts that were not heard for holdTime. What they held is spent or
