--- a/internal/credit/accounts.go
+++ b/internal/credit/accounts.go
@@ -48,7 +48,7 @@
 // Fleet knows the processes that issue credit.
 type Fleet interface {
 	// CreditIssuers returns the issuer for each key.
-	CreditIssuers(now time.Time, keys []uint64) []Issuer
+	CreditIssuers(keys []uint64) []Issuer
 	// EntrydCount returns the highest number of entryds that a targetd reports.
 	EntrydCount() int
 }
@@ -71,7 +71,7 @@
 	mu         sync.Mutex
 	accounts   map[string]*account // by workspace
 	groups     [issuerGroups]group
-	version    int64 // of the configuration whose limits are applied
+	applied    *routing.Configuration // whose limits are enforced, nil before the first
 	entryds    members
 	checkedAt  time.Time
 	lastWaiter uint64
@@ -258,10 +258,10 @@
 // applyConfiguration applies the limits of the configuration in force. The caller holds mu.
 func (a *Accounts) applyConfiguration(now time.Time) {
 	cfg := a.Configuration.Load()
-	if cfg == nil || cfg.Version == a.version {
+	if cfg == a.applied { // not by the version, which a restored store gives out again
 		return
 	}
-	a.version = cfg.Version
+	a.applied = cfg
 	limited := map[string]bool{}
 	for _, w := range cfg.LimitedWorkspaces() {
 		limited[w.Name] = true
@@ -329,7 +329,7 @@
 // check chooses the issuers again. The caller holds mu.
 func (a *Accounts) check(now time.Time) {
 	a.checkedAt = now
-	for i, next := range a.Fleet.CreditIssuers(now, groupKeys()) {
+	for i, next := range a.Fleet.CreditIssuers(groupKeys()) {
 		g := &a.groups[i]
 		var session any // nil without a connection
 		if next.Conn != nil {
--- a/pkg/quota/failure_test.go
+++ b/pkg/quota/failure_test.go
@@ -93,6 +93,27 @@
 	})
 }
 
+// A store that lost a configuration gives its version out again. Once no process states the
+// former limit of that version, the issuer must not grant by it.
+func TestVersionGivenOutAgain(t *testing.T) {
+	is := NewIssuer(epoch, pageBounds, smallLimit)
+	lower := Limit{PerSecond: smallLimit.PerSecond / 10, Burst: smallLimit.Burst / 10, Version: smallLimit.Version}
+	m := Membership{Connected: 2, Known: 2}
+	for at := time.Duration(0); at < 2*versionTime; at += 100 * time.Millisecond {
+		now := epoch.Add(at)
+		is.Request(now, Sender{Name: "e1", First: true, Age: at}, lower, Request{}, m)
+		if at < 2*time.Second { // this process has not read the configuration yet
+			is.Request(now, Sender{Name: "e2", First: true, Age: at}, smallLimit, Request{}, m)
+			if is.limit != smallLimit {
+				t.Fatalf("the limit changed to %+v while another process stated the former one", is.limit)
+			}
+		}
+	}
+	if is.limit != lower {
+		t.Errorf("limit %+v, want %+v", is.limit, lower)
+	}
+}
+
 // All processes start at once, and the first requests arrive before any connection.
 func TestAllStartAtOnce(t *testing.T) {
 	forLimits(t, func(r *replay) {
@@ -162,6 +183,27 @@
 	})
 }
 
+// Each availability zone is cut off from the others and finds an issuer. What the issuers
+// tolerate of missing processes must not add up beyond the bounds.
+func TestPartitionOfAllZones(t *testing.T) {
+	const zones = 6
+	forLimits(t, func(r *replay) {
+		r.run(10 * time.Second)
+		r.partitioned = true
+		issuers := []int{0}
+		for range zones - 1 {
+			issuers = append(issuers, r.addIssuer(r.now))
+		}
+		for i, n := range r.nodes {
+			if zone := i % zones; zone > 0 {
+				r.moveTo(n, issuers[zone])
+			}
+		}
+		r.run(20 * time.Second)
+		r.checkShare(13*time.Second, 30*time.Second, 0.95)
+	})
+}
+
 // One link is lost: a process that can't reach the issuer asks the next one, which must
 // not grant the whole quota again. All of them do after the loss of the issuer itself.
 func TestDeputy(t *testing.T) {
@@ -181,6 +223,22 @@
 	})
 }
 
+// A process that can't reach the issuer is the only one to use the next one, and has little
+// demand for a while. The next issuer must not have saved up a second burst by the time at
+// which all processes ask for more than the quota.
+func TestDeputyAfterIdleTime(t *testing.T) {
+	forLimits(t, func(r *replay) {
+		next := r.addIssuer(r.now)
+		r.nodes[0].first = false
+		r.moveTo(r.nodes[0], next)
+		r.setDemand(r.limit.PerSecond/100, uneven(21)...)
+		r.run(20 * time.Second)
+		r.setDemand(3*r.limit.PerSecond, uneven(21)...)
+		r.run(10 * time.Second)
+		r.checkShare(21*time.Second, 30*time.Second, 0.95)
+	})
+}
+
 // The quota must not go to small requests only: the largest are served at least half as
 // often as all.
 func TestSizesUnderShortage(t *testing.T) {
@@ -260,6 +318,20 @@
 	}
 }
 
+// A request that is larger than all that a window allows must not run, and its cost must not
+// keep the others from being served.
+func TestTooLargeForAnyWindow(t *testing.T) {
+	forLimits(t, func(r *replay) {
+		n := r.nodes[0]
+		r.nextID++
+		w := Waiter{ID: r.nextID, Cost: 1e12, Until: r.now.Add(maxCreditWait)}
+		n.waiters[w.ID] = w
+		n.account.Add(r.now, w)
+		r.run(24 * time.Second)
+		r.checkShare(4*time.Second, 24*time.Second, 0.95)
+	})
+}
+
 // A request without an answer is not the caller's fault: it is not reported as one over
 // the quota.
 func TestUnanswered(t *testing.T) {
@@ -276,6 +348,32 @@
 	}
 }
 
+// An answer to an earlier request says nothing of a later one. In the second after the loss
+// of the issuer, requests within the quota must not be reported as over it.
+func TestUnansweredAfterAnswer(t *testing.T) {
+	a, is := NewAccount(epoch, pageBounds), NewIssuer(epoch.Add(-time.Minute), pageBounds, smallLimit)
+	a.SetLimit(smallLimit, 21)
+	a.SetIssuer(epoch, true, true)
+	a.Add(epoch, Waiter{ID: 1, Cost: 700, Until: epoch.Add(100 * time.Millisecond)})
+	a.Decide(epoch)
+	q, _ := a.Request(epoch)
+	answer, _ := is.Request(epoch, Sender{Name: "e1", First: true, Age: time.Minute}, smallLimit, q, Membership{Connected: 21, Known: 21})
+	if answer.Short {
+		t.Fatalf("answer %+v, want enough credit", answer)
+	}
+	a.Apply(epoch, answer)
+	now := epoch.Add(500 * time.Millisecond) // the issuer was lost in the meantime
+	a.Add(now, Waiter{ID: 2, Cost: 9300, Until: now.Add(100 * time.Millisecond)})
+	a.Decide(now)
+	if _, ok := a.Request(now); !ok {
+		t.Fatal("no request for the waiting one")
+	}
+	d := a.Decide(now.Add(100 * time.Millisecond))
+	if len(d) != 1 || d[0].Admitted || !d[0].Unanswered {
+		t.Fatalf("decisions %+v, want an unanswered one", d)
+	}
+}
+
 // Callers of a workspace over its quota were told that the issuer had not answered, although
 // it had granted all that there was, and returned after too short a time.
 func TestAnsweredButOverQuota(t *testing.T) {
