Bound the socket buffers and end responses that callers do not read

Cause: the kernel lets the send queue of a connection grow to 4 MB and a receive queue to more, so that callers that do not read held more than ten times the memory of the process. A response to such a caller went on until its deadline, or until the target cut it off, which counted as a failure of the target.

Change: where the settings state a memory limit, the buffers of the connections with callers and targets have fixed sizes. Their bytes are measured four times a second and count in admissionControl, 16 KiB in requestBytes of each request and the rest in the shared memory; beyond that pkg/slowreader chooses the callers whose connections are reset. A write to a caller that makes no progress for 2 s resets the connection, which cancels the request at the target at once. Such calls end as caller_stalled or caller_dropped, also those with a buffered response, which counted as delivered.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -55,6 +55,8 @@
 	TargetLimited     Code = 363
 	TargetUnlimited   Code = 364
 	StreamTakenUp     Code = 365
+	CallerStalled     Code = 390
+	CallerDropped     Code = 391
 	RequestQueued     Code = 400
 	RequestNotRun     Code = 401
 	RequestStarted    Code = 402
@@ -154,6 +156,8 @@
 	{TargetLimited, "target_limited", zerolog.WarnLevel, "The target takes only `rate` requests a second from all entryds together, according to `source`: a response, or the targetd that heard of it."},
 	{TargetUnlimited, "target_unlimited", zerolog.InfoLevel, "The target no longer limits the rate of requests, according to `source`; the limit stood `for` that time."},
 	{StreamTakenUp, "stream_taken_up", zerolog.InfoLevel, "A caller takes up the `stream` that began with the request of that id, after event `last_event`. It began at `version` of `service`; that many targetds were `asked`. If it is not continued, `reason` says why."},
+	{CallerStalled, "caller_stalled", zerolog.WarnLevel, "The `caller` took no byte of its response for a while; the connection was reset with `unread` bytes left, and its request, if one is in progress, canceled."},
+	{CallerDropped, "caller_dropped", zerolog.WarnLevel, "The responses that callers do not read exceed the memory for them: the connection of the `caller`, one of the slowest, was reset with `unread` bytes left, and its request, if one is in progress, canceled."},
 	{RequestQueued, "request_queued", zerolog.DebugLevel, "The target queued an attempt."},
 	{RequestNotRun, "request_not_run", zerolog.InfoLevel, "The target refused an attempt that it had not started."},
 	{RequestStarted, "request_started", zerolog.DebugLevel, "The request was sent to the engine or service."},
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -19,8 +19,11 @@
 	collectorFactor = 2
 	// requestBytes is what each request in progress may hold: two connections with
 	// their buffers and goroutines, two headers, a short body and short parts of the
-	// response.
-	requestBytes = 40 << 10
+	// response, and its part of socketBytes, which no garbage is added to.
+	requestBytes = 40<<10 + socketBytes/collectorFactor
+	// socketBytes is what the kernel may hold for the connections of each request
+	// without use of the shared memory: a short body and some events.
+	socketBytes = 16 << 10
 	// maxRequestShare is the share of the memory for live objects that is set aside
 	// for requestBytes of each request; the rest is shared by those that need more.
 	maxRequestShare = 0.5
@@ -29,6 +32,9 @@
 	longBodyShare = 0.85
 	// responseShare is the share of the shared memory that responses may use.
 	responseShare = 0.1
+	// queueShare is the share of the shared memory that bytes in the kernel's queues
+	// may use beyond socketBytes of each request.
+	queueShare = 0.25
 	// lingerShare is the share of the requests in progress that may be rejected ones
 	// whose bodies still arrive.
 	lingerShare = 0.25
@@ -52,12 +58,14 @@
 	maxLingering int
 	maxShared    int64             // bytes of all uses together
 	maxUse       [memoryUses]int64 // bytes of one use
+	maxQueued    int64             // as queued
 
 	mu        sync.Mutex
 	requests  int
 	lingering int
 	shared    int64
 	used      [memoryUses]int64
+	queued    int64 // shared memory that the kernel's queues take, as last measured
 }
 
 // newAdmissionControl derives the limits from a VM's limits on descriptors and
@@ -76,6 +84,7 @@
 		a.maxShared = max(1, live-int64(a.maxRequests)*requestBytes)
 		a.maxUse[longBody] = max(1, int64(longBodyShare*float64(a.maxShared)))
 		a.maxUse[response] = max(1, int64(responseShare*float64(a.maxShared)))
+		a.maxQueued = max(1, int64(queueShare*float64(a.maxShared)))
 	}
 	a.maxLingering = int(lingerShare * float64(a.maxRequests))
 	return a
@@ -119,6 +128,18 @@
 	a.lingering--
 }
 
+// recordQueues records that the kernel's queues hold n bytes for the connections of all
+// requests. It returns the number of bytes by which they exceed the memory for them.
+func (a *admissionControl) recordQueues(n int64) int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.maxShared == 0 {
+		return 0
+	}
+	a.queued = max(0, n-int64(a.requests)*socketBytes) / collectorFactor
+	return collectorFactor * max(0, a.queued-a.maxQueued, a.shared+a.queued-a.maxShared)
+}
+
 // longestBody returns the largest size of a body, of up to limit bytes, that the shared
 // memory can hold.
 func (a *admissionControl) longestBody(limit int64) int64 {
@@ -150,7 +171,7 @@
 		inUse -= l.bytes
 	}
 	if n > l.bytes {
-		if a.maxShared > 0 && a.shared+n-l.bytes > a.maxShared {
+		if a.maxShared > 0 && a.shared+a.queued+n-l.bytes > a.maxShared {
 			return false
 		}
 		if m := a.maxUse[use]; m > 0 && inUse > m {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -283,7 +283,9 @@
 		return g.relayLong(w, c, upstreamResp, body, headBytes)
 	}
 	upstreamResp.Close() // frees the connection before the caller sends its next request
-	g.writeResponse(w, resp)
+	if err := g.writeResponse(w, resp); err != nil {
+		return callerLeft, nil
+	}
 	return delivered, nil
 }
 
--- a/internal/gateway/attempt_loop.go
+++ b/internal/gateway/attempt_loop.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/pkg/quarantine"
 )
@@ -286,6 +288,8 @@
 	switch {
 	case closedByServer(callerCtx):
 		reason = "connection_closed"
+	case droppedBecause(callerCtx) != "":
+		reason = string(droppedBecause(callerCtx))
 	case reason == "timeout" && g.ending.Err() != nil:
 		reason = "stopping"
 	}
@@ -294,7 +298,9 @@
 		panic(http.ErrAbortHandler) // closes the connection so that the caller sees an incomplete response
 	}
 	if c.fallback != nil {
-		g.writeResponse(w, c.fallback)
+		if err := g.writeResponse(w, c.fallback); err != nil {
+			g.abort(callerCtx, c)
+		}
 		g.recordOutcome(c, c.fallback.status, "failure_passed_on")
 		return
 	}
@@ -324,15 +330,21 @@
 	reason := "caller_left"
 	if closedByServer(callerCtx) {
 		reason = "connection_closed"
+	} else if dropped := droppedBecause(callerCtx); dropped != "" {
+		reason = string(dropped)
 	}
 	g.recordOutcome(c, 0, reason)
 	panic(http.ErrAbortHandler) // the response has no reader
 }
 
-// writeResponse writes a buffered response to the caller.
-func (g *Gateway) writeResponse(w http.ResponseWriter, resp *bufferedResponse) {
+// writeResponse writes a buffered response to the caller. It returns an error if the
+// caller has disconnected or does not read.
+func (g *Gateway) writeResponse(w http.ResponseWriter, resp *bufferedResponse) error {
 	g.writeHeader(w, resp.status, resp.header, int64(len(resp.body)))
-	_, _ = w.Write(resp.body) // the caller may have disconnected
+	if _, err := w.Write(resp.body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) && !errors.Is(err, http.ErrContentLength) {
+		return err
+	}
+	return http.NewResponseController(w).Flush()
 }
 
 // writeHeader writes the header of a target's response to the caller. length is
--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -33,8 +34,13 @@
 	responded bool               // the response has been written; the next Read ends the request
 	ahead     bool               // the last Read returned one byte, which the server keeps for the next request
 	closed    bool               // closed as idle
+	dropped   dropReason         // why it was reset, empty if it was not
 	idleSince time.Time
 	timeout   time.Duration // idle timeout in force at idleSince, on which the caller relies
+
+	id         uint64       // unique in a process
+	written    atomic.Int64 // bytes passed to the kernel
+	writeUntil time.Time    // deadline of writes, zero for none; guarded by mu
 }
 
 // recordResponse records that the response to a request was written at now, and the
@@ -150,7 +156,7 @@
 // rejectHead responds to a request whose head is not read to its end. The server closes the
 // connection.
 func (c *callerConn) rejectHead() {
-	_ = c.SetWriteDeadline(time.Now().Add(rejectionTimeout))
+	_ = c.TCPConn.SetWriteDeadline(time.Now().Add(rejectionTimeout))
 	_, _ = io.WriteString(c.TCPConn, rejectionText)
 }
 
--- a/internal/gateway/caller_conns.go
+++ b/internal/gateway/caller_conns.go
@@ -23,6 +23,7 @@
 
 	mu   sync.Mutex
 	open map[*callerConn]struct{}
+	last uint64 // id of the last connection
 }
 
 func newCallerConns(idleTimeout func() time.Duration, log event.Log, scope tally.Scope) *callerConns {
@@ -52,6 +53,8 @@
 	c := &callerConn{TCPConn: conn, raw: raw, conns: l.conns, memory: lease{admission: l.conns.admission, use: response}}
 	l.conns.mu.Lock()
 	defer l.conns.mu.Unlock()
+	l.conns.last++
+	c.id = l.conns.last
 	l.conns.open[c] = struct{}{}
 	return c, nil
 }
--- a/internal/gateway/main.go
+++ b/internal/gateway/main.go
@@ -19,6 +19,7 @@
 	"github.com/borageusher/borageusher/internal/settings"
 	"github.com/borageusher/borageusher/internal/upstream"
 	"github.com/borageusher/borageusher/pkg/routing"
+	"github.com/borageusher/borageusher/pkg/slowreader"
 )
 
 // Shares of the time within which a change to an object kind must be known.
@@ -77,6 +78,7 @@
 	gateway *Gateway
 	current atomic.Pointer[routing.Configuration]
 	callers *callerConns
+	readers *slowReaders
 
 	readiness *readiness
 	followers map[string]*follow.Follower // by object kind, as in the metrics
@@ -133,6 +135,9 @@
 	conns.onSegmentCrash, conns.onSegmentAnswers = p.crashes.applySegmentCrash, p.crashes.segments.applyAnswers
 	p.fleet.onTarget = conns.connect
 	client := upstream.New(platform.HeaderCodec.RequestID)
+	if node.Limits.Memory > 0 {
+		client.LimitBuffers(targetBuffers)
+	}
 	b := node.Bounds
 	p.gateway = New(Options{
 		HeaderCodec:   platform.HeaderCodec,
@@ -146,6 +151,7 @@
 		Limits:        node.Limits,
 	})
 	p.callers.admission = p.gateway.admission
+	p.readers = &slowReaders{callers: p.callers, client: client, admission: p.gateway.admission, tracker: slowreader.New(), scope: scope}
 	store := platform.NewStore(scope)
 	cfg := &configurationSink{decoder: platform.Decoder, name: platform.ConfigurationName, current: &p.current, fleet: p.fleet, log: log}
 	p.followers = map[string]*follow.Follower{
@@ -188,6 +194,9 @@
 			p.fleet.reportUsage()
 			p.fleet.cancelStalled(now)
 			p.fleet.sendMovedOrigins(now)
+			if p.node.Limits.Memory > 0 {
+				p.readers.check(now)
+			}
 		case now := <-sweep.C:
 			p.fleet.Sweep(now)
 			client.CloseExpired(now)
@@ -245,6 +254,11 @@
 	})
 	probe.Handle("/metrics", metricsHandler)
 	go func() { _ = (&http.Server{Handler: probe, ReadHeaderTimeout: headerTimeout}).Serve(readiness) }() // ends with the process
+	if p.node.Limits.Memory > 0 {
+		if err := limitCallerBuffers(ln.(*net.TCPListener)); err != nil {
+			return nil, err
+		}
+	}
 	callers := p.callers.wrap(ln.(*net.TCPListener))
 	go func() { _ = p.newCallerServer().Serve(callers) }() // ends with the process
 	return callers, nil
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -64,8 +64,9 @@
 	for first := true; ; first = false {
 		e, err := reader.read()
 		if err != nil {
+			var flushErr error
 			if c.headerSent {
-				_ = control.Flush() // the caller may have disconnected
+				flushErr = control.Flush()
 			}
 			if !errors.Is(err, io.EOF) || len(e) > 0 || !c.headerSent {
 				return broken, err // an incomplete event is dropped
@@ -73,6 +74,9 @@
 			if resp.UntilClose && !progressed {
 				return broken, errClosedUnresumed
 			}
+			if flushErr != nil {
+				return callerLeft, nil
+			}
 			return delivered, nil
 		}
 		id := eventID(e)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"hash/maphash"
 	"io"
+	"maps"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -12,6 +13,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/borageusher/borageusher/internal/socket"
 )
 
 // maxInlineBodyBytes is the size of the largest request body that is written
@@ -36,11 +39,33 @@
 
 	mu   sync.Mutex
 	idle map[netip.AddrPort][]*conn
+	busy map[*conn]struct{} // connections with a request in progress
+
+	buffers socket.Buffers // of the connections
 }
 
 // New returns a client that recognizes responses with identify.
 func New(identify RequestIDFunc) *Client {
-	return &Client{identify: identify, seed: maphash.MakeSeed(), idle: map[netip.AddrPort][]*conn{}}
+	return &Client{identify: identify, seed: maphash.MakeSeed(), idle: map[netip.AddrPort][]*conn{}, busy: map[*conn]struct{}{}}
+}
+
+// LimitBuffers sets the sizes of the connections' buffers in the kernel. It must be called
+// before the first request.
+func (c *Client) LimitBuffers(b socket.Buffers) { c.buffers = b }
+
+// Queued returns the bytes that the kernel holds for the connections with a request in
+// progress: responses that were not read yet, and requests that the targets have not
+// received.
+func (c *Client) Queued() int64 {
+	c.mu.Lock()
+	busy := slices.Collect(maps.Keys(c.busy))
+	c.mu.Unlock()
+	var sum int64
+	for _, conn := range busy {
+		received, unsent := conn.queued()
+		sum += received + unsent
+	}
+	return sum
 }
 
 // Do sends req to the target at addr and returns the response, whose body is not
@@ -58,10 +83,12 @@
 		return nil, &Error{Op: "send", Kind: NotSent, Err: ctx.Err()}
 	}
 	conn.sent = append(conn.sent, id)
+	c.begin(conn)
 	stop := context.AfterFunc(ctx, conn.abort)
 	resp, err := c.roundTrip(conn, req)
 	if err != nil {
 		stop()
+		c.end(conn)
 		conn.abandon()
 		return nil, err
 	}
@@ -182,13 +209,13 @@
 // id gets a new connection. id is the hash of the request's id.
 func (c *Client) acquire(ctx context.Context, addr netip.AddrPort, req *Request, id uint64) (*conn, error) {
 	if req.ID == "" {
-		return dial(ctx, addr)
+		return dial(ctx, addr, c.buffers)
 	}
 	now := time.Now()
 	for {
 		conn := c.popIdle(addr, id)
 		if conn == nil {
-			return dial(ctx, addr)
+			return dial(ctx, addr, c.buffers)
 		}
 		if now.Before(conn.expires) && conn.isQuiescent() {
 			return conn, nil
@@ -212,8 +239,23 @@
 	return nil
 }
 
+// begin records that a request is in progress on a connection.
+func (c *Client) begin(conn *conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy[conn] = struct{}{}
+}
+
+// end records that no request is in progress on a connection any more.
+func (c *Client) end(conn *conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.busy, conn)
+}
+
 // release keeps a connection for reuse, or resets it.
 func (c *Client) release(conn *conn, reuse bool) {
+	c.end(conn)
 	if !reuse {
 		conn.abandon()
 		return
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -60,11 +61,13 @@
 	bodyDone    chan struct{} // closed when the request's body is not used any more, nil as bodyWritten
 }
 
-func dial(ctx context.Context, addr netip.AddrPort) (*conn, error) {
+func dial(ctx context.Context, addr netip.AddrPort, buffers socket.Buffers) (*conn, error) {
 	d := net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: 2},
-		Control:         setUserTimeout,
+		Control: func(_, _ string, raw syscall.RawConn) error { // the receive buffer counts from the handshake on
+			return errors.Join(setUserTimeout(raw), buffers.Set(raw))
+		},
 	}
 	c, err := d.DialContext(ctx, "tcp4", addr.String())
 	if err != nil {
@@ -77,7 +80,7 @@
 
 // setUserTimeout limits the time for which written data stays unacknowledged to
 // unackedTimeout.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+func setUserTimeout(raw syscall.RawConn) error {
 	var optErr error
 	err := raw.Control(func(fd uintptr) {
 		ms := int(unackedTimeout / time.Millisecond)
@@ -102,6 +105,15 @@
 	return socket.Quiescent(raw)
 }
 
+// queued returns the bytes in the connection's queues in the kernel.
+func (c *conn) queued() (received, unsent int64) {
+	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return 0, 0
+	}
+	return socket.Queued(raw)
+}
+
 // abort resets the connection. Written data that the target has not received yet
 // is dropped, so that the target does not start an abandoned request.
 func (c *conn) abort() {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/borageusher/borageusher/internal/socket"
 )
 
 const idHeader = "Test-Id"
@@ -293,7 +295,7 @@
 			req := newGetRequest("1")
 			req.Method, req.HasBody, req.Body = http.MethodPost, true, make([]byte, 32<<20)
 			addr := netip.MustParseAddrPort(ln.Addr().String())
-			c, err := dial(context.Background(), addr)
+			c, err := dial(context.Background(), addr, socket.Buffers{})
 			convey.So(err, convey.ShouldBeNil)
 			client := New(identify)
 			c.expires = time.Now().Add(time.Minute)
