--- a/internal/gateway/caller_conns.go
+++ b/internal/gateway/caller_conns.go
@@ -21,13 +21,22 @@
 	scope       tally.Scope
 	admission   *admissionControl // of the memory for heads, nil for no limit
 
+	relayTimeout, bufferedTimeout time.Duration // without progress of a write
+
 	mu   sync.Mutex
 	open map[*callerConn]struct{}
 	last uint64 // id of the last connection
 }
 
 func newCallerConns(idleTimeout func() time.Duration, log event.Log, scope tally.Scope) *callerConns {
-	return &callerConns{idleTimeout: idleTimeout, log: log, scope: scope, open: map[*callerConn]struct{}{}}
+	return &callerConns{
+		idleTimeout:     idleTimeout,
+		log:             log,
+		scope:           scope,
+		relayTimeout:    relayTimeout,
+		bufferedTimeout: bufferedTimeout,
+		open:            map[*callerConn]struct{}{},
+	}
 }
 
 // wrap returns a listener that tracks the connections that ln accepts. The server
@@ -77,8 +86,15 @@
 // closedByServer reports whether the connection of a request with the context ctx
 // was closed as idle.
 func closedByServer(ctx context.Context) bool {
-	c, ok := ctx.Value(callerConnKey{}).(*callerConn)
-	return ok && c.closedAsIdle()
+	c := callerConnOf(ctx)
+	return c != nil && c.closedAsIdle()
+}
+
+// callerConnOf returns the connection of a request with the context ctx, nil if it is not
+// tracked.
+func callerConnOf(ctx context.Context) *callerConn {
+	c, _ := ctx.Value(callerConnKey{}).(*callerConn)
+	return c
 }
 
 // closeExpired closes the connections whose idle timeout has passed at now.
--- a/internal/gateway/caller_write.go
+++ b/internal/gateway/caller_write.go
@@ -14,28 +14,33 @@
 
 // Limits of a write to a caller.
 const (
-	// unreadTimeout is the time without progress after which a caller is taken not to
-	// read. It covers retransmissions on a path with packet loss, and is below the time
-	// after which targets cut off a response that remains unread: the target's response
-	// waits only once the write to the caller does.
-	unreadTimeout = 2 * time.Second
+	// relayTimeout is the time without progress after which a caller is taken not to read
+	// a response that is relayed while it arrives. It covers retransmissions on a path with
+	// packet loss, and is below the time after which targets cut off a response that
+	// remains unread: the target waits only once the write to the caller does.
+	relayTimeout = 3 * time.Second
+	// bufferedTimeout is that time for other responses, for which no target waits. A system
+	// whose receive buffer is full acknowledges nothing before some tens of KiB of it have
+	// been read, which took more than 2 s at 32 KiB/s.
+	bufferedTimeout = 10 * time.Second
 	// progressInterval is the interval at which a blocked write looks for progress.
-	progressInterval = unreadTimeout / 4
+	progressInterval = 250 * time.Millisecond
 )
 
 // dropReason says why a caller's connection was reset, in the form of the reasons of calls.
 type dropReason string
 
 const (
-	callerStalled dropReason = "caller_stalled" // it took no byte for unreadTimeout
+	callerStalled dropReason = "caller_stalled" // it took no byte for the timeout
 	callerDropped dropReason = "caller_dropped" // the memory for unread responses was short
 )
 
 // errStalled is the error of a write to a caller that does not read.
-var errStalled = errors.Newf("the caller has read nothing for %s", unreadTimeout)
+var errStalled = errors.New("the caller reads nothing")
 
 // Write implements net.Conn. It fails with errStalled if the caller makes no progress: the
-// connection takes no byte and the caller's system acknowledges none.
+// connection takes no byte and the caller's system acknowledges none. A write with a deadline
+// is taken to be one of a response that is relayed while it arrives.
 func (c *callerConn) Write(p []byte) (int, error) {
 	written, unsent := 0, int64(-1) // unknown
 	progressAt := time.Now()
@@ -64,7 +69,11 @@
 			progressAt = now
 		}
 		unsent = left
-		if now.Sub(progressAt) >= unreadTimeout {
+		timeout := c.conns.bufferedTimeout
+		if !until.IsZero() {
+			timeout = c.conns.relayTimeout
+		}
+		if now.Sub(progressAt) >= timeout {
 			c.drop(callerStalled, left)
 			return written, errStalled
 		}
@@ -114,8 +123,8 @@
 // droppedBecause returns why the connection of a request with the context ctx was reset,
 // empty if it was not.
 func droppedBecause(ctx context.Context) dropReason {
-	c, ok := ctx.Value(callerConnKey{}).(*callerConn)
-	if !ok {
+	c := callerConnOf(ctx)
+	if c == nil {
 		return ""
 	}
 	c.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -107,6 +107,9 @@
 	c.revision, c.softwareVersion = cfg.Version, version
 	c.memory = lease{admission: g.admission, use: response}
 	c.request.Reserve = c.memory.reserve
+	if conn := callerConnOf(r.Context()); conn != nil {
+		c.request.Owner = conn.id
+	}
 	defer c.memory.shrink(0)
 	g.RetryBudget.recordRequest(now, service)
 	if reason != "" {
--- a/internal/gateway/slow_readers.go
+++ b/internal/gateway/slow_readers.go
@@ -46,17 +46,20 @@
 func (s *slowReaders) check(now time.Time) {
 	conns := map[uint64]*callerConn{}
 	var readers []slowreader.Reader
-	toCallers, fromCallers := int64(0), int64(0)
+	byOwner := s.client.Queued()
+	var toCallers, fromCallers, targets int64
+	for _, n := range byOwner {
+		targets += n
+	}
 	for _, c := range s.callers.list() {
 		received, unsent := socket.Queued(c.raw)
 		toCallers += unsent
 		fromCallers += received
 		if unsent > 0 {
 			conns[c.id] = c
-			readers = append(readers, slowreader.Reader{ID: c.id, Held: unsent, Taken: c.written.Load() - unsent})
+			readers = append(readers, slowreader.Reader{ID: c.id, Held: unsent + byOwner[c.id], Taken: c.written.Load() - unsent})
 		}
 	}
-	targets := s.client.Queued()
 	s.gauge("callers", toCallers+fromCallers)
 	s.gauge("targets", targets)
 	excess := s.admission.recordQueues(toCallers + fromCallers + targets)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -39,14 +39,14 @@
 
 	mu   sync.Mutex
 	idle map[netip.AddrPort][]*conn
-	busy map[*conn]struct{} // connections with a request in progress
+	busy map[*conn]uint64 // owners of the requests in progress, by connection
 
 	buffers socket.Buffers // of the connections
 }
 
 // New returns a client that recognizes responses with identify.
 func New(identify RequestIDFunc) *Client {
-	return &Client{identify: identify, seed: maphash.MakeSeed(), idle: map[netip.AddrPort][]*conn{}, busy: map[*conn]struct{}{}}
+	return &Client{identify: identify, seed: maphash.MakeSeed(), idle: map[netip.AddrPort][]*conn{}, busy: map[*conn]uint64{}}
 }
 
 // LimitBuffers sets the sizes of the connections' buffers in the kernel. It must be called
@@ -54,18 +54,18 @@
 func (c *Client) LimitBuffers(b socket.Buffers) { c.buffers = b }
 
 // Queued returns the bytes that the kernel holds for the connections with a request in
-// progress: responses that were not read yet, and requests that the targets have not
-// received.
-func (c *Client) Queued() int64 {
+// progress, by the owners of the requests: responses that were not read yet, and requests
+// that the targets have not received.
+func (c *Client) Queued() map[uint64]int64 {
 	c.mu.Lock()
-	busy := slices.Collect(maps.Keys(c.busy))
+	busy := maps.Clone(c.busy)
 	c.mu.Unlock()
-	var sum int64
-	for _, conn := range busy {
+	queued := make(map[uint64]int64, len(busy))
+	for conn, owner := range busy {
 		received, unsent := conn.queued()
-		sum += received + unsent
+		queued[owner] += received + unsent
 	}
-	return sum
+	return queued
 }
 
 // Do sends req to the target at addr and returns the response, whose body is not
@@ -83,7 +83,7 @@
 		return nil, &Error{Op: "send", Kind: NotSent, Err: ctx.Err()}
 	}
 	conn.sent = append(conn.sent, id)
-	c.begin(conn)
+	c.begin(conn, req.Owner)
 	stop := context.AfterFunc(ctx, conn.abort)
 	resp, err := c.roundTrip(conn, req)
 	if err != nil {
@@ -239,11 +239,11 @@
 	return nil
 }
 
-// begin records that a request is in progress on a connection.
-func (c *Client) begin(conn *conn) {
+// begin records that a request of owner is in progress on a connection.
+func (c *Client) begin(conn *conn, owner uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy[conn] = struct{}{}
+	c.busy[conn] = owner
 }
 
 // end records that no request is in progress on a connection any more.
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -16,7 +16,8 @@
 	Host    string
 	Header  http.Header // without hop-by-hop headers
 	Body    []byte
-	HasBody bool // the caller sent a body, which may be empty
+	HasBody bool   // the caller sent a body, which may be empty
+	Owner   uint64 // connection that the request came from, zero if unknown
 
 	// Reserve sets aside memory for n bytes of long response headers, and reports
 	// whether it is available; nil for no limit. It is for the response to this
