Release what a call holds before its buffered response ends

Flushing a buffered response within the call let its caller send the next request before the call was released: a caller at the limit of requests could be rejected. TestAdmissionRejection showed it with -race, as its read of the counter raced with the release. The end of the response is again written after the call; only a failed write of a long body ends it as stalled.

The callers', admission, response and stop tests pass with -race.

--- a/internal/gateway/attempt_loop.go
+++ b/internal/gateway/attempt_loop.go
@@ -338,13 +338,15 @@
 }
 
 // writeResponse writes a buffered response to the caller. It returns an error if the
-// caller has disconnected or does not read.
+// caller has disconnected or does not read and part of a long body can't be written.
 func (g *Gateway) writeResponse(w http.ResponseWriter, resp *bufferedResponse) error {
 	g.writeHeader(w, resp.status, resp.header, int64(len(resp.body)))
+	// The end of the body is written after the call has returned what it holds, so that the
+	// caller's next request finds it released.
 	if _, err := w.Write(resp.body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) && !errors.Is(err, http.ErrContentLength) {
 		return err
 	}
-	return http.NewResponseController(w).Flush()
+	return nil
 }
 
 // writeHeader writes the header of a target's response to the caller. length is
