--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -69,6 +69,8 @@
 	ShareExceeded     Code = 381
 	TargetSlow        Code = 385
 	TargetNotSlow     Code = 386
+	CallerStalled     Code = 390
+	CallerDropped     Code = 391
 	RequestQueued     Code = 400
 	RequestNotRun     Code = 401
 	RequestStarted    Code = 402
@@ -180,6 +182,8 @@
 	{ShareExceeded, "share_exceeded", zerolog.InfoLevel, "Requests of the workspace are rejected because it has `used` its `fair` part of the engine time of this process's requests; at most once a second."},
 	{TargetSlow, "target_slow", zerolog.InfoLevel, "Work takes longer at the target than normally, by the product of the factor that it `reported` and the factor that is learned for reading prompts (`read`) or for other work (`work`). It gets fewer requests."},
 	{TargetNotSlow, "target_not_slow", zerolog.InfoLevel, "The target is not slow any more, or not observed."},
+	{CallerStalled, "caller_stalled", zerolog.WarnLevel, "The `caller` took no byte of its response for a while; the connection was reset with `unread` bytes left, and its request, if one is in progress, canceled."},
+	{CallerDropped, "caller_dropped", zerolog.WarnLevel, "The responses that callers do not read exceed the memory for them: the connection of the `caller`, one of the slowest, was reset with `unread` bytes left, and its request, if one is in progress, canceled."},
 	{RequestQueued, "request_queued", zerolog.DebugLevel, "The target queued an attempt."},
 	{RequestNotRun, "request_not_run", zerolog.InfoLevel, "The target refused an attempt that it had not started."},
 	{RequestStarted, "request_started", zerolog.DebugLevel, "The request was sent to the engine or service."},
--- a/internal/gateway/attempt_loop.go
+++ b/internal/gateway/attempt_loop.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/pkg/quarantine"
 )
@@ -300,6 +302,8 @@
 	switch {
 	case closedByServer(callerCtx):
 		reason = "connection_closed"
+	case droppedBecause(callerCtx) != "":
+		reason = string(droppedBecause(callerCtx))
 	case reason == "timeout" && g.ending.Err() != nil:
 		reason = "stopping"
 	}
@@ -308,7 +312,9 @@
 		panic(http.ErrAbortHandler) // closes the connection so that the caller sees an incomplete response
 	}
 	if c.fallback != nil {
-		g.writeResponse(w, c.fallback)
+		if err := g.writeResponse(w, c.fallback); err != nil {
+			g.abort(callerCtx, c)
+		}
 		g.recordOutcome(c, c.fallback.status, "failure_passed_on")
 		return
 	}
@@ -352,15 +358,23 @@
 	reason := "caller_left"
 	if closedByServer(callerCtx) {
 		reason = "connection_closed"
+	} else if dropped := droppedBecause(callerCtx); dropped != "" {
+		reason = string(dropped)
 	}
 	g.recordOutcome(c, 0, reason)
 	panic(http.ErrAbortHandler) // the response has no reader
 }
 
-// writeResponse writes a buffered response to the caller.
-func (g *Gateway) writeResponse(w http.ResponseWriter, resp *bufferedResponse) {
+// writeResponse writes a buffered response to the caller. It returns an error if the
+// caller has disconnected or does not read and part of a long body can't be written.
+func (g *Gateway) writeResponse(w http.ResponseWriter, resp *bufferedResponse) error {
 	g.writeHeader(w, resp.status, resp.header, int64(len(resp.body)))
-	_, _ = w.Write(resp.body) // the caller may have disconnected
+	// The end of the body is written after the call has returned what it holds, so that the
+	// caller's next request finds it released.
+	if _, err := w.Write(resp.body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) && !errors.Is(err, http.ErrContentLength) {
+		return err
+	}
+	return nil
 }
 
 // writeHeader writes the header of a target's response to the caller. length is
--- a/internal/gateway/main.go
+++ b/internal/gateway/main.go
@@ -22,6 +22,7 @@
 	"github.com/borageusher/borageusher/internal/upstream"
 	"github.com/borageusher/borageusher/pkg/quota"
 	"github.com/borageusher/borageusher/pkg/routing"
+	"github.com/borageusher/borageusher/pkg/slowreader"
 )
 
 // Shares of the time within which a change to an object kind must be known.
@@ -80,6 +81,7 @@
 	gateway *Gateway
 	current atomic.Pointer[routing.Configuration]
 	callers *callerConns
+	readers *slowReaders
 
 	confirmations *confirmations
 	readiness     *readiness
@@ -148,6 +150,9 @@
 	conns.onConfirmation = p.confirmations.applyAnswer
 	p.fleet.onTarget = conns.connect
 	client := upstream.New(platform.HeaderCodec.RequestID)
+	if node.Limits.Memory > 0 {
+		client.LimitBuffers(targetBuffers)
+	}
 	b := node.Bounds
 	p.gateway = New(Options{
 		HeaderCodec:   platform.HeaderCodec,
@@ -163,6 +168,7 @@
 		Limits:        node.Limits,
 	})
 	p.callers.admission = p.gateway.admission
+	p.readers = &slowReaders{callers: p.callers, client: client, admission: p.gateway.admission, tracker: slowreader.New(), scope: scope}
 	store := platform.NewStore(scope)
 	cfg := &configurationSink{
 		decoder: platform.Decoder, name: platform.ConfigurationName, current: &p.current, fleet: p.fleet, log: log, confirmations: p.confirmations,
@@ -210,6 +216,9 @@
 			p.fleet.askConfirmer(p.confirmations, p.current.Load())
 			p.fleet.cancelStalled(now)
 			p.fleet.sendMovedOrigins(now)
+			if p.node.Limits.Memory > 0 {
+				p.readers.check(now)
+			}
 		case now := <-sweep.C:
 			p.fleet.Sweep(now)
 			client.CloseExpired(now)
@@ -272,6 +281,11 @@
 	})
 	probe.Handle("/metrics", metricsHandler)
 	go func() { _ = (&http.Server{Handler: probe, ReadHeaderTimeout: headerTimeout}).Serve(readiness) }() // ends with the process
+	if p.node.Limits.Memory > 0 {
+		if err := limitCallerBuffers(ln.(*net.TCPListener)); err != nil {
+			return nil, err
+		}
+	}
 	callers := p.callers.wrap(ln.(*net.TCPListener))
 	go func() { _ = p.newCallerServer().Serve(callers) }() // ends with the process
 	return callers, nil
