Choose issuers after a change of the configuration, and count entryds once

The number of entryds was counted over all connections for each request for credit, which grows with their square; the targetd keeps the count. Tests of internal/enginecontroller and internal/credit pass.

--- a/internal/enginecontroller/conns.go
+++ b/internal/enginecontroller/conns.go
@@ -39,6 +39,7 @@
 func (ec *Controller) addConn(c *peer.Conn) {
 	ec.mu.Lock()
 	ec.conns[c] = struct{}{}
+	ec.entryds[c.Remote().Name]++
 	for engine, fingerprints := range ec.crashes {
 		_, _ = c.Send(peer.CrashReport{Engine: engine, Fingerprints: fingerprints}) // after an error the entryd reconnects
 	}
@@ -60,6 +61,10 @@
 func (ec *Controller) removeConn(c *peer.Conn) {
 	ec.mu.Lock()
 	delete(ec.conns, c)
+	name := c.Remote().Name
+	if ec.entryds[name]--; ec.entryds[name] == 0 {
+		delete(ec.entryds, name)
+	}
 	ec.mu.Unlock()
 }
 
@@ -68,11 +73,7 @@
 func (ec *Controller) entrydCount() int {
 	ec.mu.Lock()
 	defer ec.mu.Unlock()
-	names := make(map[string]bool, len(ec.conns))
-	for c := range ec.conns {
-		names[c.Remote().Name] = true
-	}
-	return len(names)
+	return len(ec.entryds)
 }
 
 // receive posts a message of an entryd to the loop. Messages that do not concern the
--- a/internal/enginecontroller/controller.go
+++ b/internal/enginecontroller/controller.go
@@ -72,6 +72,7 @@
 
 	mu      sync.Mutex // guards conns, crashes and segments
 	conns   map[*peer.Conn]struct{}
+	entryds map[string]int      // connections by the entryd's name; counted for each request for credit
 	crashes map[string][][]byte // fingerprints of the requests in flight at known crashes, by engine instance
 
 	segments segmentReports
@@ -106,6 +107,7 @@
 		Options: opts,
 		inbox:   make(chan func(time.Time), inboxSize),
 		conns:   map[*peer.Conn]struct{}{},
+		entryds: map[string]int{},
 		crashes: map[string][][]byte{},
 		planner: orders.NewPlanner(),
 		pacer:   newPacer(opts.Log),
--- a/internal/gateway/main.go
+++ b/internal/gateway/main.go
@@ -221,6 +221,7 @@
 			}
 		case now := <-sweep.C:
 			p.fleet.Sweep(now)
+			p.gateway.Credit.CheckIssuers() // also after a change of the configuration
 			client.CloseExpired(now)
 			p.crashes.expire(now)
 			p.updateGauges(now)
