Protect urgent classes of workspaces above their shares

A workspace above its share is admitted up to half of the objective of the class. Rejections for that reason set no limit for less urgent classes, so that a less urgent class with a longer objective kept the wait above the limit of the urgent one. A deployment with one workspace is concerned as soon as anything is rejected, because the workspace then uses its share.

--- a/pkg/overload/doc.go
+++ b/pkg/overload/doc.go
@@ -12,7 +12,8 @@
 //
 //   - what its caller waits, less the time to read the prompt itself;
 //   - for workspaces above their share, a part of the objective, so that the others are
-//     still served on time;
+//     still served on time; while requests are rejected because of it, a part of their limit
+//     for less urgent classes of workspaces above their share;
 //   - while requests of a class are rejected because of the first limit, a part of theirs
 //     for the same class, and a part of theirs or of their objective for less urgent ones. So a more urgent class is rejected no
 //     more often than a less urgent one, whatever their callers wait, and long prompts and
--- a/pkg/overload/overload.go
+++ b/pkg/overload/overload.go
@@ -111,6 +111,7 @@
 	objective  time.Duration // of its last request
 	limit      time.Duration // least limit of the wait of recently rejected requests
 	rejectedAt time.Time     // when one was rejected at that limit
+	aboveAt    time.Time     // when one was rejected because its workspace is above its share
 	admitted   float64       // decayed number of admitted requests
 	admittedAt time.Time     // to which it is decayed
 	promisedAt time.Time     // last time at which a rejected caller was told to return
@@ -119,6 +120,15 @@
 // rejects reports whether requests were rejected recently, so that others are limited.
 func (c *class) rejects(now time.Time) bool { return now.Sub(c.rejectedAt) < pressureValidity }
 
+// rejectsAbove reports whether requests of workspaces above their shares were rejected
+// recently, so that less urgent ones of such workspaces are limited.
+func (c *class) rejectsAbove(now time.Time) bool { return now.Sub(c.aboveAt) < pressureValidity }
+
+// aboveLimit returns the limit of the wait of requests of workspaces above their shares.
+func (r Request) aboveLimit() time.Duration {
+	return time.Duration(aboveShareLimit * float64(r.Objective))
+}
+
 // idle reports whether nothing is left to know of the class.
 func (c *class) idle(now time.Time) bool {
 	return now.Sub(c.rejectedAt) > classRetention && now.Sub(c.admittedAt) > classRetention
@@ -189,7 +199,10 @@
 		}
 		return d
 	}
-	if wait > own && !r.AboveShare {
+	switch {
+	case r.AboveShare && wait > r.aboveLimit():
+		k.aboveAt = now
+	case wait > own && !r.AboveShare:
 		k.record(now, r, f)
 	}
 	after := k.promise(now, wait-max(0, d.Limit), r.ClassPatience)
@@ -205,9 +218,15 @@
 		}
 	}
 	if r.AboveShare {
-		limit(AboveShare, time.Duration(aboveShareLimit*float64(r.Objective)))
+		limit(AboveShare, r.aboveLimit())
 	}
 	for name, k := range c.services[service] {
+		if r.AboveShare && k.urgency < r.Urgency && k.rejectsAbove(now) {
+			limit(LessUrgent, lessUrgent(aboveShareLimit*float64(k.objective), r.Urgency-k.urgency))
+			if d.Reason == LessUrgent && d.Wait > d.Limit {
+				k.aboveAt = now // as below
+			}
+		}
 		switch {
 		case name != r.Class && k.idle(now):
 			delete(c.services[service], name)
@@ -215,8 +234,7 @@
 		case name == r.Class:
 			limit(ClassLimit, time.Duration(returnedLimit*float64(k.limit)))
 		case k.urgency < r.Urgency:
-			steps := min(maxUrgencySteps, r.Urgency-k.urgency)
-			limit(LessUrgent, time.Duration(math.Pow(lessUrgentLimit, float64(steps))*float64(min(k.limit, k.objective))))
+			limit(LessUrgent, lessUrgent(float64(min(k.limit, k.objective)), r.Urgency-k.urgency))
 			if d.Reason == LessUrgent && d.Wait > d.Limit {
 				k.rejectedAt = now // without this limit the class would be rejected again
 			}
@@ -224,6 +242,12 @@
 	}
 }
 
+// lessUrgent returns the limit of a class that is less urgent by some steps than one with
+// the given limit.
+func lessUrgent(limit float64, steps int) time.Duration {
+	return time.Duration(math.Pow(lessUrgentLimit, float64(min(maxUrgencySteps, steps))) * limit)
+}
+
 // record records that a request was rejected because its caller would have left.
 func (c *class) record(now time.Time, r Request, f Forecast) {
 	limit := max(r.Patience-f.Work, time.Duration(minClassLimit*float64(r.ClassPatience)))
--- a/pkg/overload/overload_test.go
+++ b/pkg/overload/overload_test.go
@@ -209,6 +209,30 @@
 	}
 }
 
+// Guards against an urgent class with a short objective that is served less often than a less
+// urgent one with a long objective while the workspaces of both are above their shares, as is
+// the only workspace of a deployment as soon as anything is rejected.
+func TestClassesAboveShare(t *testing.T) {
+	for seed := range uint64(5) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			chat, batch := request("chat", 0), request("batch", 2)
+			batch.Objective, batch.ClassPatience = 2*time.Second, 8*time.Second
+			chat.AboveShare, batch.AboveShare = true, true
+			urgent := &kind{Request: chat, perSecond: 10, work: 60 * time.Millisecond}
+			patient := &kind{Request: batch, perSecond: 22, work: 60 * time.Millisecond}
+			idle := replay(seed, []*kind{urgent, patient})
+			rate := func(k *kind) float64 { return float64(k.served) / float64(k.calls) }
+			t.Logf("served: urgent %.3f, less urgent %.3f; idle %.3f", rate(urgent), rate(patient), idle)
+			if rate(urgent) < rate(patient) {
+				t.Errorf("the urgent class was served at %.3f, the less urgent one at %.3f", rate(urgent), rate(patient))
+			}
+			if idle > 0.02 {
+				t.Errorf("the engine idled for %.3f of the time", idle)
+			}
+		})
+	}
+}
+
 // 16 workspaces with five routes each.
 func BenchmarkDecide(b *testing.B) {
 	c := New()
