Bound the count of callers that wait for room

Each request that is rejected for lack of room was counted until another one ended, also if the same caller returned at once. After such callers had left, all others were told to return after the longest time until as many requests had ended.

--- a/internal/gateway/order_test.go
+++ b/internal/gateway/order_test.go
@@ -243,6 +243,26 @@
 		}
 		convey.So(last, convey.ShouldBeBetween, 900*time.Millisecond, 1600*time.Millisecond)
 	})
+	convey.Convey("A caller that returns at once many times does not delay others after it has left", t, func() {
+		ac, cfg := newControl(), routing.New(1, nil, nil, routing.Limits{})
+		start := time.Now()
+		var places []*place
+		for range size {
+			p, _ := ac.enter(start, cfg, nil)
+			places = append(places, p)
+		}
+		places[0].leave(start.Add(time.Second))
+		_, _ = ac.enter(start, cfg, nil)
+		for range 100_000 {
+			_, _ = ac.enter(start, cfg, nil)
+		}
+		for range 10 * size { // one after the other
+			places[1].leave(start.Add(time.Second))
+			places[1], _ = ac.enter(start, cfg, nil)
+		}
+		_, untilRoom := ac.enter(start, cfg, nil)
+		convey.So(untilRoom, convey.ShouldBeBetweenOrEqual, shortRetryAfter, 2*shortRetryAfter)
+	})
 }
 
 // A request whose caller has left must not keep what others wait for, in whichever wait it
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -14,7 +14,7 @@
 type roomShares struct {
 	room      *fairshare.Room
 	held      retry.Mean // time for which requests are in progress
-	turnedOff int        // rejected requests for which no other one has ended since
+	turnedOff int        // rejected requests for which no other one has ended since, up to those that end within longRetryAfter
 }
 
 // place is one of the requests in progress that an admissionControl limits.
@@ -69,8 +69,11 @@
 // random part: requests end at the rate of those in progress by the time that each takes,
 // and each one makes room for one rejected caller. The caller holds mu.
 func (a *admissionControl) untilRoom() time.Duration {
-	a.shares.turnedOff++
 	ends := float64(a.shares.held.Value()) / float64(a.maxRequests) // interval
+	// The count is bounded, so that callers that return at once don't delay others later.
+	if ends > 0 && ends*float64(a.shares.turnedOff) < float64(longRetryAfter) {
+		a.shares.turnedOff++
+	}
 	after := time.Duration(min(ends*float64(a.shares.turnedOff), float64(longRetryAfter)))
 	return spread(max(after, shortRetryAfter))
 }
