Reject calls only after a look at all targets

With more than 24 targets, admission was decided for the best target of a sample: 6 of those that are equal for a call, 16 of the holders of an adapter, or 12 that may load it. Calls were rejected as overloaded while another target had free slots.

TestFreeTargetOutsideSample failed: with one free target among 120 busy ones, 49 of 50 calls without an adapter and 37 of 50 with one were rejected or sent to a busy target. A call that would be rejected now chooses among all targets first; all 50 of both go to the free one. overload.Controller.Rejects tells without recording the rejection, which would limit other requests.

--- a/internal/gateway/attempt_loop.go
+++ b/internal/gateway/attempt_loop.go
@@ -195,6 +195,9 @@
 	for {
 		now := time.Now()
 		sel, ok := g.Fleet.choose(now, c)
+		if ok && sel.sampled && (g.busy(now, c, sel) || (!sel.resident && c.waitTarget == nil && now.Add(sel.wait).After(waitUntil))) {
+			sel, ok = g.Fleet.chooseFromAll(now, c, false)
+		}
 		g.offerLoad(now, c, sel)
 		pause := waitPollInterval
 		switch {
@@ -274,7 +277,7 @@
 // adapter to load: a busy target that holds it. If there is none, the caller
 // gets a Retry-After of the expected load time.
 func (g *Gateway) chooseWithoutWaiting(now time.Time, c *call, expectedWait time.Duration) (selection, string) {
-	if sel, ok := g.Fleet.chooseResident(now, c); ok && g.rejects(now, c, sel, false) == "" {
+	if sel, ok := g.chooseHolder(now, c); ok && g.rejects(now, c, sel, false) == "" {
 		return sel, ""
 	}
 	if after := spread(expectedWait); c.retryAfter == 0 || after < c.retryAfter { // else a holder has capacity sooner
@@ -283,6 +286,21 @@
 	return selection{}, "adapter_not_loaded"
 }
 
+// chooseHolder returns the holder of the call's adapter for the next attempt, and false if
+// there is none. It looks at all holders if the call would be rejected at one of a sample.
+func (g *Gateway) chooseHolder(now time.Time, c *call) (selection, bool) {
+	sel, ok := g.Fleet.chooseResident(now, c)
+	if ok && sel.sampled && g.busy(now, c, sel) {
+		sel, ok = g.Fleet.chooseFromAll(now, c, true)
+	}
+	return sel, ok
+}
+
+// busy reports whether the call would be rejected at a selected holder of its adapter.
+func (g *Gateway) busy(now time.Time, c *call, sel selection) bool {
+	return sel.resident && g.wouldReject(now, c, sel)
+}
+
 // leavesBefore reports whether a call that waits for its adapter is expected to wait at the
 // selected target for longer than its caller.
 func (c *call) leavesBefore(now time.Time, sel selection) bool {
--- a/internal/gateway/order.go
+++ b/internal/gateway/order.go
@@ -135,10 +135,41 @@
 // would leave. Started streams are never rejected, nor are requests without a model unless
 // the deployment has workspaces.
 func (g *Gateway) rejects(now time.Time, c *call, sel selection, admitted bool) string {
-	if c.headerSent || (c.model == "" && c.workspace == nil) {
+	if c.alwaysAdmitted() {
 		return ""
 	}
 	standing := g.standing(now, c)
+	r := c.overloadRequest(now, standing, admitted)
+	f := g.Fleet.forecast(now, c, sel)
+	g.order.mu.Lock()
+	d := g.order.overload.Decide(now, c.service, r, f, rand.Float64())
+	g.order.mu.Unlock()
+	if d.Admitted() {
+		return ""
+	}
+	c.retryAfter = d.RetryAfter
+	g.logShed(now, c, sel, d, standing)
+	return d.Reason.String()
+}
+
+// wouldReject reports whether rejects would return a reason, without recording anything.
+func (g *Gateway) wouldReject(now time.Time, c *call, sel selection) bool {
+	if c.alwaysAdmitted() {
+		return false
+	}
+	r, f := c.overloadRequest(now, g.standing(now, c), false), g.Fleet.forecast(now, c, sel)
+	g.order.mu.Lock()
+	defer g.order.mu.Unlock()
+	return g.order.overload.Rejects(now, c.service, r, f)
+}
+
+// alwaysAdmitted reports whether the call is sent however long it waits.
+func (c *call) alwaysAdmitted() bool {
+	return c.headerSent || (c.model == "" && c.workspace == nil)
+}
+
+// overloadRequest returns the properties of a call on which its admission depends.
+func (c *call) overloadRequest(now time.Time, standing fairshare.Standing, admitted bool) overload.Request {
 	r := overload.Request{
 		Class:         c.route.Name,
 		Urgency:       c.urgency,
@@ -152,16 +183,7 @@
 	if c.workspace != nil {
 		r.Class += "/" + c.workspace.Name
 	}
-	f := g.Fleet.forecast(now, c, sel)
-	g.order.mu.Lock()
-	d := g.order.overload.Decide(now, c.service, r, f, rand.Float64())
-	g.order.mu.Unlock()
-	if d.Admitted() {
-		return ""
-	}
-	c.retryAfter = d.RetryAfter
-	g.logShed(now, c, sel, d, standing)
-	return d.Reason.String()
+	return r
 }
 
 // reasonLoadShare is the reason of a call whose adapter is not loaded because its workspace
--- a/internal/gateway/pacing.go
+++ b/internal/gateway/pacing.go
@@ -92,7 +92,7 @@
 		return first, answered, false, ""
 	}
 	now := time.Now()
-	next, ok := g.Fleet.chooseResident(now, c)
+	next, ok := g.chooseHolder(now, c)
 	switch {
 	case ok && next.target != sel.target && c.reselections < maxReselections:
 		c.reselections++
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -31,6 +31,7 @@
 	backlog   int             // estimated tokens of prompts that the target has to read
 	stateAge  time.Duration   // age of the engine state, zero if none is known
 	newLoad   bool            // the target was not asked to load the adapter yet
+	sampled   bool            // others that could be chosen were not looked at
 	loadsWait bool            // more adapters wait to be loaded there than are loaded at once
 	changed   <-chan struct{} // closed when the selection may change, nil if the adapter is resident
 }
@@ -41,7 +42,7 @@
 func (f *Fleet) choose(now time.Time, c *call) (selection, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.chooseAmong(now, c, false)
+	return f.chooseAmong(now, c, true, false)
 }
 
 // chooseResident returns the target for the next attempt of a call that no
@@ -49,25 +50,32 @@
 func (f *Fleet) chooseResident(now time.Time, c *call) (selection, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.chooseAmong(now, c, true)
+	return f.chooseAmong(now, c, true, true)
+}
+
+// chooseFromAll does what choose or chooseResident does, and looks at all targets.
+func (f *Fleet) chooseFromAll(now time.Time, c *call, residentOnly bool) (selection, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.chooseAmong(now, c, false, residentOnly)
 }
 
 // chooseAmong chooses among the targets, or only among those that hold the
-// adapter. If there are many, it looks at a sample and only at all if no target of the
-// sample can be chosen. If the adapter should have a further copy, it requests the load.
+// adapter. If there are many and sample is set, it looks at a sample and only at all if no
+// target of the sample can be chosen. If the adapter should have a further copy, it requests the load.
 // The caller holds mu.
-func (f *Fleet) chooseAmong(now time.Time, c *call, residentOnly bool) (selection, bool) {
+func (f *Fleet) chooseAmong(now time.Time, c *call, sample, residentOnly bool) (selection, bool) {
 	req := assignment.Request{
 		Key:       c.placementKey,
 		Objective: f.slackOf(c),
 		Bytes:     len(c.body),
 	}
-	complete := f.collect(now, c, true, residentOnly)
+	complete := f.collect(now, c, sample, residentOnly)
 	targets, candidates := f.candidates(now, c, true, residentOnly)
 	choice, ok := assignment.Choose(req, candidates)
 	if !ok && !complete {
 		f.fullChoices++
-		f.collect(now, c, false, residentOnly)
+		complete = f.collect(now, c, false, residentOnly)
 		targets, candidates = f.candidates(now, c, true, residentOnly)
 		choice, ok = assignment.Choose(req, candidates)
 	}
@@ -81,7 +89,7 @@
 	if choice.CopyTarget >= 0 {
 		f.requestLoad(now, targets[choice.CopyTarget], c.adapter, 1)
 	}
-	sel := selection{target: t, replica: t.replica, resident: choice.Resident, wait: choice.Wait, extra: candidates[choice.Index].ExtraTime, load: t.estimatedLoad(now), backlog: t.estimatedBacklog(now, f.tokenTimeAt(now, t))}
+	sel := selection{target: t, replica: t.replica, resident: choice.Resident, sampled: !complete, wait: choice.Wait, extra: candidates[choice.Index].ExtraTime, load: t.estimatedLoad(now), backlog: t.estimatedBacklog(now, f.tokenTimeAt(now, t))}
 	if !sel.resident {
 		sel.changed = f.changeSignal(c.adapter)
 		sel.newLoad, sel.loadsWait = !t.loading[c.adapter] && t.waiting[c.adapter] == 0, t.missingAdapters > maxConcurrentLoads
--- a/internal/gateway/target_index_test.go
+++ b/internal/gateway/target_index_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/smartystreets/goconvey/convey"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/internal/peer"
@@ -233,3 +234,40 @@
 		t.Errorf("the index of no targets: %+v", x)
 	}
 }
+
+// freeEngine has all engines of a fleet but one busy for longer than callers wait, and
+// returns that one.
+func freeEngine(now time.Time, f *Fleet, slots int, engineState peer.EngineState) *targetState {
+	f.latencyOf("llm").observe(time.Second, 10*time.Second, 1)
+	free := f.targets["i-77"]
+	for _, engine := range f.targets {
+		f.applyEngineState(now, engine, engineState)
+		if engine != free {
+			engine.observeLoad(now, Load{Running: slots, Waiting: 20 * slots, Slots: slots})
+		}
+	}
+	return free
+}
+
+// A bounded sample of busy targets must not have a call rejected while another target has
+// capacity for it.
+func TestFreeTargetOutsideSample(t *testing.T) {
+	for name, adapters := range map[string][]string{"": nil, "a1": {"a1"}} {
+		now := time.Now()
+		f := spreadFleet(now, "a", 120, 1)
+		free := freeEngine(now, f, 4, adapterState(adapters...))
+		g := New(Options{Fleet: f, Log: event.Discard(), Scope: tally.NoopScope})
+		rejected := 0
+		for range 50 {
+			c := callFor(name)
+			c.start, c.deadline = now, now.Add(10*time.Second)
+			sel, reason := g.awaitTarget(t.Context(), c)
+			if reason != "" || sel.target != free {
+				rejected++
+			}
+		}
+		if rejected > 0 {
+			t.Errorf("adapter %q: %d of 50 calls were rejected or sent to a busy target while one was free", name, rejected)
+		}
+	}
+}
--- a/pkg/overload/overload.go
+++ b/pkg/overload/overload.go
@@ -183,15 +183,17 @@
 	return k
 }
 
+// Rejects reports whether Decide would reject a request, without recording it.
+func (c *Controller) Rejects(now time.Time, service string, r Request, f Forecast) bool {
+	d := c.limit(now, service, r, f, false)
+	return !f.Free && d.Wait > d.Limit
+}
+
 // Decide decides on a request to a service. draw is a random number from [0,1).
 func (c *Controller) Decide(now time.Time, service string, r Request, f Forecast, draw float64) Decision {
-	wait, k := f.waitAt(now), c.classOf(service, r)
-	own := r.Patience - f.Work
-	d := Decision{Reason: Overloaded, Wait: wait, Limit: own}
-	if !r.Queued && !r.Starved && !f.Free {
-		c.lower(now, service, r, &d)
-	}
-	if f.Free || wait <= d.Limit {
+	k := c.classOf(service, r)
+	d := c.limit(now, service, r, f, true)
+	if f.Free || d.Wait <= d.Limit {
 		d.Reason = Admitted
 		if !r.Queued {
 			k.decay(now)
@@ -200,18 +202,28 @@
 		return d
 	}
 	switch {
-	case r.AboveShare && wait > r.aboveLimit():
+	case r.AboveShare && d.Wait > r.aboveLimit():
 		k.aboveAt = now
-	case wait > own && !r.AboveShare:
+	case d.Wait > r.Patience-f.Work && !r.AboveShare:
 		k.record(now, r, f)
 	}
-	after := k.promise(now, wait-max(0, d.Limit), r.ClassPatience)
+	after := k.promise(now, d.Wait-max(0, d.Limit), r.ClassPatience)
 	d.RetryAfter = after + time.Duration(draw*max(float64(minRetrySpread), retrySpread*float64(after)))
 	return d
 }
 
+// limit returns the forecast wait of a request and its limit, with the reason to reject it
+// if the wait is longer. If record is set, limits that reject the request stay.
+func (c *Controller) limit(now time.Time, service string, r Request, f Forecast, record bool) Decision {
+	d := Decision{Reason: Overloaded, Wait: f.waitAt(now), Limit: r.Patience - f.Work}
+	if !r.Queued && !r.Starved && !f.Free {
+		c.lower(now, service, r, &d, record)
+	}
+	return d
+}
+
 // lower lowers the limit of a decision to those that protect other requests.
-func (c *Controller) lower(now time.Time, service string, r Request, d *Decision) {
+func (c *Controller) lower(now time.Time, service string, r Request, d *Decision, record bool) {
 	limit := func(reason Reason, limit time.Duration) {
 		if limit < d.Limit {
 			d.Reason, d.Limit = reason, limit
@@ -223,7 +235,7 @@
 	for name, k := range c.services[service] {
 		if r.AboveShare && k.urgency < r.Urgency && k.rejectsAbove(now) {
 			limit(LessUrgent, lessUrgent(aboveShareLimit*float64(k.objective), r.Urgency-k.urgency))
-			if d.Reason == LessUrgent && d.Wait > d.Limit {
+			if record && d.Reason == LessUrgent && d.Wait > d.Limit {
 				k.aboveAt = now // as below
 			}
 		}
@@ -235,7 +247,7 @@
 			limit(ClassLimit, time.Duration(returnedLimit*float64(k.limit)))
 		case k.urgency < r.Urgency:
 			limit(LessUrgent, lessUrgent(float64(min(k.limit, k.objective)), r.Urgency-k.urgency))
-			if d.Reason == LessUrgent && d.Wait > d.Limit {
+			if record && d.Reason == LessUrgent && d.Wait > d.Limit {
 				k.rejectedAt = now // without this limit the class would be rejected again
 			}
 		}
