Compare the target of an offer with the sample

When a targetd answers an offer that the prompt has to wait, the call chooses among the holders again. With more than 24 equal targets or 16 holders the offered target was mostly not in the sample: the call left it for another one that was worse, and once it had left twice, its forecast was not checked any more while it waited.

TestOfferedTargetIsCompared failed: 20 of 20 calls left the only target with free slots for a busy one. The offered target now is part of the sample; none leaves it.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -51,6 +51,7 @@
 	permitRefusals  int             // refused permits since the last attempt
 	permitUntil     time.Time       // end of the wait for permits, zero before the first request for one
 	waitTarget      *targetState    // target that is to load the adapter, nil if not waiting
+	offeredTarget   *targetState    // target to which the prompt was offered, nil while it is not
 
 	heldFor     time.Duration // total time waited because another request with a suspect segment ran
 	permitWait  time.Duration // total time waited for permits
--- a/internal/gateway/pacing.go
+++ b/internal/gateway/pacing.go
@@ -92,6 +92,8 @@
 		return first, answered, false, ""
 	}
 	now := time.Now()
+	c.offeredTarget = sel.target
+	defer func() { c.offeredTarget = nil }()
 	next, ok := g.chooseHolder(now, c)
 	switch {
 	case ok && next.target != sel.target && c.reselections < maxReselections:
--- a/internal/gateway/target_index.go
+++ b/internal/gateway/target_index.go
@@ -342,6 +342,7 @@
 		return true
 	}
 	s.add(c.waitTarget)
+	s.add(c.offeredTarget)
 	if c.adapter.Name == "" {
 		f.addReaders(now, p, c)
 		s.addNear(p, equalSample)
--- a/internal/gateway/target_index_test.go
+++ b/internal/gateway/target_index_test.go
@@ -235,15 +235,14 @@
 	}
 }
 
-// freeEngine has all engines of a fleet but one busy for longer than callers wait, and
-// returns that one.
-func freeEngine(now time.Time, f *Fleet, slots int, engineState peer.EngineState) *targetState {
-	f.latencyOf("llm").observe(time.Second, 10*time.Second, 1)
+// freeEngine gives all engines of a fleet but one the given load, and returns that one.
+func freeEngine(now time.Time, f *Fleet, engineState peer.EngineState, busy Load) *targetState {
+	f.latencyOf("llm").observe(100*time.Millisecond, time.Second, 1)
 	free := f.targets["i-77"]
 	for _, engine := range f.targets {
 		f.applyEngineState(now, engine, engineState)
 		if engine != free {
-			engine.observeLoad(now, Load{Running: slots, Waiting: 20 * slots, Slots: slots})
+			engine.observeLoad(now, busy)
 		}
 	}
 	return free
@@ -255,7 +254,7 @@
 	for name, adapters := range map[string][]string{"": nil, "a1": {"a1"}} {
 		now := time.Now()
 		f := spreadFleet(now, "a", 120, 1)
-		free := freeEngine(now, f, 4, adapterState(adapters...))
+		free := freeEngine(now, f, adapterState(adapters...), Load{Running: 4, Waiting: 80, Slots: 4})
 		g := New(Options{Fleet: f, Log: event.Discard(), Scope: tally.NoopScope})
 		rejected := 0
 		for range 50 {
@@ -271,3 +270,27 @@
 		}
 	}
 }
+
+// A call whose prompt was offered to the best target must not leave it for a worse one of
+// another sample.
+func TestOfferedTargetIsCompared(t *testing.T) {
+	now := time.Now()
+	f := spreadFleet(now, "a", 120, 1)
+	free := freeEngine(now, f, adapterState(), Load{Running: 4, Waiting: 1, Slots: 4})
+	g := New(Options{Fleet: f, Log: event.Discard(), Scope: tally.NoopScope})
+	left := 0
+	for range 20 {
+		c := callFor("")
+		c.start, c.deadline = now, now.Add(10*time.Second)
+		sel := selection{target: free, replica: free.replica, resident: true}
+		o := &offer{target: free, answers: make(chan peer.PromptAnswer, 1)}
+		o.answers <- peer.PromptAnswer{Admitted: true}
+		_, _, again, reason := g.awaitAdmission(t.Context(), c, sel, o, peer.PromptAnswer{Requests: 4})
+		if again || reason != "" {
+			left++
+		}
+	}
+	if left > 0 {
+		t.Errorf("%d of 20 calls left the target to which their prompts were offered", left)
+	}
+}
