Look for targets without a limit beyond the sample

A call that was refused permits chose again from another sample. With limits at most targets of a service with more than 24, it was rejected as rate limited although a target without a limit was free.

TestUnlimitedTargetOutsideSample failed: of 120 targets one had no limit, and 20 of 20 calls that had been refused permits got a limited one again. After a refused permit all targets are looked at if the sample gives a limited one; all 20 go to the one without.

--- a/internal/gateway/attempt_loop.go
+++ b/internal/gateway/attempt_loop.go
@@ -195,7 +195,7 @@
 	for {
 		now := time.Now()
 		sel, ok := g.Fleet.choose(now, c)
-		if ok && sel.sampled && (g.busy(now, c, sel) || (!sel.resident && c.waitTarget == nil && now.Add(sel.wait).After(waitUntil))) {
+		if ok && sel.sampled && g.fails(now, c, sel, waitUntil) {
 			sel, ok = g.Fleet.chooseFromAll(now, c, false)
 		}
 		g.offerLoad(now, c, sel)
@@ -296,6 +296,13 @@
 	return sel, ok
 }
 
+// fails reports whether the call would be rejected at the selected target, or gets no
+// permit for it.
+func (g *Gateway) fails(now time.Time, c *call, sel selection, waitUntil time.Time) bool {
+	tooLong := !sel.resident && c.waitTarget == nil && now.Add(sel.wait).After(waitUntil)
+	return tooLong || g.busy(now, c, sel) || (c.permitRefusals > 0 && g.Fleet.needsPermit(now, c, sel.target))
+}
+
 // busy reports whether the call would be rejected at a selected holder of its adapter.
 func (g *Gateway) busy(now time.Time, c *call, sel selection) bool {
 	return sel.resident && g.wouldReject(now, c, sel)
--- a/internal/gateway/target_index_test.go
+++ b/internal/gateway/target_index_test.go
@@ -294,3 +294,30 @@
 		t.Errorf("%d of 20 calls left the target to which their prompts were offered", left)
 	}
 }
+
+// A rate limit at most targets must not have a call rejected for lack of permits while
+// another target takes it without one.
+func TestUnlimitedTargetOutsideSample(t *testing.T) {
+	now := time.Now()
+	f := spreadFleet(now, "a", 120, 1)
+	unlimited := f.targets["i-77"]
+	for _, engine := range f.targets {
+		if engine != unlimited {
+			*engine.limit = rateLimit{limited: true, perSecond: 0.01, learnedAt: now, askedAt: now.Add(time.Minute), nextAt: now.Add(time.Minute)}
+		}
+	}
+	g := New(Options{Fleet: f, Log: event.Discard(), Scope: tally.NoopScope})
+	rejected := 0
+	for range 20 {
+		c := callFor("")
+		c.start, c.deadline = now, now.Add(10*time.Second)
+		c.permitRefusals, c.permitUntil = maxPermitRefusals, now.Add(time.Second)
+		sel, reason := g.awaitTarget(t.Context(), c)
+		if reason != "" || sel.target != unlimited {
+			rejected++
+		}
+	}
+	if rejected > 0 {
+		t.Errorf("%d of 20 calls were rejected while a target without a limit was free", rejected)
+	}
+}
