Look at the same targets in memory in all entryds

A missing adapter is loaded rather where a VM has it in memory. With more than 24 targets each entryd looked at 6 random ones of these, so that entryds chose different homes and the adapter was loaded at several targets.

The targets in memory are now kept in the adapter's rendezvous order, and the first 6 that are not in the sample are added; no choice differs.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -113,7 +113,7 @@
 	}
 	c.segments = segmentFingerprints(service, m.PromptSegments)
 	c.promptSegments = promptSegments(m)
-	c.placementKey = placement.Hash(m.Model + "/" + m.Adapter)
+	c.placementKey = adapterKey(c.adapter)
 	if m.Adapter == "" && len(m.PromptSegments) > 0 {
 		c.placementKey = placement.Hash(m.Model + "//" + m.PromptSegments[len(m.PromptSegments)-1])
 	}
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -11,7 +11,6 @@
 	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/internal/peer"
 	"github.com/borageusher/borageusher/pkg/orders"
-	"github.com/borageusher/borageusher/pkg/placement"
 	"github.com/borageusher/borageusher/pkg/routing"
 	"github.com/borageusher/borageusher/pkg/target"
 )
@@ -40,7 +39,7 @@
 		service:      "llm",
 		model:        "m",
 		adapter:      orders.Adapter{Model: "m", Name: adapter},
-		placementKey: placement.Hash(adapter),
+		placementKey: adapterKey(orders.Adapter{Model: "m", Name: adapter}),
 		tried:        map[string]bool{},
 		refused:      map[string]bool{},
 	}
--- a/internal/gateway/target_index.go
+++ b/internal/gateway/target_index.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -48,7 +49,7 @@
 // adapterTargets are the targets at which an adapter is or may be soon.
 type adapterTargets struct {
 	active []*targetState // that hold it, load it, or have requests that wait for it
-	recent []*targetState // that held it recently
+	recent []*targetState // that held it recently, in the adapter's rendezvous order
 }
 
 // targetPool is a set of targets that may be sent the same calls.
@@ -195,7 +196,7 @@
 
 // setMember records whether a target belongs to the lists in the entry of an adapter.
 func (x *serviceIndex) setMember(t *targetState, a orders.Adapter, e *adapterTargets, active, recent bool) {
-	e.active, e.recent = withOrWithout(e.active, t, active), withOrWithout(e.recent, t, recent)
+	e.active, e.recent = withOrWithout(e.active, t, active), inOrder(a, e.recent, t, recent)
 	if len(e.active)+len(e.recent) == 0 {
 		delete(x.adapters, a)
 	}
@@ -212,6 +213,25 @@
 	return append(ts, t)
 }
 
+// inOrder does what withOrWithout does, for targets in the rendezvous order of an adapter.
+func inOrder(a orders.Adapter, ts []*targetState, t *targetState, member bool) []*targetState {
+	at := slices.Index(ts, t)
+	switch {
+	case member == (at >= 0):
+		return ts
+	case !member:
+		return slices.Delete(ts, at, at+1)
+	}
+	key := adapterKey(a)
+	at, _ = slices.BinarySearchFunc(ts, placement.Mix(key^t.hash), func(o *targetState, rank uint64) int {
+		return cmp.Compare(rank, placement.Mix(key^o.hash)) // descending
+	})
+	return slices.Insert(ts, at, t)
+}
+
+// adapterKey returns the key of rendezvous hashing for an adapter.
+func adapterKey(a orders.Adapter) uint64 { return placement.Hash(a.Model + "/" + a.Name) }
+
 // remove removes a target that was dropped.
 func (x *serviceIndex) remove(t *targetState) {
 	x.all.remove(t)
@@ -296,6 +316,17 @@
 	}
 }
 
+// addRecent adds the first of the targets that have an adapter in memory and are not in the
+// sample yet. All entryds add the same, so that they agree on the adapter's home.
+func (s *sampler) addRecent(ts []*targetState) {
+	most := len(s.targets) + maxRecentSample
+	for _, t := range ts[:min(len(ts), maxActiveSample+maxRecentSample)] {
+		if s.add(t); len(s.targets) == most {
+			return
+		}
+	}
+}
+
 // addRandom adds up to n random targets.
 func (s *sampler) addRandom(ts []*targetState, n int) {
 	if n >= len(ts) {
@@ -353,7 +384,7 @@
 		complete = complete && len(e.active) <= maxActiveSample
 		s.addSome(e.active, maxActiveSample)
 		if !residentOnly {
-			s.addSome(e.recent, maxRecentSample)
+			s.addRecent(e.recent)
 		}
 	}
 	if residentOnly {
--- a/internal/gateway/target_index_test.go
+++ b/internal/gateway/target_index_test.go
@@ -72,6 +72,52 @@
 	}
 }
 
+// Entryds that look at different targets with an adapter in memory would load it at more
+// targets than needed.
+func TestSampledHomesInMemoryAreStable(t *testing.T) {
+	now := time.Now()
+	a, b := spreadFleet(now, "a", 350, 1), spreadFleet(now, "c", 350, 2)
+	full := spreadFleet(now, "b", 350, 3)
+	full.maxFullChoice = 1000
+	c := callFor("a1")
+	for i := 0; i < 350; i += 7 {
+		id := fmt.Sprintf("i-%d", i)
+		for _, f := range []*Fleet{a, b, full} {
+			f.applyEngineState(now, f.targets[id], adapterState("a1"))
+			if i > 100 {
+				f.applyEngineState(now, f.targets[id], adapterState())
+			}
+		}
+	}
+	for _, resident := range []bool{true, false} {
+		for i := 0; i <= 100 && !resident; i += 7 {
+			for _, f := range []*Fleet{a, b, full} {
+				f.applyEngineState(now, f.targets[fmt.Sprintf("i-%d", i)], adapterState())
+			}
+		}
+		for _, f := range []*Fleet{a, b, full} { // holders are too busy, so that the home is chosen
+			for _, engine := range f.targets {
+				if len(engine.resident) > 0 {
+					engine.observeLoad(now, Load{Running: 4, Waiting: 80, Slots: 4})
+				}
+			}
+			f.latencyOf("llm").observe(100*time.Millisecond, time.Second, 1)
+		}
+		want, _ := full.choose(now, c)
+		differ := 0
+		for range 50 {
+			for _, f := range []*Fleet{a, b} {
+				if got, ok := f.choose(now, c); !ok || got.replica.ID != want.replica.ID {
+					differ++
+				}
+			}
+		}
+		if differ > 0 {
+			t.Errorf("holders %t: %d of 100 homes are not %s, as with all targets", resident, differ, want.replica.ID)
+		}
+	}
+}
+
 // A bounded sample that has no usable target must not fail a call that others can take, and
 // every rule on targets holds in the sample.
 func TestSampledChoiceKeepsRules(t *testing.T) {
