Read a service's slots from the index

The engine time of a call searched all targets under the Fleet's lock for one of the service, once for each request of a workspace: all of them for a service with none, and on average one in n of the targets else. It now takes the first of the service's index. BenchmarkEngineTime with 6 plain targets beside 600 engines: 848 ns before, 90 ns now.

--- a/internal/gateway/order.go
+++ b/internal/gateway/order.go
@@ -253,11 +253,8 @@
 		generate = max(0, generate-latency.firstEvent.Value())
 	}
 	slots := 1
-	for _, t := range f.targets {
-		if t.replica.Service == c.service {
-			slots = max(1, t.replica.Slots)
-			break
-		}
+	if x := f.services[c.service]; x != nil && len(x.all.targets) > 0 {
+		slots = max(1, x.all.targets[0].replica.Slots)
 	}
 	read := time.Duration(c.promptTokens()) * f.tokenTime(c.service)
 	return read + time.Duration(relativeLength*float64(generate)/float64(slots))
