Divide engine time by service

The engine time of a workspace was summed over all services, although the targets of one serve no other. A workspace that used an idle service much was above its share at another one, and the workspace that flooded that one was within its share, so that the wrong one was rejected.

TestSharesOfServices failed: with 100 requests of the calm workspace at another service, it stood above its share with 10 served requests of 10, and the other within its share with 60 of 120. Each service now has its own shares; both stand as expected. The gauges share_used and share_fair and the event share_exceeded name the service.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -177,7 +177,7 @@
 	{OverQuota, "over_quota", zerolog.InfoLevel, "That many `requests` of `workspace` were rejected with 429 since the last such line, because its quota is used up; `credit` is what is left at this entryd, `wait` the time until there is credit again."},
 	{QuotaUnanswered, "quota_unanswered", zerolog.WarnLevel, "That many `requests` of `workspace` were rejected with 503 since the last such line, because the issuer of its credit did not answer in time."},
 	{RequestShed, "request_shed", zerolog.InfoLevel, "Admission decision: the request is rejected because its forecast `wait` at the best `target` exceeds a `limit`; `reason` says which, `standing` is that of its workspace's share."},
-	{ShareExceeded, "share_exceeded", zerolog.InfoLevel, "Requests of the workspace are rejected because it has `used` its `fair` part of the engine time of this process's requests; at most once a second."},
+	{ShareExceeded, "share_exceeded", zerolog.InfoLevel, "Requests of the workspace are rejected because it has `used` its `fair` part of the engine time of this process's requests to the service; at most once a second."},
 	{TargetSlow, "target_slow", zerolog.InfoLevel, "Work takes longer at the target than normally, by the product of the factor that it `reported` and the factor that is learned for reading prompts (`read`) or for other work (`work`). It gets fewer requests."},
 	{TargetNotSlow, "target_not_slow", zerolog.InfoLevel, "The target is not slow any more, or not observed."},
 	{RequestQueued, "request_queued", zerolog.DebugLevel, "The target queued an attempt."},
--- a/internal/gateway/order.go
+++ b/internal/gateway/order.go
@@ -31,15 +31,25 @@
 // It is safe for concurrent use.
 type requestOrder struct {
 	mu       sync.Mutex
-	shares   *fairshare.Shares // of engine time
-	loads    *fairshare.Shares // of adapter loads
+	shares   map[string]*fairshare.Shares // of engine time, by service: its targets serve no other one
+	loads    *fairshare.Shares            // of adapter loads
 	overload *overload.Controller
 	lengths  map[string]float64   // mean of the maximum response tokens, by service
 	loggedAt map[string]time.Time // last log line on the share, by workspace
 }
 
 func newRequestOrder() *requestOrder {
-	return &requestOrder{shares: fairshare.New(), loads: fairshare.New(), overload: overload.New(), lengths: map[string]float64{}, loggedAt: map[string]time.Time{}}
+	return &requestOrder{shares: map[string]*fairshare.Shares{}, loads: fairshare.New(), overload: overload.New(), lengths: map[string]float64{}, loggedAt: map[string]time.Time{}}
+}
+
+// sharesOf returns the shares of engine time of a service. The caller holds mu.
+func (o *requestOrder) sharesOf(service string) *fairshare.Shares {
+	s := o.shares[service]
+	if s == nil {
+		s = fairshare.New()
+		o.shares[service] = s
+	}
+	return s
 }
 
 // setOrder sets the call's workspace and the urgencies that follow from it.
@@ -73,7 +83,7 @@
 	c.engineTime = max(minEngineTime, g.Fleet.engineTime(c, g.order.relativeLength(c)))
 	g.order.mu.Lock()
 	defer g.order.mu.Unlock()
-	g.order.shares.Offer(now, c.workspace.Name, c.engineTime)
+	g.order.sharesOf(c.service).Offer(now, c.workspace.Name, c.engineTime)
 }
 
 // recordUse records that a call is sent to a target.
@@ -83,7 +93,7 @@
 	}
 	g.order.mu.Lock()
 	defer g.order.mu.Unlock()
-	g.order.shares.Use(now, c.workspace.Name, c.engineTime)
+	g.order.sharesOf(c.service).Use(now, c.workspace.Name, c.engineTime)
 }
 
 // withdrawUse takes back what recordUse recorded at a time, for an attempt that did not run.
@@ -93,7 +103,7 @@
 	}
 	g.order.mu.Lock()
 	defer g.order.mu.Unlock()
-	g.order.shares.Withdraw(now, c.workspace.Name, c.engineTime, usedAt)
+	g.order.sharesOf(c.service).Withdraw(now, c.workspace.Name, c.engineTime, usedAt)
 }
 
 // standing returns the standing of the call's workspace.
@@ -103,7 +113,7 @@
 	}
 	g.order.mu.Lock()
 	defer g.order.mu.Unlock()
-	return g.order.shares.Standing(now, c.workspace.Name)
+	return g.order.sharesOf(c.service).Standing(now, c.workspace.Name)
 }
 
 // contended reports whether requests contend for the selected target: it has no free slot,
@@ -278,14 +288,14 @@
 		return
 	}
 	g.order.mu.Lock()
-	used, fair := g.order.shares.Share(now, name)
+	used, fair := g.order.sharesOf(c.service).Share(now, name)
 	due := now.Sub(g.order.loggedAt[name]) >= shareLogInterval
 	if due {
 		g.order.loggedAt[name] = now
 	}
 	g.order.mu.Unlock()
 	if due {
-		g.Log.Event(event.ShareExceeded).Str("workspace", name).Float64("used", used).Float64("fair", fair).Send()
+		g.Log.Event(event.ShareExceeded).Str("workspace", name).Str("service", c.service).Float64("used", used).Float64("fair", fair).Send()
 	}
 }
 
@@ -300,9 +310,11 @@
 func (o *requestOrder) updateGauges(now time.Time, scope tally.Scope) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.shares.Each(now, func(workspace string, used, fair float64) {
-		s := scope.Tagged(map[string]string{"workspace": workspace})
-		s.Gauge("share_used").Update(used)
-		s.Gauge("share_fair").Update(fair)
-	})
+	for service, shares := range o.shares {
+		shares.Each(now, func(workspace string, used, fair float64) {
+			s := scope.Tagged(map[string]string{"workspace": workspace, "service": service})
+			s.Gauge("share_used").Update(used)
+			s.Gauge("share_fair").Update(fair)
+		})
+	}
 }
--- a/internal/gateway/order_test.go
+++ b/internal/gateway/order_test.go
@@ -70,7 +70,7 @@
 		ft := newFakeTarget(t, "t1", sendEvents(1, 2, true))
 		tg := newKeyedGateway(t, ft)
 		tg.list("4 busy:busy-key calm:calm-key")
-		tg.exhaust(tg.gateway.order.shares)
+		tg.exhaust(tg.gateway.order.sharesOf("s"))
 		send := func(workspace string) (int, http.Header) {
 			got := tg.call(t, "/once/x", "Model", "m", "Key", workspace+"-key")
 			return got.status, got.header
@@ -122,6 +122,32 @@
 	})
 }
 
+// Engine time that a workspace uses at a service with idle targets must not count against it
+// at another one, which another workspace floods.
+func TestSharesOfServices(t *testing.T) {
+	tg := newTestGateway(t, newFakeTarget(t, "t1", sendEvents(1, 2, true)))
+	cfg, now := sharedConfiguration(), time.Now()
+	record := func(workspace, service string, offered, used int) *call {
+		c := callOf(cfg, workspace, "/once/x", "m")
+		c.service = service
+		for range offered {
+			tg.gateway.recordOffer(now, c)
+		}
+		for range used {
+			tg.gateway.recordUse(now, c)
+		}
+		return c
+	}
+	record("calm", "idle", 100, 100)
+	calm, busy := record("calm", "s", 10, 10), record("busy", "s", 120, 60)
+	if got := tg.gateway.standing(now, calm); got != fairshare.Within {
+		t.Errorf("the workspace that got all of its few requests served is %s its share", got)
+	}
+	if got := tg.gateway.standing(now, busy); got != fairshare.Above {
+		t.Errorf("the workspace that floods the service is %s its share", got)
+	}
+}
+
 // A workspace that asks for many adapters must not fill the loads at an engine for others.
 func TestLoadShare(t *testing.T) {
 	tg := newTestGateway(t, newFakeTarget(t, "t1", sendEvents(1, 2, true)))
