Keep started streams when loads are divided

A call whose adapter had to be loaded again was rejected for its workspace's share of loads even after its stream had begun or it had been sent to a target, when the target that held the adapter was lost. The stream broke, or the caller got 502 while attempts were left.

TestLoadShare failed: a call with a started stream and one that may have run were rejected with load_share. Such calls now wait for the load.

--- a/internal/gateway/order.go
+++ b/internal/gateway/order.go
@@ -217,9 +217,9 @@
 
 // lacksLoadShare reports whether a call needs a load that is to be left to others: loads
 // wait for each other at the selected target, and the call's workspace uses more than its
-// share of them.
+// share of them. A call that continues a stream or was sent to a target is not ended for that.
 func (g *Gateway) lacksLoadShare(now time.Time, c *call, sel selection) bool {
-	if !c.needsLoad || c.usesLoad || !sel.loadsWait {
+	if !c.needsLoad || c.usesLoad || !sel.loadsWait || c.continues() || c.possibleRuns > 0 {
 		return false
 	}
 	g.order.mu.Lock()
--- a/internal/gateway/order_test.go
+++ b/internal/gateway/order_test.go
@@ -158,7 +158,7 @@
 		workspace string
 		missing   int // adapters for which others wait
 		want      string
-	}{{"busy", 0, "timeout"}, {"busy", 5, reasonLoadShare}, {"calm", 5, "timeout"}} {
+	}{{"busy", 0, "timeout"}, {"calm", 5, "timeout"}, {"busy", 5, reasonLoadShare}} {
 		tg.fleet.mu.Lock()
 		tg.fleet.targets["t1"].missingAdapters = test.missing
 		tg.fleet.mu.Unlock()
@@ -171,6 +171,21 @@
 			t.Errorf("%s, %d missing adapters: reason %q, retry after %s, expected %q", test.workspace, test.missing, reason, c.retryAfter, test.want)
 		}
 	}
+	// A started stream, and a call that may have run, must not be ended for the sake of others.
+	tg.fleet.mu.Lock()
+	tg.fleet.targets["t1"].replica.Version = "v1"
+	tg.fleet.mu.Unlock()
+	for _, begin := range []func(*call){func(c *call) { c.headerSent, c.softwareVersion = true, "v1" }, func(c *call) { c.possibleRuns = 1 }} {
+		c := callOf(cfg, "busy", "/patient/x", "m")
+		c.adapter.Name = "a2"
+		begin(c)
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+		_, reason := tg.gateway.awaitTarget(ctx, c)
+		cancel()
+		if reason == reasonLoadShare {
+			t.Errorf("a call with headerSent %t and %d runs was rejected: %s", c.headerSent, c.possibleRuns, reason)
+		}
+	}
 }
 
 // A target whose responses took long under an earlier load must not be given up: while it
