Keep prompts whose admission is a little late

A prompt that waits for its admission was judged by the forecast of newcomers as soon as its own forecast had passed. These wait behind it, so under load a prompt that was next was rejected although its caller would still wait.

--- a/internal/gateway/order_test.go
+++ b/internal/gateway/order_test.go
@@ -227,6 +227,26 @@
 	}
 }
 
+// A prompt that is admitted a little later than forecast must not be rejected because of the
+// prompts that wait behind it.
+func TestLateAdmission(t *testing.T) {
+	ft := newFakeTarget(t, "t1", sendEvents(1, 2, true))
+	tg := newTestGateway(t, ft)
+	tg.learnReadTime(100 * time.Millisecond)
+	newFakePacer(t, tg, "t1", func(c *peer.Conn, m peer.PromptOffer) {
+		_, _ = c.Send(peer.PromptAnswer{ID: m.ID, Ahead: 6000})
+		time.Sleep(50 * time.Millisecond)
+		tg.fleet.mu.Lock()
+		tg.fleet.targets["t1"].observeBacklog(time.Now(), 24000)
+		tg.fleet.mu.Unlock()
+		time.Sleep(850 * time.Millisecond)
+		_, _ = c.Send(peer.PromptAnswer{ID: m.ID, Admitted: true})
+	})
+	if got := tg.call(t, "/once/x", "Model", "m"); got.status != 200 {
+		t.Errorf("a prompt that was admitted after 0.9 s instead of 0.6 s got status %d", got.status)
+	}
+}
+
 func TestDividedRoom(t *testing.T) {
 	const size = 160
 	newControl := func() *admissionControl {
--- a/internal/gateway/pacing.go
+++ b/internal/gateway/pacing.go
@@ -131,7 +131,9 @@
 			return answer, state, ""
 		}
 		now := time.Now()
-		// Newcomers wait behind the prompt, so their forecast is used only if its own has passed.
+		// Newcomers wait behind the prompt, so their forecast is used only if its own has
+		// passed, and then up to the time by which it has: a prompt that is a little late is
+		// about to be admitted.
 		current := wait + g.Fleet.readTimeOf(c.service, first.Ahead) - read - now.Sub(start)
 		next, ok := g.Fleet.chooseResident(now, c)
 		if !ok || next.target != sel.target {
@@ -139,6 +141,8 @@
 		}
 		if current > 0 {
 			next.wait = current
+		} else {
+			next.wait = min(next.wait, -current)
 		}
 		if reason = g.rejects(now, c, next, true); reason != "" {
 			return answer, state, reason
