--- a/internal/gateway/order_test.go
+++ b/internal/gateway/order_test.go
@@ -70,7 +70,7 @@
 		ft := newFakeTarget(t, "t1", sendEvents(1, 2, true))
 		tg := newKeyedGateway(t, ft)
 		tg.list("4 busy:busy-key calm:calm-key")
-		tg.exhaust(tg.gateway.order.shares)
+		tg.exhaust(tg.gateway.order.sharesOf("s"))
 		send := func(workspace string) (int, http.Header) {
 			got := tg.call(t, "/once/x", "Model", "m", "Key", workspace+"-key")
 			return got.status, got.header
@@ -122,6 +122,32 @@
 	})
 }
 
+// Engine time that a workspace uses at a service with idle targets must not count against it
+// at another one, which another workspace floods.
+func TestSharesOfServices(t *testing.T) {
+	tg := newTestGateway(t, newFakeTarget(t, "t1", sendEvents(1, 2, true)))
+	cfg, now := sharedConfiguration(), time.Now()
+	record := func(workspace, service string, offered, used int) *call {
+		c := callOf(cfg, workspace, "/once/x", "m")
+		c.service = service
+		for range offered {
+			tg.gateway.recordOffer(now, c)
+		}
+		for range used {
+			tg.gateway.recordUse(now, c)
+		}
+		return c
+	}
+	record("calm", "idle", 100, 100)
+	calm, busy := record("calm", "s", 10, 10), record("busy", "s", 120, 60)
+	if got := tg.gateway.standing(now, calm); got != fairshare.Within {
+		t.Errorf("the workspace that got all of its few requests served is %s its share", got)
+	}
+	if got := tg.gateway.standing(now, busy); got != fairshare.Above {
+		t.Errorf("the workspace that floods the service is %s its share", got)
+	}
+}
+
 // A workspace that asks for many adapters must not fill the loads at an engine for others.
 func TestLoadShare(t *testing.T) {
 	tg := newTestGateway(t, newFakeTarget(t, "t1", sendEvents(1, 2, true)))
@@ -132,7 +158,7 @@
 		workspace string
 		missing   int // adapters for which others wait
 		want      string
-	}{{"busy", 0, "timeout"}, {"busy", 5, reasonLoadShare}, {"calm", 5, "timeout"}} {
+	}{{"busy", 0, "timeout"}, {"calm", 5, "timeout"}, {"busy", 5, reasonLoadShare}} {
 		tg.fleet.mu.Lock()
 		tg.fleet.targets["t1"].missingAdapters = test.missing
 		tg.fleet.mu.Unlock()
@@ -145,6 +171,21 @@
 			t.Errorf("%s, %d missing adapters: reason %q, retry after %s, expected %q", test.workspace, test.missing, reason, c.retryAfter, test.want)
 		}
 	}
+	// A started stream, and a call that may have run, must not be ended for the sake of others.
+	tg.fleet.mu.Lock()
+	tg.fleet.targets["t1"].replica.Version = "v1"
+	tg.fleet.mu.Unlock()
+	for _, begin := range []func(*call){func(c *call) { c.headerSent, c.softwareVersion = true, "v1" }, func(c *call) { c.possibleRuns = 1 }} {
+		c := callOf(cfg, "busy", "/patient/x", "m")
+		c.adapter.Name = "a2"
+		begin(c)
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+		_, reason := tg.gateway.awaitTarget(ctx, c)
+		cancel()
+		if reason == reasonLoadShare {
+			t.Errorf("a call with headerSent %t and %d runs was rejected: %s", c.headerSent, c.possibleRuns, reason)
+		}
+	}
 }
 
 // A target whose responses took long under an earlier load must not be given up: while it
@@ -186,6 +227,26 @@
 	}
 }
 
+// A prompt that is admitted a little later than forecast must not be rejected because of the
+// prompts that wait behind it.
+func TestLateAdmission(t *testing.T) {
+	ft := newFakeTarget(t, "t1", sendEvents(1, 2, true))
+	tg := newTestGateway(t, ft)
+	tg.learnReadTime(100 * time.Millisecond)
+	newFakePacer(t, tg, "t1", func(c *peer.Conn, m peer.PromptOffer) {
+		_, _ = c.Send(peer.PromptAnswer{ID: m.ID, Ahead: 6000})
+		time.Sleep(50 * time.Millisecond)
+		tg.fleet.mu.Lock()
+		tg.fleet.targets["t1"].observeBacklog(time.Now(), 24000)
+		tg.fleet.mu.Unlock()
+		time.Sleep(850 * time.Millisecond)
+		_, _ = c.Send(peer.PromptAnswer{ID: m.ID, Admitted: true})
+	})
+	if got := tg.call(t, "/once/x", "Model", "m"); got.status != 200 {
+		t.Errorf("a prompt that was admitted after 0.9 s instead of 0.6 s got status %d", got.status)
+	}
+}
+
 func TestDividedRoom(t *testing.T) {
 	const size = 160
 	newControl := func() *admissionControl {
@@ -243,6 +304,26 @@
 		}
 		convey.So(last, convey.ShouldBeBetween, 900*time.Millisecond, 1600*time.Millisecond)
 	})
+	convey.Convey("A caller that returns at once many times does not delay others after it has left", t, func() {
+		ac, cfg := newControl(), routing.New(1, nil, nil, routing.Limits{})
+		start := time.Now()
+		var places []*place
+		for range size {
+			p, _ := ac.enter(start, cfg, nil)
+			places = append(places, p)
+		}
+		places[0].leave(start.Add(time.Second))
+		_, _ = ac.enter(start, cfg, nil)
+		for range 100_000 {
+			_, _ = ac.enter(start, cfg, nil)
+		}
+		for range 10 * size { // one after the other
+			places[1].leave(start.Add(time.Second))
+			places[1], _ = ac.enter(start, cfg, nil)
+		}
+		_, untilRoom := ac.enter(start, cfg, nil)
+		convey.So(untilRoom, convey.ShouldBeBetweenOrEqual, shortRetryAfter, 2*shortRetryAfter)
+	})
 }
 
 // A request whose caller has left must not keep what others wait for, in whichever wait it
--- a/internal/gateway/target_index_test.go
+++ b/internal/gateway/target_index_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/smartystreets/goconvey/convey"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/internal/peer"
@@ -71,6 +72,52 @@
 	}
 }
 
+// Entryds that look at different targets with an adapter in memory would load it at more
+// targets than needed.
+func TestSampledHomesInMemoryAreStable(t *testing.T) {
+	now := time.Now()
+	a, b := spreadFleet(now, "a", 350, 1), spreadFleet(now, "c", 350, 2)
+	full := spreadFleet(now, "b", 350, 3)
+	full.maxFullChoice = 1000
+	c := callFor("a1")
+	for i := 0; i < 350; i += 7 {
+		id := fmt.Sprintf("i-%d", i)
+		for _, f := range []*Fleet{a, b, full} {
+			f.applyEngineState(now, f.targets[id], adapterState("a1"))
+			if i > 100 {
+				f.applyEngineState(now, f.targets[id], adapterState())
+			}
+		}
+	}
+	for _, resident := range []bool{true, false} {
+		for i := 0; i <= 100 && !resident; i += 7 {
+			for _, f := range []*Fleet{a, b, full} {
+				f.applyEngineState(now, f.targets[fmt.Sprintf("i-%d", i)], adapterState())
+			}
+		}
+		for _, f := range []*Fleet{a, b, full} { // holders are too busy, so that the home is chosen
+			for _, engine := range f.targets {
+				if len(engine.resident) > 0 {
+					engine.observeLoad(now, Load{Running: 4, Waiting: 80, Slots: 4})
+				}
+			}
+			f.latencyOf("llm").observe(100*time.Millisecond, time.Second, 1)
+		}
+		want, _ := full.choose(now, c)
+		differ := 0
+		for range 50 {
+			for _, f := range []*Fleet{a, b} {
+				if got, ok := f.choose(now, c); !ok || got.replica.ID != want.replica.ID {
+					differ++
+				}
+			}
+		}
+		if differ > 0 {
+			t.Errorf("holders %t: %d of 100 homes are not %s, as with all targets", resident, differ, want.replica.ID)
+		}
+	}
+}
+
 // A bounded sample that has no usable target must not fail a call that others can take, and
 // every rule on targets holds in the sample.
 func TestSampledChoiceKeepsRules(t *testing.T) {
@@ -233,3 +280,90 @@
 		t.Errorf("the index of no targets: %+v", x)
 	}
 }
+
+// freeEngine gives all engines of a fleet but one the given load, and returns that one.
+func freeEngine(now time.Time, f *Fleet, engineState peer.EngineState, busy Load) *targetState {
+	f.latencyOf("llm").observe(100*time.Millisecond, time.Second, 1)
+	free := f.targets["i-77"]
+	for _, engine := range f.targets {
+		f.applyEngineState(now, engine, engineState)
+		if engine != free {
+			engine.observeLoad(now, busy)
+		}
+	}
+	return free
+}
+
+// A bounded sample of busy targets must not have a call rejected while another target has
+// capacity for it.
+func TestFreeTargetOutsideSample(t *testing.T) {
+	for name, adapters := range map[string][]string{"": nil, "a1": {"a1"}} {
+		now := time.Now()
+		f := spreadFleet(now, "a", 120, 1)
+		free := freeEngine(now, f, adapterState(adapters...), Load{Running: 4, Waiting: 80, Slots: 4})
+		g := New(Options{Fleet: f, Log: event.Discard(), Scope: tally.NoopScope})
+		rejected := 0
+		for range 50 {
+			c := callFor(name)
+			c.start, c.deadline = now, now.Add(10*time.Second)
+			sel, reason := g.awaitTarget(t.Context(), c)
+			if reason != "" || sel.target != free {
+				rejected++
+			}
+		}
+		if rejected > 0 {
+			t.Errorf("adapter %q: %d of 50 calls were rejected or sent to a busy target while one was free", name, rejected)
+		}
+	}
+}
+
+// A call whose prompt was offered to the best target must not leave it for a worse one of
+// another sample.
+func TestOfferedTargetIsCompared(t *testing.T) {
+	now := time.Now()
+	f := spreadFleet(now, "a", 120, 1)
+	free := freeEngine(now, f, adapterState(), Load{Running: 4, Waiting: 1, Slots: 4})
+	g := New(Options{Fleet: f, Log: event.Discard(), Scope: tally.NoopScope})
+	left := 0
+	for range 20 {
+		c := callFor("")
+		c.start, c.deadline = now, now.Add(10*time.Second)
+		sel := selection{target: free, replica: free.replica, resident: true}
+		o := &offer{target: free, answers: make(chan peer.PromptAnswer, 1)}
+		o.answers <- peer.PromptAnswer{Admitted: true}
+		_, _, again, reason := g.awaitAdmission(t.Context(), c, sel, o, peer.PromptAnswer{Requests: 4})
+		if again || reason != "" {
+			left++
+		}
+	}
+	if left > 0 {
+		t.Errorf("%d of 20 calls left the target to which their prompts were offered", left)
+	}
+}
+
+// A rate limit at most targets must not have a call rejected for lack of permits while
+// another target takes it without one.
+func TestUnlimitedTargetOutsideSample(t *testing.T) {
+	now := time.Now()
+	f := spreadFleet(now, "a", 120, 1)
+	unlimited := f.targets["i-77"]
+	for _, engine := range f.targets {
+		if engine != unlimited {
+			*engine.limit = rateLimit{limited: true, perSecond: 0.01, learnedAt: now, askedAt: now.Add(time.Minute), nextAt: now.Add(time.Minute)}
+		}
+	}
+	g := New(Options{Fleet: f, Log: event.Discard(), Scope: tally.NoopScope})
+	rejected := 0
+	for range 20 {
+		c := callFor("")
+		c.start, c.deadline = now, now.Add(10*time.Second)
+		c.permitRefusals, c.permitUntil = maxPermitRefusals, now.Add(time.Second)
+		sel, reason := g.awaitTarget(t.Context(), c)
+		if reason != "" || sel.target != unlimited {
+			rejected++
+		}
+	}
+	if rejected > 0 {
+		t.Errorf("%d of 20 calls were rejected while a target without a limit was free", rejected)
+	}
+}
--- a/pkg/overload/overload.go
+++ b/pkg/overload/overload.go
@@ -111,6 +111,7 @@
 	objective  time.Duration // of its last request
 	limit      time.Duration // least limit of the wait of recently rejected requests
 	rejectedAt time.Time     // when one was rejected at that limit
+	aboveAt    time.Time     // when one was rejected because its workspace is above its share
 	admitted   float64       // decayed number of admitted requests
 	admittedAt time.Time     // to which it is decayed
 	promisedAt time.Time     // last time at which a rejected caller was told to return
@@ -119,6 +120,15 @@
 // rejects reports whether requests were rejected recently, so that others are limited.
 func (c *class) rejects(now time.Time) bool { return now.Sub(c.rejectedAt) < pressureValidity }
 
+// rejectsAbove reports whether requests of workspaces above their shares were rejected
+// recently, so that less urgent ones of such workspaces are limited.
+func (c *class) rejectsAbove(now time.Time) bool { return now.Sub(c.aboveAt) < pressureValidity }
+
+// aboveLimit returns the limit of the wait of requests of workspaces above their shares.
+func (r Request) aboveLimit() time.Duration {
+	return time.Duration(aboveShareLimit * float64(r.Objective))
+}
+
 // idle reports whether nothing is left to know of the class.
 func (c *class) idle(now time.Time) bool {
 	return now.Sub(c.rejectedAt) > classRetention && now.Sub(c.admittedAt) > classRetention
@@ -173,15 +183,17 @@
 	return k
 }
 
+// Rejects reports whether Decide would reject a request, without recording it.
+func (c *Controller) Rejects(now time.Time, service string, r Request, f Forecast) bool {
+	d := c.limit(now, service, r, f, false)
+	return !f.Free && d.Wait > d.Limit
+}
+
 // Decide decides on a request to a service. draw is a random number from [0,1).
 func (c *Controller) Decide(now time.Time, service string, r Request, f Forecast, draw float64) Decision {
-	wait, k := f.waitAt(now), c.classOf(service, r)
-	own := r.Patience - f.Work
-	d := Decision{Reason: Overloaded, Wait: wait, Limit: own}
-	if !r.Queued && !r.Starved && !f.Free {
-		c.lower(now, service, r, &d)
-	}
-	if f.Free || wait <= d.Limit {
+	k := c.classOf(service, r)
+	d := c.limit(now, service, r, f, true)
+	if f.Free || d.Wait <= d.Limit {
 		d.Reason = Admitted
 		if !r.Queued {
 			k.decay(now)
@@ -189,25 +201,44 @@
 		}
 		return d
 	}
-	if wait > own && !r.AboveShare {
+	switch {
+	case r.AboveShare && d.Wait > r.aboveLimit():
+		k.aboveAt = now
+	case d.Wait > r.Patience-f.Work && !r.AboveShare:
 		k.record(now, r, f)
 	}
-	after := k.promise(now, wait-max(0, d.Limit), r.ClassPatience)
+	after := k.promise(now, d.Wait-max(0, d.Limit), r.ClassPatience)
 	d.RetryAfter = after + time.Duration(draw*max(float64(minRetrySpread), retrySpread*float64(after)))
 	return d
 }
 
+// limit returns the forecast wait of a request and its limit, with the reason to reject it
+// if the wait is longer. If record is set, limits that reject the request stay.
+func (c *Controller) limit(now time.Time, service string, r Request, f Forecast, record bool) Decision {
+	d := Decision{Reason: Overloaded, Wait: f.waitAt(now), Limit: r.Patience - f.Work}
+	if !r.Queued && !r.Starved && !f.Free {
+		c.lower(now, service, r, &d, record)
+	}
+	return d
+}
+
 // lower lowers the limit of a decision to those that protect other requests.
-func (c *Controller) lower(now time.Time, service string, r Request, d *Decision) {
+func (c *Controller) lower(now time.Time, service string, r Request, d *Decision, record bool) {
 	limit := func(reason Reason, limit time.Duration) {
 		if limit < d.Limit {
 			d.Reason, d.Limit = reason, limit
 		}
 	}
 	if r.AboveShare {
-		limit(AboveShare, time.Duration(aboveShareLimit*float64(r.Objective)))
+		limit(AboveShare, r.aboveLimit())
 	}
 	for name, k := range c.services[service] {
+		if r.AboveShare && k.urgency < r.Urgency && k.rejectsAbove(now) {
+			limit(LessUrgent, lessUrgent(aboveShareLimit*float64(k.objective), r.Urgency-k.urgency))
+			if record && d.Reason == LessUrgent && d.Wait > d.Limit {
+				k.aboveAt = now // as below
+			}
+		}
 		switch {
 		case name != r.Class && k.idle(now):
 			delete(c.services[service], name)
@@ -215,15 +246,20 @@
 		case name == r.Class:
 			limit(ClassLimit, time.Duration(returnedLimit*float64(k.limit)))
 		case k.urgency < r.Urgency:
-			steps := min(maxUrgencySteps, r.Urgency-k.urgency)
-			limit(LessUrgent, time.Duration(math.Pow(lessUrgentLimit, float64(steps))*float64(min(k.limit, k.objective))))
-			if d.Reason == LessUrgent && d.Wait > d.Limit {
+			limit(LessUrgent, lessUrgent(float64(min(k.limit, k.objective)), r.Urgency-k.urgency))
+			if record && d.Reason == LessUrgent && d.Wait > d.Limit {
 				k.rejectedAt = now // without this limit the class would be rejected again
 			}
 		}
 	}
 }
 
+// lessUrgent returns the limit of a class that is less urgent by some steps than one with
+// the given limit.
+func lessUrgent(limit float64, steps int) time.Duration {
+	return time.Duration(math.Pow(lessUrgentLimit, float64(min(maxUrgencySteps, steps))) * limit)
+}
+
 // record records that a request was rejected because its caller would have left.
 func (c *class) record(now time.Time, r Request, f Forecast) {
 	limit := max(r.Patience-f.Work, time.Duration(minClassLimit*float64(r.ClassPatience)))
