Split the decisions on a request from what is done for them

A decision on a request was mixed with its effects: the choice of a target requested loads, the rejection of a request counted and wrote the response. An explanation needs the decisions alone.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -86,13 +86,16 @@
 func (a *admissionControl) acquire() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.maxRequests > 0 && a.requests >= a.maxRequests {
+	if a.isFull() {
 		return false
 	}
 	a.requests++
 	return true
 }
 
+// isFull reports whether no further request is admitted. The caller holds mu.
+func (a *admissionControl) isFull() bool { return a.maxRequests > 0 && a.requests >= a.maxRequests }
+
 // release ends an admitted request.
 func (a *admissionControl) release() {
 	a.mu.Lock()
@@ -145,17 +148,8 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	inUse := a.used[use] + n
-	if use == l.use {
-		inUse -= l.bytes
-	}
-	if n > l.bytes {
-		if a.maxShared > 0 && a.shared+n-l.bytes > a.maxShared {
-			return false
-		}
-		if m := a.maxUse[use]; m > 0 && inUse > m {
-			return false
-		}
+	if !l.fits(use, n) {
+		return false
 	}
 	a.shared += n - l.bytes
 	a.used[l.use] -= l.bytes
@@ -164,6 +158,24 @@
 	return true
 }
 
+// fits reports whether n bytes for a use are within the limits in place of the leased
+// ones. The caller holds the admission's mu.
+func (l *lease) fits(use memoryUse, n int64) bool {
+	a := l.admission
+	if n <= l.bytes {
+		return true
+	}
+	inUse := a.used[use] + n
+	if use == l.use {
+		inUse -= l.bytes
+	}
+	if a.maxShared > 0 && a.shared+n-l.bytes > a.maxShared {
+		return false
+	}
+	m := a.maxUse[use]
+	return m <= 0 || inUse <= m
+}
+
 // reserve adds n bytes, and reports whether they are within the limits.
 func (l *lease) reserve(n int64) bool { return l.resize(l.use, l.bytes+n) }
 
--- a/internal/gateway/attempt_loop.go
+++ b/internal/gateway/attempt_loop.go
@@ -195,20 +195,15 @@
 	for {
 		now := time.Now()
 		sel, ok := g.Fleet.choose(now, c)
-		pause := waitPollInterval
+		next, pause, reason := g.stepAfter(now, c, sel, ok, waitUntil)
 		switch {
 		case ctx.Err() != nil:
 			return selection{}, "timeout"
-		case !ok:
-			var reason string
-			if pause, reason = g.awaitUsable(now, c, waitUntil); reason != "" {
-				return selection{}, reason
-			}
-		case ok && sel.resident && g.Fleet.overloaded(c, sel):
-			return selection{}, "overloaded"
-		case ok && sel.resident:
+		case next == stepReject:
+			return selection{}, reason
+		case next == stepSend:
 			return sel, ""
-		case ok && (now.After(waitUntil) || (c.waitTarget == nil && now.Add(sel.wait).After(waitUntil))):
+		case next == stepSendWithoutWaiting:
 			return g.chooseWithoutWaiting(now, c, sel.wait)
 		}
 		if ok && g.Fleet.needsPermit(now, c, sel.target) { // before the adapter takes a slot
@@ -271,11 +266,11 @@
 // adapter to load: a busy target that holds it. If there is none, the caller
 // gets a Retry-After of the expected load time.
 func (g *Gateway) chooseWithoutWaiting(now time.Time, c *call, expectedWait time.Duration) (selection, string) {
-	if sel, ok := g.Fleet.chooseResident(now, c); ok && !g.Fleet.overloaded(c, sel) {
-		return sel, ""
+	sel, ok := g.Fleet.chooseResident(now, c)
+	if !g.sendsWithoutWaiting(c, sel, ok, expectedWait) {
+		return selection{}, reasonAdapterNotLoaded
 	}
-	c.retryAfter = expectedWait
-	return selection{}, "adapter_not_loaded"
+	return sel, ""
 }
 
 // respondFailure ends a call for which no attempt succeeded. If the response has
@@ -301,24 +296,7 @@
 		g.recordOutcome(c, c.fallback.status, "failure_passed_on")
 		return
 	}
-	status, after := http.StatusServiceUnavailable, shortRetryAfter
-	if c.possibleRuns > 0 {
-		status, after = http.StatusBadGateway, 0
-		if reason == "timeout" || reason == "deadline" {
-			status = http.StatusGatewayTimeout
-		}
-	}
-	limit := c.remaining(time.Now()) / retryAfterDivisor
-	switch reason {
-	case reasonOverQuota:
-		status = http.StatusTooManyRequests
-		limit = c.retryAfter // earlier there is no credit
-	case "no_target", reasonQuarantined, "overloaded", reasonUnconfirmed:
-		after = longRetryAfter
-	case reasonOriginUnknown, reasonVersionGone:
-		after = 0 // waiting does not help
-	}
-	after = min(max(after, c.retryAfter), limit)
+	status, after := c.failureResponse(time.Now(), reason)
 	g.setConnection(w.Header())
 	g.HeaderCodec.SetRejection(w.Header(), c.meta.ID, after)
 	w.Header()["Content-Type"] = nil
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -79,11 +79,16 @@
 
 // leaseBody leases memory for a body of size bytes, and reports whether it is available.
 func leaseBody(memory *lease, size int64) bool {
-	use := shortBody
+	use, n := bodyUse(size)
+	return memory.resize(use, n)
+}
+
+// bodyUse returns the use of the memory for a body of size bytes and the bytes to lease.
+func bodyUse(size int64) (use memoryUse, n int64) {
 	if size > shortBodyBytes {
-		use = longBody
+		return longBody, size - freeBufferBytes
 	}
-	return memory.resize(use, max(0, size-freeBufferBytes))
+	return shortBody, max(0, size-freeBufferBytes)
 }
 
 // fitBody returns a body that was read completely, without most of its unused memory.
@@ -97,26 +102,41 @@
 
 // readBody returns the whole body of a request, for which memory is leased.
 func (g *Gateway) readBody(r *http.Request, limit int64, memory *lease) ([]byte, error) {
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
+	limit = bodyLimit(limit)
 	return readBody(r.Body, r.ContentLength, bodyLimits{limit: limit, longest: g.admission.longestBody(limit)}, memory)
 }
 
+// bodyLimit returns the limit of bodies for the limit that a configuration sets.
+func bodyLimit(configured int64) int64 {
+	if configured <= 0 {
+		return defaultMaxBodyBytes
+	}
+	return configured
+}
+
 // rejectBody responds to a request whose body was not read because of err.
 func (g *Gateway) rejectBody(w http.ResponseWriter, r *http.Request, meta RequestMeta, err error) {
+	rejected := bodyRejection(meta, err)
+	if rejected.status == 400 {
+		g.reject(w, meta.ID, rejected.status, rejected.reason, 0)
+		return
+	}
+	g.rejectUnread(w, r, meta.ID, rejected.status, rejected.reason, rejected.after)
+}
+
+// bodyRejection returns the response to a request whose body was not read because of err.
+func bodyRejection(meta RequestMeta, err error) rejection {
 	switch {
 	case errors.Is(err, errNoMemory):
 		after := longRetryAfter
 		if meta.Deadline > 0 {
 			after = min(after, meta.Deadline/retryAfterDivisor)
 		}
-		g.rejectUnread(w, r, meta.ID, 503, "no_room", after)
+		return rejection{status: 503, reason: "no_room", after: after}
 	case errors.Is(err, errBodyTooLong):
-		g.rejectUnread(w, r, meta.ID, 413, "body", 0)
-	default: // the caller closed the connection or the body is malformed
-		g.reject(w, meta.ID, 400, "body", 0)
+		return rejection{status: 413, reason: "body"}
 	}
+	return rejection{status: 400, reason: "body"} // the caller closed the connection or the body is malformed
 }
 
 // rejectUnread responds to a request whose body was not read to its end. It reads the
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -25,6 +25,7 @@
 	header     http.Header // as sent by the caller
 	request    upstream.Request
 	body       []byte
+	bodyBytes  int // size of body; of an explained request, whose body is not known, its stated size
 
 	segments       []quarantine.Fingerprint // shared segments of the prompt
 	promptSegments []promptcache.Segment    // the same segments, nil if their tokens are not known
@@ -81,17 +82,18 @@
 		within = defaultTimeout
 	}
 	c := &call{
-		meta:     m,
-		route:    route,
-		service:  service,
-		model:    m.Model,
-		adapter:  orders.Adapter{Model: m.Model, Name: m.Adapter},
-		header:   r.Header,
-		body:     body,
-		start:    now,
-		deadline: now.Add(within),
-		tried:    map[string]bool{},
-		refused:  map[string]bool{},
+		meta:      m,
+		route:     route,
+		service:   service,
+		model:     m.Model,
+		adapter:   orders.Adapter{Model: m.Model, Name: m.Adapter},
+		header:    r.Header,
+		body:      body,
+		bodyBytes: len(body),
+		start:     now,
+		deadline:  now.Add(within),
+		tried:     map[string]bool{},
+		refused:   map[string]bool{},
 	}
 	c.request = upstream.Request{
 		ID:      m.ID,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,25 +72,16 @@
 	g.inProgress.Add(1)
 	defer g.inProgress.Add(-1)
 	meta := g.HeaderCodec.ParseRequest(r.Header)
-	latest := g.latestConfirmation()
-	cfg := g.Configuration.Load()
-	if cfg == nil || !g.Fleet.Listed() {
-		g.reject(w, meta.ID, 503, "no_configuration", longRetryAfter)
+	m, rejected := g.match(meta, r.Host, rawPath(r))
+	switch {
+	case rejected.unidentified:
+		g.rejectUnidentified(w, r, meta, rejected)
 		return
-	}
-	route, ok := cfg.Match(r.Host, rawPath(r))
-	if !ok {
-		g.reject(w, meta.ID, 404, "no_route", 0)
+	case rejected.status != 0:
+		g.reject(w, meta.ID, rejected.status, rejected.reason, rejected.after)
 		return
 	}
-	var workspace *routing.Workspace
-	if cfg.HasWorkspaces() && !route.Public {
-		var reason string
-		if workspace, reason = g.identify(latest, cfg, r.Host, rawPath(r), keyOf(meta)); reason != "" {
-			g.rejectUnidentified(w, r, meta, reason)
-			return
-		}
-	}
+	cfg, route := m.cfg, m.route
 	if !g.admission.acquire() {
 		g.rejectUnread(w, r, meta.ID, 503, "no_room", shortRetryAfter)
 		return
@@ -117,7 +108,7 @@
 	}
 	c := newCall(now, meta, route, service, r, body)
 	c.revision, c.softwareVersion = cfg.Version, version
-	c.workspace, c.identified = workspace, cfg.HasWorkspaces()
+	c.workspace, c.identified = m.workspace, cfg.HasWorkspaces()
 	c.memory = lease{admission: g.admission, use: response}
 	c.request.Reserve = c.memory.reserve
 	defer c.memory.shrink(0)
--- a/internal/gateway/identification.go
+++ b/internal/gateway/identification.go
@@ -66,21 +66,28 @@
 	return nil, reasonUnknownKey
 }
 
-// rejectUnidentified responds to a request that identify rejected. Its body was not read.
-func (g *Gateway) rejectUnidentified(w http.ResponseWriter, r *http.Request, meta RequestMeta, reason string) {
-	g.countUnidentified(reason)
-	status, after := http.StatusServiceUnavailable, shortRetryAfter
+// unidentified returns the response to a request that identify rejected.
+func unidentified(meta RequestMeta, reason string) rejection {
+	rejected := rejection{http.StatusServiceUnavailable, reason, shortRetryAfter, true}
 	switch reason {
 	case reasonNoKey, reasonUnknownKey:
-		status, after = http.StatusUnauthorized, 0
-		w.Header().Set("WWW-Authenticate", "Bearer")
+		rejected.status, rejected.after = http.StatusUnauthorized, 0
 	case reasonUnconfirmed:
-		after = longRetryAfter
+		rejected.after = longRetryAfter
 	}
 	if meta.Deadline > 0 {
-		after = min(after, meta.Deadline/retryAfterDivisor)
+		rejected.after = min(rejected.after, meta.Deadline/retryAfterDivisor)
+	}
+	return rejected
+}
+
+// rejectUnidentified responds to a request that identify rejected. Its body was not read.
+func (g *Gateway) rejectUnidentified(w http.ResponseWriter, r *http.Request, meta RequestMeta, rejected rejection) {
+	g.countUnidentified(rejected.reason)
+	if rejected.status == http.StatusUnauthorized {
+		w.Header().Set("WWW-Authenticate", "Bearer")
 	}
-	g.rejectUnread(w, r, meta.ID, status, reason, after)
+	g.rejectUnread(w, r, meta.ID, rejected.status, rejected.reason, rejected.after)
 }
 
 func (g *Gateway) countUnidentified(reason string) {
--- a/internal/gateway/pacing.go
+++ b/internal/gateway/pacing.go
@@ -158,7 +158,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if t.conn == nil || !t.paces || t.targetdSilent(now) {
+	if !t.takesOffers(now) {
 		return nil
 	}
 	t.lastOffer++
@@ -189,6 +189,11 @@
 	return o
 }
 
+// takesOffers reports whether the targetd is offered prompts.
+func (t *targetState) takesOffers(now time.Time) bool {
+	return t.conn != nil && t.paces && !t.targetdSilent(now)
+}
+
 // endOffer tells the targetd that the engine has read the prompt, or that it is not
 // sent. It has no effect for nil and for an offer that has ended.
 func (f *Fleet) endOffer(o *offer) {
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -51,42 +51,74 @@
 }
 
 // chooseAmong chooses among the targets, or only among those that hold the
-// adapter. If there are many, it looks at a sample and only at all if no target of the
-// sample can be chosen. If the adapter should have a further copy, it requests the load.
+// adapter. If the adapter should have a further copy, it requests the load.
 // The caller holds mu.
 func (f *Fleet) chooseAmong(now time.Time, c *call, residentOnly bool) (selection, bool) {
-	req := assignment.Request{
-		Key:       c.placementKey,
-		Objective: f.slackOf(c),
-		Bytes:     len(c.body),
-	}
-	complete := f.collect(now, c, true, residentOnly)
-	targets, candidates := f.candidates(now, c, true, residentOnly)
-	choice, ok := assignment.Choose(req, candidates)
-	if !ok && !complete {
+	d := f.decide(now, c, residentOnly)
+	if d.full {
 		f.fullChoices++
-		f.collect(now, c, false, residentOnly)
-		targets, candidates = f.candidates(now, c, true, residentOnly)
-		choice, ok = assignment.Choose(req, candidates)
 	}
-	if !ok {
-		targets, candidates = f.candidates(now, c, false, residentOnly)
-		if choice, ok = assignment.Choose(req, candidates); !ok {
-			return selection{changed: f.changeSignal(c.adapter)}, false
-		}
+	if !d.ok {
+		return selection{changed: f.changeSignal(c.adapter)}, false
 	}
-	t := targets[choice.Index]
-	if choice.CopyTarget >= 0 {
-		f.requestLoad(now, targets[choice.CopyTarget], c.adapter, 1)
+	if d.choice.CopyTarget >= 0 {
+		f.requestLoad(now, d.targets[d.choice.CopyTarget], c.adapter, 1)
 	}
-	sel := selection{target: t, replica: t.replica, resident: choice.Resident, wait: choice.Wait, extra: candidates[choice.Index].ExtraTime, load: t.estimatedLoad(now), backlog: t.estimatedBacklog(now, f.tokenTimeAt(now, t))}
+	sel := d.selection(now, f)
 	if !sel.resident {
 		sel.changed = f.changeSignal(c.adapter)
 	}
+	return sel, true
+}
+
+// decision is a choice among the targets, before anything is done for it. Its slices are
+// valid until the next decision.
+type decision struct {
+	request    assignment.Request
+	targets    []*targetState
+	candidates []assignment.Candidate // for the targets
+	choice     assignment.Choice
+	ok         bool // a target can be chosen
+	full       bool // all targets were looked at because none of a sample can be chosen
+	cautious   bool // targets that are avoided were not chosen
+	sampled    bool // only a sample of the targets was looked at
+}
+
+// decide chooses among the targets as for chooseAmong, and changes nothing that a later
+// decision depends on. If there are many targets, it looks at a sample and only at all if
+// no target of the sample can be chosen. The caller holds mu.
+func (f *Fleet) decide(now time.Time, c *call, residentOnly bool) decision {
+	d := decision{cautious: true, request: assignment.Request{
+		Key:       c.placementKey,
+		Objective: f.slackOf(c),
+		Bytes:     c.bodyBytes,
+	}}
+	d.sampled = !f.collect(now, c, true, residentOnly)
+	d.targets, d.candidates = f.candidates(now, c, true, residentOnly)
+	d.choice, d.ok = assignment.Choose(d.request, d.candidates)
+	if !d.ok && d.sampled {
+		d.full, d.sampled = true, false
+		f.collect(now, c, false, residentOnly)
+		d.targets, d.candidates = f.candidates(now, c, true, residentOnly)
+		d.choice, d.ok = assignment.Choose(d.request, d.candidates)
+	}
+	if !d.ok {
+		d.cautious = false
+		d.targets, d.candidates = f.candidates(now, c, false, residentOnly)
+		d.choice, d.ok = assignment.Choose(d.request, d.candidates)
+	}
+	return d
+}
+
+// selection returns the selected target without its change signal. The caller holds the
+// fleet's mu.
+func (d *decision) selection(now time.Time, f *Fleet) selection {
+	t := d.targets[d.choice.Index]
+	sel := selection{target: t, replica: t.replica, resident: d.choice.Resident, wait: d.choice.Wait, extra: d.candidates[d.choice.Index].ExtraTime, load: t.estimatedLoad(now), backlog: t.estimatedBacklog(now, f.tokenTimeAt(now, t))}
 	if !t.stateAt.IsZero() {
 		sel.stateAge = now.Sub(t.stateAt)
 	}
-	return sel, true
+	return sel
 }
 
 // minSlackShare is the share of the objective that a prompt leaves at least, however
@@ -157,15 +189,12 @@
 			SojournTime:      scale(duration, workFactor),
 			ExtraTime:        scale(ownTime, ownFactor-1),
 			Resident:         true,
-			Usable:           t.usable(now) && f.suits(now, c, t),
+			Usable:           f.obstacle(now, c, t, cautious) == "",
 			Penalty:          time.Duration(t.decayedFailures(now) * failurePenalty * float64(c.route.Objective)),
 		}
 		if !c.hasPermit(now, t) {
 			a.RateLimited, a.PermitDelay = t.limit.avoided(now), t.limit.permitDelay(now)
 		}
-		if cautious && (now.Before(t.avoidUntil) || t.targetdSilent(now) || c.refused[t.replica.ID]) {
-			a.Usable = false
-		}
 		if c.model != "" {
 			tokenTimeHere := scale(tokenTime, readFactor)
 			a.Backlog = time.Duration(t.estimatedBacklog(now, tokenTimeHere)+t.waitingTokens) * tokenTimeHere
--- a/internal/gateway/target_state.go
+++ b/internal/gateway/target_state.go
@@ -130,14 +130,8 @@
 	return t.accepts(now) && !now.Before(t.notice.backoffUntil)
 }
 
-// accepts reports whether the target accepts requests, apart from a backoff. The state
-// of its engine is ignored while the targetd is disconnected, as it may be outdated.
-func (t *targetState) accepts(now time.Time) bool {
-	if t.replica.State != target.Live || t.notice.leaving || (!t.goneAt.IsZero() && !now.Before(t.goneAt)) {
-		return false
-	}
-	return t.stateAt.IsZero() || (t.state.Reachable && !t.state.Departing) || t.conn == nil
-}
+// accepts reports whether the target accepts requests, apart from a backoff.
+func (t *targetState) accepts(now time.Time) bool { return t.obstacle(now) == "" }
 
 // targetdSilent reports whether no message was received from the targetd
 // recently although there were some before, so that its VM may be unreachable.
@@ -223,7 +217,7 @@
 
 // canLoad reports whether the engine can be ordered to load an adapter.
 func (t *targetState) canLoad(now time.Time, a orders.Adapter) bool {
-	return !t.targetdSilent(now) && t.conn != nil && t.state.Reachable && t.state.UnansweredOrders < maxUnansweredOrders && t.hasModel(a.Model)
+	return t.loadObstacle(now, a) == ""
 }
 
 // maxUnansweredOrders is the number of consecutive orders without a response
--- a/internal/gateway/workspace_quota.go
+++ b/internal/gateway/workspace_quota.go
@@ -23,15 +23,11 @@
 // spendCredit charges a call to the quota of its workspace, before its first attempt. It
 // returns the reason if the call may not run.
 func (g *Gateway) spendCredit(ctx context.Context, c *call) (charge credit.Charge, reason string) {
-	if g.Credit == nil || c.workspace == nil || c.workspace.Quota.PerSecond <= 0 {
+	if !g.hasQuota(c) {
 		return credit.Charge{}, ""
 	}
 	start := time.Now()
-	v := g.Credit.Admit(ctx, c.workspace, credit.Cost{
-		Units:   c.workspace.Quota.Cost(c.meta.PromptTokens, c.meta.MaxResponseTokens),
-		Urgency: c.route.Urgency,
-		Wait:    min(time.Duration(creditWaitShare*float64(c.route.Objective)), c.remaining(start)/2),
-	})
+	v := g.Credit.Admit(ctx, c.workspace, c.creditCost(start))
 	g.Scope.Histogram("credit_wait_seconds", latencyBuckets).RecordDuration(time.Since(start))
 	c.retryAfter = v.RetryAfter
 	switch {
@@ -39,10 +35,30 @@
 		return v.Charge, ""
 	case ctx.Err() != nil:
 		return credit.Charge{}, "timeout"
-	case v.Unanswered:
-		return credit.Charge{}, reasonQuotaUnanswered
 	}
-	return credit.Charge{}, reasonOverQuota
+	return credit.Charge{}, quotaReason(v.Unanswered)
+}
+
+// hasQuota reports whether a quota applies to a call.
+func (g *Gateway) hasQuota(c *call) bool {
+	return g.Credit != nil && c.workspace != nil && c.workspace.Quota.PerSecond > 0
+}
+
+// creditCost returns what a call costs the quota of its workspace.
+func (c *call) creditCost(now time.Time) credit.Cost {
+	return credit.Cost{
+		Units:   c.workspace.Quota.Cost(c.meta.PromptTokens, c.meta.MaxResponseTokens),
+		Urgency: c.route.Urgency,
+		Wait:    min(time.Duration(creditWaitShare*float64(c.route.Objective)), c.remaining(now)/2),
+	}
+}
+
+// quotaReason returns the reason of a call without credit.
+func quotaReason(unanswered bool) string {
+	if unanswered {
+		return reasonQuotaUnanswered
+	}
+	return reasonOverQuota
 }
 
 // refundCredit gives back the credit of a call that did not run and never will.
--- a/pkg/assignment/choose.go
+++ b/pkg/assignment/choose.go
@@ -165,9 +165,7 @@
 }
 
 // homeCost returns the time by which homes are compared.
-func (c *Candidate) homeCost(req Request) time.Duration {
-	return c.expectedWait() + c.weightedExtra(req) + c.Penalty
-}
+func (c *Candidate) homeCost(req Request) time.Duration { return c.Terms(req).HomeCost() }
 
 // betterHome reports whether c is a better home than o; both are fast enough.
 func (c *Candidate) betterHome(o *Candidate, req Request) bool {
@@ -192,15 +190,8 @@
 	return wait >= req.objectiveFraction(copyThreshold) && candidates[home].startDelay() < wait/2
 }
 
-// cost returns the sum of the expected wait, the network cost, Penalty, a part of ExtraTime, and the
-// value of one of the requests that a limited target takes, less CacheSaving.
-func (c *Candidate) cost(req Request) time.Duration {
-	cost := c.expectedWait() + c.weightedExtra(req) + c.networkCost(req) + c.Penalty - c.CacheSaving
-	if c.RateLimited {
-		cost += req.objectiveFraction(permitFraction)
-	}
-	return cost
-}
+// cost returns the time by which holders are compared.
+func (c *Candidate) cost(req Request) time.Duration { return c.Terms(req).Cost() }
 
 // expectedWait returns the expected time until a request's first event at the target.
 // A missing adapter is loaded while the requests ahead are served.
