Add borageusher explain

Cause: where a request would go, and why, could only be read from the log after it was sent.

Change: entryd on the users' platform explains a request at /operators/explain of its readiness listener, as text or JSON: the route, the caller's workspace, the quota, the urgency, the candidates with the terms of their cost, the choice, a load or wait that would follow, or the rejection with its status and Retry-After. Gateway.Explain calls the functions that decide on requests and none that acts. Operators answer a challenge with an HMAC by the peer key; anything else gets 403 before the body is parsed. The command sends the digest of the caller's key instead of the key. A result that depends on the answer of a quota's issuer is wait_for_credit; a rejection that would follow a wait is noted and not stated as the result. operator.Main takes the platform's functions as a struct, because explain needs a second one. The scenario command workspace takes a quota.

Result: TestExplainedChoice compares 200 random states with the choice at the same time and finds the state unchanged; connections of its targets panic if anything is sent. TestExplainedResponses compares 13 kinds of requests with the response that callers get. TestScenarios/explain runs the command against real processes.

--- a/cmd/borageusher/main.go
+++ b/cmd/borageusher/main.go
@@ -10,5 +10,5 @@
 )
 
 func main() {
-	os.Exit(operator.Main(os.Args[1:], os.Stdout, os.Stderr, platform.Status))
+	os.Exit(operator.Main(os.Args[1:], os.Stdout, os.Stderr, &operator.Platform{Status: platform.Status, TakeKey: platform.TakeKey}))
 }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -67,6 +67,7 @@
 	QuotaUnanswered   Code = 379
 	TargetSlow        Code = 385
 	TargetNotSlow     Code = 386
+	RequestExplained  Code = 395
 	RequestQueued     Code = 400
 	RequestNotRun     Code = 401
 	RequestStarted    Code = 402
@@ -176,6 +177,7 @@
 	{QuotaUnanswered, "quota_unanswered", zerolog.WarnLevel, "That many `requests` of `workspace` were rejected with 503 since the last such line, because the issuer of its credit did not answer in time."},
 	{TargetSlow, "target_slow", zerolog.InfoLevel, "Work takes longer at the target than normally, by the product of the factor that it `reported` and the factor that is learned for reading prompts (`read`) or for other work (`work`). It gets fewer requests."},
 	{TargetNotSlow, "target_not_slow", zerolog.InfoLevel, "The target is not slow any more, or not observed."},
+	{RequestExplained, "request_explained", zerolog.InfoLevel, "An operator (`from`) asked what the process would do with a request; nothing was sent."},
 	{RequestQueued, "request_queued", zerolog.DebugLevel, "The target queued an attempt."},
 	{RequestNotRun, "request_not_run", zerolog.InfoLevel, "The target refused an attempt that it had not started."},
 	{RequestStarted, "request_started", zerolog.DebugLevel, "The request was sent to the engine or service."},
--- a/internal/gateway/attempt_loop.go
+++ b/internal/gateway/attempt_loop.go
@@ -141,10 +141,8 @@
 		reason = reasonHeld
 	case verdict == quarantine.Convicted || (!c.headerSent && g.CrashTracker.quarantined(now, c)): // a started stream did not crash its target when it began
 		reason = reasonQuarantined
-	case c.remaining(now) < minAttemptTime:
-		reason = "deadline"
-	case !g.mayEnd(now, c):
-		reason = "stopping"
+	case g.tooLate(now, c) != "":
+		reason = g.tooLate(now, c)
 	case c.attemptsSent > 0 && !g.RetryBudget.tryAcquire(now, c.service, g.Fleet.entrydCount()):
 		reason = "retry_allowance"
 	}
--- a/internal/gateway/decision_step.go
+++ b/internal/gateway/decision_step.go
@@ -50,6 +50,18 @@
 	return false
 }
 
+// tooLate returns the reason for which a call is not worth sending any more, empty for
+// none.
+func (g *Gateway) tooLate(now time.Time, c *call) string {
+	switch {
+	case c.remaining(now) < minAttemptTime:
+		return "deadline"
+	case !g.mayEnd(now, c):
+		return "stopping"
+	}
+	return ""
+}
+
 // failureResponse returns the status of the response to a call that has failed, and after
 // which time its caller may retry, zero for none.
 func (c *call) failureResponse(now time.Time, reason string) (status int, after time.Duration) {
--- a/internal/gateway/main.go
+++ b/internal/gateway/main.go
@@ -270,6 +270,7 @@
 		}
 	})
 	probe.Handle("/metrics", metricsHandler)
+	probe.Handle(ExplainPath, newExplainHandler(p.gateway, peer.Key(p.node.Store.String()), time.Now))
 	go func() { _ = (&http.Server{Handler: probe, ReadHeaderTimeout: headerTimeout}).Serve(readiness) }() // ends with the process
 	callers := p.callers.wrap(ln.(*net.TCPListener))
 	go func() { _ = p.newCallerServer().Serve(callers) }() // ends with the process
--- a/internal/gateway/obstacle.go
+++ b/internal/gateway/obstacle.go
@@ -25,10 +25,10 @@
 
 // Reasons for which a target that lacks the adapter can't load it.
 const (
-	obstacleNoAdapter    = "no_adapter" // the call needs the model alone
-	obstacleDisconnected = "targetd_disconnected"
-	obstacleOrders       = "orders_unanswered"
-	obstacleNoModel      = "lacks_model"
+	obstacleDisconnected   = "targetd_disconnected"
+	obstacleOrders         = "orders_unanswered"
+	obstacleNoModel        = "lacks_model"
+	obstacleLoadsElsewhere = "loads_elsewhere" // the requests for the adapter wait at other targets
 )
 
 // obstacle returns the reason for which a call is not sent to a target, empty if there is
--- a/internal/gateway/stream_origins.go
+++ b/internal/gateway/stream_origins.go
@@ -105,16 +105,7 @@
 		}
 	}
 	asked := g.Fleet.endOriginQuery(q)
-	switch {
-	case o.Known() && slices.ContainsFunc(route.Shares, func(s routing.Share) bool { return s.Service == o.Service && s.Weight > 0 }):
-		reason = ""
-	case o.Known():
-		reason = reasonVersionGone // the route leads to other services now
-	case pending:
-		reason = reasonOriginUnanswered
-	default:
-		reason = reasonOriginUnknown
-	}
+	reason = originReason(route, o, pending)
 	g.Log.Event(event.StreamTakenUp).
 		Str("request", m.ID).
 		Str("stream", m.StreamID).
@@ -129,6 +120,28 @@
 	return o, reason
 }
 
+// originReason returns the reason for which a stream of that origin is not continued, empty
+// if it may be. If the origin is not known, some processes may not have answered yet.
+func originReason(route *routing.Route, o streams.Origin, pending bool) string {
+	switch {
+	case o.Known() && slices.ContainsFunc(route.Shares, func(s routing.Share) bool { return s.Service == o.Service && s.Weight > 0 }):
+		return ""
+	case o.Known():
+		return reasonVersionGone // the route leads to other services now
+	case pending:
+		return reasonOriginUnanswered
+	}
+	return reasonOriginUnknown
+}
+
+// knownOrigin returns the origin of a stream if this process knows it.
+func (f *Fleet) knownOrigin(now time.Time, k streams.Key) (streams.Origin, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	o, _, ok := f.origins.known.Origin(now, k)
+	return o, ok
+}
+
 func (f *Fleet) beginOriginQuery(k streams.Key) *originQuery {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/operator/commands.go
+++ b/internal/operator/commands.go
@@ -104,7 +104,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	if err := c.platformStatus(ctx, addr, c.out); err != nil {
+	if err := c.users.Status(ctx, addr, c.out); err != nil {
 		return c.fail(err)
 	}
 	return exitOK
--- a/internal/operator/doc.go
+++ b/internal/operator/doc.go
@@ -1,8 +1,9 @@
 // Package operator implements the program borageusher, the operators' command
 // line client. It checks questionnaires, the files in which teams describe their
 // services and adapters, generates the configuration from them, shows the
-// difference from the accepted one and accepts the new revision. It also shows the state of a deployment, drains targets and traces requests
-// through log files.
+// difference from the accepted one and accepts the new revision. It also shows the state
+// of a deployment, drains targets, traces requests through log files and has an entryd
+// explain what it would do with a request.
 //
 // # Usage
 //
--- a/internal/operator/error.go
+++ b/internal/operator/error.go
@@ -21,6 +21,9 @@
 
 	Unreadable    // a file can't be read
 	NoSuchRequest // no log line has the request's id
+
+	Unreachable // the entryd did not answer
+	Refused     // the entryd refused the request
 )
 
 var kindNames = map[Kind]string{
@@ -34,6 +37,9 @@
 
 	Unreadable:    "the file can't be read",
 	NoSuchRequest: "no line of these logs names the request",
+
+	Unreachable: "the entryd did not answer",
+	Refused:     "the entryd refused the request",
 }
 
 // Error is the error type of this package.
--- a/internal/operator/main.go
+++ b/internal/operator/main.go
@@ -13,6 +13,7 @@
 
 	"github.com/borageusher/borageusher/internal/checkedhttp"
 	"github.com/borageusher/borageusher/internal/objects"
+	"github.com/borageusher/borageusher/pkg/routing"
 )
 
 // Exit codes of the program.
@@ -38,16 +39,17 @@
 
 // commandLine is a parsed command line with its output streams.
 type commandLine struct {
-	flags          *flag.FlagSet
-	platform       string
-	revision       uint64 // revision that a change is based on
-	operator       string // name recorded with an accepted change
-	wait           waitFlags
-	drain          drainFlags
-	platformStore  string // address of the store of a deployment on the users' platform
-	platformStatus PlatformStatus
-	out            io.Writer
-	err            io.Writer
+	flags         *flag.FlagSet
+	platform      string
+	revision      uint64 // revision that a change is based on
+	operator      string // name recorded with an accepted change
+	wait          waitFlags
+	drain         drainFlags
+	explain       explainFlags
+	platformStore string // address of the store of a deployment on the users' platform
+	users         *Platform
+	out           io.Writer
+	err           io.Writer
 }
 
 var commands = []command{
@@ -58,16 +60,23 @@
 	{"accept", "FILE...", "accept the configuration generated from questionnaires", runAccept},
 	{"status", "", "show the accepted revision and the targets", runStatus},
 	{"drain", "TARGET", "drain a target: it finishes its running requests and takes no new ones", runDrain},
+	{"explain", "[FILE]", "show what an entryd would do with a request now, without sending it", runExplain},
 	{"trace", "REQUEST LOG...", "print the events of one request from log files", runTrace},
 }
 
-// PlatformStatus prints to out the state of a deployment on the users' platform,
-// which it reads from the platform's store at address store.
-type PlatformStatus func(ctx context.Context, store netip.AddrPort, out io.Writer) error
+// Platform holds the commands' functions for deployments on the users' platform.
+type Platform struct {
+	// Status prints to out the state of a deployment, which it reads from the platform's
+	// store at address store.
+	Status func(ctx context.Context, store netip.AddrPort, out io.Writer) error
+	// TakeKey removes the credentials from the headers of a caller's request. It returns
+	// the digest of the key, and false if there is no valid one.
+	TakeKey func(h http.Header) (routing.KeyDigest, bool)
+}
 
-// Main runs the program borageusher and returns its exit code. If platformStatus
-// is nil, the command status has no flag -store.
-func Main(args []string, out, stderr io.Writer, platformStatus PlatformStatus) int {
+// Main runs the program borageusher and returns its exit code. If users is nil, the
+// command status has no flag -store and the command explain fails.
+func Main(args []string, out, stderr io.Writer, users *Platform) int {
 	if len(args) == 0 {
 		printUsage(stderr)
 		return exitUsage
@@ -78,7 +87,7 @@
 	}
 	for _, cmd := range commands {
 		if cmd.name == args[0] {
-			return runCommand(cmd, args[1:], out, stderr, platformStatus)
+			return runCommand(cmd, args[1:], out, stderr, users)
 		}
 	}
 	_, _ = fmt.Fprintf(stderr, "borageusher: unknown command %q\n\n", args[0])
@@ -86,8 +95,8 @@
 	return exitUsage
 }
 
-func runCommand(cmd command, args []string, out, stderr io.Writer, platformStatus PlatformStatus) int {
-	c := &commandLine{out: out, err: stderr, platformStatus: platformStatus}
+func runCommand(cmd command, args []string, out, stderr io.Writer, users *Platform) int {
+	c := &commandLine{out: out, err: stderr, users: users}
 	c.flags = flag.NewFlagSet("borageusher "+cmd.name, flag.ContinueOnError)
 	c.flags.SetOutput(stderr)
 	c.flags.Usage = func() {
@@ -100,7 +109,10 @@
 	if cmd.name == "drain" {
 		c.drain.add(c)
 	}
-	if cmd.name == "status" && platformStatus != nil {
+	if cmd.name == "explain" {
+		c.explain.add(c.flags)
+	}
+	if (cmd.name == "status" || cmd.name == "explain") && users != nil {
 		c.flags.StringVar(&c.platformStore, "store", "", "`address` of the store, for a deployment on the users' platform")
 	}
 	if cmd.name == "accept" {
--- a/pkg/routing/workspace.go
+++ b/pkg/routing/workspace.go
@@ -1,6 +1,9 @@
 package routing
 
-import "crypto/sha256"
+import (
+	"crypto/sha256"
+	"encoding/hex"
+)
 
 // QuotaUnit is what a workspace's quota counts.
 type QuotaUnit uint8
@@ -48,6 +51,18 @@
 // DigestOf returns the digest of a key.
 func DigestOf(key string) KeyDigest { return sha256.Sum256([]byte(key)) }
 
+// String returns the digest in hexadecimal.
+func (d KeyDigest) String() string { return hex.EncodeToString(d[:]) }
+
+// ParseDigest returns the digest that String wrote, and false if s is not one.
+func ParseDigest(s string) (d KeyDigest, ok bool) {
+	b, err := hex.DecodeString(s)
+	if err != nil || len(b) != len(d) {
+		return KeyDigest{}, false
+	}
+	return KeyDigest(b), true
+}
+
 // Workspaces are the workspaces of a configuration and their keys.
 type Workspaces struct {
 	byKey map[KeyDigest]*Workspace
