Say that a route does not lead to the service to explain

Cause: -service with a name that is not among the route's services explained the largest share without a word.

Change: the explanation notes it under unchecked.

Result: TestExplainedService passes for no name, a service of the route and another one.

--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -38,6 +38,9 @@
 	x.Service = r.Service
 	if !slices.ContainsFunc(m.route.Shares, func(s routing.Share) bool { return s.Service == r.Service }) {
 		x.Service = largestShare(m.route.Shares)
+		if r.Service != "" {
+			x.Unchecked = append(x.Unchecked, "service "+r.Service+", to which the route does not lead")
+		}
 	}
 	c, known := g.explainCall(now, &x, m, r)
 	if !known {
--- a/internal/gateway/explain_test.go
+++ b/internal/gateway/explain_test.go
@@ -110,6 +110,22 @@
 	}
 }
 
+// TestExplainedService guards against explanations of another service than the one asked
+// for, without a word, on a route that leads to several.
+func TestExplainedService(t *testing.T) {
+	tg := newTestGateway(t)
+	routes := testRoutes()
+	routes[0].Shares = []routing.Share{{Service: "few", Weight: 1}, {Service: "s", Weight: 3}}
+	tg.gateway.Configuration.Store(routing.New(4, routes, []routing.Service{{Name: "s"}, {Name: "few"}}, routing.Limits{BodyBytes: 1000}))
+	for asked, want := range map[string]string{"": "s", "few": "few", "none": "s"} {
+		x := tg.gateway.Explain(time.Now(), ExplanationOf{Host: "h", URI: "/safe/x", Service: asked})
+		noted := strings.Contains(explanationText(x), "service none, to which the route does not lead")
+		if x.Service != want || noted != (asked == "none") {
+			t.Errorf("asked for %q: %s", asked, explanationText(x))
+		}
+	}
+}
+
 // TestExplainedSample guards against explanations that hide that each request gets another
 // sample of many targets.
 func TestExplainedSample(t *testing.T) {
