--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -65,8 +65,12 @@
 	QuotaIssuerChosen Code = 377
 	OverQuota         Code = 378
 	QuotaUnanswered   Code = 379
+	RequestShed       Code = 380
+	ShareExceeded     Code = 381
 	TargetSlow        Code = 385
 	TargetNotSlow     Code = 386
+	CallerStalled     Code = 390
+	CallerDropped     Code = 391
 	RequestExplained  Code = 395
 	RequestQueued     Code = 400
 	RequestNotRun     Code = 401
@@ -175,8 +179,12 @@
 	{QuotaIssuerChosen, "quota_issuer_chosen", zerolog.InfoLevel, "The entryd requests the credit for a `group` of workspaces from the targetd of `target` (empty: none is connected) instead of that of `before`; it is the `first` choice or replaces one that can't be reached."},
 	{OverQuota, "over_quota", zerolog.InfoLevel, "That many `requests` of `workspace` were rejected with 429 since the last such line, because its quota is used up; `credit` is what is left at this entryd, `wait` the time until there is credit again."},
 	{QuotaUnanswered, "quota_unanswered", zerolog.WarnLevel, "That many `requests` of `workspace` were rejected with 503 since the last such line, because the issuer of its credit did not answer in time."},
+	{RequestShed, "request_shed", zerolog.InfoLevel, "Admission decision: the request is rejected because its forecast `wait` at the best `target` exceeds a `limit`; `reason` says which, `standing` is that of its workspace's share."},
+	{ShareExceeded, "share_exceeded", zerolog.InfoLevel, "Requests of the workspace are rejected because it has `used` its `fair` part of the engine time of this process's requests to the service; at most once a second."},
 	{TargetSlow, "target_slow", zerolog.InfoLevel, "Work takes longer at the target than normally, by the product of the factor that it `reported` and the factor that is learned for reading prompts (`read`) or for other work (`work`). It gets fewer requests."},
 	{TargetNotSlow, "target_not_slow", zerolog.InfoLevel, "The target is not slow any more, or not observed."},
+	{CallerStalled, "caller_stalled", zerolog.WarnLevel, "The `caller` took no byte of its response for a while; the connection was reset with `unread` bytes left, and its request, if one is in progress, canceled."},
+	{CallerDropped, "caller_dropped", zerolog.WarnLevel, "The responses that callers do not read exceed the memory for them: the connection of the `caller`, one of the slowest, was reset with `unread` bytes left, and its request, if one is in progress, canceled."},
 	{RequestExplained, "request_explained", zerolog.InfoLevel, "An operator (`from`) asked what the process would do with a request; nothing was sent."},
 	{RequestQueued, "request_queued", zerolog.DebugLevel, "The target queued an attempt."},
 	{RequestNotRun, "request_not_run", zerolog.InfoLevel, "The target refused an attempt that it had not started."},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -28,7 +28,7 @@
 	req.Header = g.HeaderCodec.TargetHeader(c.header, AttemptMeta{
 		Instance:    sel.replica.ID,
 		Remaining:   c.remaining(now),
-		Urgency:     c.route.Urgency,
+		Urgency:     g.urgencyAt(now, c, sel),
 		LastEventID: c.lastEventID,
 		Identified:  c.identified,
 		Workspace:   c.workspaceName(),
@@ -54,8 +54,12 @@
 	g.Scope.Counter("prompt_tokens").Inc(int64(active.promptTokens))
 	g.Scope.Counter("prompt_tokens_cached").Inc(int64(active.sent.cached))
 	defer func() { c.memory.shrink(c.fallbackHeld) }()
+	g.recordUse(now, c)
 	resp, err := g.Client.Do(attemptCtx, sel.replica.Addr, &req)
 	if err != nil {
+		if !upstream.WasSent(err) {
+			g.withdrawUse(time.Now(), c, now)
+		}
 		return g.handleNoResponse(ctx, c, sel, run, err, now)
 	}
 	defer resp.Close()
@@ -75,6 +79,7 @@
 		resp.Discard() // only the status counts
 	}
 	if refusal && !resp.Followed() {
+		g.withdrawUse(time.Now(), c, now)
 		return g.handleRefusal(c, sel, resp, meta)
 	}
 	c.possibleRuns++
@@ -296,7 +301,9 @@
 		return g.relayLong(w, c, upstreamResp, body, headBytes)
 	}
 	upstreamResp.Close() // frees the connection before the caller sends its next request
-	g.writeResponse(w, resp)
+	if err := g.writeResponse(w, resp); err != nil {
+		return callerLeft, nil
+	}
 	return delivered, nil
 }
 
--- a/internal/gateway/attempt_loop.go
+++ b/internal/gateway/attempt_loop.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/pkg/quarantine"
 )
@@ -193,15 +195,20 @@
 	for {
 		now := time.Now()
 		sel, ok := g.Fleet.choose(now, c)
-		next, pause, reason := g.stepAfter(now, c, sel, ok, waitUntil)
-		switch {
-		case ctx.Err() != nil:
+		if ok && sel.sampled && g.fails(now, c, sel, waitUntil) {
+			sel, ok = g.Fleet.chooseFromAll(now, c, false)
+		}
+		g.offerLoad(now, c, sel)
+		if ctx.Err() != nil {
 			return selection{}, "timeout"
-		case next == stepReject:
+		}
+		next, pause, reason := g.stepAfter(now, c, sel, ok, waitUntil)
+		switch next {
+		case stepReject:
 			return selection{}, reason
-		case next == stepSend:
-			return sel, ""
-		case next == stepSendWithoutWaiting:
+		case stepSend:
+			return sel, g.rejects(now, c, sel, false)
+		case stepSendWithoutWaiting:
 			return g.chooseWithoutWaiting(now, c, sel.wait)
 		}
 		if ok && g.Fleet.needsPermit(now, c, sel.target) { // before the adapter takes a slot
@@ -216,6 +223,7 @@
 		case sel.target != c.waitTarget:
 			removeWaiter()
 			g.Scope.Counter("waits_for_adapters").Inc(1)
+			g.recordLoad(now, c)
 			removeWaiter, c.waitTarget = g.Fleet.addWaiter(now, sel.target, c), sel.target
 			c.recordDecision("waits", sel)
 			g.Log.Event(event.RequestWaiting).
@@ -264,11 +272,39 @@
 // adapter to load: a busy target that holds it. If there is none, the caller
 // gets a Retry-After of the expected load time.
 func (g *Gateway) chooseWithoutWaiting(now time.Time, c *call, expectedWait time.Duration) (selection, string) {
+	if sel, ok := g.chooseHolder(now, c); ok && g.rejects(now, c, sel, false) == "" {
+		return sel, ""
+	}
+	c.retryAfterLoad(expectedWait)
+	return selection{}, reasonAdapterNotLoaded
+}
+
+// chooseHolder returns the holder of the call's adapter for the next attempt, and false if
+// there is none. It looks at all holders if the call would be rejected at one of a sample.
+func (g *Gateway) chooseHolder(now time.Time, c *call) (selection, bool) {
 	sel, ok := g.Fleet.chooseResident(now, c)
-	if !g.sendsWithoutWaiting(c, sel, ok, expectedWait) {
-		return selection{}, reasonAdapterNotLoaded
+	if ok && sel.sampled && g.busy(now, c, sel) {
+		sel, ok = g.Fleet.chooseFromAll(now, c, true)
 	}
-	return sel, ""
+	return sel, ok
+}
+
+// fails reports whether the call would be rejected at the selected target, or gets no
+// permit for it.
+func (g *Gateway) fails(now time.Time, c *call, sel selection, waitUntil time.Time) bool {
+	tooLong := !sel.resident && c.waitTarget == nil && now.Add(sel.wait).After(waitUntil)
+	return tooLong || g.busy(now, c, sel) || (c.permitRefusals > 0 && g.Fleet.needsPermit(now, c, sel.target))
+}
+
+// busy reports whether the call would be rejected at a selected holder of its adapter.
+func (g *Gateway) busy(now time.Time, c *call, sel selection) bool {
+	return sel.resident && g.wouldReject(now, c, sel)
+}
+
+// leavesBefore reports whether a call that waits for its adapter is expected to wait at the
+// selected target for longer than its caller.
+func (c *call) leavesBefore(now time.Time, sel selection) bool {
+	return c.waitTarget != nil && c.model != "" && !c.headerSent && sel.wait > c.patience(now)
 }
 
 // respondFailure ends a call for which no attempt succeeded. If the response has
@@ -282,6 +318,8 @@
 	switch {
 	case closedByServer(callerCtx):
 		reason = "connection_closed"
+	case droppedBecause(callerCtx) != "":
+		reason = string(droppedBecause(callerCtx))
 	case reason == "timeout" && g.ending.Err() != nil:
 		reason = "stopping"
 	}
@@ -290,7 +328,9 @@
 		panic(http.ErrAbortHandler) // closes the connection so that the caller sees an incomplete response
 	}
 	if c.fallback != nil {
-		g.writeResponse(w, c.fallback)
+		if err := g.writeResponse(w, c.fallback); err != nil {
+			g.abort(callerCtx, c)
+		}
 		g.recordOutcome(c, c.fallback.status, "failure_passed_on")
 		return
 	}
@@ -299,23 +339,48 @@
 	g.HeaderCodec.SetRejection(w.Header(), c.meta.ID, after)
 	w.Header()["Content-Type"] = nil
 	w.WriteHeader(status)
+	g.countRejection(c.workspace, reason)
 	g.recordOutcome(c, status, reason)
 }
 
+// retryAfterOf returns the time after which the caller of a failed call may retry: the
+// forecast time until there is capacity if there is one.
+func (c *call) retryAfterOf(reason string) time.Duration {
+	switch {
+	case reason == reasonOriginUnknown || reason == reasonVersionGone:
+		return 0 // waiting does not help
+	case c.retryAfter > 0:
+		return max(c.retryAfter, shortRetryAfter)
+	case reason == "no_target" || reason == reasonQuarantined || reason == reasonUnconfirmed:
+		return spread(longRetryAfter)
+	case c.possibleRuns > 0:
+		return 0
+	}
+	return spread(shortRetryAfter)
+}
+
 // abort ends a call whose connection ended.
 func (g *Gateway) abort(callerCtx context.Context, c *call) {
 	reason := "caller_left"
 	if closedByServer(callerCtx) {
 		reason = "connection_closed"
+	} else if dropped := droppedBecause(callerCtx); dropped != "" {
+		reason = string(dropped)
 	}
 	g.recordOutcome(c, 0, reason)
 	panic(http.ErrAbortHandler) // the response has no reader
 }
 
-// writeResponse writes a buffered response to the caller.
-func (g *Gateway) writeResponse(w http.ResponseWriter, resp *bufferedResponse) {
+// writeResponse writes a buffered response to the caller. It returns an error if the
+// caller has disconnected or does not read and part of a long body can't be written.
+func (g *Gateway) writeResponse(w http.ResponseWriter, resp *bufferedResponse) error {
 	g.writeHeader(w, resp.status, resp.header, int64(len(resp.body)))
-	_, _ = w.Write(resp.body) // the caller may have disconnected
+	// The end of the body is written after the call has returned what it holds, so that the
+	// caller's next request finds it released.
+	if _, err := w.Write(resp.body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) && !errors.Is(err, http.ErrContentLength) {
+		return err
+	}
+	return nil
 }
 
 // writeHeader writes the header of a target's response to the caller. length is
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -128,11 +128,7 @@
 func bodyRejection(meta RequestMeta, err error) rejection {
 	switch {
 	case errors.Is(err, errNoMemory):
-		after := longRetryAfter
-		if meta.Deadline > 0 {
-			after = min(after, meta.Deadline/retryAfterDivisor)
-		}
-		return rejection{status: 503, reason: "no_room", after: after}
+		return rejection{status: 503, reason: reasonNoRoom, after: meta.honoured(spread(longRetryAfter))}
 	case errors.Is(err, errBodyTooLong):
 		return rejection{status: 413, reason: "body"}
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -27,6 +27,12 @@
 	body       []byte
 	bodyBytes  int // size of body; of an explained request, whose body is not known, its stated size
 
+	urgency           int           // 0 is the most urgent; that of the route without workspaces
+	urgencyAboveShare int           // while its workspace is above its share of contended capacity
+	engineTime        time.Duration // expected time of an engine
+	needsLoad         bool          // its adapter had to be loaded for it
+	usesLoad          bool          // and it waited for the load
+
 	segments       []quarantine.Fingerprint // shared segments of the prompt
 	promptSegments []promptcache.Segment    // the same segments, nil if their tokens are not known
 	prompt         promptcache.Prompt       // of those segments; guarded by the fleet's mu, as is promptVersion
@@ -46,6 +52,7 @@
 	permitRefusals  int             // refused permits since the last attempt
 	permitUntil     time.Time       // end of the wait for permits, zero before the first request for one
 	waitTarget      *targetState    // target that is to load the adapter, nil if not waiting
+	offeredTarget   *targetState    // target to which the prompt was offered, nil while it is not
 
 	heldFor     time.Duration // total time waited because another request with a suspect segment ran
 	permitWait  time.Duration // total time waited for permits
@@ -92,8 +99,11 @@
 		bodyBytes: len(body),
 		start:     now,
 		deadline:  now.Add(within),
-		tried:     map[string]bool{},
-		refused:   map[string]bool{},
+
+		urgency: route.Urgency, urgencyAboveShare: route.Urgency,
+
+		tried:   map[string]bool{},
+		refused: map[string]bool{},
 	}
 	c.request = upstream.Request{
 		ID:      m.ID,
@@ -105,7 +115,7 @@
 	}
 	c.segments = segmentFingerprints(service, m.PromptSegments)
 	c.promptSegments = promptSegments(m)
-	c.placementKey = placement.Hash(m.Model + "/" + m.Adapter)
+	c.placementKey = adapterKey(c.adapter)
 	if m.Adapter == "" && len(m.PromptSegments) > 0 {
 		c.placementKey = placement.Hash(m.Model + "//" + m.PromptSegments[len(m.PromptSegments)-1])
 	}
--- a/internal/gateway/decision_step.go
+++ b/internal/gateway/decision_step.go
@@ -12,8 +12,8 @@
 type nextStep uint8
 
 const (
-	stepSend               nextStep = iota // to the chosen target, which holds the adapter
-	stepSendWithoutWaiting                 // to a busy target that holds the adapter, if there is one
+	stepSend               nextStep = iota // to the chosen target, which holds the adapter, unless its load forbids it
+	stepSendWithoutWaiting                 // to a busy target that holds the adapter, if there is one, unless its load forbids it
 	stepWaitForAdapter                     // until the chosen target holds the adapter
 	stepWaitForTarget                      // until a target is usable
 	stepReject
@@ -29,25 +29,23 @@
 			return stepReject, 0, reason
 		}
 		return stepWaitForTarget, pause, ""
-	case sel.resident && g.Fleet.overloaded(c, sel):
-		return stepReject, 0, "overloaded"
 	case sel.resident:
 		return stepSend, 0, ""
-	case now.After(waitUntil) || (c.waitTarget == nil && now.Add(sel.wait).After(waitUntil)):
+	case now.After(waitUntil) || (c.waitTarget == nil && now.Add(sel.wait).After(waitUntil)) || c.leavesBefore(now, sel):
 		return stepSendWithoutWaiting, 0, ""
+	case g.lacksLoadShare(now, c, sel):
+		c.retryAfter = spread(sel.wait)
+		return stepReject, 0, reasonLoadShare
 	}
 	return stepWaitForAdapter, waitPollInterval, ""
 }
 
-// sendsWithoutWaiting reports whether a call that no longer waits for its adapter is sent
-// to the busy target that was chosen among the holders. If not, it sets retryAfter to the
-// expected time until the adapter is loaded.
-func (g *Gateway) sendsWithoutWaiting(c *call, sel selection, ok bool, expectedWait time.Duration) bool {
-	if ok && !g.Fleet.overloaded(c, sel) {
-		return true
+// retryAfterLoad sets the Retry-After of a call that does not wait for its adapter to the
+// expected time until that is loaded, unless a holder has capacity sooner.
+func (c *call) retryAfterLoad(expectedWait time.Duration) {
+	if after := spread(expectedWait); c.retryAfter == 0 || after < c.retryAfter {
+		c.retryAfter = after
 	}
-	c.retryAfter = expectedWait
-	return false
 }
 
 // tooLate returns the reason for which a call is not worth sending any more, empty for
@@ -65,22 +63,15 @@
 // failureResponse returns the status of the response to a call that has failed, and after
 // which time its caller may retry, zero for none.
 func (c *call) failureResponse(now time.Time, reason string) (status int, after time.Duration) {
-	status, after = http.StatusServiceUnavailable, shortRetryAfter
+	status = http.StatusServiceUnavailable
 	if c.possibleRuns > 0 {
-		status, after = http.StatusBadGateway, 0
+		status = http.StatusBadGateway
 		if reason == "timeout" || reason == "deadline" {
 			status = http.StatusGatewayTimeout
 		}
 	}
-	limit := c.remaining(now) / retryAfterDivisor
-	switch reason {
-	case reasonOverQuota:
-		status = http.StatusTooManyRequests
-		limit = c.retryAfter // earlier there is no credit
-	case "no_target", reasonQuarantined, "overloaded", reasonUnconfirmed:
-		after = longRetryAfter
-	case reasonOriginUnknown, reasonVersionGone:
-		after = 0 // waiting does not help
+	if reason == reasonOverQuota {
+		return http.StatusTooManyRequests, c.retryAfter // earlier there is no credit
 	}
-	return status, min(max(after, c.retryAfter), limit)
+	return status, bounded(c.retryAfterOf(reason), c.remaining(now)/retryAfterDivisor)
 }
--- a/internal/gateway/explain_choice.go
+++ b/internal/gateway/explain_choice.go
@@ -8,15 +8,17 @@
 	"github.com/borageusher/borageusher/pkg/assignment"
 )
 
-// explainChoice explains the choice of a target for a call.
-func (f *Fleet) explainChoice(now time.Time, x *Explanation, c *call) (selection, bool) {
+// explainChoice explains the choice of a target for a call, among a sample of many targets or
+// among all.
+func (f *Fleet) explainChoice(now time.Time, x *Explanation, c *call, sample bool) (selection, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if s := f.services[c.service]; s != nil {
 		x.Targets = len(s.all.targets)
 	}
 	x.AdapterVersion = f.version(c.adapter)
-	d := f.decide(now, c, false)
+	d := f.decide(now, c, sample, false)
+	x.Choice, x.NeedsPermit, x.OffersPrompt = "", false, false // of an earlier choice
 	x.Sampled, x.Cautious = d.sampled, d.cautious
 	x.Candidates = make([]CandidateExplanation, 0, len(d.targets))
 	for i := range d.targets {
@@ -28,7 +30,7 @@
 	if !d.ok {
 		return selection{}, false
 	}
-	sel := d.selection(now, f)
+	sel := d.selection(now, c, f)
 	if d.choice.CopyTarget >= 0 && x.Next != nextReject {
 		x.LoadAt = d.targets[d.choice.CopyTarget].replica.ID
 	}
@@ -40,16 +42,16 @@
 var useOrder = map[string]int{useHolder: 0, useHome: 1, useNone: 2}
 
 // explainResident explains the choice of a target for a call that does not wait for its
-// adapter.
-func (f *Fleet) explainResident(now time.Time, x *Explanation, c *call) (selection, bool) {
+// adapter, among a sample of many holders or among all.
+func (f *Fleet) explainResident(now time.Time, x *Explanation, c *call, sample bool) (selection, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	d := f.decide(now, c, true)
+	d := f.decide(now, c, sample, true)
 	x.Choice, x.LoadAt = "", ""
 	if !d.ok {
 		return selection{}, false
 	}
-	sel := d.selection(now, f)
+	sel := d.selection(now, c, f)
 	x.choose(now, c, sel)
 	return sel, true
 }
--- a/internal/gateway/explanation.go
+++ b/internal/gateway/explanation.go
@@ -15,7 +15,7 @@
 	Kind      routing.Kind
 	Objective time.Duration
 	Timeout   time.Duration // of the request
-	Urgency   int           // of the route, which targets and targetds are told
+	Urgency   int           // which targets and targetds are told
 
 	NeedsKey  bool
 	HasKey    bool
@@ -38,6 +38,9 @@
 	Candidates   []CandidateExplanation
 	Choice       string        // id of the chosen target, empty for none
 	Wait         time.Duration // expected until the first event
+	Standing     string        // of the workspace's share of engine time, empty without a workspace
+	Contended    bool          // requests contend for the chosen target, so that shares count there
+	WaitLimit    time.Duration // beyond which the request is rejected at the chosen target, zero if it was not compared
 	LoadAt       string        // id of the target that would be asked to load the adapter, empty for none
 	PermitDelay  time.Duration // until the chosen target takes the request
 	NeedsPermit  bool
--- a/internal/gateway/explanation_json.go
+++ b/internal/gateway/explanation_json.go
@@ -10,6 +10,9 @@
 	Target       string  `json:"target,omitempty"`
 	Wait         float64 `json:"wait_ms"`
 	LoadAt       string  `json:"load_at,omitempty"`
+	WaitLimit    float64 `json:"wait_limit_ms,omitempty"`
+	Contended    bool    `json:"contended"`
+	Standing     string  `json:"standing,omitempty"`
 	NeedsPermit  bool    `json:"needs_permit"`
 	PermitDelay  float64 `json:"permit_delay_ms"`
 	OffersPrompt bool    `json:"offers_prompt"`
@@ -77,7 +80,7 @@
 func explanationToJSON(x Explanation) explanationJSON {
 	out := explanationJSON{
 		Result: x.Next, Reason: x.Reason, Status: x.Status, RetryAfter: milliseconds(x.RetryAfter),
-		Target: x.Choice, Wait: milliseconds(x.Wait), LoadAt: x.LoadAt, NeedsPermit: x.NeedsPermit, PermitDelay: milliseconds(x.PermitDelay), OffersPrompt: x.OffersPrompt,
+		Target: x.Choice, Wait: milliseconds(x.Wait), LoadAt: x.LoadAt, WaitLimit: milliseconds(x.WaitLimit), Contended: x.Contended, Standing: x.Standing, NeedsPermit: x.NeedsPermit, PermitDelay: milliseconds(x.PermitDelay), OffersPrompt: x.OffersPrompt,
 		Revision: x.Revision, Route: x.Route, Urgency: x.Urgency, Objective: milliseconds(x.Objective), Timeout: milliseconds(x.Timeout),
 		NeedsKey: x.NeedsKey, HasKey: x.HasKey, Workspace: x.Workspace,
 		Service: x.Service, Model: x.Model, Adapter: x.Adapter, Version: x.AdapterVersion,
--- a/internal/gateway/explanation_text.go
+++ b/internal/gateway/explanation_text.go
@@ -41,6 +41,9 @@
 	line("route", "%s, %s, urgency %d, objective %s ms, timeout %s ms, configuration %d", x.Route, x.Kind, x.Urgency, ms(x.Objective), ms(x.Timeout), x.Revision)
 	line("caller", "%s", x.callerText())
 	line("quota", "%s", x.Quota.text())
+	if x.Choice != "" {
+		line("order", "%s", x.orderText())
+	}
 	if x.Service != "" {
 		line("service", "%s%s", x.Service, x.sharesText())
 	}
@@ -67,6 +70,21 @@
 	return s
 }
 
+// orderText returns what decides on the order of the request and its rejection under load.
+func (x *Explanation) orderText() string {
+	s := "no contention at the target"
+	if x.Contended {
+		s = "contention at the target"
+	}
+	if x.Standing != "" {
+		s += ", standing of the workspace's share: " + x.Standing
+	}
+	if x.WaitLimit != 0 {
+		s += fmt.Sprintf(", rejected beyond a wait of %s ms", ms(x.WaitLimit))
+	}
+	return s
+}
+
 func (x *Explanation) callerText() string {
 	switch {
 	case !x.NeedsKey:
--- a/internal/gateway/main.go
+++ b/internal/gateway/main.go
@@ -22,6 +22,7 @@
 	"github.com/borageusher/borageusher/internal/upstream"
 	"github.com/borageusher/borageusher/pkg/quota"
 	"github.com/borageusher/borageusher/pkg/routing"
+	"github.com/borageusher/borageusher/pkg/slowreader"
 )
 
 // Shares of the time within which a change to an object kind must be known.
@@ -80,6 +81,7 @@
 	gateway *Gateway
 	current atomic.Pointer[routing.Configuration]
 	callers *callerConns
+	readers *slowReaders
 
 	confirmations *confirmations
 	readiness     *readiness
@@ -148,6 +150,9 @@
 	conns.onConfirmation = p.confirmations.applyAnswer
 	p.fleet.onTarget = conns.connect
 	client := upstream.New(platform.HeaderCodec.RequestID)
+	if node.Limits.Memory > 0 {
+		client.LimitBuffers(targetBuffers)
+	}
 	b := node.Bounds
 	p.gateway = New(Options{
 		HeaderCodec:   platform.HeaderCodec,
@@ -163,6 +168,7 @@
 		Limits:        node.Limits,
 	})
 	p.callers.admission = p.gateway.admission
+	p.readers = &slowReaders{callers: p.callers, client: client, admission: p.gateway.admission, tracker: slowreader.New(), scope: scope}
 	store := platform.NewStore(scope)
 	cfg := &configurationSink{
 		decoder: platform.Decoder, name: platform.ConfigurationName, current: &p.current, fleet: p.fleet, log: log, confirmations: p.confirmations,
@@ -210,8 +216,12 @@
 			p.fleet.askConfirmer(p.confirmations, p.current.Load())
 			p.fleet.cancelStalled(now)
 			p.fleet.sendMovedOrigins(now)
+			if p.node.Limits.Memory > 0 {
+				p.readers.check(now)
+			}
 		case now := <-sweep.C:
 			p.fleet.Sweep(now)
+			p.gateway.Credit.CheckIssuers() // also after a change of the configuration
 			client.CloseExpired(now)
 			p.crashes.expire(now)
 			p.updateGauges(now)
@@ -225,6 +235,7 @@
 	scope.Gauge("requests_in_progress").Update(float64(p.gateway.inProgress.Load()))
 	scope.Gauge("targets").Update(float64(p.fleet.targetCount()))
 	scope.Gauge("entries").Update(float64(p.fleet.entrydCount()))
+	p.gateway.order.updateGauges(now, scope)
 	p.confirmations.report(p.current.Load(), scope)
 	slow, full := p.fleet.choiceStats()
 	scope.Gauge("slow_targets").Update(float64(slow))
@@ -272,6 +283,11 @@
 	probe.Handle("/metrics", metricsHandler)
 	probe.Handle(ExplainPath, newExplainHandler(p.gateway, peer.Key(p.node.Store.String()), time.Now))
 	go func() { _ = (&http.Server{Handler: probe, ReadHeaderTimeout: headerTimeout}).Serve(readiness) }() // ends with the process
+	if p.node.Limits.Memory > 0 {
+		if err := limitCallerBuffers(ln.(*net.TCPListener)); err != nil {
+			return nil, err
+		}
+	}
 	callers := p.callers.wrap(ln.(*net.TCPListener))
 	go func() { _ = p.newCallerServer().Serve(callers) }() // ends with the process
 	return callers, nil
--- a/internal/gateway/match.go
+++ b/internal/gateway/match.go
@@ -27,7 +27,7 @@
 	latest := g.latestConfirmation()
 	m.cfg = g.Configuration.Load()
 	if m.cfg == nil || !g.Fleet.Listed() {
-		return m, rejection{status: 503, reason: "no_configuration", after: longRetryAfter}
+		return m, rejection{status: 503, reason: "no_configuration", after: spread(longRetryAfter)}
 	}
 	var ok bool
 	if m.route, ok = m.cfg.Match(host, path); !ok {
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -22,15 +22,18 @@
 // selection is a target selected for an attempt, with the estimates behind the
 // decision.
 type selection struct {
-	target   *targetState
-	replica  target.Replica
-	resident bool            // the target holds the adapter
-	wait     time.Duration   // expected time until the attempt can start
-	extra    time.Duration   // by which the call itself takes longer than at a mean target
-	load     int             // estimated requests at the target
-	backlog  int             // estimated tokens of prompts that the target has to read
-	stateAge time.Duration   // age of the engine state, zero if none is known
-	changed  <-chan struct{} // closed when the selection may change, nil if the adapter is resident
+	target    *targetState
+	replica   target.Replica
+	resident  bool            // the target holds the adapter
+	wait      time.Duration   // expected time until the attempt can start
+	extra     time.Duration   // by which the call itself takes longer than at a mean target
+	load      int             // estimated requests at the target
+	backlog   int             // estimated tokens of prompts that the target has to read
+	stateAge  time.Duration   // age of the engine state, zero if none is known
+	newLoad   bool            // the target was not asked to load the adapter yet
+	sampled   bool            // others that could be chosen were not looked at
+	loadsWait bool            // more adapters wait to be loaded there than are loaded at once
+	changed   <-chan struct{} // closed when the selection may change, nil if the adapter is resident
 }
 
 // choose returns the target for the next attempt of a call, and false if none is
@@ -39,7 +42,7 @@
 func (f *Fleet) choose(now time.Time, c *call) (selection, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.chooseAmong(now, c, false)
+	return f.chooseAmong(now, c, true, false)
 }
 
 // chooseResident returns the target for the next attempt of a call that no
@@ -47,14 +50,22 @@
 func (f *Fleet) chooseResident(now time.Time, c *call) (selection, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.chooseAmong(now, c, true)
+	return f.chooseAmong(now, c, true, true)
+}
+
+// chooseFromAll does what choose or chooseResident does, and looks at all targets.
+func (f *Fleet) chooseFromAll(now time.Time, c *call, residentOnly bool) (selection, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.chooseAmong(now, c, false, residentOnly)
 }
 
 // chooseAmong chooses among the targets, or only among those that hold the
-// adapter. If the adapter should have a further copy, it requests the load.
-// The caller holds mu.
-func (f *Fleet) chooseAmong(now time.Time, c *call, residentOnly bool) (selection, bool) {
-	d := f.decide(now, c, residentOnly)
+// adapter. If there are many and sample is set, it looks at a sample and only at all if no
+// target of the sample can be chosen. If the adapter should have a further copy, it requests
+// the load. The caller holds mu.
+func (f *Fleet) chooseAmong(now time.Time, c *call, sample, residentOnly bool) (selection, bool) {
+	d := f.decide(now, c, sample, residentOnly)
 	if d.full {
 		f.fullChoices++
 	}
@@ -64,7 +75,7 @@
 	if d.choice.CopyTarget >= 0 {
 		f.requestLoad(now, d.targets[d.choice.CopyTarget], c.adapter, 1)
 	}
-	sel := d.selection(now, f)
+	sel := d.selection(now, c, f)
 	if !sel.resident {
 		sel.changed = f.changeSignal(c.adapter)
 	}
@@ -85,20 +96,19 @@
 }
 
 // decide chooses among the targets as for chooseAmong, and changes nothing that a later
-// decision depends on. If there are many targets, it looks at a sample and only at all if
-// no target of the sample can be chosen. The caller holds mu.
-func (f *Fleet) decide(now time.Time, c *call, residentOnly bool) decision {
+// decision depends on. If there are many targets and sample is set, it looks at a sample and
+// only at all if no target of the sample can be chosen. The caller holds mu.
+func (f *Fleet) decide(now time.Time, c *call, sample, residentOnly bool) decision {
 	d := decision{cautious: true, request: assignment.Request{
 		Key:       c.placementKey,
 		Objective: f.slackOf(c),
 		Bytes:     c.bodyBytes,
 	}}
-	d.sampled = !f.collect(now, c, true, residentOnly)
+	d.sampled = !f.collect(now, c, sample, residentOnly)
 	d.targets, d.candidates = f.candidates(now, c, true, residentOnly)
 	d.choice, d.ok = assignment.Choose(d.request, d.candidates)
 	if !d.ok && d.sampled {
-		d.full, d.sampled = true, false
-		f.collect(now, c, false, residentOnly)
+		d.full, d.sampled = true, !f.collect(now, c, false, residentOnly)
 		d.targets, d.candidates = f.candidates(now, c, true, residentOnly)
 		d.choice, d.ok = assignment.Choose(d.request, d.candidates)
 	}
@@ -112,12 +122,15 @@
 
 // selection returns the selected target without its change signal. The caller holds the
 // fleet's mu.
-func (d *decision) selection(now time.Time, f *Fleet) selection {
+func (d *decision) selection(now time.Time, c *call, f *Fleet) selection {
 	t := d.targets[d.choice.Index]
-	sel := selection{target: t, replica: t.replica, resident: d.choice.Resident, wait: d.choice.Wait, extra: d.candidates[d.choice.Index].ExtraTime, load: t.estimatedLoad(now), backlog: t.estimatedBacklog(now, f.tokenTimeAt(now, t))}
+	sel := selection{target: t, replica: t.replica, resident: d.choice.Resident, sampled: d.sampled, wait: d.choice.Wait, extra: d.candidates[d.choice.Index].ExtraTime, load: t.estimatedLoad(now), backlog: t.estimatedBacklog(now, f.tokenTimeAt(now, t))}
 	if !t.stateAt.IsZero() {
 		sel.stateAge = now.Sub(t.stateAt)
 	}
+	if !sel.resident {
+		sel.newLoad, sel.loadsWait = !t.loading[c.adapter] && t.waiting[c.adapter] == 0, t.missingAdapters > maxConcurrentLoads
+	}
 	return sel
 }
 
@@ -132,30 +145,17 @@
 	return max(time.Duration(minSlackShare*float64(c.route.Objective)), c.route.Objective-read)
 }
 
-// overloaded reports whether the expected time to the first event at the best
-// target exceeds the time for which the caller of a stream waits. Requests without
-// a model and started streams are never overloaded.
-func (f *Fleet) overloaded(c *call, sel selection) bool {
-	if c.model == "" || c.headerSent {
-		return false
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	latency := f.latencyOf(c.service)
-	read := time.Duration(c.promptTokens()) * latency.readTime.Slope()
-	return sel.wait+sel.extra+latency.readTime.Intercept()+read > callerTimeout(c.route.Objective)
-}
-
 // awaitsTargets reports whether live targets of the call's service may become
 // usable soon: they were discovered recently and their engine state was not
-// received yet.
+// received yet, or their engines became unreachable recently. When all engines of a
+// service restart together, callers that are rejected at once return late.
 func (f *Fleet) awaitsTargets(now time.Time, c *call) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, t := range f.targets {
 		// Its version is confirmed by its targetd.
 		suits := f.suits(now, c, t) || (c.mayGoTo(t) && c.softwareVersion != "" && t.replica.Version == c.softwareVersion)
-		if suits && t.usable(now) && t.connecting(now) {
+		if suits && ((t.usable(now) && t.connecting(now)) || t.restarting(now)) {
 			return true
 		}
 	}
--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -48,6 +48,8 @@
 	Urgency int    // 0 is the most urgent
 	Cost    float64
 	Until   time.Time // time until which it can wait
+
+	addedAt time.Time
 }
 
 // Decision is the answer to a Waiter.
@@ -80,7 +82,7 @@
 	ownAt      time.Time // up to which the account's own part was added
 	sentAt     time.Time // last request
 	awaited    bool      // that request has no answer yet
-	answeredAt time.Time // last answer, zero before the first
+	answered   time.Time // when the last answered request was sent, zero before the first
 
 	arrivedAt time.Time // last request of a caller
 	demand    meter
@@ -164,7 +166,21 @@
 
 // Add adds a request, which the next Decide may answer.
 func (a *Account) Add(now time.Time, w Waiter) {
-	a.arrivedAt = now
+	a.arrivedAt, w.addedAt = now, now
+	if !a.tooLarge(w) { // else it would pass for demand that the others have to make room for
+		a.measure(now, w)
+	}
+	i, _ := slices.BinarySearchFunc(a.waiting, w, func(have, w Waiter) int {
+		if have.Urgency <= w.Urgency {
+			return -1
+		}
+		return 1
+	})
+	a.waiting = slices.Insert(a.waiting, i, w)
+}
+
+// measure adds a request to the demand.
+func (a *Account) measure(now time.Time, w Waiter) {
 	a.demand.add(now, w.Cost)
 	m := a.byUrgency[w.Urgency]
 	if m == nil {
@@ -174,13 +190,12 @@
 	m.add(now, w.Cost)
 	const decay = 0.99 // of the largest cost at each request
 	a.largest = max(w.Cost, a.largest*decay)
-	i, _ := slices.BinarySearchFunc(a.waiting, w, func(have, w Waiter) int {
-		if have.Urgency <= w.Urgency {
-			return -1
-		}
-		return 1
-	})
-	a.waiting = slices.Insert(a.waiting, i, w)
+}
+
+// tooLarge reports whether a request exceeds the quota of each window alone. It is never
+// admitted: the issuer would grant nothing else until it is repaid.
+func (a *Account) tooLarge(w Waiter) bool {
+	return a.limit.Limited() && w.Cost > a.bounds.Allowed(a.limit)
 }
 
 // Remove removes a request whose caller has left, and reports whether it waited.
@@ -206,11 +221,11 @@
 				a.balance -= w.Cost
 			}
 			out = append(out, Decision{ID: w.ID, Admitted: true})
-		case now.Before(w.Until) && a.inTime(now, w, ahead, missing):
+		case !a.tooLarge(w) && now.Before(w.Until) && a.inTime(now, w, ahead, missing):
 			kept = append(kept, w)
 			ahead += w.Cost
 		default:
-			unanswered := !now.Before(w.Until) && !a.own(now) && !a.answered(now)
+			unanswered := !now.Before(w.Until) && !a.own(now) && !a.knownShort(now, w) && !a.tooLarge(w)
 			out = append(out, Decision{ID: w.ID, Unanswered: unanswered, Wait: a.wait(now, missing+ahead)})
 		}
 	}
@@ -250,10 +265,11 @@
 	return ahead <= a.grant // regardless of its own cost, so that large requests wait as others do
 }
 
-// answered reports whether the issuer answered recently, so that a request without credit
-// is over the quota.
-func (a *Account) answered(now time.Time) bool {
-	return !a.answeredAt.IsZero() && now.Sub(a.answeredAt) < answerTimeout
+// knownShort reports whether a request without credit is over the quota: the issuer said
+// recently that credit is short, or answered what was asked for since the request was added.
+// An answer to an earlier request says nothing, because the issuer may be lost since.
+func (a *Account) knownShort(now time.Time, w Waiter) bool {
+	return a.short(now) || (!a.answered.IsZero() && !a.answered.Before(w.addedAt))
 }
 
 // short reports whether the issuer said recently that credit is short.
@@ -385,7 +401,7 @@
 		return // the request counts as lost
 	}
 	a.settle(now)
-	a.awaited, a.answeredAt = false, now
+	a.awaited, a.answered = false, a.sentAt
 	a.balance += m.Granted
 	a.leaseUntil = a.sentAt.Add(leaseTime)
 	a.granted.add(now, m.Granted)
--- a/pkg/routing/workspace.go
+++ b/pkg/routing/workspace.go
@@ -31,10 +31,10 @@
 	switch {
 	case q.Unit == Requests:
 		return 1
-	case promptTokens+maxResponseTokens == 0:
+	case promptTokens == 0 && maxResponseTokens == 0:
 		return float64(q.PlainTokens)
 	}
-	return float64(promptTokens + maxResponseTokens)
+	return float64(promptTokens) + float64(maxResponseTokens) // callers may state any number; the sum of integers may be negative
 }
 
 // Workspace is a team's set of callers. They identify themselves by keys.
@@ -83,7 +83,10 @@
 }
 
 // SetWorkspaces sets the workspaces of a configuration that is not in use yet.
-func (c *Configuration) SetWorkspaces(ws Workspaces) { c.workspaces = ws }
+func (c *Configuration) SetWorkspaces(ws Workspaces) {
+	c.workspaces = ws
+	c.urgencies = newUrgencies(c.hosts, ws.names)
+}
 
 // HasWorkspaces reports whether callers have to identify themselves.
 func (c *Configuration) HasWorkspaces() bool { return len(c.workspaces.names) > 0 }
