--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -71,6 +71,7 @@
 	TargetNotSlow     Code = 386
 	CallerStalled     Code = 390
 	CallerDropped     Code = 391
+	RequestExplained  Code = 395
 	RequestQueued     Code = 400
 	RequestNotRun     Code = 401
 	RequestStarted    Code = 402
@@ -184,6 +185,7 @@
 	{TargetNotSlow, "target_not_slow", zerolog.InfoLevel, "The target is not slow any more, or not observed."},
 	{CallerStalled, "caller_stalled", zerolog.WarnLevel, "The `caller` took no byte of its response for a while; the connection was reset with `unread` bytes left, and its request, if one is in progress, canceled."},
 	{CallerDropped, "caller_dropped", zerolog.WarnLevel, "The responses that callers do not read exceed the memory for them: the connection of the `caller`, one of the slowest, was reset with `unread` bytes left, and its request, if one is in progress, canceled."},
+	{RequestExplained, "request_explained", zerolog.InfoLevel, "An operator (`from`) asked what the process would do with a request; nothing was sent."},
 	{RequestQueued, "request_queued", zerolog.DebugLevel, "The target queued an attempt."},
 	{RequestNotRun, "request_not_run", zerolog.InfoLevel, "The target refused an attempt that it had not started."},
 	{RequestStarted, "request_started", zerolog.DebugLevel, "The request was sent to the engine or service."},
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -152,17 +152,8 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	inUse := a.used[use] + n
-	if use == l.use {
-		inUse -= l.bytes
-	}
-	if n > l.bytes {
-		if a.maxShared > 0 && a.shared+a.queued+n-l.bytes > a.maxShared {
-			return false
-		}
-		if m := a.maxUse[use]; m > 0 && inUse > m {
-			return false
-		}
+	if !l.fits(use, n) {
+		return false
 	}
 	a.shared += n - l.bytes
 	a.used[l.use] -= l.bytes
@@ -171,6 +162,24 @@
 	return true
 }
 
+// fits reports whether n bytes for a use are within the limits in place of the leased
+// ones. The caller holds the admission's mu.
+func (l *lease) fits(use memoryUse, n int64) bool {
+	a := l.admission
+	if n <= l.bytes {
+		return true
+	}
+	inUse := a.used[use] + n
+	if use == l.use {
+		inUse -= l.bytes
+	}
+	if a.maxShared > 0 && a.shared+a.queued+n-l.bytes > a.maxShared {
+		return false
+	}
+	m := a.maxUse[use]
+	return m <= 0 || inUse <= m
+}
+
 // reserve adds n bytes, and reports whether they are within the limits.
 func (l *lease) reserve(n int64) bool { return l.resize(l.use, l.bytes+n) }
 
--- a/internal/gateway/attempt_loop.go
+++ b/internal/gateway/attempt_loop.go
@@ -143,10 +143,8 @@
 		reason = reasonHeld
 	case verdict == quarantine.Convicted || (!c.headerSent && g.CrashTracker.quarantined(now, c)): // a started stream did not crash its target when it began
 		reason = reasonQuarantined
-	case c.remaining(now) < minAttemptTime:
-		reason = "deadline"
-	case !g.mayEnd(now, c):
-		reason = "stopping"
+	case g.tooLate(now, c) != "":
+		reason = g.tooLate(now, c)
 	case c.attemptsSent > 0 && !g.RetryBudget.tryAcquire(now, c.service, g.Fleet.entrydCount()):
 		reason = "retry_allowance"
 	}
@@ -201,22 +199,17 @@
 			sel, ok = g.Fleet.chooseFromAll(now, c, false)
 		}
 		g.offerLoad(now, c, sel)
-		pause := waitPollInterval
-		switch {
-		case ctx.Err() != nil:
+		if ctx.Err() != nil {
 			return selection{}, "timeout"
-		case !ok:
-			var reason string
-			if pause, reason = g.awaitUsable(now, c, waitUntil); reason != "" {
-				return selection{}, reason
-			}
-		case ok && sel.resident:
+		}
+		next, pause, reason := g.stepAfter(now, c, sel, ok, waitUntil)
+		switch next {
+		case stepReject:
+			return selection{}, reason
+		case stepSend:
 			return sel, g.rejects(now, c, sel, false)
-		case ok && (now.After(waitUntil) || (c.waitTarget == nil && now.Add(sel.wait).After(waitUntil)) || c.leavesBefore(now, sel)):
+		case stepSendWithoutWaiting:
 			return g.chooseWithoutWaiting(now, c, sel.wait)
-		case g.lacksLoadShare(now, c, sel):
-			c.retryAfter = spread(sel.wait)
-			return selection{}, reasonLoadShare
 		}
 		if ok && g.Fleet.needsPermit(now, c, sel.target) { // before the adapter takes a slot
 			if _, reason := g.awaitPermit(ctx, c, sel); reason != "" {
@@ -282,10 +275,8 @@
 	if sel, ok := g.chooseHolder(now, c); ok && g.rejects(now, c, sel, false) == "" {
 		return sel, ""
 	}
-	if after := spread(expectedWait); c.retryAfter == 0 || after < c.retryAfter { // else a holder has capacity sooner
-		c.retryAfter = after
-	}
-	return selection{}, "adapter_not_loaded"
+	c.retryAfterLoad(expectedWait)
+	return selection{}, reasonAdapterNotLoaded
 }
 
 // chooseHolder returns the holder of the call's adapter for the next attempt, and false if
@@ -343,17 +334,7 @@
 		g.recordOutcome(c, c.fallback.status, "failure_passed_on")
 		return
 	}
-	status := http.StatusServiceUnavailable
-	if c.possibleRuns > 0 {
-		status = http.StatusBadGateway
-		if reason == "timeout" || reason == "deadline" {
-			status = http.StatusGatewayTimeout
-		}
-	}
-	after := bounded(c.retryAfterOf(reason), c.remaining(time.Now())/retryAfterDivisor)
-	if reason == reasonOverQuota {
-		status, after = http.StatusTooManyRequests, c.retryAfter // earlier there is no credit
-	}
+	status, after := c.failureResponse(time.Now(), reason)
 	g.setConnection(w.Header())
 	g.HeaderCodec.SetRejection(w.Header(), c.meta.ID, after)
 	w.Header()["Content-Type"] = nil
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -25,6 +25,7 @@
 	header     http.Header // as sent by the caller
 	request    upstream.Request
 	body       []byte
+	bodyBytes  int // size of body; of an explained request, whose body is not known, its stated size
 
 	urgency           int           // 0 is the most urgent; that of the route without workspaces
 	urgencyAboveShare int           // while its workspace is above its share of contended capacity
@@ -88,15 +89,16 @@
 		within = defaultTimeout
 	}
 	c := &call{
-		meta:     m,
-		route:    route,
-		service:  service,
-		model:    m.Model,
-		adapter:  orders.Adapter{Model: m.Model, Name: m.Adapter},
-		header:   r.Header,
-		body:     body,
-		start:    now,
-		deadline: now.Add(within),
+		meta:      m,
+		route:     route,
+		service:   service,
+		model:     m.Model,
+		adapter:   orders.Adapter{Model: m.Model, Name: m.Adapter},
+		header:    r.Header,
+		body:      body,
+		bodyBytes: len(body),
+		start:     now,
+		deadline:  now.Add(within),
 
 		urgency: route.Urgency, urgencyAboveShare: route.Urgency,
 
--- a/internal/gateway/main.go
+++ b/internal/gateway/main.go
@@ -281,6 +281,7 @@
 		}
 	})
 	probe.Handle("/metrics", metricsHandler)
+	probe.Handle(ExplainPath, newExplainHandler(p.gateway, peer.Key(p.node.Store.String()), time.Now))
 	go func() { _ = (&http.Server{Handler: probe, ReadHeaderTimeout: headerTimeout}).Serve(readiness) }() // ends with the process
 	if p.node.Limits.Memory > 0 {
 		if err := limitCallerBuffers(ln.(*net.TCPListener)); err != nil {
--- a/internal/gateway/order.go
+++ b/internal/gateway/order.go
@@ -173,6 +173,19 @@
 	return g.order.overload.Rejects(now, c.service, r, f)
 }
 
+// previewRejection returns what rejects would decide on a call that was not admitted before,
+// without recording anything. The decision's reason is overload.Admitted if the call is always
+// admitted.
+func (g *Gateway) previewRejection(now time.Time, c *call, sel selection) overload.Decision {
+	if c.alwaysAdmitted() {
+		return overload.Decision{}
+	}
+	r, f := c.overloadRequest(now, g.standing(now, c), false), g.Fleet.forecast(now, c, sel)
+	g.order.mu.Lock()
+	defer g.order.mu.Unlock()
+	return g.order.overload.Preview(now, c.service, r, f, rand.Float64())
+}
+
 // alwaysAdmitted reports whether the call is sent however long it waits.
 func (c *call) alwaysAdmitted() bool {
 	return c.headerSent || (c.model == "" && c.workspace == nil)
@@ -206,7 +219,7 @@
 // offerLoad records that a call needs a load at the selected target, unless that was asked
 // to load the adapter before.
 func (g *Gateway) offerLoad(now time.Time, c *call, sel selection) {
-	if c.workspace == nil || c.needsLoad || !sel.newLoad {
+	if c.needsLoad || !c.causesLoad(sel) {
 		return
 	}
 	c.needsLoad = true
@@ -215,6 +228,10 @@
 	g.order.loads.Offer(now, c.workspace.Name, loadWork)
 }
 
+// causesLoad reports whether a call of a workspace needs a load at the selected target that
+// was not requested yet.
+func (c *call) causesLoad(sel selection) bool { return c.workspace != nil && sel.newLoad }
+
 // lacksLoadShare reports whether a call needs a load that is to be left to others: loads
 // wait for each other at the selected target, and the call's workspace uses more than its
 // share of them. A call that continues a stream or was sent to a target is not ended for that.
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -17,6 +17,9 @@
 	turnedOff int        // rejected requests for which no other one has ended since, up to those that end within longRetryAfter
 }
 
+// reasonNoRoom is the reason of a request for which there is no place or memory.
+const reasonNoRoom = "no_room"
+
 // place is one of the requests in progress that an admissionControl limits.
 type place struct {
 	admission *admissionControl
@@ -30,20 +33,11 @@
 // share the part of one workspace. The caller must call leave on the returned place. It is
 // nil if the request is rejected, with the time until there is room for it.
 func (a *admissionControl) enter(now time.Time, cfg *routing.Configuration, w *routing.Workspace) (*place, time.Duration) {
-	p := &place{admission: a, divided: cfg.HasWorkspaces(), since: now}
-	if w != nil {
-		p.workspace = w.Name
-	}
+	p := a.newPlace(now, cfg, w)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.maxRequests > 0 {
-		admitted := a.requests < a.maxRequests
-		if p.divided {
-			admitted = a.shares.room.Admits(a.maxRequests, a.requests-a.shares.room.Total(), p.workspace)
-		}
-		if !admitted {
-			return nil, a.untilRoom()
-		}
+	if !a.admits(p) {
+		return nil, a.untilRoom()
 	}
 	a.requests++
 	if p.divided {
@@ -52,6 +46,26 @@
 	return p, 0
 }
 
+// newPlace returns the place of a request that is not admitted yet.
+func (a *admissionControl) newPlace(now time.Time, cfg *routing.Configuration, w *routing.Workspace) *place {
+	p := &place{admission: a, divided: cfg.HasWorkspaces(), since: now}
+	if w != nil {
+		p.workspace = w.Name
+	}
+	return p
+}
+
+// admits reports whether a request with that place is within the limit. The caller holds mu.
+func (a *admissionControl) admits(p *place) bool {
+	switch {
+	case a.maxRequests <= 0:
+		return true
+	case p.divided:
+		return a.shares.room.Admits(a.maxRequests, a.requests-a.shares.room.Total(), p.workspace)
+	}
+	return a.requests < a.maxRequests
+}
+
 // leave ends an admitted request.
 func (p *place) leave(now time.Time) {
 	a := p.admission
@@ -65,17 +79,27 @@
 	}
 }
 
-// untilRoom returns the time until there is room for another rejected request, with a
-// random part: requests end at the rate of those in progress by the time that each takes,
-// and each one makes room for one rejected caller. The caller holds mu.
+// untilRoom records another rejected request, and returns the time until there is room for
+// it. The caller holds mu.
 func (a *admissionControl) untilRoom() time.Duration {
+	after, turnedOff := a.roomForecast()
+	a.shares.turnedOff = turnedOff
+	return after
+}
+
+// roomForecast returns the time until there is room for another rejected request, with a
+// random part, and the number of rejected requests with that one: requests end at the rate
+// of those in progress by the time that each takes, and each one makes room for one rejected
+// caller. There must be a limit on requests. The caller holds mu.
+func (a *admissionControl) roomForecast() (after time.Duration, turnedOff int) {
 	ends := float64(a.shares.held.Value()) / float64(a.maxRequests) // interval
 	// The count is bounded, so that callers that return at once don't delay others later.
-	if ends > 0 && ends*float64(a.shares.turnedOff) < float64(longRetryAfter) {
-		a.shares.turnedOff++
+	turnedOff = a.shares.turnedOff
+	if ends > 0 && ends*float64(turnedOff) < float64(longRetryAfter) {
+		turnedOff++
 	}
-	after := time.Duration(min(ends*float64(a.shares.turnedOff), float64(longRetryAfter)))
-	return spread(max(after, shortRetryAfter))
+	after = time.Duration(min(ends*float64(turnedOff), float64(longRetryAfter)))
+	return spread(max(after, shortRetryAfter)), turnedOff
 }
 
 // Spread of the times at which rejected callers return, so that they don't do so together.
@@ -101,3 +125,12 @@
 	most = max(0, most)
 	return most - rand.N(most/earlySpreadDivisor+1)
 }
+
+// honoured returns the time after which the caller of a request may retry, at most a part of
+// the request's deadline.
+func (m RequestMeta) honoured(after time.Duration) time.Duration {
+	if m.Deadline <= 0 {
+		return after
+	}
+	return bounded(after, m.Deadline/retryAfterDivisor)
+}
--- a/pkg/overload/overload.go
+++ b/pkg/overload/overload.go
@@ -189,6 +189,21 @@
 	return !f.Free && d.Wait > d.Limit
 }
 
+// Preview returns what Decide would return, without recording it.
+func (c *Controller) Preview(now time.Time, service string, r Request, f Forecast, draw float64) Decision {
+	d := c.limit(now, service, r, f, false)
+	if f.Free || d.Wait <= d.Limit {
+		d.Reason = Admitted
+		return d
+	}
+	var k class
+	if known := c.services[service][r.Class]; known != nil {
+		k = *known
+	}
+	d.RetryAfter = k.retryAfter(now, r, d, draw)
+	return d
+}
+
 // Decide decides on a request to a service. draw is a random number from [0,1).
 func (c *Controller) Decide(now time.Time, service string, r Request, f Forecast, draw float64) Decision {
 	k := c.classOf(service, r)
@@ -207,11 +222,17 @@
 	case d.Wait > r.Patience-f.Work && !r.AboveShare:
 		k.record(now, r, f)
 	}
-	after := k.promise(now, d.Wait-max(0, d.Limit), r.ClassPatience)
-	d.RetryAfter = after + time.Duration(draw*max(float64(minRetrySpread), retrySpread*float64(after)))
+	d.RetryAfter = k.retryAfter(now, r, d, draw)
 	return d
 }
 
+// retryAfter returns the time after which a rejected caller should return, with a random
+// part, and records it.
+func (c *class) retryAfter(now time.Time, r Request, d Decision, draw float64) time.Duration {
+	after := c.promise(now, d.Wait-max(0, d.Limit), r.ClassPatience)
+	return after + time.Duration(draw*max(float64(minRetrySpread), retrySpread*float64(after)))
+}
+
 // limit returns the forecast wait of a request and its limit, with the reason to reject it
 // if the wait is longer. If record is set, limits that reject the request stay.
 func (c *Controller) limit(now time.Time, service string, r Request, f Forecast, record bool) Decision {
--- a/pkg/overload/overload_test.go
+++ b/pkg/overload/overload_test.go
@@ -248,3 +248,44 @@
 		c.Decide(now, "s", requests[i%80], Forecast{At: now, Wait: time.Duration(i%3) * time.Second}, 0.5)
 	}
 }
+
+// Guards against a preview that differs from the decision or records anything.
+func TestPreview(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	c, rejected := New(), 0
+	for i := range 20_000 {
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		urgency := random.IntN(3)
+		r := request(fmt.Sprint(urgency), urgency)
+		r.AboveShare, r.Starved, r.Queued = random.IntN(3) == 0, random.IntN(10) == 0, random.IntN(10) == 0
+		r.Patience = time.Duration(random.Int64N(int64(r.ClassPatience)))
+		f := Forecast{At: now, Wait: time.Duration(random.Int64N(int64(3 * time.Second))), Work: 100 * time.Millisecond, Free: random.IntN(5) == 0}
+		draw, before := random.Float64(), stateOf(c)
+		first := c.Preview(now, "s", r, f, draw)
+		if after := stateOf(c); after != before {
+			t.Fatalf("request %d: the preview changed the state from %s to %s", i, before, after)
+		}
+		d := c.Decide(now, "s", r, f, draw)
+		if !d.Admitted() && first.Reason != d.Reason && first.Limit == d.Limit && !first.Admitted() {
+			first.Reason = d.Reason // of equal limits the first one in the order of a map counts
+		}
+		if first != d {
+			t.Fatalf("request %d: previewed %+v, decided %+v", i, first, d)
+		}
+		if !d.Admitted() {
+			rejected++
+		}
+	}
+	if rejected < 1000 {
+		t.Errorf("only %d requests were rejected", rejected)
+	}
+}
+
+// stateOf returns the state of the classes of a service.
+func stateOf(c *Controller) string {
+	classes := map[string]class{}
+	for name, k := range c.services["s"] {
+		classes[name] = *k
+	}
+	return fmt.Sprint(classes)
+}
