Use no share of loads for a call whose workspace was removed

If a configuration without workspaces came into force while a call waited for its adapter or was retried, the call ended with a nil dereference, found in review. TestLoadOfRemovedWorkspace panicked before and passes now.

--- a/internal/gateway/order.go
+++ b/internal/gateway/order.go
@@ -55,6 +55,7 @@
 // setOrder sets the call's workspace and the urgencies that follow from it.
 func (c *call) setOrder(cfg *routing.Configuration, w *routing.Workspace) {
 	c.workspace = w
+	c.needsLoad = c.needsLoad && w != nil // a later configuration may have no workspace for the call
 	c.urgency, c.urgencyAboveShare = cfg.Urgency(w, c.route, false), cfg.Urgency(w, c.route, true)
 }
 
--- a/internal/gateway/order_test.go
+++ b/internal/gateway/order_test.go
@@ -446,3 +446,18 @@
 		t.Errorf("%d retries of %d requests, expected at most %v", retries, requests, limit)
 	}
 }
+
+// A call ended with a panic when a configuration without its workspace came into force
+// while it waited for its adapter.
+func TestLoadOfRemovedWorkspace(t *testing.T) {
+	tg := newTestGateway(t)
+	cfg := sharedConfiguration()
+	c := callOf(cfg, "busy", "/patient/x", "m")
+	c.needsLoad = true
+	c.setOrder(cfg, nil)
+	now := time.Now()
+	if tg.gateway.lacksLoadShare(now, c, selection{loadsWait: true}) {
+		t.Error("a call without a workspace lacks its share")
+	}
+	tg.gateway.recordLoad(now, c)
+}
