--- a/pkg/speed/replay_test.go
+++ b/pkg/speed/replay_test.go
@@ -63,9 +63,9 @@
 }
 
 const (
-	replayTime = 40 * time.Second
-	window     = 250 * time.Millisecond
-	flutter    = 100 * time.Millisecond // after which a target's slowness changes, and its load is pushed
+	replayTime     = 40 * time.Second
+	window         = 250 * time.Millisecond
+	changeInterval = 100 * time.Millisecond // after which a target's slowness changes, and its load is pushed
 )
 
 func (p replay) run(seed uint64) result {
@@ -89,9 +89,9 @@
 	var ends completions
 	var sum time.Duration
 	candidates, shuffled := make([]assignment.Candidate, p.sample), r.Perm(p.targets)
-	nextFlutter, nextWindow, done, sent := start, start.Add(window), 0, 0
+	nextChange, nextWindow, done, sent := start, start.Add(window), 0, 0
 	for now := start; now.Before(start.Add(replayTime)); now = now.Add(time.Duration(r.ExpFloat64() / p.perSecond * float64(time.Second))) {
-		for ; !nextFlutter.After(now); nextFlutter = nextFlutter.Add(flutter) {
+		for ; !nextChange.After(now); nextChange = nextChange.Add(changeInterval) {
 			for t := range slow {
 				slow[t] = p.lasting(t) * math.Exp(0.6*r.NormFloat64())
 				for e := range views {
@@ -176,18 +176,18 @@
 
 // Entryds that follow each report would all send to the target that has just reported
 // well, and by the time that their requests arrive its speed has changed.
-func TestReportsCauseNoHerd(t *testing.T) {
+func TestReportsCauseNoOvershoot(t *testing.T) {
 	p := replay{entryds: 20, targets: 40, slots: 6, sample: 40, perSecond: 600, work: 200 * time.Millisecond, lasting: noneLasts}
 	for seed := range uint64(3) {
 		p.weight = unweighted
 		even := p.run(seed)
 		p.weight = lastReport
-		herd := p.run(seed)
+		latestOnly := p.run(seed)
 		p.weight = smoothed
 		got := p.run(seed)
 		t.Logf("seed %d: peak %.1f, mean %s; without the reports %.1f, %s; with the last one only %.1f, %s",
-			seed, got.peak, got.mean, even.peak, even.mean, herd.peak, herd.mean)
-		if got.peak > 1.75*even.peak || got.peak >= herd.peak {
+			seed, got.peak, got.mean, even.peak, even.mean, latestOnly.peak, latestOnly.mean)
+		if got.peak > 1.75*even.peak || got.peak >= latestOnly.peak {
 			t.Errorf("seed %d: targets are loaded too unevenly", seed)
 		}
 		if float64(got.mean) > 0.97*float64(even.mean) {
