Continue calls at leaving targets that still serve

Cause: a target that leaves was excluded for all calls as soon as that was known, though it serves for the drain time. A call that has begun may have no other target to go on at.

A choice now has a tier of leaving targets between sound live targets and avoided ones, for calls that have begun.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -166,7 +166,7 @@
 	{TargetStill, "target_still", zerolog.WarnLevel, "Nothing was received from the target's VM for a while (`silent`): `attempts` that had received nothing from it were ended."},
 	{PacingSkipped, "pacing_skipped", zerolog.WarnLevel, "The targetd of `target` did not admit the prompt in the time that was forecast; the request is sent without its admission."},
 	{CallersClosed, "callers_closed", zerolog.InfoLevel, "Idle `connections` of callers were closed; `reason` says why."},
-	{TargetDeparting, "target_departing", zerolog.InfoLevel, "The target, its targetd or its entry (`source`) says that the target leaves: it gets no more requests until it starts again, whatever its entry says; `in_flight` requests continue there."},
+	{TargetDeparting, "target_departing", zerolog.InfoLevel, "The target, its targetd or its entry (`source`) says that the target leaves: until it starts again it gets no requests but those that have begun and that no live target can go on with, for the time `serves_for`, whatever its entry says; `in_flight` requests continue there."},
 	{TargetBackoff, "target_backoff", zerolog.InfoLevel, "The target turned a request away and gets none `for` a while, also if there is no other target; later answers may extend it."},
 	{TargetLimited, "target_limited", zerolog.WarnLevel, "The target takes only `rate` requests a second from all entryds together, according to `source`: a response, or the targetd that heard of it."},
 	{TargetUnlimited, "target_unlimited", zerolog.InfoLevel, "The target no longer limits the rate of requests, according to `source`; the limit stood `for` that time."},
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -62,6 +62,15 @@
 	Apply(now time.Time, changed []objects.Object, settled time.Time)
 }
 
+// DatedSink is a Sink that uses the time of what it has received.
+type DatedSink interface {
+	Sink
+	// AsOf is called before the objects of a response are passed to the Sink. The store
+	// had no other objects at that time than those that the Sink has received by then. The
+	// latency of the response is neglected.
+	AsOf(at time.Time)
+}
+
 // Observer is told of all valid responses of the store.
 type Observer interface {
 	// Responded is called after the objects of a response were passed to the Sink, from
@@ -98,6 +107,7 @@
 
 	position     Position
 	listed       bool
+	currentAt    time.Time                 // time at which the sink had all objects of the store
 	lastResponse time.Time                 // time of the store's last response
 	ageStart     atomic.Pointer[time.Time] // lastResponse, or the start if that is zero; read by other goroutines
 	recoveredAt  time.Time                 // end of the store's last known or assumed outage, zero if there was none
@@ -201,6 +211,11 @@
 		position.History = f.position.History // it may be stated again later
 	}
 	now := time.Now()
+	if len(changed) == 0 || now.Sub(started) > responseTimeout/2 { // the store kept the watch until the change
+		f.currentAt = now
+	}
+	f.dateSink()
+	f.currentAt = now
 	settled := f.recordResponse(now, false)
 	f.position = position
 	if len(changed) > 0 {
@@ -213,6 +228,13 @@
 	return nil
 }
 
+// dateSink tells a DatedSink of the time of what it has received.
+func (f *Follower) dateSink() {
+	if s, ok := f.sink.(DatedSink); ok {
+		s.AsOf(f.currentAt)
+	}
+}
+
 // observed reports whether the Observer decides when calls begin.
 func (f *Follower) observed() bool {
 	if f.observer == nil {
@@ -237,7 +259,7 @@
 }
 
 func (f *Follower) list(ctx context.Context) error {
-	sentAt := f.now()
+	sentAt, started := f.now(), time.Now()
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	all, position, err := f.source.List(ctx, f.kind)
@@ -245,6 +267,7 @@
 		return err
 	}
 	now := time.Now()
+	f.currentAt = started
 	before := f.position
 	outdated := position.History == before.History && position.Version < before.Version
 	restored := f.recordListed(position)
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -204,3 +204,34 @@
 		convey.So(f.Age(respondedAt.Add(time.Minute)), convey.ShouldBeGreaterThanOrEqualTo, time.Minute)
 	})
 }
+
+// datedSink records the times of what it receives.
+type datedSink struct {
+	recordingSink
+	times []time.Time
+}
+
+func (s *datedSink) AsOf(at time.Time) { s.times = append(s.times, at) }
+
+// TestDatedSink guards against a change that counts as just made although it was made in
+// the pause before the watch.
+func TestDatedSink(t *testing.T) {
+	convey.Convey("A change is known to be new only if the store kept the watch for it", t, func() {
+		change := []objects.Object{{Name: "a", Version: 2}}
+		store := &scriptedStore{
+			lists:   []response{{version: 1, delay: 100 * time.Millisecond}},
+			watches: []response{{version: 1}, {objects: change, version: 2}, {objects: change, version: 3, delay: responseTimeout/2 + 50*time.Millisecond}},
+		}
+		sink := &datedSink{recordingSink: recordingSink{calls: make(chan sinkCall, 4)}}
+		f := New(store, "kind", sink, Intervals{WatchTimeout: time.Second}, event.Discard())
+		start := time.Now()
+		convey.So(f.poll(t.Context()), convey.ShouldBeNil)
+		convey.So(f.currentAt, convey.ShouldHappenWithin, 50*time.Millisecond, start) // the list may be as old as its call
+		for range 3 {
+			convey.So(f.poll(t.Context()), convey.ShouldBeNil)
+		}
+		convey.So(sink.times, convey.ShouldHaveLength, 3)
+		convey.So(sink.times[1], convey.ShouldEqual, sink.times[0])
+		convey.So(sink.times[2], convey.ShouldHappenAfter, sink.times[1].Add(responseTimeout/2))
+	})
+}
--- a/internal/gateway/address_claims.go
+++ b/internal/gateway/address_claims.go
@@ -76,6 +76,9 @@
 	}
 	for _, r := range slices.SortedFunc(maps.Values(f.superseded), latestFirst) {
 		f.upsert(now, r)
+		if t := f.targets[r.ID]; t != nil && t.added.Equal(now) {
+			t.servingAt = time.Time{} // the entry may be old
+		}
 	}
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -69,7 +69,7 @@
 	if resp.Status != http.StatusMisdirectedRequest { // else another incarnation may answer
 		g.CrashTracker.recordAlive(now, sel.target.incarnation)
 	}
-	g.Fleet.observeNotice(time.Now(), sel.target, meta)
+	g.Fleet.observeNotice(time.Now(), now, sel.target, meta)
 	g.Fleet.observeRateLimit(time.Now(), sel.target, now, meta.RateLimit)
 	g.Fleet.observeSender(time.Now(), now, sel.target, senderOf(resp.Status, meta, sel.replica.ID, c.model != ""))
 	// A 400 is relayed as the final response even if the request did not run, and a
--- a/internal/gateway/attempt_loop.go
+++ b/internal/gateway/attempt_loop.go
@@ -91,7 +91,7 @@
 			again, reason = g.awaitPermit(ctx, c, sel)
 		}
 		now := time.Now()
-		if again || (reason == "" && !g.Fleet.stillSuits(now, c, sel.target)) {
+		if again || (reason == "" && !g.Fleet.stillSuits(now, c, sel)) {
 			g.Fleet.endOffer(o)
 			continue
 		}
@@ -262,7 +262,7 @@
 		c.retryAfter = left
 		return 0, "backoff"
 	}
-	if c.continues() && !g.Fleet.hasVersionOf(c) {
+	if c.continues() && !g.Fleet.hasVersionOf(now, c) {
 		return 0, reasonVersionGone
 	}
 	return 0, "no_target"
--- a/internal/gateway/explain_choice.go
+++ b/internal/gateway/explain_choice.go
@@ -19,7 +19,7 @@
 	x.AdapterVersion = f.version(c.adapter)
 	d := f.decide(now, c, sample, false)
 	x.Choice, x.NeedsPermit, x.OffersPrompt = "", false, false // of an earlier choice
-	x.Sampled, x.Cautious = d.sampled, d.cautious
+	x.Sampled, x.Cautious, x.Leaving = d.sampled, d.tier != tierAny, d.ok && d.targets[d.choice.Index].notice.leaving
 	x.Candidates = make([]CandidateExplanation, 0, len(d.targets))
 	for i := range d.targets {
 		x.Candidates = append(x.Candidates, f.explainCandidate(now, c, &d, i))
@@ -88,7 +88,7 @@
 	if !t.stateAt.IsZero() {
 		x.StateAge = now.Sub(t.stateAt)
 	}
-	x.Use, x.Obstacle, x.Cost = useOf(a), f.obstacle(now, c, t, d.cautious), x.Terms.Cost()
+	x.Use, x.Obstacle, x.Cost = useOf(a), f.obstacle(now, c, t, d.tier), x.Terms.Cost()
 	switch {
 	case x.Use == useHome:
 		x.Cost, x.LoadDelay = x.Terms.HomeCost(), a.LoadDelay
--- a/internal/gateway/explanation.go
+++ b/internal/gateway/explanation.go
@@ -35,6 +35,7 @@
 	Targets      int  // of the service
 	Sampled      bool // only a sample of the targets was looked at; a request may get another one
 	Cautious     bool // there is a usable target that is not avoided
+	Leaving      bool // the chosen target leaves, because no live one can go on with the request
 	Candidates   []CandidateExplanation
 	Choice       string        // id of the chosen target, empty for none
 	Wait         time.Duration // expected until the first event
--- a/internal/gateway/explanation_json.go
+++ b/internal/gateway/explanation_json.go
@@ -39,6 +39,7 @@
 	Targets    int             `json:"targets"`
 	Sampled    bool            `json:"sampled"`
 	AllAvoided bool            `json:"all_avoided"`
+	Leaving    bool            `json:"leaving"`
 	Candidates []candidateJSON `json:"candidates"`
 }
 
@@ -84,7 +85,7 @@
 		Revision: x.Revision, Route: x.Route, Urgency: x.Urgency, Objective: milliseconds(x.Objective), Timeout: milliseconds(x.Timeout),
 		NeedsKey: x.NeedsKey, HasKey: x.HasKey, Workspace: x.Workspace,
 		Service: x.Service, Model: x.Model, Adapter: x.Adapter, Version: x.AdapterVersion,
-		Unchecked: x.Unchecked, Targets: x.Targets, Sampled: x.Sampled, AllAvoided: len(x.Candidates) > 0 && !x.Cautious,
+		Unchecked: x.Unchecked, Targets: x.Targets, Sampled: x.Sampled, AllAvoided: len(x.Candidates) > 0 && !x.Cautious, Leaving: x.Leaving,
 		Candidates: make([]candidateJSON, 0, len(x.Candidates)),
 	}
 	if x.Route != "" {
--- a/internal/gateway/explanation_text.go
+++ b/internal/gateway/explanation_text.go
@@ -132,6 +132,9 @@
 	if !x.Cautious {
 		sample += "; all usable ones are avoided"
 	}
+	if x.Leaving {
+		sample += "; no live one can go on with the request"
+	}
 	_, _ = fmt.Fprintf(&b, "\n%d of %d targets%s; cost = wait + slow + network + penalty + permit - cache, for a home wait + slow + penalty, in ms:\n", len(x.Candidates), x.Targets, sample)
 	_, _ = fmt.Fprintf(&b, "  %-20s %-6s %8s %8s %6s %8s %8s %7s %7s %8s %7s %8s %6s  %s\n",
 		"target", "use", "cost", "wait", "slow", "network", "penalty", "permit", "cache", "backlog", "load", "requests", "cached", "speed, distance, obstacle")
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -38,6 +38,8 @@
 	latencies       map[string]*latencyStats         // by service
 	changes         map[orders.Adapter]chan struct{} // closed when the adapter becomes resident somewhere or the targets change
 	targetsListed   bool                             // the targets were listed at least once
+	entriesAsOf     time.Time                        // time up to which the targets' entries in the store are known
+	drainTime       time.Duration                    // for which a target serves after it has announced that it leaves
 	versionsListed  bool                             // the announced versions were listed at least once
 	epoch           time.Time                        // time base of the attempts' lastActivity
 	lastScan        time.Time                        // last run of cancelStalled
@@ -138,6 +140,9 @@
 	if t == nil {
 		t = newTargetState(now, r, f.noticeOf(r.Incarnation()), f.limitOf(r.Incarnation().String()))
 		t.distance = f.distance(r.Zone)
+		if r.State == target.Live {
+			t.recordServing(now)
+		}
 		f.targets[r.ID] = t
 		f.indexOf(r.Service).all.add(t)
 		t.notice.goneAt = time.Time{}
--- a/internal/gateway/main.go
+++ b/internal/gateway/main.go
@@ -119,6 +119,7 @@
 		confirmations: newConfirmations(node.Bounds, boottime.Now, log),
 		readiness:     &readiness{log: log, scope: scope},
 	}
+	p.fleet.setDrainTime(node.Bounds.DrainWithin)
 	p.callers = newCallerConns(p.idleTimeout, log, scope)
 	p.stopWithin.Store(int64(node.Bounds.StopTimeout))
 	self := peer.Identity{
@@ -209,6 +210,7 @@
 		case next := <-changes:
 			b := next.Bounds
 			p.gateway.RetryBudget.setLimits(b.RetryRatio, b.RetrySlack)
+			p.fleet.setDrainTime(b.DrainWithin)
 			p.confirmations.setBounds(b)
 			p.stopWithin.Store(int64(b.StopTimeout))
 		case now := <-usage.C:
--- a/internal/gateway/obstacle.go
+++ b/internal/gateway/obstacle.go
@@ -31,11 +31,38 @@
 	obstacleLoadsElsewhere = "loads_elsewhere" // the requests for the adapter wait at other targets
 )
 
-// obstacle returns the reason for which a call is not sent to a target, empty if there is
-// none. If cautious is set, targets that are avoided, whose targetds are silent, or that
-// refused the call are not used. The caller holds mu.
-func (f *Fleet) obstacle(now time.Time, c *call, t *targetState, cautious bool) string {
-	if reason := t.obstacle(now); reason != "" {
+// targetTier says which targets a choice uses. A tier is used if none of the targets of
+// those before can be.
+type targetTier uint8
+
+const (
+	tierSound   targetTier = iota // live targets that are not avoided, have no silent targetd, and did not refuse the call
+	tierLeaving                   // also leaving targets that still serve, under the same conditions
+	tierAny                       // all live targets
+)
+
+// tiers returns the tiers of a call in the order of their use.
+func (c *call) tiers() []targetTier {
+	if c.mayUseLeaving() {
+		return allTiers[:]
+	}
+	return liveTiers[:]
+}
+
+var (
+	allTiers  = [...]targetTier{tierSound, tierLeaving, tierAny}
+	liveTiers = [...]targetTier{tierSound, tierAny}
+)
+
+// mayUseLeaving reports whether a call may be sent to a leaving target: it has begun, and
+// may not find another target that can go on with it. Calls that have not begun are rejected,
+// so that they begin where they can end.
+func (c *call) mayUseLeaving() bool { return c.continues() || c.attemptsSent > 0 }
+
+// obstacle returns the reason for which a choice in a tier does not send a call to a target,
+// empty if there is none. The caller holds mu.
+func (f *Fleet) obstacle(now time.Time, c *call, t *targetState, tier targetTier) string {
+	if reason := t.obstacleOf(now, tier == tierLeaving); reason != "" {
 		return reason
 	}
 	switch {
@@ -47,7 +74,7 @@
 		return obstacleTried
 	case !f.suits(now, c, t):
 		return obstacleOtherVersion
-	case !cautious:
+	case tier == tierAny:
 		return ""
 	case now.Before(t.avoidUntil):
 		return obstacleAvoided
@@ -59,14 +86,16 @@
 	return ""
 }
 
-// obstacle returns the reason for which the target does not accept requests, apart from a
-// backoff; empty if it accepts them. The state of its engine is ignored while the targetd
-// is disconnected, as it may be outdated.
-func (t *targetState) obstacle(now time.Time) string {
+// obstacleOf returns the reason for which the target does not accept requests, apart from a
+// backoff; empty if it accepts them. A leaving target that still serves does so if leavingToo
+// is set. The state of its engine is ignored while the targetd is disconnected, as it may be
+// outdated.
+func (t *targetState) obstacleOf(now time.Time, leavingToo bool) string {
+	serves := leavingToo && t.servesWhileLeaving(now)
 	switch {
-	case t.replica.State != target.Live:
+	case t.replica.State != target.Live && !serves:
 		return obstacleNotLive
-	case t.notice.leaving:
+	case t.notice.leaving && !serves:
 		return obstacleLeaving
 	case !t.goneAt.IsZero() && !now.Before(t.goneAt):
 		return obstacleGone
@@ -74,7 +103,7 @@
 		return ""
 	case !t.state.Reachable:
 		return obstacleEngine
-	case t.state.Departing:
+	case t.state.Departing && !serves:
 		return obstacleDeparting
 	}
 	return ""
@@ -84,6 +113,8 @@
 // adapter, empty if it can.
 func (t *targetState) loadObstacle(now time.Time, a orders.Adapter) string {
 	switch {
+	case t.notice.leaving:
+		return obstacleLeaving
 	case t.targetdSilent(now):
 		return obstacleSilent
 	case t.conn == nil:
--- a/internal/gateway/pacing.go
+++ b/internal/gateway/pacing.go
@@ -168,11 +168,12 @@
 }
 
 // remainsChosen reports whether the selected target may still be sent the call after
-// a wait: it is not leaving and holds the announced version of the adapter, if any.
+// a wait: it serves, does not leave unless it did when it was selected, and holds the
+// announced version of the adapter, if any.
 func (f *Fleet) remainsChosen(now time.Time, sel selection, c *call) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return sel.target.usable(now) && f.suits(now, c, sel.target) && (c.model == "" || sel.target.hasVersion(c.adapter, f.version(c.adapter)))
+	return sel.target.usableFor(now, sel.leaving) && f.suits(now, c, sel.target) && (c.model == "" || sel.target.hasVersion(c.adapter, f.version(c.adapter)))
 }
 
 // answerState is the result of waiting for an answer.
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -25,6 +25,7 @@
 	target    *targetState
 	replica   target.Replica
 	resident  bool            // the target holds the adapter
+	leaving   bool            // the target leaves and still serves
 	wait      time.Duration   // expected time until the attempt can start
 	extra     time.Duration   // by which the call itself takes longer than at a mean target
 	load      int             // estimated requests at the target
@@ -91,7 +92,7 @@
 	choice     assignment.Choice
 	ok         bool // a target can be chosen
 	full       bool // all targets were looked at because none of a sample can be chosen
-	cautious   bool // targets that are avoided were not chosen
+	tier       targetTier
 	sampled    bool // only a sample of the targets was looked at
 }
 
@@ -99,23 +100,23 @@
 // decision depends on. If there are many targets and sample is set, it looks at a sample and
 // only at all if no target of the sample can be chosen. The caller holds mu.
 func (f *Fleet) decide(now time.Time, c *call, sample, residentOnly bool) decision {
-	d := decision{cautious: true, request: assignment.Request{
+	d := decision{request: assignment.Request{
 		Key:       c.placementKey,
 		Objective: f.slackOf(c),
 		Bytes:     c.bodyBytes,
 	}}
 	d.sampled = !f.collect(now, c, sample, residentOnly)
-	d.targets, d.candidates = f.candidates(now, c, true, residentOnly)
-	d.choice, d.ok = assignment.Choose(d.request, d.candidates)
-	if !d.ok && d.sampled {
-		d.full, d.sampled = true, !f.collect(now, c, false, residentOnly)
-		d.targets, d.candidates = f.candidates(now, c, true, residentOnly)
-		d.choice, d.ok = assignment.Choose(d.request, d.candidates)
-	}
-	if !d.ok {
-		d.cautious = false
-		d.targets, d.candidates = f.candidates(now, c, false, residentOnly)
+	for _, d.tier = range c.tiers() {
+		d.targets, d.candidates = f.candidates(now, c, d.tier, residentOnly)
 		d.choice, d.ok = assignment.Choose(d.request, d.candidates)
+		if !d.ok && d.sampled {
+			d.full, d.sampled = true, !f.collect(now, c, false, residentOnly)
+			d.targets, d.candidates = f.candidates(now, c, d.tier, residentOnly)
+			d.choice, d.ok = assignment.Choose(d.request, d.candidates)
+		}
+		if d.ok {
+			break
+		}
 	}
 	return d
 }
@@ -124,7 +125,7 @@
 // fleet's mu.
 func (d *decision) selection(now time.Time, c *call, f *Fleet) selection {
 	t := d.targets[d.choice.Index]
-	sel := selection{target: t, replica: t.replica, resident: d.choice.Resident, sampled: d.sampled, wait: d.choice.Wait, extra: d.candidates[d.choice.Index].ExtraTime, load: t.estimatedLoad(now), backlog: t.estimatedBacklog(now, f.tokenTimeAt(now, t))}
+	sel := selection{target: t, replica: t.replica, resident: d.choice.Resident, leaving: t.notice.leaving, sampled: d.sampled, wait: d.choice.Wait, extra: d.candidates[d.choice.Index].ExtraTime, load: t.estimatedLoad(now), backlog: t.estimatedBacklog(now, f.tokenTimeAt(now, t))}
 	if !t.stateAt.IsZero() {
 		sel.stateAge = now.Sub(t.stateAt)
 	}
@@ -163,10 +164,10 @@
 }
 
 // candidates returns the collected targets, shuffled so that targets of equal cost
-// share the load, and the estimates for them. Both are valid until the next call. If cautious is set, targets that are avoided,
-// whose targetds are silent, or that refused the call are not usable. If
-// residentOnly is set, no target can load the adapter. The caller holds mu.
-func (f *Fleet) candidates(now time.Time, c *call, cautious, residentOnly bool) ([]*targetState, []assignment.Candidate) {
+// share the load, and the estimates for them. Both are valid until the next call. The tier
+// says which are usable. If residentOnly is set, no target can load the adapter. The caller
+// holds mu.
+func (f *Fleet) candidates(now time.Time, c *call, tier targetTier, residentOnly bool) ([]*targetState, []assignment.Candidate) {
 	targets := f.sampler.targets
 	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
 	latency, tokenTime, ownTime := f.latencyOf(c.service), f.tokenTime(c.service), f.ownTime(c)
@@ -189,7 +190,7 @@
 			SojournTime:      scale(duration, workFactor),
 			ExtraTime:        scale(ownTime, ownFactor-1),
 			Resident:         true,
-			Usable:           f.obstacle(now, c, t, cautious) == "",
+			Usable:           f.obstacle(now, c, t, tier) == "",
 			Penalty:          time.Duration(t.decayedFailures(now) * failurePenalty * float64(c.route.Objective)),
 		}
 		if !c.hasPermit(now, t) {
--- a/internal/gateway/software_version.go
+++ b/internal/gateway/software_version.go
@@ -39,20 +39,22 @@
 	return t.replica.Service == c.service && !c.tried[t.replica.ID]
 }
 
-// stillSuits does what suits does.
-func (f *Fleet) stillSuits(now time.Time, c *call, t *targetState) bool {
+// stillSuits reports whether the selected target may be sent the call right now: it suits,
+// and still serves if it leaves.
+func (f *Fleet) stillSuits(now time.Time, c *call, sel selection) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.suits(now, c, t)
+	return f.suits(now, c, sel.target) && (!sel.leaving || sel.target.servesWhileLeaving(now))
 }
 
-// hasVersionOf reports whether a target of the service has the version at which the call's
-// stream began.
-func (f *Fleet) hasVersionOf(c *call) bool {
+// hasVersionOf reports whether a target of the service that serves has the version at which
+// the call's stream began.
+func (f *Fleet) hasVersionOf(now time.Time, c *call) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, t := range f.targets {
-		if t.replica.Service == c.service && t.replica.State == target.Live && t.replica.Version == c.softwareVersion {
+		serves := t.replica.State == target.Live || t.servesWhileLeaving(now)
+		if serves && t.replica.Service == c.service && t.replica.Version == c.softwareVersion {
 			return true
 		}
 	}
--- a/internal/gateway/store_sinks.go
+++ b/internal/gateway/store_sinks.go
@@ -129,6 +129,13 @@
 	s.fleet.targetsListed = true
 }
 
+// AsOf implements follow.DatedSink.
+func (s *replicaSink) AsOf(at time.Time) {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	s.fleet.entriesAsOf = at
+}
+
 // Apply implements follow.Sink.
 func (s *replicaSink) Apply(now time.Time, changed []objects.Object, settled time.Time) {
 	s.fleet.mu.Lock()
--- a/internal/gateway/target_notice.go
+++ b/internal/gateway/target_notice.go
@@ -22,6 +22,7 @@
 type targetNotice struct {
 	leaving      bool      // the target accepts no more requests
 	at           time.Time // when that was learned
+	servesUntil  time.Time // until when it still continues streams and takes further attempts, zero if that is not known
 	goneAt       time.Time // when its entry had gone, zero while it is listed
 	backoffUntil time.Time // the target wants no requests of this gateway before
 	refuted      bool      // another target answered last at its address
@@ -37,16 +38,16 @@
 	return n
 }
 
-// observeNotice records what a target said about further requests in the header of a
-// response.
-func (f *Fleet) observeNotice(now time.Time, t *targetState, m ResponseMeta) {
-	if !m.Leaving && m.Backoff <= 0 {
-		return
-	}
+// observeNotice records what a target said about further requests in the header of the
+// response to a request that was sent at sentAt.
+func (f *Fleet) observeNotice(now, sentAt time.Time, t *targetState, m ResponseMeta) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if m.Leaving {
+	switch {
+	case m.Leaving:
 		f.recordLeaving(now, t, "response")
+	case m.Instance == t.replica.ID: // a target that leaves says so in all its responses
+		t.recordServing(sentAt)
 	}
 	if m.Backoff > 0 {
 		f.recordBackoff(now, t, m.Backoff)
@@ -61,12 +62,14 @@
 		return
 	}
 	n.leaving, n.at = true, now
+	n.servesUntil = f.servesUntil(now, t)
 	f.membership.Change()
 	f.indexOf(t.replica.Service).forget()
 	f.log.Event(event.TargetDeparting).
 		Str("target", t.replica.ID).
 		Str("service", t.replica.Service).
 		Str("source", source).
+		Dur("serves_for", max(0, n.servesUntil.Sub(now))).
 		Int("in_flight", t.inFlight).
 		Send()
 	f.turnAway(t)
@@ -99,7 +102,7 @@
 	defer f.mu.Unlock()
 	for _, t := range f.targets {
 		until := t.notice.backoffUntil
-		if !f.suits(now, c, t) || !now.Before(until) || !t.accepts(now) {
+		if !f.suits(now, c, t) || !now.Before(until) || t.obstacleOf(until, c.mayUseLeaving()) != "" {
 			continue
 		}
 		if c.model != "" && !t.hasVersion(c.adapter, f.version(c.adapter)) && (c.adapter.Name == "" || !t.canLoad(now, c.adapter)) {
--- a/internal/gateway/target_notice_test.go
+++ b/internal/gateway/target_notice_test.go
@@ -192,7 +192,7 @@
 		upsert(now, entry)
 		convey.So(usable(now), convey.ShouldBeTrue)
 		convey.So(f.awaitsTargets(now, callFor("a1")), convey.ShouldBeTrue)
-		f.observeNotice(now, f.targets["i-0"], ResponseMeta{Leaving: true})
+		f.observeNotice(now, now, f.targets["i-0"], ResponseMeta{Leaving: true})
 		convey.So(usable(now), convey.ShouldBeFalse)
 		convey.Convey("it is not used although its entry is written again as ready, with other data", func() {
 			entry.Slots = 8
@@ -215,7 +215,7 @@
 			convey.So(usable(now.Add(3*time.Second)), convey.ShouldBeFalse)
 		})
 		convey.Convey("nor when a later answer does not say so", func() {
-			f.observeNotice(now, f.targets["i-0"], ResponseMeta{})
+			f.observeNotice(now, now, f.targets["i-0"], ResponseMeta{})
 			convey.So(usable(now), convey.ShouldBeFalse)
 		})
 		convey.Convey("its next incarnation is used", func() {
@@ -226,7 +226,7 @@
 				f.mu.Lock()
 				previous := newTargetState(now, target.Replica{ID: "i-0", Started: time.UnixMilli(7)}, &targetNotice{}, &rateLimit{})
 				f.mu.Unlock()
-				f.observeNotice(now, previous, ResponseMeta{Leaving: true})
+				f.observeNotice(now, now, previous, ResponseMeta{Leaving: true})
 				convey.So(usable(now), convey.ShouldBeTrue)
 			})
 		})
@@ -359,7 +359,7 @@
 		second.applyState(time.Now(), adapterState())
 		tg.fleet.mu.Unlock()
 		began := time.Now()
-		tg.fleet.observeNotice(began, first, ResponseMeta{Backoff: time.Minute})
+		tg.fleet.observeNotice(began, began, first, ResponseMeta{Backoff: time.Minute})
 		convey.So((<-waiting).body, convey.ShouldEqual, events(1, 2))
 		convey.So(time.Since(began), convey.ShouldBeLessThan, 200*time.Millisecond)
 		convey.So(len(a.requests()), convey.ShouldEqual, 0)
@@ -430,7 +430,7 @@
 		g := New(Options{Fleet: f})
 		c := plainCall()
 		notice := func(now time.Time, id string, d time.Duration) {
-			f.observeNotice(now, f.targets[id], ResponseMeta{Backoff: d})
+			f.observeNotice(now, now, f.targets[id], ResponseMeta{Backoff: d})
 		}
 		usable := func(now time.Time) bool {
 			_, ok := f.choose(now, c)
--- a/internal/gateway/target_state.go
+++ b/internal/gateway/target_state.go
@@ -51,24 +51,26 @@
 	distance    assignment.Distance
 	added       time.Time
 	goneAt      time.Time // end of the grace period of a lapsed entry, zero if it did not lapse
+	servingAt   time.Time // last time at which it is known not to have announced that it leaves, zero if there is none
 	notice      *targetNotice
 	limit       *rateLimit
 	turnedAway  chan struct{} // closed and replaced when the calls that wait for the target have to choose again
 
-	conn            *peer.Conn // to the targetd, nil while disconnected
-	state           peer.EngineState
-	stateAt         time.Time                // zero until the first report
-	stateOfConn     bool                     // state was received on conn
-	unreachableAt   time.Time                // since when the targetd reports its engine as unreachable, if it does
-	resident        map[orders.Adapter]int64 // version of each adapter that the engine holds
-	loading         map[orders.Adapter]bool  // adapters that the engine is loading
-	recent          recentAdapters           // adapters that it held recently
-	missingAdapters int                      // missing adapters that requests of all entryds wait for
-	slotsPinned     bool                     // no resident adapter can be evicted before requests end
-	lastMessageAt   time.Time                // last message of the targetd
-	vmAliveAt       time.Time                // last liveness signal of the target's VM, zero until the first one; also set after a pause of this process
-	closeConn       func()                   // stops maintaining conn
-	originsLostAt   time.Time                // last loss of a connection to a targetd that keeps origins
+	conn             *peer.Conn // to the targetd, nil while disconnected
+	state            peer.EngineState
+	stateAt          time.Time                // zero until the first report
+	stateOfConn      bool                     // state was received on conn
+	unreachableAt    time.Time                // since when the targetd reports its engine as unreachable, if it does
+	resident         map[orders.Adapter]int64 // version of each adapter that the engine holds
+	loading          map[orders.Adapter]bool  // adapters that the engine is loading
+	recent           recentAdapters           // adapters that it held recently
+	reportedRequests int                      // that run or wait at the engine, according to its last report
+	missingAdapters  int                      // missing adapters that requests of all entryds wait for
+	slotsPinned      bool                     // no resident adapter can be evicted before requests end
+	lastMessageAt    time.Time                // last message of the targetd
+	vmAliveAt        time.Time                // last liveness signal of the target's VM, zero until the first one; also set after a pause of this process
+	closeConn        func()                   // stops maintaining conn
+	originsLostAt    time.Time                // last loss of a connection to a targetd that keeps origins
 
 	paces      bool              // the targetd is offered prompts
 	pacedUntil time.Time         // until when prompts have to be paced, according to the targetd
@@ -127,12 +129,16 @@
 }
 
 // usable reports whether new requests may be sent to the target.
-func (t *targetState) usable(now time.Time) bool {
-	return t.accepts(now) && !now.Before(t.notice.backoffUntil)
+func (t *targetState) usable(now time.Time) bool { return t.usableFor(now, false) }
+
+// usableFor does what usable does, also for a leaving target that still serves if leavingToo
+// is set.
+func (t *targetState) usableFor(now time.Time, leavingToo bool) bool {
+	return t.obstacleOf(now, leavingToo) == "" && !now.Before(t.notice.backoffUntil)
 }
 
 // accepts reports whether the target accepts requests, apart from a backoff.
-func (t *targetState) accepts(now time.Time) bool { return t.obstacle(now) == "" }
+func (t *targetState) accepts(now time.Time) bool { return t.obstacleOf(now, false) == "" }
 
 // targetdSilent reports whether no message was received from the targetd
 // recently although there were some before, so that its VM may be unreachable.
--- a/internal/gateway/targetd_conns.go
+++ b/internal/gateway/targetd_conns.go
@@ -157,6 +157,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t.missingAdapters, t.slotsPinned = m.MissingAdapters, m.Full
+	if requests := m.Running + m.Queued; requests != t.reportedRequests { // else the report may be old
+		t.reportedRequests = requests
+		t.recordReport(now)
+	}
 	t.observeLoad(now, Load{Running: m.Running, Waiting: m.Queued, Slots: t.replica.Slots})
 }
 
@@ -170,6 +174,7 @@
 	crashed = t.engineCrashed(s)
 	arrived, changed := f.applyState(now, t, s)
 	f.observeStart(now, t, s)
+	t.recordReport(now)
 	if s.Departing && s.Started == t.replica.Incarnation().Started {
 		f.recordLeaving(now, t, "targetd")
 	}
--- a/internal/gateway/test_gateway_test.go
+++ b/internal/gateway/test_gateway_test.go
@@ -272,6 +272,7 @@
 	tg := &testGateway{log: &bytes.Buffer{}}
 	log := event.New(lockedWriter{tg}, "entryd", "e1", zerolog.InfoLevel)
 	tg.fleet = NewFleet("a", "north", map[string]string{"a": "north"}, log)
+	tg.fleet.setDrainTime(4 * time.Second)
 	tg.crashes = newCrashTracker(tg.report, log)
 	cfg := routing.New(3, testRoutes(), []routing.Service{{Name: "s"}}, routing.Limits{BodyBytes: 1000})
 	var current atomic.Pointer[routing.Configuration]
