Pick no service with a weight of zero

Requests of a route could run at a service whose share has the weight zero: always if all weights are zero, and otherwise when the sum of the weights, less each of them, ends above zero by rounding. Pick fell back to the last share whatever its weight. It falls back to the last one with a weight now; a route without any leads nowhere, and its requests get 503.

TestPickWithoutWeight fails before and passes.

--- a/pkg/routing/configuration.go
+++ b/pkg/routing/configuration.go
@@ -54,23 +54,24 @@
 func (r *Route) Idempotent() bool { return r.Kind == Safe || (r.Kind == Stream && r.Resumable) }
 
 // Pick returns the service for a random number draw from [0,1), by weight. It returns
-// the empty string if the route has no shares.
+// the empty string if the route has no share with a weight above zero.
 func (r *Route) Pick(draw float64) string {
 	total := 0.0
 	for _, s := range r.Shares {
-		total += s.Weight
+		total += max(0, s.Weight)
 	}
-	at := draw * total
+	at, last := draw*total, ""
 	for _, s := range r.Shares {
+		if s.Weight <= 0 {
+			continue
+		}
+		last = s.Service
 		if at < s.Weight {
-			return s.Service
+			break
 		}
-		at -= s.Weight
-	}
-	if len(r.Shares) == 0 {
-		return ""
+		at -= s.Weight // may end above zero by rounding
 	}
-	return r.Shares[len(r.Shares)-1].Service
+	return last
 }
 
 // Model is a base model that the engines of a service may have loaded.
--- a/pkg/routing/routing_test.go
+++ b/pkg/routing/routing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 
 	"github.com/smartystreets/goconvey/convey"
@@ -45,6 +46,26 @@
 	})
 }
 
+// TestPickWithoutWeight guards against requests for a service with a weight of zero: of a
+// route without any other, and by the rounding of the sum.
+func TestPickWithoutWeight(t *testing.T) {
+	almostOne := math.Nextafter(1, 0)
+	for _, test := range []struct {
+		shares []Share
+		want   string
+	}{
+		{nil, ""},
+		{[]Share{{"a", 0}, {"b", 0}}, ""},
+		{[]Share{{"a", 0}, {"b", 1}, {"c", 0}}, "b"},
+		{[]Share{{"a", 0.1}, {"b", 0.2}, {"c", 0}}, "b"},
+		{[]Share{{"a", 2}, {"b", -1}}, "a"},
+	} {
+		if got := (&Route{Shares: test.shares}).Pick(almostOne); got != test.want {
+			t.Errorf("%v: %q, want %q", test.shares, got, test.want)
+		}
+	}
+}
+
 func ExampleRoute_Pick() {
 	r := Route{Shares: []Share{{Service: "old", Weight: 90}, {Service: "new", Weight: 10}}}
 	fmt.Println(r.Pick(0.5), r.Pick(0.95), r.Pick(0.9999999))
