Require keys after the last workspace was removed

Cause: whether callers have to identify themselves was asked by the number of workspaces, and decoding did not keep whether the list was there. Unknown keys ran as well, which rules out that the version was not in force.

The presence of the list decides now, and a process that required keys goes on requiring them after a configuration without the list, as a part lost by mistake must not open the deployment.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -59,6 +59,7 @@
 	ConfirmationExpired   Code = 370
 	ConfirmationRenewed   Code = 371
 	ConfigurationOutdated Code = 372
+	WorkspacesMissing     Code = 373
 
 	QuotaIssuerBegan  Code = 375
 	QuotaChanged      Code = 376
@@ -174,6 +175,7 @@
 	{ConfirmationExpired, "confirmation_expired", zerolog.WarnLevel, "The configuration was last confirmed as the store's newest `age` ago, which is too long, or never if `confirmed` is false: requests that need a key are rejected, those on public routes are served."},
 	{ConfirmationRenewed, "confirmation_renewed", zerolog.InfoLevel, "The configuration is confirmed again; keys were rejected `for` that time."},
 	{ConfigurationOutdated, "configuration_outdated", zerolog.WarnLevel, "The store has an older `revision` than the one `in_force`, which stays in force but is not confirmed."},
+	{WorkspacesMissing, "workspaces_missing", zerolog.ErrorLevel, "The configuration `revision` has no workspaces, though the one before had some: callers still need a key, and there is none. Public routes are served."},
 	{QuotaIssuerBegan, "quota_issuer_began", zerolog.InfoLevel, "This targetd issues the credit of the quota of `workspace`, at the request of the entryd `from`; while `starting`, at a part of the `rate`. It is the `first` choice or replaces one that can't be reached. That many `entryds` are known."},
 	{QuotaChanged, "quota_changed", zerolog.InfoLevel, "The `rate` and `burst` of the quota of `workspace` changed with a configuration; a rate of zero is no limit."},
 	{QuotaIssuerChosen, "quota_issuer_chosen", zerolog.InfoLevel, "The entryd requests the credit for a `group` of workspaces from the targetd of `target` (empty: none is connected) instead of that of `before`; it is the `first` choice or replaces one that can't be reached."},
--- a/internal/gateway/store_sinks.go
+++ b/internal/gateway/store_sinks.go
@@ -69,6 +69,12 @@
 		if before != nil && cfg.Version == before.Version && bytes.Equal(o.Value, s.value) {
 			continue
 		}
+		if before != nil && before.HasWorkspaces() && !cfg.HasWorkspaces() {
+			// A configuration that lost its workspaces would admit everyone, also with keys
+			// that it takes away.
+			cfg.SetWorkspaces(routing.Workspaces{})
+			s.log.Event(event.WorkspacesMissing).Int64("revision", cfg.Version).Send()
+		}
 		s.value = bytes.Clone(o.Value)
 		if before != nil && s.confirmations != nil {
 			s.confirmations.recordReplaced(before)
--- a/pkg/routing/configuration.go
+++ b/pkg/routing/configuration.go
@@ -115,9 +115,10 @@
 	Services map[string]Service
 	Limits   Limits
 
-	hosts      map[string][]*Route // by host in lower case
-	workspaces Workspaces
-	urgencies  urgencies
+	hosts        map[string][]*Route // by host in lower case
+	workspaces   Workspaces
+	requiresKeys bool // callers have to identify themselves
+	urgencies    urgencies
 }
 
 // New returns the configuration of the given routes and services. It retains the
--- a/pkg/routing/urgency.go
+++ b/pkg/routing/urgency.go
@@ -38,10 +38,10 @@
 // differences of routes and shares are merged if the levels don't suffice. With more than
 // ten urgencies of workspaces the least urgent ones are merged.
 func (c *Configuration) Urgency(w *Workspace, r *Route, aboveShare bool) int {
-	if !c.HasWorkspaces() {
+	u := &c.urgencies
+	if len(u.workspaces) == 0 {
 		return r.Urgency
 	}
-	u := &c.urgencies
 	workspace := len(u.workspaces) - 1
 	if w != nil {
 		workspace, _ = slices.BinarySearch(u.workspaces, w.Urgency)
--- a/pkg/routing/workspace.go
+++ b/pkg/routing/workspace.go
@@ -82,14 +82,15 @@
 	}
 }
 
-// SetWorkspaces sets the workspaces of a configuration that is not in use yet.
+// SetWorkspaces sets the workspaces of a configuration that is not in use yet, and requires
+// callers to identify themselves, also if there is none: the last key may be taken away.
 func (c *Configuration) SetWorkspaces(ws Workspaces) {
-	c.workspaces = ws
+	c.workspaces, c.requiresKeys = ws, true
 	c.urgencies = newUrgencies(c.hosts, ws.names)
 }
 
 // HasWorkspaces reports whether callers have to identify themselves.
-func (c *Configuration) HasWorkspaces() bool { return len(c.workspaces.names) > 0 }
+func (c *Configuration) HasWorkspaces() bool { return c.requiresKeys }
 
 // Workspace returns the workspace that holds a key, and false if none does.
 func (c *Configuration) Workspace(key KeyDigest) (*Workspace, bool) {
--- a/pkg/routing/workspace_test.go
+++ b/pkg/routing/workspace_test.go
@@ -32,6 +32,17 @@
 	})
 }
 
+// TestNoWorkspaceLeft guards against a configuration that admits everyone, or can't be used,
+// once its last workspace was removed.
+func TestNoWorkspaceLeft(t *testing.T) {
+	cfg := New(1, []Route{{Host: "h", Prefix: "/", Urgency: 3, Public: true}}, nil, Limits{})
+	cfg.SetWorkspaces(Workspaces{})
+	r, _ := cfg.Match("h", "/")
+	if _, ok := cfg.Workspace(DigestOf("")); ok || !cfg.HasWorkspaces() || cfg.Urgency(nil, r, false) != 3 {
+		t.Error("a configuration without workspaces is not restricted to public routes")
+	}
+}
+
 // A quota of tokens that counts only prompts would let long responses through.
 func TestQuotaCost(t *testing.T) {
 	tests := []struct {
