Recognize crashes of plain targets without probes

Cause: five successive refusals of probes within 2 s were the only evidence that a plain target has crashed.

For calls whose connection the target closed or reset, the entry of a later start, the removal of the entry, another target's response at the address, and the report of another entryd are evidence too, for 10 s and unless the target has answered since. Reports are kept while no targetd is connected, and crash_known and crash_probed tell what was seen.

TestCrashEvidenceBesideProbes fails before in its three cases (6 targets of 6 reached, 2 after).

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -39,6 +39,7 @@
 	SegmentConvicted  Code = 336
 	SegmentCleared    Code = 337
 	CrashWithdrawn    Code = 338
+	CrashProbed       Code = 339
 	LoadGranted       Code = 340
 	AttemptSent       Code = 350
 	AttemptEnded      Code = 351
@@ -148,7 +149,7 @@
 	{AttemptVoided, "attempt_voided", zerolog.InfoLevel, "An attempt whose target stopped responding was voided in the record of its idempotency key: it did not run and never will."},
 	{AttemptUnsettled, "attempt_unsettled", zerolog.WarnLevel, "The outcome of a lost attempt is unknown; `reason` says why."},
 	{TargetLeaving, "target_leaving", zerolog.InfoLevel, "The target is leaving: it gets no new work, and its targetd is notified if it is connected."},
-	{CrashKnown, "crash_known", zerolog.WarnLevel, "The entryd knows of a crash; the requests `in_flight` are suspects until they are answered."},
+	{CrashKnown, "crash_known", zerolog.WarnLevel, "The entryd knows of a crash, shown by `source`: the targetd, a probe, the target's entry, a response of another target at its address, or another entryd. The requests `in_flight` are suspects until they are answered."},
 	{CrashUnreadable, "crash_unreadable", zerolog.ErrorLevel, "The record of a crash could not be read."},
 	{SuspectCleared, "suspect_cleared", zerolog.InfoLevel, "A suspect was answered and is no longer a suspect."},
 	{RetryRefused, "retry_refused", zerolog.WarnLevel, "The retry budget of the service is exhausted: the caller gets the last attempt's outcome."},
@@ -156,6 +157,7 @@
 	{SegmentConvicted, "segment_convicted", zerolog.ErrorLevel, "The prompt segment crashes targets: it was in flight at `crashes` crashes. Requests with it are refused."},
 	{SegmentCleared, "segment_cleared", zerolog.InfoLevel, "A target began to answer a request with the prompt segment, which is no longer a suspect of the crashes before."},
 	{CrashWithdrawn, "crash_withdrawn", zerolog.InfoLevel, "The target answered a request that was sent after its supposed crash: connections to it were only refused."},
+	{CrashProbed, "crash_probed", zerolog.InfoLevel, "The address of `target` was probed after a connection to it broke. `result` says whether some process listens there (`accepted`), none does (`refused`) or neither was seen in time (`undecided`); `refusals` is the number of probes in a row that were refused at the end, `error` that of the last one."},
 	{LoadGranted, "load_granted", zerolog.InfoLevel, "Placement decision: `target` may load one adapter for `team` with a load permit that another target transferred."},
 	{AttemptSent, "attempt_sent", zerolog.InfoLevel, "Routing decision: an attempt is sent directly to `target`, which runs `version` of its software; `load`, `ahead` (tokens of prompts that it reads before), `wait` and `state_age` are the values behind the decision, `permit` is the time waited for permits so far."},
 	{AttemptEnded, "attempt_ended", zerolog.WarnLevel, "An attempt did not answer the request: `outcome` says whether it was refused, failed or broke off. For a refusal, `earlier` is the number of requests sent before over its connection and `skipped` that of responses to other requests that preceded it."},
--- a/internal/gateway/address_claims.go
+++ b/internal/gateway/address_claims.go
@@ -176,6 +176,9 @@
 	}
 	n.refuted = true
 	f.logState(t.replica, "refuted")
+	if t.endedWithoutNotice() {
+		f.reportEnded(now, t.replica, sourceResponse, true)
+	}
 	f.reinstate(now)
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -182,7 +182,7 @@
 			break
 		}
 		if out == broken {
-			g.CrashTracker.recordBroken(now, sel.target.incarnation, c, run)
+			g.CrashTracker.recordBroken(now, sel.target.incarnation, c, run, err)
 			g.probeAfterBreak(now, sel)
 		}
 		g.Fleet.recordFailure(now, sel.target)
@@ -214,7 +214,7 @@
 	c.tried[sel.replica.ID] = true
 	if ctx.Err() == nil {
 		g.Fleet.recordFailure(now, sel.target)
-		g.CrashTracker.recordBroken(now, sel.target.incarnation, c, run)
+		g.CrashTracker.recordBroken(now, sel.target.incarnation, c, run, err)
 		g.probeAfterBreak(now, sel)
 		g.Client.CloseIdleTo(sel.replica.Addr)
 	} else {
--- a/internal/gateway/crash_probe.go
+++ b/internal/gateway/crash_probe.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/pkg/target"
 )
 
@@ -37,32 +38,67 @@
 		defer g.CrashTracker.endProbe(t.incarnation)
 		ctx, cancel := context.WithTimeout(context.Background(), crashWindow)
 		defer cancel()
-		if g.refusesConnections(ctx, sel.replica.Addr) && !g.Fleet.isLeaving(t) {
+		result, refusals, err := g.probe(ctx, sel.replica.Addr)
+		g.Log.Event(event.CrashProbed).Str("target", t.incarnation).Str("result", result).Int("refusals", refusals).Err(err).Send()
+		if result == probeRefused && !g.Fleet.isLeaving(t) {
 			g.CrashTracker.recordUnreachable(time.Now(), now, t.incarnation)
 		}
 	}()
 }
 
-// refusesConnections reports whether successive probes find no listener at an address.
-// Probes that end otherwise before ctx is done are repeated.
-func (g *Gateway) refusesConnections(ctx context.Context, addr netip.AddrPort) bool {
-	refusals := 0
+// Results of probing an address.
+const (
+	probeRefused     = "refused"   // no process listens there
+	probeAccepted    = "accepted"  // some process does
+	probeUndecided   = "undecided" // neither was seen in time
+	endedProbeWithin = time.Second // of a target whose entry was removed
+)
+
+// probe probes an address until successive probes were refused or one succeeds. Probes that
+// end otherwise before ctx is done are repeated. It returns the number of the last refusals
+// in a row and the last error.
+func (g *Gateway) probe(ctx context.Context, addr netip.AddrPort) (result string, refusals int, err error) {
 	for pause := probeDelay; refusals < minRefusals; pause = probePause {
 		select {
 		case <-time.After(pause):
 		case <-ctx.Done():
-			return false
+			return probeUndecided, refusals, err
 		}
-		switch err := g.Client.Probe(ctx, addr); {
+		switch err = g.Client.Probe(ctx, addr); {
 		case err == nil:
-			return false
+			return probeAccepted, refusals, nil
 		case errors.Is(err, syscall.ECONNREFUSED):
 			refusals++
 		default:
 			refusals = 0
 		}
 	}
-	return true
+	return probeRefused, refusals, err
+}
+
+// endedTarget is an incarnation that has ended, as far as source shows, without having
+// announced it.
+type endedTarget struct {
+	incarnation string
+	addr        netip.AddrPort
+	source      string
+	certain     bool // otherwise it may only have lost its connection to the store
+}
+
+// recordEnded records the crash of a target that has ended, if connections to it broke and
+// it has not answered since.
+func (g *Gateway) recordEnded(now time.Time, t endedTarget) {
+	if !g.CrashTracker.hasBreaks(now, t.incarnation) {
+		return
+	}
+	if !t.certain {
+		ctx, cancel := context.WithTimeout(context.Background(), endedProbeWithin)
+		defer cancel()
+		if g.Client.Probe(ctx, t.addr) == nil {
+			return
+		}
+	}
+	g.CrashTracker.recordEnded(now, t.incarnation, t.source)
 }
 
 // isServing reports whether a target is listed as live and does not leave, so that a
--- a/internal/gateway/crash_probe_test.go
+++ b/internal/gateway/crash_probe_test.go
@@ -2,13 +2,21 @@
 
 import (
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/borageusher/borageusher/internal/peer"
+	"github.com/borageusher/borageusher/pkg/quarantine"
 	"github.com/borageusher/borageusher/pkg/target"
 )
 
@@ -251,3 +259,155 @@
 		t.Error("a reset counts as a crash")
 	}
 }
+
+// occupation says what takes the address of a target that has crashed.
+type occupation uint8
+
+const (
+	nothing       occupation = iota // connections are refused
+	otherProcess                    // accepts connections and closes them
+	silentNetwork                   // connections are neither accepted nor refused
+)
+
+// begin occupies an address until the returned function is called.
+func (o occupation) begin(t *testing.T, addr string) (free func()) {
+	if o == nothing {
+		return func() {}
+	}
+	ln, err := listenAgain(addr)
+	if err != nil {
+		t.Error(err)
+		return func() {}
+	}
+	free = func() { _ = ln.Close() }
+	if o == otherProcess {
+		go func() {
+			for c, err := ln.Accept(); err == nil; c, err = ln.Accept() {
+				_ = c.Close()
+			}
+		}()
+		return free
+	}
+	raw, err := ln.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		t.Error(err)
+		return free
+	}
+	_ = raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), 0) }) // a queue of one connection
+	for err == nil {
+		_, err = net.DialTimeout("tcp4", addr, 20*time.Millisecond) // closed with the listener
+	}
+	return free
+}
+
+// TestCrashEvidenceBesideProbes guards against a request that crashes plain targets again and
+// again because probes of their addresses show nothing.
+func TestCrashEvidenceBesideProbes(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		occupy occupation
+		down   time.Duration
+	}{
+		{"another process has the address", otherProcess, time.Second},
+		{"probes are not answered", silentNetwork, time.Second},
+		{"the target is back before the last probe", nothing, 150 * time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFragileFleet(t, 3, 3)
+			f.plain, f.down, f.occupy = true, test.down, test.occupy
+			for n := range 6 {
+				f.gateways[n%len(f.gateways)].call(t, "/unsafe/deadly")
+				time.Sleep(1200 * time.Millisecond)
+			}
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if len(f.arrived) != 2 {
+				t.Errorf("the request reached %d targets, want 2 before it is refused", len(f.arrived))
+			}
+		})
+	}
+}
+
+// TestLateCrashEvidence guards against a crash that is not recognised though the target's
+// entry, its responses or another entryd show it, and against a sound request that becomes a
+// suspect of an end that was no crash.
+func TestLateCrashEvidence(t *testing.T) {
+	const incarnation = "x/1"
+	entry := target.Replica{ID: "x", Service: "s", Addr: netip.MustParseAddrPort("127.0.0.1:1"), Zone: "a", Slots: 4, State: target.Live, Started: time.UnixMilli(1)}
+	later := entry
+	later.ID, later.Started = "y", time.UnixMilli(2)
+	restarted := later
+	restarted.ID, restarted.Addr = "x", netip.MustParseAddrPort("127.0.0.1:2")
+	upsert := func(tg *testGateway, at time.Time, r target.Replica) {
+		tg.fleet.mu.Lock()
+		defer tg.fleet.mu.Unlock()
+		tg.fleet.upsert(at, r)
+	}
+	remove := func(tg *testGateway, at time.Time) {
+		tg.fleet.mu.Lock()
+		defer tg.fleet.mu.Unlock()
+		tg.fleet.remove(at, tg.fleet.targets["x"], time.Time{})
+	}
+	for _, test := range []struct {
+		name    string
+		err     error // of the broken connection
+		happens func(tg *testGateway, broken time.Time)
+		crash   bool
+	}{
+		{"a later start at its address", syscall.ECONNRESET, func(tg *testGateway, at time.Time) { upsert(tg, at.Add(4*time.Second), later) }, true},
+		{"a later start under its id", io.EOF, func(tg *testGateway, at time.Time) { upsert(tg, at.Add(4*time.Second), restarted) }, true},
+		{"its entry is removed", syscall.ECONNRESET, func(tg *testGateway, at time.Time) { remove(tg, at.Add(4*time.Second)) }, true},
+		{"a later start after its entry was removed", syscall.ECONNRESET, func(tg *testGateway, at time.Time) {
+			tg.gateway.Fleet.onEnded = nil // the first evidence is lost
+			remove(tg, at.Add(4*time.Second))
+			tg.gateway.Fleet.onEnded = tg.gateway.recordEnded
+			upsert(tg, at.Add(5*time.Second), later)
+		}, true},
+		{"another target answers at its address", syscall.ECONNRESET, func(tg *testGateway, at time.Time) {
+			tg.fleet.observeSender(at.Add(time.Second), at, tg.fleet.targets["x"], otherSender)
+		}, true},
+		{"another entryd knows of the crash", syscall.ECONNRESET, func(tg *testGateway, at time.Time) {
+			tg.crashes.applyReport(at.Add(3*time.Second), peer.CrashReport{Engine: incarnation, Fingerprints: [][]byte{make([]byte, 32)}})
+		}, true},
+		{"nothing was received from it", syscall.ETIMEDOUT, func(tg *testGateway, at time.Time) { upsert(tg, at.Add(4*time.Second), later) }, false},
+		{"its response was invalid", errors.New("invalid"), func(tg *testGateway, at time.Time) { upsert(tg, at.Add(4*time.Second), later) }, false},
+		{"it has answered since", syscall.ECONNRESET, func(tg *testGateway, at time.Time) {
+			tg.crashes.recordAlive(at.Add(time.Second), incarnation)
+			upsert(tg, at.Add(4*time.Second), later)
+		}, false},
+		{"it had announced its end", syscall.ECONNRESET, func(tg *testGateway, at time.Time) {
+			leaving := entry
+			leaving.State = target.Leaving
+			upsert(tg, at.Add(time.Second), leaving)
+			remove(tg, at.Add(3*time.Second))
+			upsert(tg, at.Add(4*time.Second), later)
+		}, false},
+		{"the evidence is too late", syscall.ECONNRESET, func(tg *testGateway, at time.Time) { upsert(tg, at.Add(breakRetention), later) }, false},
+		{"its entry is written with other data", syscall.ECONNRESET, func(tg *testGateway, at time.Time) {
+			other := entry
+			other.Version = "v2"
+			upsert(tg, at.Add(4*time.Second), other)
+		}, false},
+	} {
+		convey.Convey("Of a crash is evidence: "+test.name, t, func() {
+			tg := newTestGateway(t)
+			broken := time.Now().Add(-20 * time.Second)
+			upsert(tg, broken.Add(-time.Second), entry)
+			c := &call{request: tg.requestOf("/unsafe/x")}
+			tg.crashes.recordBroken(broken, incarnation, c, nil, test.err)
+			test.happens(tg, broken)
+			known := func() bool {
+				tg.crashes.mu.Lock()
+				defer tg.crashes.mu.Unlock()
+				return tg.crashes.list.Classify(broken.Add(5*time.Second), fingerprint(c)) == quarantine.Suspect
+			}
+			if test.crash {
+				convey.So(eventually(known), convey.ShouldBeTrue)
+				return
+			}
+			time.Sleep(50 * time.Millisecond)
+			convey.So(known(), convey.ShouldBeFalse)
+		})
+	}
+}
--- a/internal/gateway/crash_tracker.go
+++ b/internal/gateway/crash_tracker.go
@@ -1,9 +1,13 @@
 package gateway
 
 import (
+	"io"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/internal/peer"
 	"github.com/borageusher/borageusher/pkg/quarantine"
@@ -15,6 +19,26 @@
 // reports. A target is probed for as long.
 const crashWindow = 2 * time.Second
 
+// breakRetention is how long a call whose connection broke is kept for evidence of the crash
+// that arrives late. A target that crashed is back after some seconds, and an entryd learns
+// of its new entry, or of the end of the old one, a watch interval later.
+const breakRetention = 10 * time.Second
+
+// Sources of the evidence of a crash, for the log.
+const (
+	sourceTargetd  = "targetd"
+	sourceProbe    = "probe"
+	sourceEntry    = "entry"    // the target's entry was replaced or removed
+	sourceResponse = "response" // another target answers at its address
+	sourceEntryd   = "entryd"   // another entryd knows of the crash
+)
+
+// brokenCall is the last break of the connection of a call to an incarnation.
+type brokenCall struct {
+	at     time.Time
+	closed bool // the other end closed or reset the connection
+}
+
 // crashTracker identifies the requests that crash targets. It is safe for
 // concurrent use.
 type crashTracker struct {
@@ -24,12 +48,12 @@
 
 	mu     sync.Mutex
 	list   quarantine.List
-	broken map[string]map[quarantine.Fingerprint]time.Time // time of each broken request, by incarnation of the target
-	downAt map[string]time.Time                            // last indication of a crash, by incarnation of the target
-	probed map[string]bool                                 // incarnations that are being probed
-	known  map[string]time.Time                            // latest possible times of the crashes that may be withdrawn, by incarnation
-	stated map[string]time.Time                            // when a targetd stated a crash, which is not withdrawn, by incarnation
-	alive  map[string]time.Time                            // when the last request that was answered was sent, by incarnation
+	broken map[string]map[quarantine.Fingerprint]brokenCall // by incarnation of the target
+	downAt map[string]time.Time                             // last indication of a crash, by incarnation of the target
+	probed map[string]bool                                  // incarnations that are being probed
+	known  map[string]time.Time                             // latest possible times of the crashes that may be withdrawn, by incarnation
+	stated map[string]time.Time                             // when a targetd stated a crash, which is not withdrawn, by incarnation
+	alive  map[string]time.Time                             // when the last request that was answered was sent, by incarnation
 }
 
 func newCrashTracker(broadcast func(peer.Message), log event.Log) *crashTracker {
@@ -37,7 +61,7 @@
 		log:       log,
 		broadcast: broadcast,
 		segments:  newSegmentTracker(broadcast, log),
-		broken:    map[string]map[quarantine.Fingerprint]time.Time{},
+		broken:    map[string]map[quarantine.Fingerprint]brokenCall{},
 		downAt:    map[string]time.Time{},
 		probed:    map[string]bool{},
 		known:     map[string]time.Time{},
@@ -71,18 +95,61 @@
 	return t.list.Classify(now, fingerprint(c)) == quarantine.Convicted
 }
 
-// recordBroken records that the connection to an incarnation of a target broke
+// recordBroken records that the connection to an incarnation of a target broke with err
 // during a call.
-func (t *crashTracker) recordBroken(now time.Time, incarnation string, c *call, run *segmentRun) {
+func (t *crashTracker) recordBroken(now time.Time, incarnation string, c *call, run *segmentRun, err error) {
 	t.segments.recordBroken(now, incarnation, run)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.broken[incarnation] == nil {
-		t.broken[incarnation] = map[quarantine.Fingerprint]time.Time{}
+		t.broken[incarnation] = map[quarantine.Fingerprint]brokenCall{}
 	}
-	t.broken[incarnation][fingerprint(c)] = now
+	t.broken[incarnation][fingerprint(c)] = brokenCall{now, isClosedByPeer(err)}
 	if now.Sub(t.downAt[incarnation]) < crashWindow {
-		t.reportCrash(now, incarnation)
+		t.reportCrash(now, now, incarnation, sourceProbe)
+	}
+}
+
+// isClosedByPeer reports whether a connection ended because its other end closed or reset
+// it, and not because nothing was received or a response was invalid.
+func isClosedByPeer(err error) bool {
+	for _, closed := range []error{syscall.ECONNRESET, syscall.ECONNABORTED, syscall.EPIPE, io.EOF, io.ErrUnexpectedEOF} {
+		if errors.Is(err, closed) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasBreaks reports whether calls to an incarnation are kept for late evidence that it
+// crashed.
+func (t *crashTracker) hasBreaks(now time.Time, incarnation string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, ok := t.lastBreak(now, incarnation)
+	return ok
+}
+
+// lastBreak returns when the last connection to an incarnation was closed by its other end,
+// and false if that was too long ago or the incarnation has answered since. The caller
+// holds mu.
+func (t *crashTracker) lastBreak(now time.Time, incarnation string) (last time.Time, ok bool) {
+	for _, b := range t.broken[incarnation] {
+		if b.closed && b.at.After(last) {
+			last = b.at
+		}
+	}
+	return last, !last.IsZero() && now.Sub(last) < breakRetention && !t.alive[incarnation].After(last)
+}
+
+// recordEnded records that an incarnation has ended without having announced it, as source
+// shows. The calls whose connections were the last that it closed were in flight at its
+// crash.
+func (t *crashTracker) recordEnded(now time.Time, incarnation, source string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if last, ok := t.lastBreak(now, incarnation); ok {
+		t.reportCrash(now, last, incarnation, source)
 	}
 }
 
@@ -112,7 +179,7 @@
 	defer t.mu.Unlock()
 	t.stated[incarnation] = now
 	t.downAt[incarnation] = now
-	t.reportCrash(now, incarnation)
+	t.reportCrash(now, now, incarnation, sourceTargetd)
 }
 
 // recordUnreachable records that no process listens any more at the address of an
@@ -125,7 +192,7 @@
 		return
 	}
 	t.downAt[incarnation] = now
-	t.reportCrash(now, incarnation)
+	t.reportCrash(now, now, incarnation, sourceProbe)
 }
 
 // recordAlive records that an incarnation answered a request that was sent at the given
@@ -147,13 +214,14 @@
 	t.log.Event(event.CrashWithdrawn).Str("target", incarnation).Send()
 }
 
-// reportCrash records the calls in flight at the crash of an incarnation and
-// broadcasts them to the other entryds. The caller holds mu.
-func (t *crashTracker) reportCrash(now time.Time, incarnation string) {
-	t.segments.reportCrash(now, incarnation)
+// reportCrash records the calls in flight at the crash of an incarnation, shown by source:
+// those that broke less than crashWindow before at. It broadcasts them to the other
+// entryds. The caller holds mu.
+func (t *crashTracker) reportCrash(now, at time.Time, incarnation, source string) {
+	t.segments.reportCrash(now, at, incarnation)
 	var m peer.CrashReport
-	for f, at := range t.broken[incarnation] {
-		if now.Sub(at) < crashWindow {
+	for f, b := range t.broken[incarnation] {
+		if at.Sub(b.at) < crashWindow {
 			m.Fingerprints = append(m.Fingerprints, f[:])
 		}
 	}
@@ -162,15 +230,19 @@
 		return
 	}
 	m.Engine = incarnation
-	t.add(now, m)
+	t.add(now, m, source)
 	t.broadcast(m)
 }
 
-// applyReport applies a crash report of another entryd.
+// applyReport applies a crash report of another entryd. It is also evidence that the calls
+// of this one were in flight at the crash.
 func (t *crashTracker) applyReport(now time.Time, m peer.CrashReport) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.add(now, m)
+	t.add(now, m, sourceEntryd)
+	if last, ok := t.lastBreak(now, m.Engine); ok {
+		t.reportCrash(now, last, m.Engine, sourceEntryd)
+	}
 }
 
 // applySegmentCrash applies a report of another entryd.
@@ -181,8 +253,8 @@
 	t.segments.applyCrash(now, m)
 }
 
-// add records and logs a crash. The caller holds mu.
-func (t *crashTracker) add(now time.Time, m peer.CrashReport) {
+// add records and logs a crash that source shows. The caller holds mu.
+func (t *crashTracker) add(now time.Time, m peer.CrashReport, source string) {
 	c := quarantine.Crash{Name: m.Engine, Target: m.Engine, At: now}
 	for _, b := range m.Fingerprints {
 		var f quarantine.Fingerprint
@@ -192,7 +264,7 @@
 	}
 	t.list.Add(c)
 	t.known[m.Engine] = now
-	t.log.Event(event.CrashKnown).Str("target", m.Engine).Int("in_flight", len(c.InFlight)).Send()
+	t.log.Event(event.CrashKnown).Str("target", m.Engine).Str("source", source).Int("in_flight", len(c.InFlight)).Send()
 }
 
 // clearSuspect clears a call of suspicion after a target responded to it.
@@ -216,7 +288,7 @@
 		}
 	}
 	for incarnation, at := range t.alive {
-		if now.Sub(at) > crashWindow {
+		if now.Sub(at) > breakRetention {
 			delete(t.alive, incarnation)
 		}
 	}
@@ -228,8 +300,8 @@
 		}
 	}
 	for incarnation, calls := range t.broken {
-		for f, at := range calls {
-			if now.Sub(at) > crashWindow {
+		for f, b := range calls {
+			if now.Sub(b.at) > breakRetention {
 				delete(calls, f)
 			}
 		}
--- a/internal/gateway/crashing_segment_test.go
+++ b/internal/gateway/crashing_segment_test.go
@@ -34,6 +34,7 @@
 	targets  []*fragileTarget
 	down     time.Duration // of a target that crashed
 	plain    bool          // the targets have no targetd that reports their crashes, and answer without a stream
+	occupy   occupation    // of the address of a target that crashed, until it is back
 
 	mu       sync.Mutex
 	stopped  bool
@@ -169,7 +170,11 @@
 		}
 		time.AfterFunc(testReportDelay, func() { tg.crashes.recordEngineDown(time.Now(), incarnation) })
 	}
-	time.AfterFunc(ft.fleet.down, ft.start)
+	free := ft.fleet.occupy.begin(ft.fleet.t, ft.addr)
+	time.AfterFunc(ft.fleet.down, func() {
+		free()
+		ft.start()
+	})
 }
 
 func (ft *fragileTarget) serve(w http.ResponseWriter, r *http.Request) {
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -45,14 +45,17 @@
 	lastScan        time.Time                        // last run of cancelStalled
 	notices         map[target.Incarnation]*targetNotice
 	unconfirmed     map[string]unconfirmedEntry // by id
+	removed         map[string]removedTarget    // by id
 	superseded      map[string]target.Replica   // entries that are not used while a later start has their address, by id
 	limits          map[string]*rateLimit       // by incarnation of the target
 	permits         *permits.Issuer             // used while no targetd is connected
 	lastPermit      uint64                      // id of the last permit request
 	lastEntrydCount int                         // last known number of entryds
 	origins         streamOrigins
-	membership      holder.Membership  // of the targetds
-	onTarget        func(*targetState) // called with mu held for added targets, and for all on a new configuration
+	unsentCrashes   []peer.CrashReport           // while no targetd was connected
+	membership      holder.Membership            // of the targetds
+	onTarget        func(*targetState)           // called with mu held for added targets, and for all on a new configuration
+	onEnded         func(time.Time, endedTarget) // called for targets that ended without having announced it, nil for none
 }
 
 // NewFleet returns a fleet without targets. Distances are computed from the
@@ -72,6 +75,7 @@
 		notices:       map[target.Incarnation]*targetNotice{},
 		unconfirmed:   map[string]unconfirmedEntry{},
 		superseded:    map[string]target.Replica{},
+		removed:       map[string]removedTarget{},
 		limits:        map[string]*rateLimit{},
 		permits:       permits.New(),
 		origins:       newStreamOrigins(),
@@ -131,6 +135,7 @@
 		return
 	}
 	delete(f.superseded, r.ID)
+	f.recordStart(now, r)
 	f.setAsideSuperseded(now, r)
 	t := f.targets[r.ID]
 	if t != nil && (t.replica.Addr != r.Addr || t.replica.Service != r.Service || t.replica.Incarnation() != r.Incarnation() || t.replica.Version != r.Version) {
@@ -186,6 +191,7 @@
 		return
 	}
 	f.logState(t.replica, "gone")
+	f.recordRemoved(now, t)
 	f.drop(now, t)
 }
 
@@ -211,9 +217,11 @@
 	for _, t := range f.targets {
 		if !t.goneAt.IsZero() && !now.Before(t.goneAt) {
 			f.logState(t.replica, "gone")
+			f.recordRemoved(now, t)
 			f.drop(now, t)
 		}
 	}
+	f.expireRemoved(now)
 	f.reinstate(now)
 	f.logSpeeds(now)
 	f.expireNotices(now)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -279,11 +280,11 @@
 		tg := newTestGateway(t, newFakeTarget(t, "t1", respond(200, "ok", signed)))
 		c := &call{request: tg.requestOf("/unsafe/poison"), route: &testRoutes()[1]}
 		now := time.Now()
-		tg.crashes.recordBroken(now, "t1/1", c, nil)
+		tg.crashes.recordBroken(now, "t1/1", c, nil, syscall.ECONNRESET)
 		tg.crashes.recordEngineDown(now.Add(time.Second), "t1/1")
 		convey.So(tg.crashes.quarantined(now, c), convey.ShouldBeFalse)
 		tg.crashes.recordEngineDown(now, "t2/1") // the indication of the crash may precede the broken connection
-		tg.crashes.recordBroken(now.Add(time.Second), "t2/1", c, nil)
+		tg.crashes.recordBroken(now.Add(time.Second), "t2/1", c, nil, syscall.ECONNRESET)
 		convey.So(tg.crashes.quarantined(now, c), convey.ShouldBeTrue)
 		convey.So(len(tg.reports), convey.ShouldEqual, 2)
 		other := &call{request: tg.requestOf("/unsafe/other")}
@@ -300,8 +301,8 @@
 		tg := newTestGateway(t)
 		c := &call{request: tg.requestOf("/unsafe/x")}
 		now := time.Now()
-		tg.crashes.recordBroken(now, "t1/1", c, nil)
-		tg.crashes.recordBroken(now, "t2/1", c, nil)
+		tg.crashes.recordBroken(now, "t1/1", c, nil, syscall.ECONNRESET)
+		tg.crashes.recordBroken(now, "t2/1", c, nil, syscall.ECONNRESET)
 		tg.crashes.recordEngineDown(now.Add(2*crashWindow), "t1/1")
 		convey.So(tg.crashes.quarantined(now, c), convey.ShouldBeFalse)
 		convey.So(len(tg.reports), convey.ShouldEqual, 0)
--- a/internal/gateway/main.go
+++ b/internal/gateway/main.go
@@ -168,6 +168,7 @@
 		Scope:         scope,
 		Limits:        node.Limits,
 	})
+	p.fleet.onEnded = p.gateway.recordEnded
 	p.callers.admission = p.gateway.admission
 	p.readers = &slowReaders{callers: p.callers, client: client, admission: p.gateway.admission, tracker: slowreader.New(), scope: scope}
 	store := platform.NewStore(scope)
--- a/internal/gateway/segment_tracker.go
+++ b/internal/gateway/segment_tracker.go
@@ -207,13 +207,14 @@
 	}
 }
 
-// reportCrash records the segments in flight at the crash of an incarnation and
-// broadcasts them to the other entryds.
-func (t *segmentTracker) reportCrash(now time.Time, incarnation string) {
+// reportCrash records the segments in flight at the crash of an incarnation, those of
+// attempts that broke less than crashWindow before at, and broadcasts them to the other
+// entryds.
+func (t *segmentTracker) reportCrash(now, at time.Time, incarnation string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	b := t.broken[incarnation]
-	if b == nil || len(b.sentAt) == 0 || now.Sub(b.last) > crashWindow {
+	if b == nil || len(b.sentAt) == 0 || at.Sub(b.last) > crashWindow {
 		return
 	}
 	m := peer.SegmentCrash{ID: rand.Uint64(), Engine: incarnation, Service: b.service, Age: now.Sub(b.first)}
@@ -372,7 +373,7 @@
 	defer t.mu.Unlock()
 	t.list.Expire(now)
 	for incarnation, b := range t.broken {
-		if now.Sub(b.last) > crashWindow {
+		if now.Sub(b.last) > breakRetention {
 			delete(t.broken, incarnation)
 		}
 	}
--- a/internal/gateway/targetd_conns.go
+++ b/internal/gateway/targetd_conns.go
@@ -83,6 +83,7 @@
 	t.conn, t.stateOfConn = c, false
 	f.moveHolders(nil)
 	f.sendEngineSpec(t)
+	f.sendUnsentCrashes()
 	f.mu.Unlock()
 	tc.checkIssuers()
 	err := c.Run(ctx, func() peer.Heartbeat { return peer.Heartbeat{Active: true} }, func(m peer.Message) {
@@ -244,10 +245,31 @@
 }
 
 // broadcast sends m to up to crashReportFanout targetds, which forward it to all
-// entryds.
+// entryds. A report of a crash that can't be sent is kept until a targetd is connected.
 func (f *Fleet) broadcast(m peer.Message) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if report, ok := m.(peer.CrashReport); !f.sendToSome(m) && ok && len(f.unsentCrashes) < maxUnsentCrashes {
+		f.unsentCrashes = append(f.unsentCrashes, report)
+	}
+}
+
+// sendUnsentCrashes sends the reports of crashes that could not be sent before. The caller
+// holds mu.
+func (f *Fleet) sendUnsentCrashes() {
+	reports := f.unsentCrashes
+	f.unsentCrashes = nil
+	for i, m := range reports {
+		if !f.sendToSome(m) {
+			f.unsentCrashes = reports[i:]
+			return
+		}
+	}
+}
+
+// sendToSome sends m to up to crashReportFanout targetds, and reports whether there was
+// any. The caller holds mu.
+func (f *Fleet) sendToSome(m peer.Message) bool {
 	sent := 0
 	for _, t := range f.connectedVMs() {
 		if sent == crashReportFanout {
@@ -257,6 +279,7 @@
 			sent++
 		}
 	}
+	return sent > 0
 }
 
 // connectedVMs returns one target with a connected targetd on each VM. Several targets
@@ -276,3 +299,7 @@
 // crashReportFanout is the number of targetds that receive a crash report. If
 // two are lost at once, one still forwards it to the other entryds.
 const crashReportFanout = 3
+
+// maxUnsentCrashes bounds the reports that are kept while no targetd is connected, as the
+// crashes that a targetd keeps.
+const maxUnsentCrashes = 200
--- a/internal/gateway/test_gateway_test.go
+++ b/internal/gateway/test_gateway_test.go
@@ -292,6 +292,7 @@
 		Log:           log,
 		Scope:         tally.NoopScope,
 	})
+	tg.fleet.onEnded = tg.gateway.recordEnded
 	tg.server = httptest.NewServer(tg.gateway)
 	t.Cleanup(tg.server.Close)
 	return tg
--- a/internal/gateway/tracked_service_test.go
+++ b/internal/gateway/tracked_service_test.go
@@ -198,7 +198,7 @@
 	s.running[i] = nil
 	s.backAt[i] = s.now.Add(3500 * time.Millisecond)
 	for _, t := range s.entryds {
-		t.reportCrash(s.now, name)
+		t.reportCrash(s.now, s.now, name)
 	}
 }
 
