Confirm the version of a target after a standstill

It can happen here: after a standstill of less than 2 s the first message of a targetd counted as a sign that the known state of its engine is up to date, although the report of its restart was still on its way. A target without a targetd had the version of its entry, however long ago the entries were read.

After a silence the targetd is asked, and the version of its engine is unknown until the answer, which follows all earlier reports. The version in an entry is unknown while the entries were not read for longer than usual.

TestRestartChangesVersion sets the time of the last message, as its clock jumps by an hour, which is a silence now; its checks are the same.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -211,11 +211,15 @@
 		position.History = f.position.History // it may be stated again later
 	}
 	now := time.Now()
+	respondedAt := now
+	if f.slow {
+		respondedAt = started // the store or this process stood still
+	}
 	if len(changed) == 0 || now.Sub(started) > responseTimeout/2 { // the store kept the watch until the change
-		f.currentAt = now
+		f.currentAt = respondedAt
 	}
 	f.dateSink()
-	f.currentAt = now
+	f.currentAt = respondedAt
 	settled := f.recordResponse(now, false)
 	f.position = position
 	if len(changed) > 0 {
--- a/internal/gateway/mixed_versions_test.go
+++ b/internal/gateway/mixed_versions_test.go
@@ -277,6 +277,9 @@
 		})
 		convey.Convey("a refused connection does until its targetd has reported since", func() {
 			addTargetd(t, "t1", tg)
+			f.mu.Lock()
+			ts.lastMessageAt = now.Add(time.Hour) // no silence, after which the state has to be confirmed
+			f.mu.Unlock()
 			f.recordRefusedConn(now.Add(time.Hour), ts)
 			convey.So(f.softwareVersion(now.Add(time.Hour), ts), convey.ShouldEqual, "")
 			f.recordMessage(now.Add(time.Hour+restartReportDelay), ts)
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -148,7 +148,7 @@
 
 // awaitsTargets reports whether live targets of the call's service may become
 // usable soon: they were discovered recently and their engine state was not
-// received yet, or their engines became unreachable recently. When all engines of a
+// received yet or is to be confirmed, or their engines became unreachable recently. When all engines of a
 // service restart together, callers that are rejected at once return late.
 func (f *Fleet) awaitsTargets(now time.Time, c *call) bool {
 	f.mu.Lock()
@@ -156,7 +156,7 @@
 	for _, t := range f.targets {
 		// Its version is confirmed by its targetd.
 		suits := f.suits(now, c, t) || (c.mayGoTo(t) && c.softwareVersion != "" && t.replica.Version == c.softwareVersion)
-		if suits && ((t.usable(now) && t.connecting(now)) || t.restarting(now)) {
+		if suits && ((t.usable(now) && (t.connecting(now) || t.stateAsked)) || t.restarting(now)) {
 			return true
 		}
 	}
--- a/internal/gateway/software_version.go
+++ b/internal/gateway/software_version.go
@@ -3,9 +3,19 @@
 import (
 	"time"
 
+	"github.com/borageusher/borageusher/internal/peer"
+	"github.com/borageusher/borageusher/pkg/streams"
 	"github.com/borageusher/borageusher/pkg/target"
 )
 
+// entryLatency is the time beyond a watch and the pause after it in which the entries of the
+// targets are known to be up to date: that of two calls of the store.
+const entryLatency = time.Second
+
+// stateQuestion is the key of a stream that no process knows. A targetd answers the request
+// for its origin after all that it sent before.
+const stateQuestion streams.Key = 0
+
 // restartReportDelay is the time within which a targetd reports that its engine has
 // started again: its polling interval of 100 ms and the latency between regions.
 const restartReportDelay = 300 * time.Millisecond
@@ -71,7 +81,8 @@
 // versionOf returns the version of the software that responds to requests to t now, empty
 // if it is not known. A target may start again with another version under its id, so that
 // the id in a request does not tell. Of an engine it is known while its targetd reports
-// the start that is in its entry. The caller holds mu.
+// the start that is in its entry, of other targets while the entries are up to date. The
+// caller holds mu.
 func (f *Fleet) versionOf(now time.Time, t *targetState) string {
 	if current := f.targets[t.replica.ID]; current != nil && current != t {
 		return ""
@@ -81,6 +92,8 @@
 	switch {
 	case !hasTargetd && refused && now.Sub(t.refusedConnAt) < confirmTime:
 		return ""
+	case !hasTargetd && f.entriesOutdated(now):
+		return ""
 	case hasTargetd && !t.reportsStart(now):
 		return ""
 	case hasTargetd && refused && t.lastMessageAt.Sub(t.refusedConnAt) < restartReportDelay:
@@ -92,13 +105,41 @@
 // reportsStart reports whether the targetd of an engine is heard of, and has reported the
 // start of the engine that is in its entry, as far as both name one.
 func (t *targetState) reportsStart(now time.Time) bool {
-	if t.conn == nil || !t.stateOfConn || t.targetdSilent(now) || !t.state.Reachable {
+	if t.conn == nil || !t.stateOfConn || t.stateAsked || t.targetdSilent(now) || !t.state.Reachable {
 		return false
 	}
 	started := t.replica.Incarnation().Started
 	return t.state.Started == started || t.state.Started == 0 || started <= 0
 }
 
+// entriesOutdated reports whether the targets' entries have not been read for longer than it
+// normally takes, as after a pause of this process or a cut from the store. The caller holds
+// mu.
+func (f *Fleet) entriesOutdated(now time.Time) bool {
+	return !f.entriesAsOf.IsZero() && now.Sub(f.entriesAsOf) > f.drainTime+entryLatency
+}
+
+// confirmState asks the targetd of t whether the engine's state is still the one that it
+// reported, if a message arrives after a silence: it may have been sent before a restart of
+// the engine whose report is on its way. The caller holds mu.
+func (f *Fleet) confirmState(now time.Time, t *targetState) {
+	if !t.targetdSilent(now) || !t.keepsOrigins() {
+		return
+	}
+	if _, err := t.conn.Send(peer.OriginRequest{Stream: uint64(stateQuestion)}); err == nil {
+		t.stateAsked = true
+	}
+}
+
+// recordConfirmedState records that the targetd has reported the engine's state anew if it
+// changed.
+func (f *Fleet) recordConfirmedState(t *targetState) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t.stateAsked = false
+	f.notifyAll()
+}
+
 // recordRefusedConn records that a target refused a connection: its process has ended, and
 // may start again with another version.
 func (f *Fleet) recordRefusedConn(now time.Time, t *targetState) {
--- a/internal/gateway/targetd_conns.go
+++ b/internal/gateway/targetd_conns.go
@@ -12,6 +12,7 @@
 	"github.com/borageusher/borageusher/internal/event"
 	"github.com/borageusher/borageusher/internal/peer"
 	"github.com/borageusher/borageusher/pkg/orders"
+	"github.com/borageusher/borageusher/pkg/streams"
 )
 
 // usageInterval is the interval of the usage reports to a targetd and of the runs of
@@ -80,7 +81,7 @@
 	tc.log.Event(event.PeerConnected).Str("target", id).Str("peer", c.Remote().Name).Send()
 	f := tc.fleet
 	f.mu.Lock()
-	t.conn, t.stateOfConn = c, false
+	t.conn, t.stateOfConn, t.stateAsked = c, false, false
 	f.moveHolders(nil)
 	f.sendEngineSpec(t)
 	f.sendUnsentCrashes()
@@ -105,6 +106,10 @@
 		case peer.PermitAnswer:
 			f.applyPermitAnswer(t, m)
 		case peer.OriginAnswer:
+			if streams.Key(m.Stream) == stateQuestion {
+				f.recordConfirmedState(t)
+				break
+			}
 			f.applyOriginAnswer(now, c, m)
 		case peer.CreditAnswer:
 			tc.applyCredit(m)
@@ -150,6 +155,7 @@
 func (f *Fleet) recordMessage(now time.Time, t *targetState) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.confirmState(now, t)
 	t.lastMessageAt, t.vmAliveAt = now, now
 }
 
