Continue no answer of a safe route by another run

Cause: an event stream of any idempotent request was continued after its last event. A safe request may run again, but its run begins anew; only a route with resumable streams lets a target go on after an event.

A started response of another route ends with its connection, so that it is seen to be incomplete.

--- a/internal/gateway/resumed_test.go
+++ b/internal/gateway/resumed_test.go
@@ -95,3 +95,21 @@
 		})
 	}
 }
+
+// TestSafeEventsOfTwoRuns guards against an answer of a safe route that begins with the
+// events of one run, goes on with those of another, and ends as complete.
+func TestSafeEventsOfTwoRuns(t *testing.T) {
+	convey.Convey("Given a target that breaks off an answer of events to a safe request", t, func() {
+		for sent, want := range map[int]string{0: events(1, 4), 2: events(1, 2)} {
+			convey.Convey(fmt.Sprintf("after %d events, another run follows only if the caller has none of them", sent), func() {
+				first, second := newFakeTarget(t, "t1", sendEvents(1, sent, false)), newFakeTarget(t, "t2", sendEvents(1, 4, true))
+				tg := newTestGateway(t, first, second)
+				tg.prefer("t1")
+				got := tg.call(t, "/safe/x")
+				convey.So(got.body, convey.ShouldEqual, want)
+				convey.So(got.truncated, convey.ShouldEqual, sent > 0)
+				convey.So(len(second.requests()), convey.ShouldEqual, map[int]int{0: 1, 2: 0}[sent])
+			})
+		}
+	})
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -187,7 +187,8 @@
 
 // acceptEvent records an event that is about to be relayed, and reports whether
 // it comes after the last one. An event without an id is always relayed, but the
-// stream can't be resumed after it.
+// stream can't be resumed after it. On a route without resumable streams a further run
+// begins anew, so that its events don't continue those of another one.
 func (c *call) acceptEvent(id string) bool {
 	if id == "" {
 		c.unrepeatable = true
@@ -200,7 +201,7 @@
 			return false
 		}
 	}
-	c.lastEventID, c.unrepeatable = id, false
+	c.lastEventID, c.unrepeatable = id, !c.route.ResumesStreams()
 	return true
 }
 
--- a/pkg/routing/configuration.go
+++ b/pkg/routing/configuration.go
@@ -51,7 +51,11 @@
 }
 
 // Idempotent reports whether a request of the route may run more than once.
-func (r *Route) Idempotent() bool { return r.Kind == Safe || (r.Kind == Stream && r.Resumable) }
+func (r *Route) Idempotent() bool { return r.Kind == Safe || r.ResumesStreams() }
+
+// ResumesStreams reports whether a broken stream of the route may be continued by another
+// run after its last event. Safe requests run anew from the beginning.
+func (r *Route) ResumesStreams() bool { return r.Kind == Stream && r.Resumable }
 
 // Pick returns the service for a random number draw from [0,1), by weight. It returns
 // the empty string if the route has no share with a weight above zero.
