Start the processes of scenarios in process groups of their own

Cause: the shell that had started the run in the background exited meanwhile. The process group of the tests was orphaned with a stopped member, upon which the kernel sends SIGHUP and SIGCONT to the group; the frozen process ended by the first.

--- a/internal/scenario/process_test.go
+++ b/internal/scenario/process_test.go
@@ -40,6 +40,9 @@
 	cmd.Dir = ts.MkAbs(".")
 	cmd.Stdout = log
 	cmd.Stderr = log
+	// If the shell that started the tests in the background exits, the kernel sends SIGHUP
+	// and SIGCONT to its process group, should one of that be frozen at the time.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	ts.Check(cmd.Start())
 	p := &process{cmd: cmd, done: make(chan struct{})}
 	s.processes[name] = p
