Leave room for orders of an engine's earlier start

Cause: an order was taken to be valid in one state only, the one that the instance and the number of accepted orders name. An engine that starts again under its instance counts from zero. An order that got no response in the start before became valid again, in an engine that was full.

Change: orders without a response are remembered for 15 s, as they may come 12 s late (orders.Outstanding). The planner sends none after which those that the engine may execute next would have no room.

--- a/internal/enginecontroller/conns.go
+++ b/internal/enginecontroller/conns.go
@@ -15,6 +15,7 @@
 func (ec *Controller) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	peer.AnnounceOrigins(w.Header())
 	peer.AnnounceCredit(w.Header())
+	peer.AnnounceOrders(w.Header())
 	if ec.Configuration.Period > 0 {
 		peer.AnnounceConfirmations(w.Header())
 	}
@@ -61,6 +62,7 @@
 func (ec *Controller) removeConn(c *peer.Conn) {
 	ec.mu.Lock()
 	delete(ec.conns, c)
+	delete(ec.orderConns, c)
 	name := c.Remote().Name
 	if ec.entryds[name]--; ec.entryds[name] == 0 {
 		delete(ec.entryds, name)
@@ -91,6 +93,9 @@
 		}
 	case peer.AdapterDemands:
 		handle = func(now time.Time) { ec.recordDemands(now, m) }
+	case peer.OutstandingOrders:
+		ec.receiveOutstanding(ctx, c, m)
+		return
 	case peer.CrashReport:
 		ec.relayCrash(c, m)
 		return
--- a/internal/enginecontroller/controller.go
+++ b/internal/enginecontroller/controller.go
@@ -61,6 +61,10 @@
 	Scope  tally.Scope
 	Quota  quota.Bounds // by which quotas may be exceeded
 
+	// FirstStart states that the whole system starts for the first time, so that no process has
+	// sent the engine orders before.
+	FirstStart bool
+
 	Configuration Configuration
 }
 
@@ -70,11 +74,13 @@
 	inbox chan func(now time.Time)
 	pacer *pacer
 
-	mu      sync.Mutex // guards conns, crashes and segments
+	mu      sync.Mutex // guards conns, orderConns, entryds, crashes and segments
 	conns   map[*peer.Conn]struct{}
 	entryds map[string]int      // connections by the entryd's name; counted for each request for credit
 	crashes map[string][][]byte // fingerprints of the requests in flight at known crashes, by engine instance
 
+	orderConns map[*peer.Conn]struct{} // of entryds that keep outstanding orders
+
 	segments segmentReports
 	permits  *permits.Issuer
 	credit   *credit.Issuers
@@ -95,6 +101,10 @@
 	unansweredOrders int       // consecutive orders without a response
 	backoffUntil     time.Time // the engine wants neither reports nor orders before
 	newestStart      int64     // newest start of the engine in a spec; it may have reported nothing yet
+
+	outstanding *orders.Outstanding
+	informed    map[*peer.Conn]struct{} // entryds that were sent the outstanding orders
+	held        bool                    // last value of the planner's Held
 }
 
 // inboxSize is the number of messages buffered for the loop. Connections block
@@ -103,13 +113,17 @@
 
 // New returns a controller without any state of the engine or of entryds.
 func New(opts Options) *Controller {
+	outstanding := orders.NewOutstanding()
+	if !opts.FirstStart {
+		outstanding.Inherit(time.Now())
+	}
 	return &Controller{
 		Options: opts,
 		inbox:   make(chan func(time.Time), inboxSize),
 		conns:   map[*peer.Conn]struct{}{},
 		entryds: map[string]int{},
 		crashes: map[string][][]byte{},
-		planner: orders.NewPlanner(),
+		planner: orders.NewPlanner(outstanding),
 		pacer:   newPacer(opts.Log),
 		permits: permits.New(),
 		credit:  credit.NewIssuers(credit.Now(), opts.Quota, opts.Log, opts.Scope),
@@ -118,6 +132,9 @@
 		configuration: &configurationWatch{Configuration: opts.Configuration, log: opts.Log},
 
 		specs: map[int64]peer.EngineSpec{},
+
+		outstanding: outstanding,
+		orderConns:  map[*peer.Conn]struct{}{},
 	}
 }
 
@@ -173,6 +190,7 @@
 			}
 		case now := <-expire.C:
 			ec.planner.Expire(now)
+			ec.outstanding.Expire(now)
 			continue
 		case <-timer.C:
 		}
@@ -200,6 +218,7 @@
 	if ec.lastSpec.Instance == "" && ec.entrydCount() == 0 {
 		return disconnectedInterval
 	}
+	ec.informKeepers(time.Now())
 	for range maxOrdersPerStep {
 		if time.Now().Before(ec.backoffUntil) {
 			break
@@ -269,7 +288,11 @@
 		return false // an order could reach a different instance of the engine
 	}
 	now := time.Now()
-	o, ok := ec.planner.Next(now, &ec.report, ec.capacity())
+	r := ec.report
+	r.Instance = instance
+	ec.reportOutstanding(now, nil, instance, ec.outstanding.Observe(now, &r))
+	o, ok := ec.planner.Next(now, &r, ec.capacity())
+	ec.logHeld(now, instance)
 	if !ok {
 		return false
 	}
@@ -280,6 +303,8 @@
 		Str("model", o.Adapter.Model).
 		Str("adapter", o.Adapter.Name).
 		Int64("version", o.Version).
+		Str("instance", instance).
+		Int64("started", ec.report.Started).
 		Int64("sequence", ec.report.Sequence).
 		Int("resident", len(ec.report.Adapters)).
 		Int("coming", len(ec.report.Loading)).
@@ -298,6 +323,7 @@
 		return ec.planner.Rejected(now, o)
 	}
 	e.Str("outcome", "unanswered").Err(err).Send()
+	ec.recordUnanswered(time.Now(), instance, ec.report.Sequence, o)
 	ec.countOrder("unanswered")
 	ec.unansweredOrders++
 	return false
--- a/internal/enginecontroller/controller_test.go
+++ b/internal/enginecontroller/controller_test.go
@@ -102,9 +102,12 @@
 	limits       []peer.RateLimit
 	permits      []peer.PermitAnswer
 	credit       []peer.CreditAnswer
-	paced        bool
-	pacings      int                            // Pacing messages
-	answers      map[uint64][]peer.PromptAnswer // by offer
+
+	outstandingReports []peer.OutstandingOrders
+
+	paced   bool
+	pacings int                            // Pacing messages
+	answers map[uint64][]peer.PromptAnswer // by offer
 }
 
 func (e *fakeEntryd) state() peer.EngineState {
@@ -128,7 +131,7 @@
 
 // startController starts a controller of e and returns the address at which
 // entryds connect.
-func startController(t *testing.T, e *fakeEngine) netip.AddrPort {
+func startController(t *testing.T, e Engine) netip.AddrPort {
 	t.Helper()
 	ec := New(Options{
 		Self:   peer.Identity{Name: "targetd-1", Role: "targetd"},
@@ -147,7 +150,17 @@
 
 func connect(t *testing.T, addr netip.AddrPort, name string) *fakeEntryd {
 	t.Helper()
-	d := peer.Dialer{Self: peer.Identity{Name: name, Role: "entryd"}, Key: peer.Key("k"), Client: &http.Client{}}
+	return connectAs(t, addr, entrydNamed(name, ""))
+}
+
+// entrydNamed returns the identity of an entryd in an availability zone.
+func entrydNamed(name, zone string) peer.Identity {
+	return peer.Identity{Name: name, Role: "entryd", Zone: zone}
+}
+
+func connectAs(t *testing.T, addr netip.AddrPort, id peer.Identity) *fakeEntryd {
+	t.Helper()
+	d := peer.Dialer{Self: id, Key: peer.Key("k"), Client: &http.Client{}}
 	c, err := d.Dial(context.Background(), addr)
 	if err != nil {
 		t.Fatal(err)
@@ -177,6 +190,8 @@
 				e.permits = append(e.permits, m)
 			case peer.CreditAnswer:
 				e.credit = append(e.credit, m)
+			case peer.OutstandingOrders:
+				e.outstandingReports = append(e.outstandingReports, m)
 			}
 		})
 	}()
--- a/internal/enginecontroller/main.go
+++ b/internal/enginecontroller/main.go
@@ -47,6 +47,8 @@
 		Scope:  scope,
 		Quota:  quota.Bounds{Window: node.Bounds.QuotaWindow, Over: node.Bounds.QuotaOver, Slack: node.Bounds.QuotaSlack},
 
+		FirstStart: node.FirstStart,
+
 		Configuration: Configuration{
 			Store:  newStore(scope),
 			Kind:   kind,
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -83,6 +83,7 @@
 	AdapterLoadFailed Code = 412
 	AdapterUnloading  Code = 413
 	EngineOrdered     Code = 414
+	EngineOrdersHeld  Code = 415
 	EngineRestarted   Code = 420
 	EngineUnreachable Code = 421
 	EngineReachable   Code = 422
@@ -198,7 +199,8 @@
 	{AdapterLoaded, "adapter_loaded", zerolog.InfoLevel, "The engine has loaded `adapter` in `took`."},
 	{AdapterLoadFailed, "adapter_load_failed", zerolog.WarnLevel, "The engine could not load `adapter`."},
 	{AdapterUnloading, "adapter_unloading", zerolog.InfoLevel, "Placement decision: the engine is ordered to unload `adapter`; `reason` says why."},
-	{EngineOrdered, "engine_ordered", zerolog.InfoLevel, "Placement decision: the engine is ordered to load or unload `adapter` in the state that `sequence` identifies; `outcome` says whether it accepted the order."},
+	{EngineOrdered, "engine_ordered", zerolog.InfoLevel, "Placement decision: the engine is ordered to load or unload `adapter` in the state that `started` and `sequence` identify; `outcome` says whether it accepted the order."},
+	{EngineOrdersHeld, "engine_orders_held", zerolog.InfoLevel, "Placement decision: while `held`, the engine gets other orders, or none, because it may still execute orders that got no response."},
 	{EngineRestarted, "engine_restarted", zerolog.WarnLevel, "The engine restarted and lost its adapters."},
 	{EngineUnreachable, "engine_unreachable", zerolog.WarnLevel, "The engine does not respond."},
 	{EngineReachable, "engine_reachable", zerolog.InfoLevel, "The engine responds."},
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -52,6 +52,7 @@
 	lastPermit      uint64                      // id of the last permit request
 	lastEntrydCount int                         // last known number of entryds
 	origins         streamOrigins
+	outstanding     *orders.Outstanding          // orders that engines may still execute, as targetds reported them
 	unsentCrashes   []peer.CrashReport           // while no targetd was connected
 	membership      holder.Membership            // of the targetds
 	onTarget        func(*targetState)           // called with mu held for added targets, and for all on a new configuration
@@ -79,6 +80,7 @@
 		limits:        map[string]*rateLimit{},
 		permits:       permits.New(),
 		origins:       newStreamOrigins(),
+		outstanding:   orders.NewOutstanding(),
 		epoch:         time.Now(),
 	}
 }
@@ -227,6 +229,7 @@
 	f.expireNotices(now)
 	f.expireLimits(now)
 	f.expireOrigins(now)
+	f.outstanding.Expire(now)
 }
 
 // distance returns the network distance to an availability zone.
--- a/internal/gateway/targetd_conns.go
+++ b/internal/gateway/targetd_conns.go
@@ -83,6 +83,7 @@
 	f.mu.Lock()
 	t.conn, t.stateOfConn, t.stateAsked = c, false, false
 	f.moveHolders(nil)
+	f.sendOutstandingOrders(time.Now(), t)
 	f.sendEngineSpec(t)
 	f.sendUnsentCrashes()
 	f.mu.Unlock()
@@ -115,6 +116,8 @@
 			tc.applyCredit(m)
 		case peer.ConfirmationAnswer:
 			tc.onConfirmation(m)
+		case peer.OutstandingOrders:
+			f.recordOutstandingOrders(now, m)
 		case peer.CrashReport:
 			tc.onCrashReport(now, m)
 		case peer.SegmentCrash:
@@ -159,6 +162,23 @@
 	t.lastMessageAt, t.vmAliveAt = now, now
 }
 
+// sendOutstandingOrders sends a targetd the orders that its engine may still execute, as far
+// as they were reported here. The targetd gets them before the spec, without which it sends no
+// orders. The caller holds mu.
+func (f *Fleet) sendOutstandingOrders(now time.Time, t *targetState) {
+	if t.conn.KeepsOrders() {
+		id := t.replica.ID
+		_, _ = t.conn.Send(peer.OutstandingOrders{Instance: id, Orders: f.outstanding.Orders(now, id)}) // everything is sent again after a reconnect
+	}
+}
+
+// recordOutstandingOrders keeps the outstanding orders that a targetd reported.
+func (f *Fleet) recordOutstandingOrders(now time.Time, m peer.OutstandingOrders) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.outstanding.Add(now, m.Instance, m.Orders...)
+}
+
 // applyEngineLoad applies a targetd's report on its engine's load.
 func (f *Fleet) applyEngineLoad(now time.Time, t *targetState, m peer.EngineLoad) {
 	f.mu.Lock()
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -45,6 +45,8 @@
 	typeCreditRequest  messageType = 68
 	typeCreditAnswer   messageType = 69
 
+	typeOutstandingOrders messageType = 70
+
 	typeConfirmationRequest messageType = 80
 	typeConfirmationAnswer  messageType = 81
 
@@ -94,6 +96,8 @@
 func (CreditRequest) messageType() messageType  { return typeCreditRequest }
 func (CreditAnswer) messageType() messageType   { return typeCreditAnswer }
 
+func (OutstandingOrders) messageType() messageType { return typeOutstandingOrders }
+
 func (ConfirmationRequest) messageType() messageType { return typeConfirmationRequest }
 func (ConfirmationAnswer) messageType() messageType  { return typeConfirmationAnswer }
 
@@ -213,6 +217,8 @@
 		return &creditRequestWire{}
 	case typeCreditAnswer:
 		return &creditAnswerWire{}
+	case typeOutstandingOrders:
+		return &outstandingOrdersWire{}
 	case typeConfirmationRequest:
 		return &confirmationRequestWire{}
 	case typeConfirmationAnswer:
@@ -302,6 +308,8 @@
 		return creditRequestToWire(m)
 	case CreditAnswer:
 		return creditAnswerToWire(m)
+	case OutstandingOrders:
+		return outstandingOrdersToWire(m)
 	case ConfirmationRequest:
 		return &confirmationRequestWire{ID: m.ID}
 	case ConfirmationAnswer:
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -35,6 +35,7 @@
 	keepsOrigins bool // see KeepsOrigins
 	issuesCredit bool // see IssuesCredit
 	confirms     bool // see Confirms
+	keepsOrders  bool // see KeepsOrders
 
 	out *outQueue
 
--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -48,6 +48,7 @@
 	c.keepsOrigins = resp.Header.Get(keepsOriginsHeader) != ""
 	c.issuesCredit = resp.Header.Get(issuesCreditHeader) != ""
 	c.confirms = resp.Header.Get(confirmsHeader) != ""
+	c.keepsOrders = resp.Header.Get(keepsOrdersHeader) != ""
 	if err := c.handshakeDialling(ctx, d.Self, d.Key); err != nil {
 		c.Close()
 		return nil, err
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -13,6 +13,7 @@
 	"github.com/smartystreets/goconvey/convey"
 
 	"github.com/borageusher/borageusher/pkg/adapter"
+	"github.com/borageusher/borageusher/pkg/orders"
 	"github.com/borageusher/borageusher/pkg/outcome"
 )
 
@@ -78,6 +79,11 @@
 			{Workspace: "w", PerSecond: 412485, Burst: 29000.5, Version: 9, Held: -300, Ask: 2000, Need: 700, Demand: 9000, Returned: 1},
 		}},
 		CreditAnswer{ID: 7, Grants: []CreditGrant{{Units: 2000}, {Short: true, Wait: 300 * time.Millisecond}}},
+		OutstandingOrders{Instance: "i-1"},
+		OutstandingOrders{Instance: "i-1", Orders: []orders.OutstandingOrder{
+			{Sequence: 18, Order: orders.Order{Adapter: orders.Adapter{Model: "m", Name: "a1"}, Version: 3}, Within: 12 * time.Second},
+			{Sequence: orders.AnySequence, Order: orders.Order{Unload: true}, Within: time.Second},
+		}},
 		ConfirmationRequest{ID: 9},
 		ConfirmationAnswer{ID: 9, History: 4, Version: 1 << 40, Age: 1200 * time.Millisecond},
 		ConfirmationAnswer{ID: 9},
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -14,6 +14,8 @@
 	Regions map[string]string // region of each availability zone
 	Store   netip.AddrPort    // address of the platform's store
 
+	FirstStart bool // the whole system starts for the first time
+
 	// Set only for processes that serve requests of callers.
 	Callers   netip.AddrPort // listener for callers
 	Readiness netip.AddrPort // listener for the load balancer's readiness probe
--- /dev/null
+++ b/pkg/orders/outstanding.go
@@ -0,0 +1,172 @@
+package orders
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// OrderLifetime is the longest time after which an engine may still execute an order
+// that got no response: 12 s on the users' platform, and a quarter more because the time is
+// counted from the end of the call and by other clocks than the engine's.
+const OrderLifetime = 15 * time.Second
+
+// AnySequence is the sequence of an outstanding order of which it is not known on how many
+// accepted orders it is conditional.
+const AnySequence int64 = -1
+
+// refreshAfter is the time by which the end of an order's lifetime has to move to be changed, so
+// that an order that is repeated every 80 ms isn't reported to others each time. OrderLifetime
+// leaves room for it.
+const refreshAfter = time.Second
+
+// OutstandingOrder is an order that got no response and that the engine may still execute.
+type OutstandingOrder struct {
+	Sequence int64 // number of accepted orders on which it is conditional, or AnySequence
+	Order    Order
+	Within   time.Duration // time within which it may be executed
+}
+
+// Outstanding is the set of the orders that engines may still execute although their sender
+// has given them up. An order is conditional on the instance and on the number of orders that
+// the instance has accepted. An engine that starts again under the same instance counts from
+// zero, so that an order for its previous start becomes valid again at that number, in an
+// engine with other contents. Outstanding is not safe for concurrent use.
+type Outstanding struct {
+	engines        map[string]map[conditionalOrder]time.Time // by instance: until when each may be executed
+	inheritedUntil time.Time                                 // until when an order of the process before this one may be executed
+	started        int64                                     // Report.Started of the last Observe
+}
+
+// conditionalOrder is an order and the number of accepted orders on which it is conditional.
+type conditionalOrder struct {
+	sequence int64
+	order    Order
+}
+
+// NewOutstanding returns an empty set.
+func NewOutstanding() *Outstanding {
+	return &Outstanding{engines: map[string]map[conditionalOrder]time.Time{}}
+}
+
+// Inherit records that another process sent an engine orders until now. It may have ended before
+// it reported the last one, the response to which was outstanding.
+func (u *Outstanding) Inherit(now time.Time) { u.inheritedUntil = now.Add(OrderLifetime) }
+
+// Observe takes note of an engine's state before an order is planned, and returns the order that
+// it added, if any: after Inherit, one with AnySequence for each start of the engine. A start that
+// had accepted orders when it was first seen, with none outstanding, is the one that the process
+// before ordered last, so that the order is conditional on the present start.
+func (u *Outstanding) Observe(now time.Time, r *Report) []OutstandingOrder {
+	if r.Started == u.started {
+		return nil
+	}
+	first := u.started == 0
+	u.started = r.Started
+	if first && r.Sequence > 0 && len(u.Orders(now, r.Instance)) == 0 {
+		return nil
+	}
+	return u.Add(now, r.Instance, OutstandingOrder{Sequence: AnySequence, Within: u.inheritedUntil.Sub(now)})
+}
+
+// Add adds orders for an instance. It returns those that changed the set.
+func (u *Outstanding) Add(now time.Time, instance string, added ...OutstandingOrder) []OutstandingOrder {
+	var changed []OutstandingOrder
+	for _, o := range added {
+		o.Within = min(o.Within, OrderLifetime)
+		if o.Within <= 0 {
+			continue
+		}
+		known := u.engines[instance]
+		if known == nil {
+			known = map[conditionalOrder]time.Time{}
+			u.engines[instance] = known
+		}
+		key := conditionalOrder{sequence: o.Sequence, order: o.Order}
+		until, ok := known[key]
+		if end := now.Add(o.Within); !ok || end.Sub(until) >= refreshAfter {
+			known[key] = end
+			changed = append(changed, o)
+		}
+	}
+	return changed
+}
+
+// Orders returns the orders for an instance, by sequence.
+func (u *Outstanding) Orders(now time.Time, instance string) []OutstandingOrder {
+	var found []OutstandingOrder
+	for key, until := range u.engines[instance] {
+		if now.Before(until) {
+			found = append(found, OutstandingOrder{Sequence: key.sequence, Order: key.order, Within: until.Sub(now)})
+		}
+	}
+	slices.SortFunc(found, func(a, b OutstandingOrder) int {
+		return cmp.Or(cmp.Compare(a.Sequence, b.Sequence), cmp.Compare(a.Order.Adapter.Name, b.Order.Adapter.Name))
+	})
+	return found
+}
+
+// Expire removes the orders that can't be executed any more.
+func (u *Outstanding) Expire(now time.Time) {
+	for instance, known := range u.engines {
+		for key, until := range known {
+			if !now.Before(until) {
+				delete(known, key)
+			}
+		}
+		if len(known) == 0 {
+			delete(u.engines, instance)
+		}
+	}
+}
+
+// slots returns the greatest number of adapter slots that outstanding orders may take of an
+// engine once it has accepted sequence orders. Executing one makes the next one valid, so that
+// they are followed as long as their sequences have no gap.
+func (u *Outstanding) slots(now time.Time, instance string, sequence int64, c Capacity) int {
+	known := u.engines[instance]
+	if len(known) == 0 {
+		return 0
+	}
+	bySequence := map[int64]int{}
+	anywhere := 0 // orders that may fill a gap
+	for key, until := range known {
+		switch {
+		case !now.Before(until):
+		case key.sequence == AnySequence:
+			anywhere++
+		default:
+			bySequence[key.sequence] = max(bySequence[key.sequence], key.order.slots(c))
+		}
+	}
+	n := 0
+	for ; ; sequence++ {
+		slots, ok := bySequence[sequence]
+		if !ok {
+			if anywhere == 0 {
+				return n
+			}
+			anywhere--
+			slots = 1
+		}
+		n += slots
+	}
+}
+
+// slots returns the number of adapter slots that executing the order may take, or the number
+// of adapters whose memory it may take. An order to unload frees them only if the engine holds
+// what it names, which an engine that has started again may not.
+func (o Order) slots(c Capacity) int {
+	switch {
+	case o.Unload:
+		return 0
+	case o.Adapter.Name != "":
+		return 1
+	case o.Adapter.Model == c.Model:
+		return 0 // Capacity.Adapters leaves room for this model
+	case c.AdapterMB > 0:
+		return int(math.Ceil(c.ModelMB / c.AdapterMB)) // the sizes of other models are not known
+	}
+	return c.AdapterSlots
+}
--- a/pkg/orders/planner.go
+++ b/pkg/orders/planner.go
@@ -51,9 +51,11 @@
 // next order. It is not safe for concurrent use.
 type Planner struct {
 	demand               map[Adapter]*adapterDemand
+	outstanding          *Outstanding
 	lastModelLoad        time.Time
 	modelLoadEngineStart int64 // Report.Started when a model load was last accepted
 	noVictim             bool  // the last Next needed a slot and could evict no adapter
+	held                 bool  // the last Next returned no order, or another one, because of outstanding orders
 	window               loadWindow
 	loadsBlockedUntil    time.Time // no adapter loads are ordered before
 }
@@ -69,8 +71,11 @@
 	lastUsed     time.Time
 }
 
-// NewPlanner returns a planner without demand.
-func NewPlanner() *Planner { return &Planner{demand: map[Adapter]*adapterDemand{}} }
+// NewPlanner returns a planner without demand. It returns no order that lets the engine
+// execute more of the outstanding orders than it has room for.
+func NewPlanner(outstanding *Outstanding) *Planner {
+	return &Planner{demand: map[Adapter]*adapterDemand{}, outstanding: outstanding}
+}
 
 // RecordDemand records the demand and the usage that an entryd reported.
 func (p *Planner) RecordDemand(now time.Time, reported Demand) {
@@ -102,7 +107,7 @@
 // Next returns the next order for an engine in the reported state, or false if
 // there is none.
 func (p *Planner) Next(now time.Time, r *Report, c Capacity) (Order, bool) {
-	p.noVictim = false
+	p.noVictim, p.held = false, false
 	p.window.observe(now, r)
 	if r.Departing {
 		return Order{}, false
@@ -110,7 +115,11 @@
 	if len(r.Models) == 0 {
 		return p.nextModelLoad(now, r, c)
 	}
-	if o, ok := p.nextOutdatedUnload(now, r); ok {
+	if p.overfill(now, r, c, 0) > 0 {
+		p.held = true
+		return p.evict(now, r, c)
+	}
+	if o, ok := p.nextOutdatedUnload(now, r); ok && p.allowsUnload(now, r, c) {
 		return o, true
 	}
 	a, ok := p.mostUrgent(now, r)
@@ -121,16 +130,50 @@
 		return Order{}, false
 	}
 	if len(r.Adapters)+len(r.Loading) < c.Adapters() {
-		return Order{Adapter: a, Version: p.demand[a].minVersion}, true
+		if p.overfill(now, r, c, 1) == 0 {
+			return Order{Adapter: a, Version: p.demand[a].minVersion}, true
+		}
+		p.held = true
 	}
+	return p.evict(now, r, c)
+}
+
+// evict returns the order that unloads the victim, or false if there is none.
+func (p *Planner) evict(now time.Time, r *Report, c Capacity) (Order, bool) {
 	victim, ok := p.victim(now, r)
-	if !ok {
+	if !ok || !p.allowsUnload(now, r, c) {
 		p.noVictim = true
 		return Order{}, false
 	}
 	return Order{Unload: true, Adapter: victim}, true
 }
 
+// overfill returns the number of adapters by which outstanding orders may overfill the engine
+// after it has accepted an order that changes the number of its adapters by change. A change of
+// zero stands for no order.
+func (p *Planner) overfill(now time.Time, r *Report, c Capacity, change int) int {
+	sequence := r.Sequence
+	if change != 0 {
+		sequence++
+	}
+	slots := p.outstanding.slots(now, r.Instance, sequence, c)
+	if slots == 0 {
+		return 0 // also if the engine holds more than the capacity, which was reduced
+	}
+	return max(0, len(r.Adapters)+len(r.Loading)+change+slots-c.Adapters())
+}
+
+// allowsUnload reports whether outstanding orders permit an order to unload an adapter: it must
+// not make an overfill possible or greater.
+func (p *Planner) allowsUnload(now time.Time, r *Report, c Capacity) bool {
+	after := p.overfill(now, r, c, -1)
+	if after == 0 || after < p.overfill(now, r, c, 0) {
+		return true
+	}
+	p.held = true
+	return false
+}
+
 // Missing returns the number of adapters that requests wait for and that the
 // engine, which holds their model, neither holds nor loads.
 func (p *Planner) Missing(now time.Time, r *Report) int {
@@ -144,9 +187,13 @@
 }
 
 // Full reports whether the last call of Next had an adapter to load while every
-// adapter slot was in use.
+// adapter slot was in use or kept for outstanding orders.
 func (p *Planner) Full() bool { return p.noVictim }
 
+// Held reports whether the last call of Next returned another order, or none, because of
+// outstanding orders.
+func (p *Planner) Held() bool { return p.held }
+
 // Expire removes the adapters that are no longer requested, except those with an
 // announced or required version.
 func (p *Planner) Expire(now time.Time) {
@@ -167,6 +214,10 @@
 	if r.Started == p.modelLoadEngineStart && now.Sub(p.lastModelLoad) < minModelLoadInterval {
 		return Order{}, false
 	}
+	if p.outstanding.slots(now, r.Instance, r.Sequence+1, c) > c.Adapters() {
+		p.held = true
+		return Order{}, false
+	}
 	return Order{Adapter: Adapter{Model: c.Model}}, true
 }
 
--- a/pkg/orders/planner_test.go
+++ b/pkg/orders/planner_test.go
@@ -26,7 +26,7 @@
 
 func TestNext(t *testing.T) {
 	convey.Convey("Given an engine with three adapter slots", t, func() {
-		p := NewPlanner()
+		p := NewPlanner(NewOutstanding())
 		convey.Convey("an empty engine loads the model once", func() {
 			r := &Report{Started: 1}
 			o, ok := p.Next(start, r, capacity)
@@ -194,7 +194,7 @@
 		for seed := range uint64(200) {
 			r := rand.New(rand.NewPCG(seed, 1))
 			e := &fakeEngine{t: t, resident: map[string]int64{}, loading: map[string]int64{}}
-			p := NewPlanner()
+			p := NewPlanner(NewOutstanding())
 			now := start
 			for range 300 {
 				now = now.Add(50 * time.Millisecond)
@@ -234,7 +234,7 @@
 }
 
 func BenchmarkNext(b *testing.B) {
-	p := NewPlanner()
+	p := NewPlanner(NewOutstanding())
 	r := reportHolding()
 	for i := range 3000 {
 		p.RecordDemand(start, Demand{Adapter: adapterNamed(fmt.Sprint("a", i)), Used: 1})
--- a/pkg/orders/report.go
+++ b/pkg/orders/report.go
@@ -22,7 +22,7 @@
 
 // Report is the state of an engine as reported by the engine itself.
 type Report struct {
-	Instance        string // identity of this start of the engine, empty if not reported
+	Instance        string // identity of the engine, empty if not reported; the next start may have the same
 	Started         int64  // start time of the engine, in Unix milliseconds
 	Models          []Model
 	Adapters        []Resident
--- a/pkg/orders/window_test.go
+++ b/pkg/orders/window_test.go
@@ -31,7 +31,7 @@
 	s := &sharedStore{fullSpeedLoads: fullSpeedLoads}
 	for range engines {
 		s.engines = append(s.engines, &simulatedEngine{
-			planner:   NewPlanner(),
+			planner:   NewPlanner(NewOutstanding()),
 			report:    Report{Started: 1, Models: []Model{{Name: "m"}}},
 			remaining: map[string]time.Duration{},
 		})
@@ -127,7 +127,7 @@
 		})
 	})
 	convey.Convey("The adapter with more waiting requests is loaded first", t, func() {
-		p := NewPlanner()
+		p := NewPlanner(NewOutstanding())
 		p.RecordDemand(start, Demand{Adapter: adapterNamed("old"), Waiting: 1})
 		later := start.Add(200 * time.Millisecond)
 		p.RecordDemand(later, Demand{Adapter: adapterNamed("many"), Waiting: 3})
