Count the memory of all models of an engine

Cause: the capacity of an engine was a number of adapters, by the sizes of the first model of its service. The weights of other models and the sizes of their adapters counted for nothing.

Change: entryds send the sizes of all models (peer.EngineModels). The planner adds up slots and memory of what the engine holds, loads and may load by outstanding orders, and unloads nothing for an adapter that can't fit.

ExampleCapacity_Adapters is replaced by ExampleCapacity_Excess, as the method is gone: it checks that 12 adapters fit and that the thirteenth does not.

--- a/internal/enginecontroller/conns.go
+++ b/internal/enginecontroller/conns.go
@@ -16,6 +16,7 @@
 	peer.AnnounceOrigins(w.Header())
 	peer.AnnounceCredit(w.Header())
 	peer.AnnounceOrders(w.Header())
+	peer.AnnounceModels(w.Header())
 	if ec.Configuration.Period > 0 {
 		peer.AnnounceConfirmations(w.Header())
 	}
@@ -91,6 +92,8 @@
 			ec.applySpec(now, m)
 			ec.stepRequested = true
 		}
+	case peer.EngineModels:
+		handle = func(time.Time) { ec.models[m.Started] = m.Models }
 	case peer.AdapterDemands:
 		handle = func(now time.Time) { ec.recordDemands(now, m) }
 	case peer.OutstandingOrders:
--- a/internal/enginecontroller/controller.go
+++ b/internal/enginecontroller/controller.go
@@ -93,8 +93,9 @@
 	planner          *orders.Planner
 	load             peer.EngineLoad
 	loadSentAt       time.Time
-	specs            map[int64]peer.EngineSpec // by the start time of the engine that they are meant for
-	lastSpec         peer.EngineSpec           // received last
+	specs            map[int64]peer.EngineSpec    // by the start time of the engine that they are meant for
+	models           map[int64][]orders.ModelSize // as specs; entryds of earlier releases don't send them
+	lastSpec         peer.EngineSpec              // received last
 	state            peer.EngineState
 	report           orders.Report
 	reachable        bool
@@ -131,7 +132,8 @@
 
 		configuration: &configurationWatch{Configuration: opts.Configuration, log: opts.Log},
 
-		specs: map[int64]peer.EngineSpec{},
+		specs:  map[int64]peer.EngineSpec{},
+		models: map[int64][]orders.ModelSize{},
 
 		outstanding: outstanding,
 		orderConns:  map[*peer.Conn]struct{}{},
@@ -147,6 +149,9 @@
 func (ec *Controller) applySpec(now time.Time, m peer.EngineSpec) {
 	if len(ec.specs) > maxSpecs {
 		maps.DeleteFunc(ec.specs, func(started int64, _ peer.EngineSpec) bool { return started != ec.report.Started })
+		maps.DeleteFunc(ec.models, func(started int64, _ []orders.ModelSize) bool {
+			return started != ec.report.Started && started != m.Started
+		})
 	}
 	ec.specs[m.Started] = m
 	ec.lastSpec = m
@@ -351,12 +356,9 @@
 	if !ok {
 		spec = ec.lastSpec
 	}
-	return orders.Capacity{
-		AdapterSlots: spec.AdapterSlots,
-		WeightsMB:    spec.WeightsMB,
-		Model:        spec.Model,
-		ModelMB:      spec.ModelMB,
-		AdapterMB:    spec.AdapterMB,
-		MaxLoads:     spec.MaxLoads,
+	models := ec.models[spec.Started]
+	if len(models) == 0 && spec.Model != "" {
+		models = []orders.ModelSize{{Name: spec.Model, WeightsMB: spec.ModelMB, AdapterMB: spec.AdapterMB}}
 	}
+	return orders.Capacity{AdapterSlots: spec.AdapterSlots, WeightsMB: spec.WeightsMB, Models: models, MaxLoads: spec.MaxLoads}
 }
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -277,6 +277,9 @@
 	if e == nil {
 		return
 	}
+	if t.conn.PlansByModel() {
+		_, _ = t.conn.Send(engineModels(t.replica.Started, e)) // everything is sent again after a reconnect
+	}
 	m := peer.EngineSpec{
 		Instance:     t.replica.ID,
 		Started:      t.replica.Started.UnixMilli(),
@@ -295,6 +298,15 @@
 	_, _ = t.conn.Send(m) // everything is sent again after a reconnect
 }
 
+// engineModels returns the message with the sizes of the models of an engine.
+func engineModels(started time.Time, e *routing.Engine) peer.EngineModels {
+	m := peer.EngineModels{Started: started.UnixMilli()}
+	for _, model := range e.Models {
+		m.Models = append(m.Models, orders.ModelSize{Name: model.Name, WeightsMB: model.WeightsMB, AdapterMB: model.AdapterMB})
+	}
+	return m
+}
+
 // version returns the newest announced version of an adapter, zero for none. The
 // caller holds mu.
 func (f *Fleet) version(a orders.Adapter) int64 {
--- a/internal/gateway/outstanding_test.go
+++ b/internal/gateway/outstanding_test.go
@@ -15,14 +15,15 @@
 	"github.com/borageusher/borageusher/pkg/routing"
 )
 
-// newReportingTargetd starts a targetd that reports outstanding orders, and announces that it
-// keeps them if keeps is set. It returns the messages that it receives.
+// newReportingTargetd starts a targetd that reports outstanding orders. It announces that it
+// keeps them, and that it plans by the sizes of models, if keeps is set. It returns the messages that it receives.
 func newReportingTargetd(t *testing.T, id string, keeps bool, reported peer.OutstandingOrders) (netip.AddrPort, <-chan peer.Message) {
 	t.Helper()
 	received := make(chan peer.Message, 64)
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if keeps {
 			peer.AnnounceOrders(w.Header())
+			peer.AnnounceModels(w.Header())
 		}
 		c, err := peer.Accept(w, r, peer.Identity{Name: id, Role: "targetd"}, peer.Key("k"))
 		if err != nil {
@@ -66,7 +67,9 @@
 	convey.Convey("Given an entryd to which a targetd has reported an outstanding order", t, func() {
 		tg := newTestGateway(t, newFakeTarget(t, "t1", respond(200, "x", signed)))
 		tg.fleet.mu.Lock()
-		tg.fleet.cfg = routing.New(4, nil, []routing.Service{{Name: "s", Engine: &routing.Engine{AdapterSlots: 4}}}, routing.Limits{})
+		tg.fleet.cfg = routing.New(4, nil, []routing.Service{{Name: "s", Engine: &routing.Engine{AdapterSlots: 4, Models: []routing.Model{
+			{Name: "m", WeightsMB: 100, AdapterMB: 1}, {Name: "n", WeightsMB: 50, AdapterMB: 2},
+		}}}}, routing.Limits{})
 		tg.fleet.mu.Unlock()
 		order := orders.OutstandingOrder{
 			Sequence: 18,
@@ -75,7 +78,7 @@
 		}
 		addr, _ := newReportingTargetd(t, "t1", true, peer.OutstandingOrders{Instance: "t1", Orders: []orders.OutstandingOrder{order}})
 		serveTargetd(t, tg, "t1", addr)
-		convey.Convey("the next targetd of the instance gets it before the spec, with the time that is left", func() {
+		convey.Convey("the next targetd of the instance gets it before the spec, with the time that is left, and the sizes of all models", func() {
 			addr, received := newReportingTargetd(t, "t1", true, peer.OutstandingOrders{})
 			serveTargetd(t, tg, "t1", addr)
 			m, ok := (<-received).(peer.OutstandingOrders)
@@ -86,10 +89,13 @@
 			convey.So(got.Within, convey.ShouldBeBetween, orders.OrderLifetime-5*time.Second, orders.OrderLifetime)
 			got.Within = order.Within
 			convey.So(got, convey.ShouldResemble, order)
+			models, ok := (<-received).(peer.EngineModels)
+			convey.So(ok, convey.ShouldBeTrue)
+			convey.So(models.Models, convey.ShouldResemble, []orders.ModelSize{{Name: "m", WeightsMB: 100, AdapterMB: 1}, {Name: "n", WeightsMB: 50, AdapterMB: 2}})
 			_, ok = (<-received).(peer.EngineSpec)
 			convey.So(ok, convey.ShouldBeTrue)
 		})
-		convey.Convey("a targetd of an earlier release does not get it", func() {
+		convey.Convey("a targetd of an earlier release gets neither it nor the sizes of models", func() {
 			addr, received := newReportingTargetd(t, "t1", false, peer.OutstandingOrders{})
 			serveTargetd(t, tg, "t1", addr)
 			_, ok := (<-received).(peer.EngineSpec)
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -46,6 +46,7 @@
 	typeCreditAnswer   messageType = 69
 
 	typeOutstandingOrders messageType = 70
+	typeEngineModels      messageType = 71
 
 	typeConfirmationRequest messageType = 80
 	typeConfirmationAnswer  messageType = 81
@@ -97,6 +98,7 @@
 func (CreditAnswer) messageType() messageType   { return typeCreditAnswer }
 
 func (OutstandingOrders) messageType() messageType { return typeOutstandingOrders }
+func (EngineModels) messageType() messageType      { return typeEngineModels }
 
 func (ConfirmationRequest) messageType() messageType { return typeConfirmationRequest }
 func (ConfirmationAnswer) messageType() messageType  { return typeConfirmationAnswer }
@@ -219,6 +221,8 @@
 		return &creditAnswerWire{}
 	case typeOutstandingOrders:
 		return &outstandingOrdersWire{}
+	case typeEngineModels:
+		return &engineModelsWire{}
 	case typeConfirmationRequest:
 		return &confirmationRequestWire{}
 	case typeConfirmationAnswer:
@@ -310,6 +314,8 @@
 		return creditAnswerToWire(m)
 	case OutstandingOrders:
 		return outstandingOrdersToWire(m)
+	case EngineModels:
+		return engineModelsToWire(m)
 	case ConfirmationRequest:
 		return &confirmationRequestWire{ID: m.ID}
 	case ConfirmationAnswer:
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -36,6 +36,7 @@
 	issuesCredit bool // see IssuesCredit
 	confirms     bool // see Confirms
 	keepsOrders  bool // see KeepsOrders
+	plansByModel bool // see PlansByModel
 
 	out *outQueue
 
--- a/internal/peer/engine.go
+++ b/internal/peer/engine.go
@@ -1,6 +1,11 @@
 package peer
 
-import "slices"
+import (
+	"net/http"
+	"slices"
+
+	"github.com/borageusher/borageusher/pkg/orders"
+)
 
 // AdapterVersion names an adapter of a model and a version of it.
 type AdapterVersion struct {
@@ -24,6 +29,26 @@
 	Paces        bool             // the sender offers its prompts if the targetd paces them
 }
 
+// EngineModels tells a targetd the sizes of the models that its engine may hold. It is sent
+// before the EngineSpec of the same start, and only to a targetd that announces that it plans by
+// them; processes of earlier releases don't know the message.
+type EngineModels struct {
+	Started int64 // start of the engine, in Unix milliseconds
+	Models  []orders.ModelSize
+}
+
+// plansByModelHeader is the header of the response to a WebSocket upgrade by which a targetd
+// announces that it plans by EngineModels. Earlier releases ignore it.
+const plansByModelHeader = "Plans-By-Model"
+
+// AnnounceModels announces in the header of the response to an upgrade that this process plans by
+// EngineModels. It is to be called before Accept.
+func AnnounceModels(h http.Header) { h.Set(plansByModelHeader, "1") }
+
+// PlansByModel reports whether the process at the other end of a dialled connection plans by
+// EngineModels.
+func (c *Conn) PlansByModel() bool { return c.plansByModel }
+
 // AdapterDemand is the sender's demand for an adapter, or a report of its use.
 type AdapterDemand struct {
 	AdapterVersion
@@ -132,6 +157,35 @@
 	}
 }
 
+type engineModelsWire struct {
+	_       struct{} `cbor:",toarray"`
+	Started int64
+	Models  []modelSizeWire
+}
+
+type modelSizeWire struct {
+	_         struct{} `cbor:",toarray"`
+	Name      string
+	WeightsMB float64
+	AdapterMB float64
+}
+
+func engineModelsToWire(m EngineModels) *engineModelsWire {
+	w := &engineModelsWire{Started: m.Started}
+	for _, s := range m.Models {
+		w.Models = append(w.Models, modelSizeWire{Name: s.Name, WeightsMB: s.WeightsMB, AdapterMB: s.AdapterMB})
+	}
+	return w
+}
+
+func (w *engineModelsWire) message() Message {
+	m := EngineModels{Started: w.Started}
+	for _, s := range w.Models {
+		m.Models = append(m.Models, orders.ModelSize{Name: s.Name, WeightsMB: s.WeightsMB, AdapterMB: s.AdapterMB})
+	}
+	return m
+}
+
 type adapterDemandWire struct {
 	_       struct{} `cbor:",toarray"`
 	Model   string
--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -49,6 +49,7 @@
 	c.issuesCredit = resp.Header.Get(issuesCreditHeader) != ""
 	c.confirms = resp.Header.Get(confirmsHeader) != ""
 	c.keepsOrders = resp.Header.Get(keepsOrdersHeader) != ""
+	c.plansByModel = resp.Header.Get(plansByModelHeader) != ""
 	if err := c.handshakeDialling(ctx, d.Self, d.Key); err != nil {
 		c.Close()
 		return nil, err
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -79,6 +79,8 @@
 			{Workspace: "w", PerSecond: 412485, Burst: 29000.5, Version: 9, Held: -300, Ask: 2000, Need: 700, Demand: 9000, Returned: 1},
 		}},
 		CreditAnswer{ID: 7, Grants: []CreditGrant{{Units: 2000}, {Short: true, Wait: 300 * time.Millisecond}}},
+		EngineModels{Started: 5},
+		EngineModels{Started: 5, Models: []orders.ModelSize{{Name: "m", WeightsMB: 72700, AdapterMB: 66}, {Name: "n", WeightsMB: 0.5}}},
 		OutstandingOrders{Instance: "i-1"},
 		OutstandingOrders{Instance: "i-1", Orders: []orders.OutstandingOrder{
 			{Sequence: 18, Order: orders.Order{Adapter: orders.Adapter{Model: "m", Name: "a1"}, Version: 3}, Within: 12 * time.Second},
--- a/pkg/orders/outstanding.go
+++ b/pkg/orders/outstanding.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 )
@@ -121,15 +120,15 @@
 	}
 }
 
-// slots returns the greatest number of adapter slots that outstanding orders may take of an
-// engine once it has accepted sequence orders. Executing one makes the next one valid, so that
-// they are followed as long as their sequences have no gap.
-func (u *Outstanding) slots(now time.Time, instance string, sequence int64, c Capacity) int {
-	known := u.engines[instance]
+// usage returns the most that outstanding orders may take of an engine in the state of r once it
+// has accepted sequence orders. Executing one makes the next one valid, so that they are followed
+// as long as their sequences have no gap.
+func (u *Outstanding) usage(now time.Time, r *Report, sequence int64, c Capacity) Usage {
+	known := u.engines[r.Instance]
 	if len(known) == 0 {
-		return 0
+		return Usage{}
 	}
-	bySequence := map[int64]int{}
+	bySequence := map[int64]Usage{}
 	anywhere := 0 // orders that may fill a gap
 	for key, until := range known {
 		switch {
@@ -137,36 +136,32 @@
 		case key.sequence == AnySequence:
 			anywhere++
 		default:
-			bySequence[key.sequence] = max(bySequence[key.sequence], key.order.slots(c))
+			most, o := bySequence[key.sequence], key.order.usage(r, c)
+			bySequence[key.sequence] = Usage{Slots: max(most.Slots, o.Slots), MB: max(most.MB, o.MB)}
 		}
 	}
-	n := 0
+	var sum Usage
 	for ; ; sequence++ {
-		slots, ok := bySequence[sequence]
+		next, ok := bySequence[sequence]
 		if !ok {
 			if anywhere == 0 {
-				return n
+				return sum
 			}
 			anywhere--
-			slots = 1
+			next = c.adapter(Adapter{}) // one of the largest
 		}
-		n += slots
+		sum = sum.plus(next)
 	}
 }
 
-// slots returns the number of adapter slots that executing the order may take, or the number
-// of adapters whose memory it may take. An order to unload frees them only if the engine holds
-// what it names, which an engine that has started again may not.
-func (o Order) slots(c Capacity) int {
+// usage returns what executing the order may take of an engine in the state of r. An order to
+// unload frees only what the engine holds, which is not known of one that has started again.
+func (o Order) usage(r *Report, c Capacity) Usage {
 	switch {
-	case o.Unload:
-		return 0
-	case o.Adapter.Name != "":
-		return 1
-	case o.Adapter.Model == c.Model:
-		return 0 // Capacity.Adapters leaves room for this model
-	case c.AdapterMB > 0:
-		return int(math.Ceil(c.ModelMB / c.AdapterMB)) // the sizes of other models are not known
+	case o.Unload, o.Adapter.Name == "" && r.HoldsModel(o.Adapter.Model):
+		return Usage{}
+	case o.Adapter.Name == "":
+		return Usage{MB: c.size(o.Adapter.Model).WeightsMB}
 	}
-	return c.AdapterSlots
+	return c.adapter(o.Adapter)
 }
--- a/pkg/orders/planner.go
+++ b/pkg/orders/planner.go
@@ -115,11 +115,12 @@
 	if len(r.Models) == 0 {
 		return p.nextModelLoad(now, r, c)
 	}
-	if p.overfill(now, r, c, 0) > 0 {
+	late := p.outstanding.usage(now, r, r.Sequence, c)
+	if late != (Usage{}) && c.Excess(c.Used(r).plus(late)) != (Usage{}) {
 		p.held = true
-		return p.evict(now, r, c)
+		return p.evict(now, r, c, Usage{})
 	}
-	if o, ok := p.nextOutdatedUnload(now, r); ok && p.allowsUnload(now, r, c) {
+	if o, ok := p.nextOutdatedUnload(now, r); ok && p.allowsUnload(now, r, c, o.Adapter) {
 		return o, true
 	}
 	a, ok := p.mostUrgent(now, r)
@@ -129,45 +130,37 @@
 	if !p.window.allows(r, a, c.MaxLoads) || now.Before(p.loadsBlockedUntil) {
 		return Order{}, false
 	}
-	if len(r.Adapters)+len(r.Loading) < c.Adapters() {
-		if p.overfill(now, r, c, 1) == 0 {
+	wanted := c.adapter(a)
+	if used := c.Used(r).plus(wanted); c.Excess(used) == (Usage{}) {
+		if c.Excess(used.plus(p.outstanding.usage(now, r, r.Sequence+1, c))) == (Usage{}) {
 			return Order{Adapter: a, Version: p.demand[a].minVersion}, true
 		}
 		p.held = true
 	}
-	return p.evict(now, r, c)
+	return p.evict(now, r, c, wanted)
 }
 
-// evict returns the order that unloads the victim, or false if there is none.
-func (p *Planner) evict(now time.Time, r *Report, c Capacity) (Order, bool) {
-	victim, ok := p.victim(now, r)
-	if !ok || !p.allowsUnload(now, r, c) {
+// evict returns the order that unloads the victim. It returns false if there is none, or if all
+// victims together would not make room for what is wanted.
+func (p *Planner) evict(now time.Time, r *Report, c Capacity, wanted Usage) (Order, bool) {
+	victim, freed, ok := p.victim(now, r, c)
+	if !ok || c.Excess(c.Used(r).minus(freed).plus(wanted)) != (Usage{}) || !p.allowsUnload(now, r, c, victim) {
 		p.noVictim = true
 		return Order{}, false
 	}
 	return Order{Unload: true, Adapter: victim}, true
 }
 
-// overfill returns the number of adapters by which outstanding orders may overfill the engine
-// after it has accepted an order that changes the number of its adapters by change. A change of
-// zero stands for no order.
-func (p *Planner) overfill(now time.Time, r *Report, c Capacity, change int) int {
-	sequence := r.Sequence
-	if change != 0 {
-		sequence++
-	}
-	slots := p.outstanding.slots(now, r.Instance, sequence, c)
-	if slots == 0 {
-		return 0 // also if the engine holds more than the capacity, which was reduced
-	}
-	return max(0, len(r.Adapters)+len(r.Loading)+change+slots-c.Adapters())
-}
-
 // allowsUnload reports whether outstanding orders permit an order to unload an adapter: it must
-// not make an overfill possible or greater.
-func (p *Planner) allowsUnload(now time.Time, r *Report, c Capacity) bool {
-	after := p.overfill(now, r, c, -1)
-	if after == 0 || after < p.overfill(now, r, c, 0) {
+// not make an overfilled engine possible, or more overfilled.
+func (p *Planner) allowsUnload(now time.Time, r *Report, c Capacity, a Adapter) bool {
+	late := p.outstanding.usage(now, r, r.Sequence+1, c)
+	if late == (Usage{}) {
+		return true
+	}
+	before := c.Excess(c.Used(r).plus(p.outstanding.usage(now, r, r.Sequence, c)))
+	after := c.Excess(c.Used(r).minus(c.adapter(a)).plus(late))
+	if after == (Usage{}) || (after != before && after.Slots <= before.Slots && after.MB <= before.MB) {
 		return true
 	}
 	p.held = true
@@ -208,17 +201,21 @@
 // most once per minModelLoadInterval for each start of the engine. It returns
 // false if the engine already changes models or the model does not fit.
 func (p *Planner) nextModelLoad(now time.Time, r *Report, c Capacity) (Order, bool) {
-	if r.ModelChanging || c.Model == "" || c.ModelMB > c.WeightsMB {
+	if r.ModelChanging || len(c.Models) == 0 || c.Models[0].WeightsMB > c.WeightsMB {
 		return Order{}, false
 	}
 	if r.Started == p.modelLoadEngineStart && now.Sub(p.lastModelLoad) < minModelLoadInterval {
 		return Order{}, false
 	}
-	if p.outstanding.slots(now, r.Instance, r.Sequence+1, c) > c.Adapters() {
+	name := c.Models[0].Name
+	loaded := *r
+	loaded.Models = []Model{{Name: name}}
+	late := p.outstanding.usage(now, &loaded, r.Sequence+1, c)
+	if late != (Usage{}) && c.Excess(c.Used(&loaded).plus(late)) != (Usage{}) {
 		p.held = true
 		return Order{}, false
 	}
-	return Order{Adapter: Adapter{Model: c.Model}}, true
+	return Order{Adapter: Adapter{Model: name}}, true
 }
 
 // Accepted records that the engine accepted an order.
@@ -302,9 +299,8 @@
 
 // victim returns the resident adapter to evict: the one with the lowest demand
 // among those that no request uses or waits for, according to recent reports. It
-// returns false if there is none.
-func (p *Planner) victim(now time.Time, r *Report) (Adapter, bool) {
-	var worst Adapter
+// returns false if there is none. freed is what all of those take.
+func (p *Planner) victim(now time.Time, r *Report, c Capacity) (worst Adapter, freed Usage, ok bool) {
 	least := math.Inf(1)
 	for _, resident := range r.Adapters {
 		score := 0.0
@@ -314,11 +310,12 @@
 			}
 			score = d.decayedCount(now)
 		}
+		freed = freed.plus(c.adapter(resident.Adapter))
 		if score < least {
 			worst, least = resident.Adapter, score
 		}
 	}
-	return worst, !math.IsInf(least, 1)
+	return worst, freed, !math.IsInf(least, 1)
 }
 
 // addRequests adds n requests to the decayed count.
--- a/pkg/orders/planner_test.go
+++ b/pkg/orders/planner_test.go
@@ -11,7 +11,7 @@
 
 var (
 	start    = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
-	capacity = Capacity{AdapterSlots: 3, WeightsMB: 110, Model: "m", ModelMB: 100, AdapterMB: 1, MaxLoads: 2}
+	capacity = Capacity{AdapterSlots: 3, WeightsMB: 110, Models: []ModelSize{{Name: "m", WeightsMB: 100, AdapterMB: 1}}, MaxLoads: 2}
 )
 
 func adapterNamed(name string) Adapter { return Adapter{Model: "m", Name: name} }
@@ -227,10 +227,14 @@
 	})
 }
 
-func ExampleCapacity_Adapters() {
-	c := Capacity{AdapterSlots: 15, WeightsMB: 75200, ModelMB: 72700, AdapterMB: 200}
-	fmt.Println(c.Adapters())
-	// Output: 12
+func ExampleCapacity_Excess() {
+	c := Capacity{AdapterSlots: 15, WeightsMB: 75200, Models: []ModelSize{{Name: "m", WeightsMB: 72700, AdapterMB: 200}}}
+	r := &Report{Models: []Model{{Name: "m"}}}
+	for c.Excess(c.Used(r)) == (Usage{}) {
+		r.Adapters = append(r.Adapters, Resident{Adapter: Adapter{Model: "m", Name: fmt.Sprint("a", len(r.Adapters))}})
+	}
+	fmt.Println("of", len(r.Adapters), "adapters", c.Excess(c.Used(r)).MB, "MB don't fit")
+	// Output: of 13 adapters 100 MB don't fit
 }
 
 func BenchmarkNext(b *testing.B) {
@@ -243,7 +247,7 @@
 		r.Adapters = append(r.Adapters, Resident{Adapter: adapterNamed(fmt.Sprint("a", i)), Version: 1})
 	}
 	p.RecordDemand(start, Demand{Adapter: adapterNamed("new"), Waiting: 1})
-	c := Capacity{AdapterSlots: 15, WeightsMB: 75200, ModelMB: 72700, AdapterMB: 66, MaxLoads: 4}
+	c := Capacity{AdapterSlots: 15, WeightsMB: 75200, Models: []ModelSize{{Name: "m", WeightsMB: 72700, AdapterMB: 66}}, MaxLoads: 4}
 	b.ReportAllocs()
 	for b.Loop() {
 		p.Next(start.Add(time.Second), r, c)
--- a/pkg/orders/report.go
+++ b/pkg/orders/report.go
@@ -81,22 +81,64 @@
 	Version int64 // version to load, zero for the newest
 }
 
+// ModelSize is the size of a model's weights and of each of its adapters.
+type ModelSize struct {
+	Name      string
+	WeightsMB float64
+	AdapterMB float64
+}
+
 // Capacity is the capacity of an engine for models and adapters.
 type Capacity struct {
 	AdapterSlots int
-	WeightsMB    float64 // memory for the model and the adapters together, in MB
-	Model        string  // model that an empty engine loads
-	ModelMB      float64 // size of the model in MB
-	AdapterMB    float64 // size of one adapter in MB, zero if unknown
-	MaxLoads     int     // maximum number of concurrent adapter loads
-}
-
-// Adapters returns the number of adapters that fit beside the model: the number
-// of slots, or fewer if the memory does not suffice for them.
-func (c Capacity) Adapters() int {
-	n := c.AdapterSlots
-	if c.AdapterMB > 0 {
-		n = min(n, int((c.WeightsMB-c.ModelMB)/c.AdapterMB))
+	WeightsMB    float64     // memory for the models and the adapters together, in MB
+	Models       []ModelSize // that the engine may hold; the first one is loaded by an empty engine
+	MaxLoads     int         // maximum number of concurrent adapter loads
+}
+
+// Usage is a part of an engine's capacity.
+type Usage struct {
+	Slots int     // adapter slots
+	MB    float64 // memory for models and adapters
+}
+
+func (u Usage) plus(v Usage) Usage { return Usage{u.Slots + v.Slots, u.MB + v.MB} }
+
+func (u Usage) minus(v Usage) Usage { return Usage{u.Slots - v.Slots, u.MB - v.MB} }
+
+// size returns the size of the named model. A model that is not listed, for example one that
+// was removed from the configuration, is taken to be as large as any that is.
+func (c Capacity) size(model string) ModelSize {
+	largest := ModelSize{Name: model}
+	for _, m := range c.Models {
+		if m.Name == model {
+			return m
+		}
+		largest.WeightsMB, largest.AdapterMB = max(largest.WeightsMB, m.WeightsMB), max(largest.AdapterMB, m.AdapterMB)
 	}
-	return max(0, n)
+	return largest
+}
+
+// Used returns what the models and adapters of an engine take, including those that are being
+// loaded.
+func (c Capacity) Used(r *Report) Usage {
+	var u Usage
+	for _, m := range r.Models {
+		u.MB += c.size(m.Name).WeightsMB
+	}
+	for _, a := range r.Adapters {
+		u = u.plus(c.adapter(a.Adapter))
+	}
+	for _, a := range r.Loading {
+		u = u.plus(c.adapter(a.Adapter))
+	}
+	return u
+}
+
+// adapter returns what an adapter takes.
+func (c Capacity) adapter(a Adapter) Usage { return Usage{Slots: 1, MB: c.size(a.Model).AdapterMB} }
+
+// Excess returns by how much u exceeds the capacity.
+func (c Capacity) Excess(u Usage) Usage {
+	return Usage{Slots: max(0, u.Slots-c.AdapterSlots), MB: max(0, u.MB-c.WeightsMB)}
 }
--- a/pkg/orders/restart_test.go
+++ b/pkg/orders/restart_test.go
@@ -110,7 +110,7 @@
 func (s *restartSimulation) order() (unanswered bool) {
 	r := &Report{Instance: simulatedInstance, Started: s.started, Sequence: s.sequence}
 	if s.model {
-		r.Models = []Model{{Name: capacity.Model}}
+		r.Models = []Model{{Name: capacity.Models[0].Name}}
 	}
 	for name := range s.adapters {
 		r.Adapters = append(r.Adapters, Resident{Adapter: adapterNamed(name), Version: 1})
--- a/pkg/orders/window_test.go
+++ b/pkg/orders/window_test.go
@@ -84,7 +84,7 @@
 func TestWindow(t *testing.T) {
 	convey.Convey("Engines that share an overloaded weight store keep 0.7 to 2 times its full-speed loads in progress", t, func() {
 		for _, test := range []struct{ engines, fullSpeedLoads int }{{9, 8}, {18, 24}, {4, 100}} {
-			c := Capacity{AdapterSlots: 40, WeightsMB: 200, ModelMB: 100, AdapterMB: 1, MaxLoads: 4}
+			c := Capacity{AdapterSlots: 40, WeightsMB: 200, Models: []ModelSize{{Name: "m", WeightsMB: 100, AdapterMB: 1}}, MaxLoads: 4}
 			s := newSharedStore(test.engines, test.fullSpeedLoads)
 			now, sum, n := start, 0, 0
 			for range 4000 {
