Assume an unreported order only where one may be valid

Cause: an engine that had accepted orders was taken to be in a new start if any order was outstanding. A late order can only be the first one of a start if it is conditional on no other, or on an unknown number.

--- a/internal/enginecontroller/controller.go
+++ b/internal/enginecontroller/controller.go
@@ -103,9 +103,9 @@
 	backoffUntil     time.Time // the engine wants neither reports nor orders before
 	newestStart      int64     // newest start of the engine in a spec; it may have reported nothing yet
 
-	outstanding *orders.Outstanding
-	informed    map[*peer.Conn]struct{} // entryds that were sent the outstanding orders
-	held        bool                    // last value of the planner's Held
+	outstanding  *orders.Outstanding
+	informed     map[*peer.Conn]struct{} // entryds that were sent the outstanding orders
+	heldLoggedAt time.Time               // last EngineOrdersHeld
 }
 
 // inboxSize is the number of messages buffered for the loop. Connections block
--- a/internal/enginecontroller/outstanding.go
+++ b/internal/enginecontroller/outstanding.go
@@ -95,19 +95,21 @@
 	}
 }
 
-// logHeld logs when outstanding orders begin or cease to change the orders of the engine.
+// heldLogInterval is the minimum time between two events that orders are held back.
+const heldLogInterval = time.Second
+
+// logHeld logs that outstanding orders change the orders of the engine.
 func (ec *Controller) logHeld(now time.Time, instance string) {
-	held := ec.planner.Held()
-	if held == ec.held {
+	if !ec.planner.Held() || now.Sub(ec.heldLoggedAt) < heldLogInterval {
 		return
 	}
-	ec.held = held
+	ec.heldLoggedAt = now
 	ec.Log.Event(event.EngineOrdersHeld).
-		Bool("held", held).
 		Str("instance", instance).
 		Int64("started", ec.report.Started).
 		Int64("sequence", ec.report.Sequence).
 		Int("resident", len(ec.report.Adapters)).
+		Int("coming", len(ec.report.Loading)).
 		Int("outstanding", len(ec.outstanding.Orders(now, instance))).
 		Send()
 }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -200,7 +200,7 @@
 	{AdapterLoadFailed, "adapter_load_failed", zerolog.WarnLevel, "The engine could not load `adapter`."},
 	{AdapterUnloading, "adapter_unloading", zerolog.InfoLevel, "Placement decision: the engine is ordered to unload `adapter`; `reason` says why."},
 	{EngineOrdered, "engine_ordered", zerolog.InfoLevel, "Placement decision: the engine is ordered to load or unload `adapter` in the state that `started` and `sequence` identify; `outcome` says whether it accepted the order."},
-	{EngineOrdersHeld, "engine_orders_held", zerolog.InfoLevel, "Placement decision: while `held`, the engine gets other orders, or none, because it may still execute orders that got no response."},
+	{EngineOrdersHeld, "engine_orders_held", zerolog.InfoLevel, "Placement decision: the engine gets another order, or none, because it may still execute orders that got no response; at most once a second."},
 	{EngineRestarted, "engine_restarted", zerolog.WarnLevel, "The engine restarted and lost its adapters."},
 	{EngineUnreachable, "engine_unreachable", zerolog.WarnLevel, "The engine does not respond."},
 	{EngineReachable, "engine_reachable", zerolog.InfoLevel, "The engine responds."},
--- a/pkg/orders/outstanding.go
+++ b/pkg/orders/outstanding.go
@@ -55,20 +55,32 @@
 
 // Observe takes note of an engine's state before an order is planned, and returns the order that
 // it added, if any: after Inherit, one with AnySequence for each start of the engine. A start that
-// had accepted orders when it was first seen, with none outstanding, is the one that the process
-// before ordered last, so that the order is conditional on the present start.
+// had accepted orders when it was first seen got them from the process before, unless they were
+// outstanding orders for an earlier start. The last order of that process is then conditional on
+// the present start.
 func (u *Outstanding) Observe(now time.Time, r *Report) []OutstandingOrder {
 	if r.Started == u.started {
 		return nil
 	}
 	first := u.started == 0
 	u.started = r.Started
-	if first && r.Sequence > 0 && len(u.Orders(now, r.Instance)) == 0 {
+	if first && r.Sequence > 0 && !u.mayBeFirst(now, r.Instance) {
 		return nil
 	}
 	return u.Add(now, r.Instance, OutstandingOrder{Sequence: AnySequence, Within: u.inheritedUntil.Sub(now)})
 }
 
+// mayBeFirst reports whether an outstanding order may be the first one that a start of the engine
+// accepts.
+func (u *Outstanding) mayBeFirst(now time.Time, instance string) bool {
+	for key, until := range u.engines[instance] {
+		if now.Before(until) && (key.sequence == 0 || key.sequence == AnySequence) {
+			return true
+		}
+	}
+	return false
+}
+
 // Add adds orders for an instance. It returns those that changed the set.
 func (u *Outstanding) Add(now time.Time, instance string, added ...OutstandingOrder) []OutstandingOrder {
 	var changed []OutstandingOrder
--- a/pkg/orders/outstanding_test.go
+++ b/pkg/orders/outstanding_test.go
@@ -139,6 +139,10 @@
 			u.Add(start, "i", OutstandingOrder{Sequence: 0, Order: Order{Adapter: Adapter{Model: "m"}}, Within: OrderLifetime})
 			convey.So(loaded(start, engine(7, 1)), convey.ShouldEqual, 2)
 		})
+		convey.Convey("an engine that can't have executed an outstanding order first is filled", func() {
+			u.Add(start, "i", OutstandingOrder{Sequence: 9, Order: Order{Adapter: adapterNamed("b1")}, Within: OrderLifetime})
+			convey.So(loaded(start, engine(7, 5)), convey.ShouldEqual, 3)
+		})
 		convey.Convey("nothing is kept free for long", func() {
 			convey.So(loaded(start.Add(OrderLifetime), engine(7, 0)), convey.ShouldEqual, 3)
 		})
