Tell the starts of a target under one id apart

Cause: an id was taken for one start. Neither an entry nor a report that is older than a stream shows which start began it.

Change: a connection belongs to one start. The version of a target without a targetd is taken for that of a stream when its entry was read a second after there were uninterrupted connections to it (upstream.Continuity); after an interruption no stream goes on there until then. The origin of a stream at an engine is retracted if the targetd reports another start and did not confirm the one before late enough after the stream began.

TestOriginWithoutTimeout passes the target to recordOrigin, which needs it.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -56,6 +56,7 @@
 	TargetLimited     Code = 363
 	TargetUnlimited   Code = 364
 	StreamTakenUp     Code = 365
+	OriginRetracted   Code = 366
 
 	ConfirmationExpired   Code = 370
 	ConfirmationRenewed   Code = 371
@@ -175,6 +176,7 @@
 	{TargetLimited, "target_limited", zerolog.WarnLevel, "The target takes only `rate` requests a second from all entryds together, according to `source`: a response, or the targetd that heard of it."},
 	{TargetUnlimited, "target_unlimited", zerolog.InfoLevel, "The target no longer limits the rate of requests, according to `source`; the limit stood `for` that time."},
 	{StreamTakenUp, "stream_taken_up", zerolog.InfoLevel, "A caller takes up the `stream` that began with the request of that id, after event `last_event`. It began at `version` of `service`; that many targetds were `asked`. If it is not continued, `reason` says why."},
+	{OriginRetracted, "origin_retracted", zerolog.InfoLevel, "`target` had started again, so that a stream which began there `age` before may not be of `version`; it is not continued."},
 	{ConfirmationExpired, "confirmation_expired", zerolog.WarnLevel, "The configuration was last confirmed as the store's newest `age` ago, which is too long, or never if `confirmed` is false: requests that need a key are rejected, those on public routes are served."},
 	{ConfirmationRenewed, "confirmation_renewed", zerolog.InfoLevel, "The configuration is confirmed again; keys were rejected `for` that time."},
 	{ConfigurationOutdated, "configuration_outdated", zerolog.WarnLevel, "The store has an older `revision` than the one `in_force`, which stays in force but is not confirmed."},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -105,7 +105,9 @@
 			if !c.takesUp() {
 				g.Fleet.beginVersion(at, c, sel.target, version)
 			}
-			g.Fleet.recordOrigin(at, c)
+			g.Fleet.recordOrigin(at, c, sel.target)
+		} else {
+			g.Fleet.confirmVersion(at, c, sel.target)
 		}
 		if first {
 			active.firstEventAt = at
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -52,6 +52,7 @@
 	lastPermit      uint64                      // id of the last permit request
 	lastEntrydCount int                         // last known number of entryds
 	origins         streamOrigins
+	conns           connTracker                  // evidence of the connections to targets, nil if there is none
 	outstanding     *orders.Outstanding          // orders that engines may still execute, as targetds reported them
 	unsentCrashes   []peer.CrashReport           // while no targetd was connected
 	membership      holder.Membership            // of the targetds
@@ -141,6 +142,9 @@
 	f.setAsideSuperseded(now, r)
 	t := f.targets[r.ID]
 	if t != nil && (t.replica.Addr != r.Addr || t.replica.Service != r.Service || t.replica.Incarnation() != r.Incarnation() || t.replica.Version != r.Version) {
+		if restarts(r, t.replica) {
+			f.retractUnconfirmed(now, t)
+		}
 		f.drop(now, t) // a new incarnation shares no state with the previous one
 		t = nil
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -65,6 +65,9 @@
 func New(opts Options) *Gateway {
 	g := &Gateway{Options: opts, admission: newAdmissionControl(opts.Limits.Descriptors, opts.Limits.Memory), order: newRequestOrder()}
 	g.ending, g.endCalls = context.WithCancel(context.Background())
+	if opts.Client != nil {
+		opts.Fleet.trackConns(opts.Client)
+	}
 	return g
 }
 
--- a/internal/gateway/software_version.go
+++ b/internal/gateway/software_version.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/borageusher/borageusher/internal/peer"
+	"github.com/borageusher/borageusher/internal/upstream"
 	"github.com/borageusher/borageusher/pkg/streams"
 	"github.com/borageusher/borageusher/pkg/target"
 )
@@ -29,11 +31,65 @@
 func (f *Fleet) beginVersion(now time.Time, c *call, t *targetState, version string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.versionOf(now, t) == version { // else it is not known which start of the target responds
+	// Else it is not known which start of the target responds.
+	if f.versionOf(now, t) == version && f.confirmsStart(t) {
 		c.softwareVersion = version
 	}
 }
 
+// confirmVersion records the version of a stream that began before the entry of its target was
+// known to be that of the process that responds.
+func (f *Fleet) confirmVersion(now time.Time, c *call, t *targetState) {
+	if c.softwareVersion != "" || c.takesUp() {
+		return
+	}
+	f.mu.Lock()
+	if !t.hasTargetd() && f.confirmsStart(t) {
+		c.softwareVersion = f.versionOf(now, t)
+	}
+	f.mu.Unlock()
+	f.recordOrigin(now, c, t)
+}
+
+// connTracker tells for how long the connections to a target show that it is the same process.
+type connTracker interface {
+	Continuity(addr netip.AddrPort) upstream.Continuity
+}
+
+// trackConns has the fleet use the evidence of the connections to targets.
+func (f *Fleet) trackConns(c connTracker) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.conns = c
+}
+
+// hasTargetd reports whether a targetd reports the start of the target.
+func (t *targetState) hasTargetd() bool { return t.closeConn != nil || t.conn != nil }
+
+// confirmsStart reports whether the entry of a target without a targetd is known to be that of the
+// process that responds: it was read after there were connections to that process. The caller
+// holds mu.
+func (f *Fleet) confirmsStart(t *targetState) bool {
+	if t.hasTargetd() || f.conns == nil || f.entriesAsOf.IsZero() {
+		return true
+	}
+	c := f.conns.Continuity(t.replica.Addr)
+	return c.Open && !f.entriesAsOf.Before(c.Since.Add(entryLatency))
+}
+
+// interrupted reports whether a target without a targetd has closed connections recently, so that
+// it may have ended, and another start under its id is not ruled out. The caller holds mu.
+func (f *Fleet) interrupted(now time.Time, t *targetState) bool {
+	if f.conns == nil {
+		return false
+	}
+	c := f.conns.Continuity(t.replica.Addr)
+	if c.InterruptedAt.IsZero() || now.Sub(c.InterruptedAt) >= confirmTime {
+		return false
+	}
+	return !c.Open || f.entriesAsOf.Before(c.Since.Add(entryLatency))
+}
+
 // suits reports whether a target may be sent the call at all, whatever its state: it is of
 // the call's service, has not run the call, and has the version at which the call's stream
 // began. The caller holds mu.
@@ -41,7 +97,17 @@
 	if !c.mayGoTo(t) {
 		return false
 	}
-	return !c.continues() || (c.softwareVersion != "" && f.versionOf(now, t) == c.softwareVersion)
+	return !c.continues() || (c.softwareVersion != "" && !f.inDoubt(c) && f.versionOf(now, t) == c.softwareVersion)
+}
+
+// inDoubt reports whether the origin of the stream that the call itself began is in doubt. The
+// caller holds mu.
+func (f *Fleet) inDoubt(c *call) bool {
+	if c.takesUp() {
+		return false
+	}
+	s := f.origins.own[streams.KeyOf(c.streamID())]
+	return s != nil && s.inDoubt()
 }
 
 // mayGoTo reports whether a target is of the call's service and has not run the call.
@@ -81,18 +147,18 @@
 // versionOf returns the version of the software that responds to requests to t now, empty
 // if it is not known. A target may start again with another version under its id, so that
 // the id in a request does not tell. Of an engine it is known while its targetd reports
-// the start that is in its entry, of other targets while the entries are up to date. The
-// caller holds mu.
+// the start that is in its entry, of other targets while the entries are up to date and their
+// connections are not interrupted. The caller holds mu.
 func (f *Fleet) versionOf(now time.Time, t *targetState) string {
 	if current := f.targets[t.replica.ID]; current != nil && current != t {
 		return ""
 	}
-	hasTargetd := t.closeConn != nil || t.conn != nil
+	hasTargetd := t.hasTargetd()
 	refused := !t.refusedConnAt.IsZero()
 	switch {
 	case !hasTargetd && refused && now.Sub(t.refusedConnAt) < confirmTime:
 		return ""
-	case !hasTargetd && f.entriesOutdated(now):
+	case !hasTargetd && (f.entriesOutdated(now) || f.interrupted(now, t)):
 		return ""
 	case hasTargetd && !t.reportsStart(now):
 		return ""
--- a/internal/gateway/software_version_test.go
+++ b/internal/gateway/software_version_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/smartystreets/goconvey/convey"
+
+	"github.com/borageusher/borageusher/internal/peer"
 )
 
 // newPausingTarget starts a target that is listed with v1 and answers with v2. It sends the
@@ -110,3 +112,47 @@
 		})
 	})
 }
+
+// TestOriginRetracted guards against a stream that other entryds continue at the version of its
+// target's entry, although the target had started again with another one before it began, and
+// against streams that are given up although their target started again later.
+func TestOriginRetracted(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		confirmed time.Duration // after the stream began, when its target's start was last confirmed
+		continues bool
+	}{
+		{"just after its target is reported to have started again", restartReportDelay / 2, false},
+		{"long before its target is reported to have started again", time.Minute, true},
+	} {
+		convey.Convey("A stream that began "+test.name, t, func() {
+			first, second := newTestGateway(t), newTestGateway(t)
+			began, spare := newVersionedTarget(t, "t1", "a", "v1", 2), newVersionedTarget(t, "t2", "a", "v1", 0)
+			first.list(began, spare)
+			second.list(began, spare)
+			first.prefer("t1")
+			second.prefer("t2")
+			addTargetd(t, "t1", first, second)
+			addTargetd(t, "t2", first, second)
+			convey.So(eventually(func() bool { return first.fleet.softwareVersion(time.Now(), first.fleet.targets["t2"]) == "v1" }), convey.ShouldBeTrue)
+			first.fleet.mu.Lock()
+			first.fleet.targets["t2"].notice.leaving = true // the stream ends with t1
+			first.fleet.mu.Unlock()
+			convey.So(first.call(t, "/stream/x", "Id", "r1").body, convey.ShouldEqual, versionedEvents("v1", 1, 2))
+			first.fleet.mu.Lock()
+			t1 := first.fleet.targets["t1"]
+			for _, s := range first.fleet.origins.own {
+				t1.startConfirmedAt = s.begunAt.Add(test.confirmed)
+			}
+			first.fleet.mu.Unlock()
+			first.fleet.applyEngineState(time.Now(), t1, peer.EngineState{Started: 2, Reachable: true})
+			time.Sleep(50 * time.Millisecond) // the targetds receive the message
+			got := second.call(t, "/stream/x", "Id", "r2", "Resumes", "r1", "Last-Event", "2")
+			if test.continues {
+				convey.So(got.body, convey.ShouldEqual, versionedEvents("v1", 3, lastPiece))
+				return
+			}
+			convey.So(got.status, convey.ShouldEqual, 503)
+		})
+	}
+}
--- a/internal/gateway/stream_origins.go
+++ b/internal/gateway/stream_origins.go
@@ -62,6 +62,25 @@
 	origin streams.Origin
 	until  time.Time // when its caller gives up
 	sentTo []*peer.Conn
+
+	target    *targetState
+	started   int64 // start of the target that its targetd reported when the stream began
+	begunAt   time.Time
+	retracted bool // the target had started again before the stream began
+}
+
+// inDoubt reports whether the stream may have begun at a later start of its target than the
+// origin names: the targetd reports another one now, and did not report the one before for long
+// enough after the stream began.
+func (s *ownStream) inDoubt() bool {
+	return s.retracted || (s.target.state.Started != s.started && !s.confirmed())
+}
+
+// confirmed reports whether the start was reported after the stream began, late enough for a
+// restart before that to have been reported. Other targets have no targetd, and their start is
+// confirmed before the origin is recorded.
+func (s *ownStream) confirmed() bool {
+	return !s.target.hasTargetd() || !s.target.startConfirmedAt.Before(s.begunAt.Add(restartReportDelay))
 }
 
 // originQuery is a call's wait for the origin of its stream.
@@ -138,10 +157,52 @@
 func (f *Fleet) knownOrigin(now time.Time, k streams.Key) (streams.Origin, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.retractDoubtful(now, k)
 	o, _, ok := f.origins.known.Origin(now, k)
 	return o, ok
 }
 
+// retractDoubtful retracts the origin of an own stream if it is in doubt. The caller holds mu.
+func (f *Fleet) retractDoubtful(now time.Time, k streams.Key) {
+	if s := f.origins.own[k]; s != nil && s.inDoubt() {
+		f.retractOrigin(now, k, s)
+	}
+}
+
+// retractOrigin makes the origin of an own stream unknown here and at the targetds that keep it:
+// records that contradict each other name none. The caller holds mu.
+func (f *Fleet) retractOrigin(now time.Time, k streams.Key, s *ownStream) {
+	if s.retracted {
+		return
+	}
+	s.retracted = true
+	unknown := streams.Origin{Service: s.origin.Service}
+	f.origins.known.Record(now, k, unknown, s.until)
+	for _, c := range s.sentTo {
+		_, _ = c.Send(peer.StreamOrigin{Stream: uint64(k), Service: unknown.Service, Within: s.until.Sub(now)}) // a targetd that is lost loses the origin too
+	}
+	f.log.Event(event.OriginRetracted).Str("target", s.target.replica.ID).Str("version", s.origin.Version).Dur("age", now.Sub(s.begunAt)).Send()
+}
+
+// retractUnconfirmed retracts the origins of the own streams that began at t shortly before it was
+// known to have started again. The caller holds mu.
+func (f *Fleet) retractUnconfirmed(now time.Time, t *targetState) {
+	for k, s := range f.origins.own {
+		if s.target == t && !s.confirmed() {
+			f.retractOrigin(now, k, s)
+		}
+	}
+}
+
+// confirmStart records that the targetd of t has reported the start in its entry until now.
+func (f *Fleet) confirmStart(now time.Time, t *targetState) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if t.reportsStart(now) {
+		t.startConfirmedAt = now
+	}
+}
+
 func (f *Fleet) beginOriginQuery(k streams.Key) *originQuery {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -168,6 +229,7 @@
 func (f *Fleet) checkOrigin(now time.Time, q *originQuery) (o streams.Origin, pending bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.retractDoubtful(now, q.key)
 	if o, _, ok := f.origins.known.Origin(now, q.key); ok {
 		return o, false
 	}
@@ -228,9 +290,9 @@
 	return out
 }
 
-// recordOrigin records at which version the call's stream began, for the requests that may
-// take it up.
-func (f *Fleet) recordOrigin(now time.Time, c *call) {
+// recordOrigin records at which version the call's stream began at t, for the requests that
+// may take it up.
+func (f *Fleet) recordOrigin(now time.Time, c *call, t *targetState) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if c.softwareVersion == "" || c.streamID() == "" || !c.route.Resumable {
@@ -241,7 +303,7 @@
 	if !f.origins.known.Record(now, k, o, until) {
 		return
 	}
-	s := &ownStream{origin: o, until: until}
+	s := &ownStream{origin: o, until: until, target: t, started: t.state.Started, begunAt: now}
 	f.origins.own[k] = s
 	sendOrigin(now, k, s, f.holders((*targetState).keepsNewOrigins))
 }
--- a/internal/gateway/stream_origins_test.go
+++ b/internal/gateway/stream_origins_test.go
@@ -127,7 +127,7 @@
 		route := &routing.Route{Kind: routing.Stream, Resumable: true, Objective: time.Second}
 		c := newCall(time.Now(), RequestMeta{ID: "r1"}, route, "s", httptest.NewRequest(http.MethodPost, "/stream/x", nil), nil)
 		c.softwareVersion = "v1"
-		f.recordOrigin(c.start, c)
+		f.recordOrigin(c.start, c, newTargetState(c.start, target.Replica{ID: "t1"}, &targetNotice{}, nil))
 		_, until, ok := f.origins.known.Origin(c.start, streams.KeyOf("r1"))
 		convey.So(ok, convey.ShouldBeTrue)
 		convey.So(until, convey.ShouldHappenOnOrAfter, c.deadline)
--- a/internal/gateway/target_state.go
+++ b/internal/gateway/target_state.go
@@ -61,6 +61,7 @@
 	stateAt          time.Time                // zero until the first report
 	stateOfConn      bool                     // state was received on conn
 	stateAsked       bool                     // the targetd was asked whether state is up to date
+	startConfirmedAt time.Time                // last message of the targetd while it reported the start in the entry
 	unreachableAt    time.Time                // since when the targetd reports its engine as unreachable, if it does
 	resident         map[orders.Adapter]int64 // version of each adapter that the engine holds
 	loading          map[orders.Adapter]bool  // adapters that the engine is loading
--- a/internal/gateway/targetd_conns.go
+++ b/internal/gateway/targetd_conns.go
@@ -125,6 +125,7 @@
 		case peer.SegmentAnswers:
 			tc.onSegmentAnswers(now, m)
 		}
+		f.confirmStart(now, t)
 	})
 	f.mu.Lock()
 	t.conn = nil
@@ -199,6 +200,9 @@
 	defer f.mu.Unlock()
 	f.observeLoadTimes(now, t, s)
 	crashed = t.engineCrashed(s)
+	if s.Started != t.state.Started {
+		f.retractUnconfirmed(now, t)
+	}
 	arrived, changed := f.applyState(now, t, s)
 	f.observeStart(now, t, s)
 	t.recordReport(now)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -39,14 +39,16 @@
 
 	mu   sync.Mutex
 	idle map[netip.AddrPort][]*conn
-	busy map[*conn]uint64 // owners of the requests in progress, by connection
+
+	targets map[netip.AddrPort]*targetConns
+	busy    map[*conn]uint64 // owners of the requests in progress, by connection
 
 	buffers socket.Buffers // of the connections
 }
 
 // New returns a client that recognizes responses with identify.
 func New(identify RequestIDFunc) *Client {
-	return &Client{identify: identify, seed: maphash.MakeSeed(), idle: map[netip.AddrPort][]*conn{}, busy: map[*conn]uint64{}}
+	return &Client{identify: identify, seed: maphash.MakeSeed(), idle: map[netip.AddrPort][]*conn{}, targets: map[netip.AddrPort]*targetConns{}, busy: map[*conn]uint64{}}
 }
 
 // LimitBuffers sets the sizes of the connections' buffers in the kernel. It must be called
@@ -87,21 +89,25 @@
 	stop := context.AfterFunc(ctx, conn.abort)
 	resp, err := c.roundTrip(conn, req)
 	if err != nil {
-		stop()
+		if stop() {
+			c.interrupted(time.Now(), addr)
+		}
 		c.end(conn)
 		conn.abandon()
 		return nil, err
 	}
 	resp.conn, resp.client = conn, c
-	resp.Body = &cancelStopReader{resp.Body, stop}
+	resp.Body = &cancelStopReader{resp.Body, stop, func() { c.interrupted(time.Now(), addr) }}
 	return resp, nil
 }
 
 // cancelStopReader reads a response's body. At the end of the body or at an error, it
-// stops the function that resets the connection when the request's context is done.
+// stops the function that resets the connection when the request's context is done. It
+// reports an error that is not due to the context.
 type cancelStopReader struct {
 	io.Reader
-	stop func() bool
+	stop   func() bool
+	broken func()
 }
 
 func (r *cancelStopReader) Read(p []byte) (int, error) {
@@ -109,9 +115,13 @@
 	if err == nil {
 		return n, nil
 	}
-	if !r.stop() && err == io.EOF {
+	stopped := r.stop()
+	if !stopped && err == io.EOF {
 		return n, io.ErrUnexpectedEOF // the context is done and the connection was reset
 	}
+	if stopped && err != io.EOF {
+		r.broken()
+	}
 	return n, err
 }
 
@@ -209,19 +219,33 @@
 // id gets a new connection. id is the hash of the request's id.
 func (c *Client) acquire(ctx context.Context, addr netip.AddrPort, req *Request, id uint64) (*conn, error) {
 	if req.ID == "" {
-		return dial(ctx, addr, c.buffers)
+		return c.dial(ctx, addr)
 	}
 	now := time.Now()
 	for {
 		conn := c.popIdle(addr, id)
 		if conn == nil {
-			return dial(ctx, addr, c.buffers)
+			return c.dial(ctx, addr)
 		}
-		if now.Before(conn.expires) && conn.isQuiescent() {
-			return conn, nil
+		if now.Before(conn.expires) {
+			if conn.isQuiescent() {
+				return conn, nil
+			}
+			c.closedAfter(now, addr, now.Sub(conn.idleAt)) // or it sent unexpected data
 		}
-		_ = conn.Close() // expired, closed by the target, or with unexpected data
+		_ = conn.Close() // no request is affected by an error
+	}
+}
+
+// dial opens a connection to the target at addr.
+func (c *Client) dial(ctx context.Context, addr netip.AddrPort) (*conn, error) {
+	conn, err := dial(ctx, addr, c.buffers)
+	if err != nil {
+		return nil, err
 	}
+	conn.onClose = func() { c.disconnected(addr) }
+	c.connected(time.Now(), addr)
+	return conn, nil
 }
 
 // popIdle removes and returns the most recently used idle connection to addr over which
@@ -260,6 +284,7 @@
 		conn.abandon()
 		return
 	}
+	conn.idleAt = time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle[conn.addr] = append(c.idle[conn.addr], conn)
@@ -278,8 +303,16 @@
 
 // CloseExpired closes the idle connections that have expired at now.
 func (c *Client) CloseExpired(now time.Time) {
+	for _, conn := range c.takeExpired(now) {
+		_ = conn.Close() // no request is affected by an error
+	}
+}
+
+// takeExpired removes and returns the idle connections that have expired at now.
+func (c *Client) takeExpired(now time.Time) []*conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	var expired []*conn
 	for addr, list := range c.idle {
 		kept := list[:0]
 		for _, conn := range list {
@@ -287,7 +320,7 @@
 				kept = append(kept, conn)
 				continue
 			}
-			_ = conn.Close() // no request is affected by an error
+			expired = append(expired, conn)
 		}
 		if len(kept) == 0 {
 			delete(c.idle, addr)
@@ -295,4 +328,6 @@
 		}
 		c.idle[addr] = kept
 	}
+	c.expireTargets(now)
+	return expired
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -59,6 +60,9 @@
 	expires     time.Time     // time from which the connection is not reused
 	bodyWritten chan struct{} // closed when the request's body has been written, nil if it was written inline
 	bodyDone    chan struct{} // closed when the request's body is not used any more, nil as bodyWritten
+	idleAt      time.Time     // when the last response was complete
+	onClose     func()        // called when it is closed first, if set
+	closeOnce   sync.Once
 }
 
 func dial(ctx context.Context, addr netip.AddrPort, buffers socket.Buffers) (*conn, error) {
@@ -114,6 +118,16 @@
 	return socket.Queued(raw)
 }
 
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.closeOnce.Do(func() {
+		if c.onClose != nil {
+			c.onClose()
+		}
+	})
+	return c.Conn.Close()
+}
+
 // abort resets the connection. Written data that the target has not received yet
 // is dropped, so that the target does not start an abandoned request.
 func (c *conn) abort() {
