Ignore copies of crash reports

Cause: up to three targetds forward each report of a crash, and an entryd applied each copy: it rebuilt its index of suspects, added their fingerprints again, and made a crash known again that an answer had withdrawn.

--- a/internal/gateway/crash_tracker.go
+++ b/internal/gateway/crash_tracker.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"hash/maphash"
 	"io"
 	"sync"
 	"syscall"
@@ -54,6 +55,8 @@
 	known  map[string]time.Time                             // latest possible times of the crashes that may be withdrawn, by incarnation
 	stated map[string]time.Time                             // when a targetd stated a crash, which is not withdrawn, by incarnation
 	alive  map[string]time.Time                             // when the last request that was answered was sent, by incarnation
+	copies map[uint64]time.Time                             // receipts of reports of other entryds, by the hash of the report
+	seed   maphash.Seed                                     // of the hashes
 }
 
 func newCrashTracker(broadcast func(peer.Message), log event.Log) *crashTracker {
@@ -67,6 +70,8 @@
 		known:     map[string]time.Time{},
 		stated:    map[string]time.Time{},
 		alive:     map[string]time.Time{},
+		copies:    map[uint64]time.Time{},
+		seed:      maphash.MakeSeed(),
 	}
 }
 
@@ -243,12 +248,33 @@
 func (t *crashTracker) applyReport(now time.Time, m peer.CrashReport) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.add(now, m, sourceEntryd)
+	if !t.isCopy(now, m) {
+		t.add(now, m, sourceEntryd)
+	}
 	if last, ok := t.lastBreak(now, m.Engine); ok {
 		t.reportCrash(now, last, m.Engine, sourceEntryd)
 	}
 }
 
+// isCopy reports whether the same report arrived before: up to crashReportFanout targetds forward
+// each one. To apply all of them takes a small VM seconds when many engines crash at once. The
+// caller holds mu.
+func (t *crashTracker) isCopy(now time.Time, m peer.CrashReport) bool {
+	var h maphash.Hash
+	h.SetSeed(t.seed)
+	_, _ = h.WriteString(m.Engine) // a hash returns no error
+	for _, f := range m.Fingerprints {
+		_, _ = h.Write(f)
+	}
+	key := h.Sum64()
+	at, ok := t.copies[key]
+	if ok && now.Sub(at) < breakRetention {
+		return true
+	}
+	t.copies[key] = now
+	return false
+}
+
 // applySegmentCrash applies a report of another entryd.
 func (t *crashTracker) applySegmentCrash(now time.Time, m peer.SegmentCrash) {
 	t.mu.Lock()
@@ -296,6 +322,11 @@
 			delete(t.alive, incarnation)
 		}
 	}
+	for key, at := range t.copies {
+		if now.Sub(at) > breakRetention {
+			delete(t.copies, key)
+		}
+	}
 	for _, times := range []map[string]time.Time{t.known, t.stated} {
 		for incarnation, at := range times {
 			if now.Sub(at) > quarantine.ConvictedFor {
