--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -37,18 +37,23 @@
 	identify RequestIDFunc
 	seed     maphash.Seed // of the hashes of request ids
 
-	mu   sync.Mutex
-	idle map[netip.AddrPort][]*conn
-
-	targets map[netip.AddrPort]*targetConns
+	mu      sync.Mutex // guards idle, busy and targets
+	idle    map[netip.AddrPort][]*conn
 	busy    map[*conn]uint64 // owners of the requests in progress, by connection
+	targets map[netip.AddrPort]*targetConns
 
 	buffers socket.Buffers // of the connections
 }
 
 // New returns a client that recognizes responses with identify.
 func New(identify RequestIDFunc) *Client {
-	return &Client{identify: identify, seed: maphash.MakeSeed(), idle: map[netip.AddrPort][]*conn{}, targets: map[netip.AddrPort]*targetConns{}, busy: map[*conn]uint64{}}
+	return &Client{
+		identify: identify,
+		seed:     maphash.MakeSeed(),
+		idle:     map[netip.AddrPort][]*conn{},
+		busy:     map[*conn]uint64{},
+		targets:  map[netip.AddrPort]*targetConns{},
+	}
 }
 
 // LimitBuffers sets the sizes of the connections' buffers in the kernel. It must be called
--- a/internal/upstream/continuity.go
+++ b/internal/upstream/continuity.go
@@ -18,7 +18,7 @@
 // has responded for some time. A process that ends closes all its connections.
 type Continuity struct {
 	Open          bool      // there is a connection, idle or with a request
-	Since         time.Time // start of the oldest period with a connection and without an interruption, if Open is set
+	Since         time.Time // since when there have been connections without an interruption, if Open is set
 	InterruptedAt time.Time // last time at which the target broke a response off or closed a connection that was just used, zero if none is remembered
 }
 
@@ -67,7 +67,7 @@
 func (c *Client) interrupted(now time.Time, addr netip.AddrPort) { c.closedAfter(now, addr, 0) }
 
 // closedAfter records that the target at addr closed a connection that had been idle for the given
-// time. That it was idle for too long explains it after minIdleTimeout.
+// time. From minIdleTimeout on, the target may have closed it for being idle.
 func (c *Client) closedAfter(now time.Time, addr netip.AddrPort, idle time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
