--- a/internal/gateway/crash_tracker.go
+++ b/internal/gateway/crash_tracker.go
@@ -257,8 +257,7 @@
 }
 
 // isCopy reports whether the same report arrived before: up to crashReportFanout targetds forward
-// each one. To apply all of them takes a small VM seconds when many engines crash at once. The
-// caller holds mu.
+// each one, and to apply it rebuilds the index of suspects. The caller holds mu.
 func (t *crashTracker) isCopy(now time.Time, m peer.CrashReport) bool {
 	var h maphash.Hash
 	h.SetSeed(t.seed)
